--- /dev/null
+++ b/crates/audit/src/main.rs
@@ -0,0 +1,3 @@
+//! `azuretally-audit`: to be written.
+
+fn main() {}
--- /dev/null
+++ b/crates/azuretally/src/main.rs
@@ -0,0 +1,3 @@
+//! `azuretally`: to be written.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/context.rs
@@ -0,0 +1,60 @@
+//! What every part of the daemon is given.
+
+use crate::{clock::Clock, view::View};
+use arc_swap::ArcSwap;
+use azuretally_settings::LocalSettings;
+use std::sync::Arc;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Shared by all parts of one entry process.
+#[derive(Debug)]
+pub struct Context {
+    /// The local file.
+    pub local: LocalSettings,
+    /// Key with which the entries authenticate messages and tokens.
+    pub peer_key: Vec<u8>,
+    /// Nonce of this incarnation, drawn at start, as lower-case hex.
+    pub incarnation: Arc<str>,
+    /// Clock of the process.
+    pub clock: Clock,
+    /// Asks for the planned stop: no new calls, finish those in flight.
+    pub stop: CancellationToken,
+    /// Ends every part after the planned stop.
+    pub end: CancellationToken,
+    view: ArcSwap<View>,
+    changed: watch::Sender<u64>,
+}
+
+impl Context {
+    /// A context with an empty view.
+    pub fn new(local: LocalSettings, peer_key: Vec<u8>) -> Self {
+        let incarnation = Arc::from(hex::encode(rand::random::<[u8; 8]>()));
+        Self {
+            local,
+            peer_key,
+            incarnation,
+            clock: Clock::start(),
+            stop: CancellationToken::new(),
+            end: CancellationToken::new(),
+            view: ArcSwap::from_pointee(View::default()),
+            changed: watch::Sender::new(0),
+        }
+    }
+
+    /// The view in force now.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// Publishes a new view. Called by the control thread alone.
+    pub fn publish(&self, view: View) {
+        self.view.store(Arc::new(view));
+        self.changed.send_modify(|n| *n += 1);
+    }
+
+    /// Wakes whenever a new view was published.
+    pub fn watch(&self) -> watch::Receiver<u64> {
+        self.changed.subscribe()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/daemon.rs
@@ -0,0 +1,89 @@
+//! Start, planned stop and end of an entry.
+
+use crate::{StartError, admin, calls, context::Context, control, record};
+use azuretally_settings::LocalSettings;
+use error_stack::{Report, ResultExt};
+use std::{sync::Arc, thread};
+use tokio::{
+    runtime,
+    signal::unix::{SignalKind, signal},
+};
+
+/// Runs an entry with the local settings `text` from the file `source` until it is told to stop.
+///
+/// SIGTERM and SIGINT begin the planned stop: calls in flight are finished first.
+///
+/// # Errors
+///
+/// [`StartError`] when the entry cannot start.
+pub fn run(source: &str, text: &str) -> Result<(), Report<StartError>> {
+    let local = LocalSettings::parse(source, text).change_context(StartError::Settings)?;
+    set_up_log(&local)?;
+    let peer_key = std::fs::read(&local.peer_key_file)
+        .change_context_lazy(|| StartError::ReadFile(local.peer_key_file.clone()))?;
+    let context = Arc::new(Context::new(local, peer_key));
+    log::info!("entry: start host={} run={}", context.local.host, context.incarnation);
+
+    let control = spawn_control(&context)?;
+    let mut builder = runtime::Builder::new_multi_thread();
+    builder.enable_all().thread_name("calls");
+    if let Some(threads) = context.local.call_threads {
+        builder.worker_threads(threads);
+    }
+    let runtime = builder.build().change_context(StartError::Runtime)?;
+    let result = runtime.block_on(serve(&context));
+    context.end.cancel();
+    if control.join().is_err() {
+        log::error!("entry: control thread panicked");
+    }
+    log::info!("entry: end");
+    result
+}
+
+async fn serve(context: &Arc<Context>) -> Result<(), Report<StartError>> {
+    let server = calls::Server::bind(Arc::clone(context)).await?;
+    let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Runtime)?;
+    let mut interrupt = signal(SignalKind::interrupt()).change_context(StartError::Runtime)?;
+    let stop = context.stop.clone();
+    let signals = tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+            () = stop.cancelled() => {}
+        }
+        log::info!("entry: planned stop begins");
+        stop.cancel();
+    });
+    server.run().await;
+    signals.abort();
+    let _ = signals.await;
+    Ok(())
+}
+
+fn spawn_control(context: &Arc<Context>) -> Result<thread::JoinHandle<()>, Report<StartError>> {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(StartError::Runtime)?;
+    let context = Arc::clone(context);
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            runtime.block_on(async {
+                tokio::join!(control::run(&context), admin::run(&context), record::run(&context));
+            });
+        })
+        .change_context(StartError::Runtime)
+}
+
+fn set_up_log(local: &LocalSettings) -> Result<(), Report<StartError>> {
+    let level = local.log_level.as_deref().unwrap_or("info");
+    let level = level.parse::<log::LevelFilter>().change_context(StartError::Log)?;
+    fern::Dispatch::new()
+        .format(|out, message, record| out.finish(format_args!("{} {message}", record.level())))
+        .level(log::LevelFilter::Warn)
+        .level_for("azuretally_entry", level)
+        .chain(std::io::stderr())
+        .apply()
+        .change_context(StartError::Log)
+}
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,48 @@
+//! `azuretally-entry`: the only daemon of azuretally, one on each entry host.
+
+use azuretally_entry::{StartError, daemon};
+use error_stack::{Report, ResultExt};
+use std::{ffi::OsString, path::PathBuf, process::ExitCode};
+
+const USAGE: &str = "Usage: azuretally-entry --settings FILE";
+
+fn main() -> ExitCode {
+    let path = match parse() {
+        Ok(Some(path)) => path,
+        Ok(None) => {
+            println!("{USAGE}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("error: {e}\n{USAGE}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(path) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("error: {report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(path: PathBuf) -> Result<(), Report<StartError>> {
+    let text = std::fs::read_to_string(&path)
+        .change_context_lazy(|| StartError::ReadFile(path.clone()))?;
+    daemon::run(&path.display().to_string(), &text)
+}
+
+fn parse() -> Result<Option<PathBuf>, lexopt::Error> {
+    use lexopt::prelude::{Long, Short};
+    let mut parser = lexopt::Parser::from_env();
+    let mut path: Option<OsString> = None;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("settings") => path = Some(parser.value()?),
+            Long("help") | Short('h') => return Ok(None),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    path.map(|p| Some(PathBuf::from(p))).ok_or_else(|| "--settings is needed".into())
+}
--- /dev/null
+++ b/crates/entry/src/view.rs
@@ -0,0 +1,93 @@
+//! The immutable picture under which calls are decided.
+//!
+//! The control thread publishes a new [`View`] whenever settings, hosts or membership change. A
+//! call takes one view when it arrives and keeps it, so that its record can name one revision.
+
+use azuretally_api::admin::RefusedRevision;
+use azuretally_policy::{
+    Timestamp,
+    dispatch::{PeerSlots, ServicePlan, TargetPlan},
+};
+use azuretally_settings::Published;
+use indexmap::IndexMap;
+use std::{net::SocketAddr, sync::Arc};
+
+/// Lifecycle of an entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Lifecycle {
+    /// No settings yet.
+    #[default]
+    Starting,
+    /// Taking calls.
+    Serving,
+    /// Cut off from platform and peers: takes calls under the last settings, directs others away.
+    Stale,
+    /// Planned stop: finishes what is in flight.
+    Stopping,
+}
+
+impl Lifecycle {
+    /// Name on the wire and in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::Serving => "serving",
+            Self::Stale => "stale",
+            Self::Stopping => "stopping",
+        }
+    }
+}
+
+/// A target with its address.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetView {
+    /// What the dispatcher knows of the target.
+    pub plan: TargetPlan,
+    /// Where it takes calls.
+    pub address: SocketAddr,
+}
+
+/// An entry of the deployment, this one included.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryView {
+    /// Failure domain.
+    pub failure_domain: Arc<str>,
+    /// Where it takes calls.
+    pub calls: SocketAddr,
+    /// Last token heard from it, empty when none was.
+    pub token: String,
+    /// Whether callers may be directed to it.
+    pub usable: bool,
+}
+
+/// One service: its plan, targets and entry set.
+#[derive(Clone, Debug)]
+pub struct ServiceView {
+    /// Settings under the preset in force.
+    pub plan: Arc<ServicePlan>,
+    /// Targets by name.
+    pub targets: IndexMap<Arc<str>, TargetView>,
+    /// Members of the entry set, with the slots that they told to be free.
+    pub set: Vec<PeerSlots>,
+    /// Host names of entries in the order in which callers should use them.
+    pub directions: Vec<Arc<str>>,
+}
+
+/// Everything a call is decided under.
+#[derive(Clone, Debug, Default)]
+pub struct View {
+    /// Lifecycle of this entry.
+    pub state: Lifecycle,
+    /// Revision of the settings in force, 0 before the first.
+    pub revision: u64,
+    /// When the revision came into force here.
+    pub since: Timestamp,
+    /// Settings in force.
+    pub published: Option<Arc<Published>>,
+    /// Last refused revision.
+    pub refused: Option<RefusedRevision>,
+    /// Services by name.
+    pub services: IndexMap<Arc<str>, Arc<ServiceView>>,
+    /// Entries by host name.
+    pub entries: IndexMap<Arc<str>, EntryView>,
+}
--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,3 @@
+//! `azuretally-load`: to be written.
+
+fn main() {}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
