feat(control): follow the platform and publish the view

Cause: the request path, load tool and tests need settings, hosts and entry sets. Change: control watches settings and host list by long poll, one connection a call, so that a silent connection is never used again; checks documents by Published::parse; keeps the highest revision; builds the view. Places of an entry set are given by rendezvous hashing of their own per place, spread over failure domains. Ruled out: ranking all entries once per service, since a removal then shifts every later place.

--- /dev/null
+++ b/crates/entry/src/control/error.rs
@@ -0,0 +1,32 @@
+//! Why a call to the platform failed.
+
+use std::{error::Error, fmt};
+
+/// A failed call to the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlatformError {
+    /// No connection was made.
+    Connect,
+    /// The connection broke or did not speak HTTP.
+    Broken,
+    /// No answer came in time.
+    Silent,
+    /// The answer had this status.
+    Status(u16),
+    /// The answer had no revision, was too long or not UTF-8.
+    Malformed,
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect => f.write_str("cannot connect"),
+            Self::Broken => f.write_str("the connection broke"),
+            Self::Silent => f.write_str("no answer in time"),
+            Self::Status(status) => write!(f, "status {status}"),
+            Self::Malformed => f.write_str("the answer is malformed"),
+        }
+    }
+}
+
+impl Error for PlatformError {}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! explained afterwards from its inputs.
 
 pub mod dispatch;
+pub mod fleet;
 pub mod time;
 
 pub use time::Timestamp;
