feat(admin): serve status and directions, hand decided calls to a record sink

Cause: the request path needs somewhere to hand decided calls to, and operators and callers need an entry that answers. Change: `GET /status` and `GET /directions?service=NAME` by dropshot on the control thread, its slog output bridged to `log`; `Context::records` takes `CallRecord`s through sharded bounded queues without waking the control thread; calls beyond the bound are counted. Ruled out: a channel, which wakes the control thread once for every call.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -1,9 +1,26 @@
-//! Administration API and directions.
+//! Administration API and directions, served from the control thread.
 
-use crate::context::Context;
+mod directions;
+mod log_bridge;
+mod operators;
+mod server;
+mod status;
+
+use crate::{StartError, context::Context};
+use error_stack::Report;
 use std::sync::Arc;
 
-/// Runs until the end of the process.
-pub async fn run(context: &Arc<Context>) {
+/// Serves both interfaces until the end of the process.
+///
+/// # Errors
+///
+/// [`StartError::Bind`] when an address cannot be used.
+pub async fn run(context: &Arc<Context>) -> Result<(), Report<StartError>> {
+    let listen = &context.local.listen;
+    let admin = server::start(context, operators::api()?, listen.admin)?;
+    let directions = server::start(context, directions::api()?, listen.directions)?;
     context.end.cancelled().await;
+    server::close(admin).await;
+    server::close(directions).await;
+    Ok(())
 }
--- /dev/null
+++ b/crates/entry/src/admin/directions.rs
@@ -0,0 +1,64 @@
+//! Answers callers that ask which entry to use.
+
+use crate::{
+    StartError,
+    context::Context,
+    view::{Lifecycle, View},
+};
+use azuretally_api::directions::{Direction, Directions};
+use dropshot::{ApiDescription, HttpError, HttpResponseOk, Query, RequestContext, endpoint};
+use error_stack::{Report, ResultExt};
+use schemars::JsonSchema;
+use serde::Deserialize;
+use std::sync::Arc;
+
+/// How long a caller may keep an answer, in ms.
+const DIRECTIONS_TTL_MS: u64 = 5_000;
+
+/// The interface for callers that ask which entry to use.
+pub(super) fn api() -> Result<ApiDescription<Arc<Context>>, Report<StartError>> {
+    let mut api = ApiDescription::new();
+    api.register(get_directions).change_context(StartError::Api)?;
+    Ok(api)
+}
+
+#[derive(Debug, Deserialize, JsonSchema)]
+struct DirectionsQuery {
+    /// Name of the service.
+    service: String,
+}
+
+/// Entries to use for a service, the best first
+#[endpoint { method = GET, path = "/directions" }]
+async fn get_directions(
+    request: RequestContext<Arc<Context>>,
+    query: Query<DirectionsQuery>,
+) -> Result<HttpResponseOk<Directions>, HttpError> {
+    let view = request.context().view();
+    let service = query.into_inner().service;
+    if view.state == Lifecycle::Starting {
+        let message = "no settings are in force here yet".to_owned();
+        return Err(HttpError::for_unavail(Some("starting".to_owned()), message));
+    }
+    directions(&view, &service).map(HttpResponseOk).ok_or_else(|| {
+        let message = format!("no service named `{service}`");
+        HttpError::for_not_found(Some("no-service".to_owned()), message)
+    })
+}
+
+fn directions(view: &View, service: &str) -> Option<Directions> {
+    let hosts = &view.services.get(service)?.directions;
+    let entries = hosts
+        .iter()
+        .filter_map(|host| {
+            let entry = view.entries.get(host)?;
+            Some(Direction {
+                host: host.to_string(),
+                failure_domain: entry.failure_domain.to_string(),
+                address: entry.calls,
+                token: entry.token.clone(),
+            })
+        })
+        .collect();
+    Some(Directions { service: service.to_owned(), ttl_ms: DIRECTIONS_TTL_MS, entries })
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,6 +1,6 @@
 //! What every part of the daemon is given.
 
-use crate::{clock::Clock, view::View};
+use crate::{clock::Clock, record::Sink, view::View};
 use arc_swap::ArcSwap;
 use azuretally_settings::LocalSettings;
 use std::sync::Arc;
@@ -18,6 +18,8 @@
     pub incarnation: Arc<str>,
     /// Clock of the process.
     pub clock: Clock,
+    /// Where decided calls are handed to the audit record.
+    pub records: Sink,
     /// Asks for the planned stop: no new calls, finish those in flight.
     pub stop: CancellationToken,
     /// Ends every part after the planned stop.
@@ -35,6 +37,7 @@
             peer_key,
             incarnation,
             clock: Clock::start(),
+            records: Sink::new(),
             stop: CancellationToken::new(),
             end: CancellationToken::new(),
             view: ArcSwap::from_pointee(View::default()),
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -70,12 +70,20 @@
         .name("control".to_owned())
         .spawn(move || {
             runtime.block_on(async {
-                tokio::join!(control::run(&context), admin::run(&context), record::run(&context));
+                let admin = serve_admin(&context);
+                tokio::join!(control::run(&context), admin, record::run(&context));
             });
         })
         .change_context(StartError::Runtime)
 }
 
+async fn serve_admin(context: &Arc<Context>) {
+    if let Err(report) = admin::run(context).await {
+        log::error!("admin: {report:?}");
+        context.stop.cancel();
+    }
+}
+
 fn set_up_log(local: &LocalSettings) -> Result<(), Report<StartError>> {
     let level = local.log_level.as_deref().unwrap_or("info");
     let level = level.parse::<log::LevelFilter>().change_context(StartError::Log)?;
