feat(standin): add stand-in platform, targets and fault proxy

Process tests and the demo need what surrounds the entries: a platform that publishes settings and hosts with revisions and counts its readers, targets with slots whose load shifts and which count every run, and a TCP proxy that injects faults. Each counts at the far end, so that a test need not trust what the entries say of themselves.

Ruled out: a simulator of the cluster; real processes and loopback suffice.

--- /dev/null
+++ b/crates/standin/src/bin/azuretally-standin-target.rs
@@ -0,0 +1,129 @@
+//! `azuretally-standin-target`: one or several targets in one process.
+
+use azuretally_standin::{
+    StandinError, http,
+    target::{Distribution, ShiftOptions, TargetFleet, TargetOptions},
+};
+use error_stack::{Report, ResultExt};
+use std::{net::SocketAddr, process::ExitCode, time::Duration};
+use tokio_util::sync::CancellationToken;
+
+const USAGE: &str = "\
+Usage: azuretally-standin-target --listen ADDR --name NAME [OPTIONS]
+
+  --count N             targets on consecutive ports, called NAME-0 and so on (1)
+  --control ADDR        control port: POST /faults[?target=NAME], GET /runs, GET /stats
+  --slots N             calls that one target runs at once (2)
+  --backlog N           calls that wait at the target before it refuses as busy (0)
+  --service-ms X        mean service time (10); a call may ask for another with ?ms=X
+  --fixed               fixed service times in place of exponential ones
+  --probe-ms X          slot time of a probe (6)
+  --connect-ms X        slot time of a new connection (1)
+  --connections N       connections that one target accepts (240)
+  --net-delay-ms X      network delay in each direction (0)
+  --cold-ms X           how long a new incarnation is cold (0)
+  --cold-factor X       service times of a cold target are multiplied by this (3)
+  --shift-ms LO-HI      a slow neighbour moves to other targets every LO to HI ms
+  --shift-share X       share of targets that are slow at any time (0.33)
+  --shift-factor X      service times of slow targets are multiplied by this (4)
+  --threads N           worker threads (1)
+  --seed N              seed of service times and of the slow neighbour (1)";
+
+struct Options {
+    listen: SocketAddr,
+    control: Option<SocketAddr>,
+    name: String,
+    count: u16,
+    threads: usize,
+    targets: TargetOptions,
+}
+
+fn main() -> ExitCode {
+    match parse() {
+        Ok(options) => match run(options) {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(report) => {
+                eprintln!("error: {report:?}");
+                ExitCode::FAILURE
+            }
+        },
+        Err(e) => {
+            eprintln!("error: {e}\n{USAGE}");
+            ExitCode::from(2)
+        }
+    }
+}
+
+fn run(options: Options) -> Result<(), Report<StandinError>> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(options.threads)
+        .enable_all()
+        .build()
+        .change_context(StandinError::Runtime)?;
+    runtime.block_on(async {
+        let fleet =
+            TargetFleet::bind(&options.name, options.count, options.listen, &options.targets)?;
+        let control = options.control.map(http::listen).transpose()?;
+        println!("ready {}", options.listen);
+        fleet.run(control, CancellationToken::new()).await;
+        Ok(())
+    })
+}
+
+fn parse() -> Result<Options, lexopt::Error> {
+    use lexopt::prelude::{Long, ValueExt};
+    let (mut listen, mut name, mut control) = (None, None, None);
+    let (mut count, mut threads) = (1, 1);
+    let mut targets = TargetOptions::default();
+    let mut shift: Option<(Duration, Duration)> = None;
+    let (mut share, mut factor) = (0.33, 4.0);
+    let mut parser = lexopt::Parser::from_env();
+    while let Some(arg) = parser.next()? {
+        let Long(option) = arg else { return Err(arg.unexpected()) };
+        let option = option.to_owned();
+        if option == "fixed" {
+            targets.distribution = Distribution::Fixed;
+            continue;
+        }
+        let value = parser.value()?;
+        match option.as_str() {
+            "listen" => listen = Some(value.parse()?),
+            "control" => control = Some(value.parse()?),
+            "name" => name = Some(value.string()?),
+            "count" => count = value.parse()?,
+            "threads" => threads = value.parse()?,
+            "slots" => targets.slots = value.parse()?,
+            "backlog" => targets.backlog = value.parse()?,
+            "service-ms" => targets.service = value.parse_with(ms)?,
+            "probe-ms" => targets.probe = value.parse_with(ms)?,
+            "connect-ms" => targets.connect = value.parse_with(ms)?,
+            "connections" => targets.connections = value.parse()?,
+            "net-delay-ms" => targets.net_delay = value.parse_with(ms)?,
+            "cold-ms" => targets.cold = value.parse_with(ms)?,
+            "cold-factor" => targets.cold_factor = value.parse()?,
+            "shift-ms" => shift = Some(value.parse_with(range)?),
+            "shift-share" => share = value.parse()?,
+            "shift-factor" => factor = value.parse()?,
+            "seed" => targets.seed = value.parse()?,
+            _ => return Err(format!("no option --{option}").into()),
+        }
+    }
+    targets.shift =
+        shift.map(|(shortest, longest)| ShiftOptions { shortest, longest, share, factor });
+    match (listen, name) {
+        (Some(listen), Some(name)) => {
+            Ok(Options { listen, control, name, count, threads, targets })
+        }
+        _ => Err("--listen and --name are needed".into()),
+    }
+}
+
+fn ms(text: &str) -> Result<Duration, lexopt::Error> {
+    let ms: f64 = text.parse().map_err(|_| "not a number of ms")?;
+    Duration::try_from_secs_f64(ms / 1_000.0).map_err(|e| e.to_string().into())
+}
+
+fn range(text: &str) -> Result<(Duration, Duration), lexopt::Error> {
+    let (low, high) = text.split_once('-').ok_or("not a range LO-HI")?;
+    Ok((ms(low)?, ms(high)?))
+}
--- /dev/null
+++ b/crates/standin/src/http.rs
@@ -0,0 +1,176 @@
+//! A small HTTP/1.1 server for all stand-ins.
+
+use crate::StandinError;
+use bytes::Bytes;
+use error_stack::{Report, ResultExt};
+use http::{Request, Response, StatusCode, header};
+use http_body::{Body, Frame, SizeHint};
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use std::{
+    error::Error,
+    fmt,
+    net::SocketAddr,
+    pin::Pin,
+    task::{Context, Poll},
+};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
+
+const LISTEN_BACKLOG: u32 = 1024;
+const CHUNK_BYTES: usize = 16 * 1024;
+
+/// The connection is to be broken off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl fmt::Display for BrokenOff {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("broken off on purpose")
+    }
+}
+
+impl Error for BrokenOff {}
+
+/// Body of an answer, which can be cut short.
+#[derive(Debug)]
+pub struct Answer {
+    data: Bytes,
+    length: u64,
+    cut: bool,
+}
+
+impl Answer {
+    /// The whole of `data`.
+    pub fn whole(data: impl Into<Bytes>) -> Self {
+        let data = data.into();
+        let length = data.len() as u64;
+        Self { data, length, cut: false }
+    }
+
+    /// Announces all of `data`, sends the first `bytes` and breaks the connection.
+    pub fn cut(data: impl Into<Bytes>, bytes: usize) -> Self {
+        let mut answer = Self::whole(data);
+        if bytes < answer.data.len() {
+            answer.data.truncate(bytes);
+            answer.cut = true;
+        }
+        answer
+    }
+}
+
+impl Body for Answer {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        if self.data.is_empty() {
+            let cut = std::mem::take(&mut self.cut);
+            return Poll::Ready(cut.then_some(Err(BrokenOff)));
+        }
+        let n = self.data.len().min(CHUNK_BYTES);
+        let chunk = self.data.split_to(n);
+        self.length -= n as u64;
+        Poll::Ready(Some(Ok(Frame::data(chunk))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.data.is_empty() && !self.cut
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.length)
+    }
+}
+
+/// An answer with a JSON body.
+pub fn json<T>(value: &T) -> Response<Answer>
+where
+    T: Serialize,
+{
+    match serde_json::to_vec(value) {
+        Ok(body) => {
+            let mut response = Response::new(Answer::whole(body));
+            let kind = header::HeaderValue::from_static("application/json");
+            response.headers_mut().insert(header::CONTENT_TYPE, kind);
+            response
+        }
+        Err(e) => status(StatusCode::INTERNAL_SERVER_ERROR, &e.to_string()),
+    }
+}
+
+/// An answer with a status and a short text.
+pub fn status(code: StatusCode, text: &str) -> Response<Answer> {
+    let mut response = Response::new(Answer::whole(text.to_owned()));
+    *response.status_mut() = code;
+    response
+}
+
+/// The value of the query parameter `name`.
+pub fn query<'a, B>(request: &'a Request<B>, name: &str) -> Option<&'a str> {
+    let pairs = request.uri().query()?.split('&');
+    pairs.filter_map(|pair| pair.split_once('=')).find(|(k, _)| *k == name).map(|(_, v)| v)
+}
+
+/// Listens on `address`, also when it was in use a moment ago.
+///
+/// # Errors
+///
+/// [`StandinError::Bind`] when the address cannot be used.
+pub fn listen(address: SocketAddr) -> Result<TcpListener, Report<StandinError>> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    };
+    let open = || {
+        let socket = socket?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(LISTEN_BACKLOG)
+    };
+    open().change_context(StandinError::Bind(address))
+}
+
+/// Serves one connection until either side closes it.
+pub async fn serve_connection<Handler, Reply>(stream: TcpStream, handler: Handler)
+where
+    Handler: Fn(Request<Incoming>) -> Reply,
+    Reply: Future<Output = Result<Response<Answer>, BrokenOff>>,
+{
+    let _ = stream.set_nodelay(true);
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .serve_connection(TokioIo::new(stream), service_fn(handler));
+    if let Err(e) = connection.await {
+        log::debug!("stand-in: connection ended: {e}");
+    }
+}
+
+/// Serves every connection with `handler` until `stop`, then drops what is open.
+pub async fn serve<Handler, Reply>(listener: TcpListener, stop: CancellationToken, handler: Handler)
+where
+    Handler: Fn(Request<Incoming>) -> Reply + Clone + Send + 'static,
+    Reply: Future<Output = Result<Response<Answer>, BrokenOff>> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            () = stop.cancelled() => break,
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(serve_connection(stream, handler.clone()));
+                }
+                Err(e) => log::warn!("stand-in: accept failed: {e}"),
+            },
+        }
+    }
+    connections.shutdown().await;
+}
--- /dev/null
+++ b/crates/standin/src/platform/server.rs
@@ -0,0 +1,139 @@
+//! The platform over HTTP.
+
+use super::state::{Faults, Platform, Value, Versioned, WriteError};
+use crate::http::{self as web, Answer, BrokenOff};
+use ::http::{HeaderValue, Method, Request, Response, StatusCode};
+use azuretally_api::platform::{HOSTS_PATH, HostList, REVISION, SETTINGS_PATH};
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use std::{sync::Arc, time::Duration};
+use tokio::{net::TcpListener, time};
+use tokio_util::sync::CancellationToken;
+
+const EXPECTED_REVISION: &str = "x-expected-revision";
+const COUNTS_PATH: &str = "/v1/counts";
+const FAULTS_PATH: &str = "/v1/faults";
+
+/// Serves readers and operators until `stop`.
+pub async fn serve(platform: Arc<Platform>, listener: TcpListener, stop: CancellationToken) {
+    let handler = move |request| {
+        let platform = Arc::clone(&platform);
+        async move { answer(&platform, request).await }
+    };
+    web::serve(listener, stop, handler).await;
+}
+
+async fn answer(
+    platform: &Platform,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, BrokenOff> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, SETTINGS_PATH) => read(platform, Value::Settings, &request).await,
+        (&Method::GET, HOSTS_PATH) => read(platform, Value::Hosts, &request).await,
+        (&Method::PUT, SETTINGS_PATH) => put_settings(platform, request).await,
+        (&Method::PUT, HOSTS_PATH) => put_hosts(platform, request).await,
+        (&Method::GET, COUNTS_PATH) => Ok(web::json(&platform.counts.report())),
+        (&Method::POST, FAULTS_PATH) => set_faults(platform, request).await,
+        _ => Ok(web::status(StatusCode::NOT_FOUND, "no such path")),
+    }
+}
+
+async fn read(
+    platform: &Platform,
+    value: Value,
+    request: &Request<Incoming>,
+) -> Result<Response<Answer>, BrokenOff> {
+    platform.counts.call(request.uri().path());
+    let number = |name| web::query(request, name).and_then(|v| v.parse::<u64>().ok());
+    let after = number("after");
+    let wait = Duration::from_millis(number("wait_ms").unwrap_or(0));
+    let deadline = time::Instant::now() + wait;
+    let mut changed = platform.watch();
+    let _waiting = (!wait.is_zero()).then(|| platform.counts.wait());
+    loop {
+        let faults = platform.faults();
+        if faults.down {
+            return Err(BrokenOff);
+        }
+        if faults.hang {
+            let _ = changed.changed().await;
+            continue;
+        }
+        let shown = platform.shown(value);
+        let fresh = shown.filter(|v| faults.ignore_after || after.is_none_or(|a| v.0 > a));
+        if let Some(found) = fresh {
+            time::sleep(platform.delay()).await;
+            return Ok(versioned(&found));
+        }
+        tokio::select! {
+            _ = changed.changed() => {}
+            () = time::sleep_until(deadline) => {
+                return Ok(web::status(StatusCode::NOT_MODIFIED, ""));
+            }
+        }
+    }
+}
+
+fn versioned(value: &Versioned) -> Response<Answer> {
+    let mut response = Response::new(Answer::whole(value.1.as_bytes().to_vec()));
+    response.headers_mut().insert(REVISION, HeaderValue::from(value.0));
+    response
+}
+
+async fn put_settings(
+    platform: &Platform,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, BrokenOff> {
+    if platform.faults().down {
+        return Err(BrokenOff);
+    }
+    let expected = request.headers().get(EXPECTED_REVISION);
+    let expected = expected.and_then(|v| v.to_str().ok()).and_then(|v| v.parse().ok());
+    let body = body(request).await?;
+    let Ok(text) = std::str::from_utf8(&body) else {
+        return Ok(web::status(StatusCode::BAD_REQUEST, "not UTF-8"));
+    };
+    match platform.write_settings(text, expected) {
+        Ok(revision) => Ok(written(StatusCode::OK, revision)),
+        Err(WriteError::Conflict { current }) => Ok(written(StatusCode::CONFLICT, current)),
+    }
+}
+
+async fn put_hosts(
+    platform: &Platform,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, BrokenOff> {
+    if platform.faults().down {
+        return Err(BrokenOff);
+    }
+    match serde_json::from_slice::<HostList>(&body(request).await?) {
+        Ok(list) => Ok(written(StatusCode::OK, platform.write_hosts(list))),
+        Err(e) => Ok(web::status(StatusCode::BAD_REQUEST, &e.to_string())),
+    }
+}
+
+async fn set_faults(
+    platform: &Platform,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, BrokenOff> {
+    match serde_json::from_slice::<Faults>(&body(request).await?) {
+        Ok(faults) => {
+            log::info!("platform: faults {faults:?}");
+            platform.set_faults(faults);
+            Ok(web::json(&faults))
+        }
+        Err(e) => Ok(web::status(StatusCode::BAD_REQUEST, &e.to_string())),
+    }
+}
+
+fn written(code: StatusCode, revision: u64) -> Response<Answer> {
+    let mut response = web::status(code, &format!("revision {revision}\n"));
+    response.headers_mut().insert(REVISION, HeaderValue::from(revision));
+    response
+}
+
+async fn body(request: Request<Incoming>) -> Result<Bytes, BrokenOff> {
+    request.into_body().collect().await.map(|b| b.to_bytes()).map_err(|_| BrokenOff)
+}
--- /dev/null
+++ b/crates/standin/src/proxy.rs
@@ -0,0 +1,8 @@
+//! A TCP proxy that injects faults into the connections that pass through it.
+
+mod control;
+mod link;
+mod pump;
+
+pub use control::serve;
+pub use link::{Faults, Link, LinkCounts};
--- /dev/null
+++ b/crates/standin/src/proxy/control.rs
@@ -0,0 +1,47 @@
+//! Switches the faults of links at run time.
+
+use super::link::{Faults, Link};
+use crate::http::{self as web, Answer, BrokenOff};
+use ::http::{Method, Request, Response, StatusCode};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use indexmap::IndexMap;
+use std::sync::Arc;
+use tokio::net::TcpListener;
+use tokio_util::sync::CancellationToken;
+
+const LINK_PREFIX: &str = "/links/";
+
+/// Serves `POST /links/NAME` with [`Faults`] as JSON and `GET /links/NAME` until `stop`.
+pub async fn serve(
+    links: Arc<IndexMap<Arc<str>, Arc<Link>>>,
+    listener: TcpListener,
+    stop: CancellationToken,
+) {
+    let handler = move |request| {
+        let links = Arc::clone(&links);
+        async move { answer(&links, request).await }
+    };
+    web::serve(listener, stop, handler).await;
+}
+
+async fn answer(
+    links: &IndexMap<Arc<str>, Arc<Link>>,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, BrokenOff> {
+    let name = request.uri().path().strip_prefix(LINK_PREFIX);
+    let Some(link) = name.and_then(|n| links.get(n)) else {
+        return Ok(web::status(StatusCode::NOT_FOUND, "no such link"));
+    };
+    if request.method() != Method::POST {
+        return Ok(web::json(&link.counts()));
+    }
+    let body = request.into_body().collect().await.map_err(|_| BrokenOff)?.to_bytes();
+    match serde_json::from_slice::<Faults>(&body) {
+        Ok(faults) => {
+            link.set_faults(faults);
+            Ok(web::json(&faults))
+        }
+        Err(e) => Ok(web::status(StatusCode::BAD_REQUEST, &e.to_string())),
+    }
+}
