feat(policy): idempotency keys bound to one incarnation

Cause: a key that a caller reuses with another entry's token would run twice, since each incarnation remembers only its own keys. Ruled out: a key beside a separate token header (two tokens, two runs); a home entry by hashing the key (views differ, two homes). Change: the key is TOKEN/ID, so the incarnation that may run it is part of the key itself; a table that remembers each key until its token expires, replays answers, fences keys, and refuses what it can no longer tell. Context::mint_token issues tokens by the clock of the process.

--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -2,6 +2,7 @@
 
 use crate::{clock::Clock, record::Sink, view::View};
 use arc_swap::ArcSwap;
+use azuretally_policy::idempotency::Token;
 use azuretally_settings::LocalSettings;
 use std::sync::Arc;
 use tokio::sync::watch;
@@ -56,6 +57,16 @@
         self.changed.send_modify(|n| *n += 1);
     }
 
+    /// A token of this incarnation, issued now.
+    pub fn mint_token(&self) -> String {
+        let token = Token {
+            host: Arc::clone(&self.local.host),
+            incarnation: Arc::clone(&self.incarnation),
+            issued: self.clock.now(),
+        };
+        token.seal(&self.peer_key)
+    }
+
     /// Wakes whenever a new view was published.
     pub fn watch(&self) -> watch::Receiver<u64> {
         self.changed.subscribe()
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod dispatch;
 pub mod fleet;
+pub mod idempotency;
 pub mod time;
 
 pub use time::Timestamp;
--- /dev/null
+++ b/crates/policy/tests/idempotency.rs
@@ -0,0 +1,141 @@
+//! Properties of tokens and of the table of idempotency keys.
+
+#![allow(clippy::unwrap_used)]
+
+use arbtest::{arbitrary::Unstructured, arbtest};
+use azuretally_policy::{
+    Timestamp,
+    idempotency::{Begun, BoundKey, Fenced, KeyError, KeyTable, TOKEN_LIFE, Token},
+};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+/// Cases of each property.
+const CASES: u64 = 500;
+
+/// Bytes of input of each case.
+const CASE_BYTES: u64 = 4_096;
+
+/// Checks a property on fixed inputs, so that the verdict is the same each time.
+fn check<F>(property: F)
+where
+    F: Fn(&mut Unstructured<'_>) -> arbtest::arbitrary::Result<()>,
+{
+    for case in 1..=CASES {
+        arbtest(&property).seed(case << 32 | CASE_BYTES);
+    }
+}
+
+const PEER_KEY: &[u8] = b"0123456789abcdef";
+
+fn token(issued: Timestamp) -> Token {
+    Token { host: Arc::from("entry-1"), incarnation: Arc::from("ab12"), issued }
+}
+
+fn key(issued: Timestamp, id: u32) -> BoundKey {
+    let text = format!("{}/{id}", token(issued).seal(PEER_KEY));
+    BoundKey::parse(&text, PEER_KEY).unwrap()
+}
+
+#[test]
+fn token_round_trip() {
+    let token = token(Timestamp::from_millis(77));
+    assert_eq!(Token::open(&token.seal(PEER_KEY), PEER_KEY), Ok(token));
+}
+
+#[test]
+fn changed_token_is_refused() {
+    check(|u| {
+        let text = token(Timestamp::from_millis(77)).seal(PEER_KEY);
+        let mut bytes = text.clone().into_bytes();
+        let at = u.choose_index(bytes.len())?;
+        bytes[at] = u.int_in_range(b'!'..=b'~')?;
+        let changed = String::from_utf8(bytes).unwrap();
+        let same = changed.eq_ignore_ascii_case(&text);
+        assert!(same || Token::open(&changed, PEER_KEY).is_err());
+        Ok(())
+    });
+}
+
+#[test]
+fn key_must_begin_with_token() {
+    assert_eq!(BoundKey::parse("sale-1", PEER_KEY), Err(KeyError::Unbound));
+    let sealed = token(Timestamp::from_millis(1)).seal(PEER_KEY);
+    assert_eq!(BoundKey::parse(&format!("{sealed}/"), PEER_KEY), Err(KeyError::Unbound));
+    assert_eq!(BoundKey::parse("a.b.1.00/x", PEER_KEY), Err(KeyError::Malformed));
+    assert_eq!(BoundKey::parse(&format!("{sealed}/x"), b"another key"), Err(KeyError::Forged));
+}
+
+#[test]
+fn full_table_runs_nothing_new() {
+    let mut table: KeyTable<u32> = KeyTable::new(1);
+    let now = Timestamp::from_millis(1);
+    assert_eq!(table.begin(now, &key(now, 1), 1), Begun::Run);
+    assert_eq!(table.begin(now, &key(now, 2), 1), Begun::Full);
+    assert_eq!(table.fence(now, &key(now, 2)), Fenced::Unknown);
+    let later = now + TOKEN_LIFE;
+    assert_eq!(table.begin(later, &key(later, 2), 1), Begun::Run);
+}
+
+/// What a key has gone through, kept without any limit of time.
+#[derive(Default)]
+struct History {
+    running: bool,
+    ran: bool,
+    fenced: bool,
+}
+
+fn step(
+    u: &mut Unstructured<'_>,
+    now: &mut Timestamp,
+    table: &mut KeyTable<u32>,
+    histories: &mut HashMap<Arc<str>, History>,
+) -> arbtest::arbitrary::Result<()> {
+    *now = *now + Duration::from_secs(u.int_in_range(0..=200)?);
+    let issued = Timestamp::from_millis(u.int_in_range(0..=3)? * 100_000);
+    if issued > *now {
+        return Ok(());
+    }
+    let key = key(issued, u.int_in_range(0..=2)?);
+    let history = histories.entry(Arc::clone(&key.text)).or_default();
+    match u.int_in_range(0..=4)? {
+        0 => match table.begin(*now, &key, 1) {
+            Begun::Run => {
+                assert!(!history.ran && !history.running && !history.fenced);
+                history.running = true;
+            }
+            Begun::Replay(_) => assert!(history.ran),
+            _ => {}
+        },
+        1 if table.fence(*now, &key) == Fenced::NotRun => {
+            assert!(!history.ran && !history.running);
+            history.fenced = true;
+        }
+        2 if history.running => {
+            table.answered(&key.text, 7);
+            (history.running, history.ran) = (false, true);
+        }
+        3 if history.running => {
+            table.unknown(&key.text);
+            (history.running, history.ran) = (false, true);
+        }
+        4 if history.running => {
+            table.not_run(&key.text);
+            history.running = false;
+        }
+        _ => {}
+    }
+    Ok(())
+}
+
+#[test]
+fn key_runs_at_most_once_and_never_after_a_fence() {
+    check(|u| {
+        let mut table = KeyTable::new(6);
+        let mut now = Timestamp::default();
+        let mut histories = HashMap::new();
+        for _ in 0..60 {
+            step(u, &mut now, &mut table, &mut histories)?;
+        }
+        Ok(())
+    });
+}
