--- a/crates/policy/src/idempotency/table.rs
+++ b/crates/policy/src/idempotency/table.rs
@@ -26,7 +26,7 @@
 /// Verdict on a call with a key.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Begun<A> {
-    /// Run it; [`KeyTable::finish`] or a sibling must follow.
+    /// Run it; [`KeyTable::answered`], `not_run` or `unknown` must follow.
     Run,
     /// It was answered before; this is the answer.
     Replay(A),
