--- /dev/null
+++ b/crates/testsuite/src/child.rs
@@ -0,0 +1,102 @@
+//! One process under test.
+
+use crate::{binaries::binary, wait::eventually};
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs::{self, File},
+    path::{Path, PathBuf},
+    process::{self, Command, ExitStatus, Stdio},
+    thread,
+    time::Duration,
+};
+
+const LOG_TAIL_LINES: usize = 15;
+
+/// A child process, which is ended and reaped when dropped.
+#[derive(Debug)]
+pub struct Child {
+    name: String,
+    log: PathBuf,
+    process: process::Child,
+    status: Option<ExitStatus>,
+}
+
+impl Child {
+    /// Starts the binary `program` as `name`, with its output in a file of `folder`.
+    pub fn start(folder: &Path, name: &str, program: &str, args: &[String]) -> Self {
+        let log = folder.join(format!("{name}.log"));
+        let file = File::options().create(true).append(true).open(&log).expect("log file");
+        let process = Command::new(binary(program))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone().expect("log file"))
+            .stderr(file)
+            .spawn()
+            .unwrap_or_else(|e| panic!("cannot start {program}: {e}"));
+        Self { name: name.to_owned(), log, process, status: None }
+    }
+
+    /// Asks the process to stop in an orderly way.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Freezes the process.
+    pub fn freeze(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Wakes the process from its freeze.
+    pub fn thaw(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Kills the process at once and reaps it.
+    pub fn kill(&mut self) {
+        if self.status.is_none() {
+            let _ = self.process.kill();
+            self.status = self.process.wait().ok();
+        }
+    }
+
+    /// Waits until the process has ended, at most `limit`.
+    pub async fn ended(&mut self, limit: Duration) -> ExitStatus {
+        let what = format!("{} has ended", self.name);
+        let process = &mut self.process;
+        let status = eventually(&what, limit, async || process.try_wait().ok().flatten()).await;
+        self.status = Some(status);
+        status
+    }
+
+    /// Whether the process still runs.
+    pub fn is_running(&mut self) -> bool {
+        if self.status.is_none() {
+            self.status = self.process.try_wait().ok().flatten();
+        }
+        self.status.is_none()
+    }
+
+    /// What the process has written so far.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    fn signal(&self, signal: Signal) {
+        if self.status.is_none() {
+            let pid = Pid::from_child(&self.process);
+            kill_process(pid, signal).unwrap_or_else(|e| panic!("cannot signal: {e}"));
+        }
+    }
+}
+
+impl Drop for Child {
+    fn drop(&mut self) {
+        self.kill();
+        if thread::panicking() {
+            let log = self.log();
+            let lines: Vec<_> = log.lines().collect();
+            let tail = &lines[lines.len().saturating_sub(LOG_TAIL_LINES)..];
+            eprintln!("--- {} ---\n{}", self.name, tail.join("\n"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/testsuite/src/fleet.rs
@@ -0,0 +1,481 @@
+//! A whole deployment of real processes on loopback.
+
+use crate::{
+    addresses::Network,
+    caller::{Call, CallError, Caller, Reply},
+    child::Child,
+    entry::Entry,
+    settings::{PublishedText, ServiceText},
+    wait::{LONG, eventually},
+    web,
+};
+use azuretally_api::{
+    directions::{Direction, Directions},
+    platform::{HostList, HostRecord, HostState, REVISION, Role},
+};
+use azuretally_standin::{
+    http::listen,
+    platform::{CountsReport, Faults as PlatformFaults},
+    proxy::Link,
+    target::{Faults as TargetFaults, LedgerReport},
+};
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use std::{fs, net::SocketAddr, sync::Arc, time::Duration};
+use tempfile::TempDir;
+use tokio::{
+    net::TcpStream,
+    sync::{Semaphore, SemaphorePermit},
+    task::JoinSet,
+};
+use tokio_util::sync::CancellationToken;
+
+const MAX_PROCESSES: usize = 24;
+static PROCESSES: Semaphore = Semaphore::const_new(MAX_PROCESSES);
+
+const PLATFORM_HOST: u8 = 2;
+const PLATFORM_PORT: u16 = 7_000;
+const PLATFORM_LINK_PORT: u16 = 7_001;
+const TARGETS_HOST: u8 = 100;
+const TARGETS_PORT: u16 = 9_000;
+const TARGETS_CONTROL_PORT: u16 = 8_999;
+const TARGET_LINK_PORT: u16 = 10_000;
+const PEERS_LINK_PORT: u16 = 8_183;
+const CALLS_LINK_PORT: u16 = 8_180;
+
+/// Sizes of a fleet.
+#[derive(Clone, Debug)]
+pub struct FleetBuilder {
+    entries: u8,
+    targets: u16,
+    slots: u32,
+    service_ms: f64,
+    fixed: bool,
+    links: bool,
+    published: PublishedText,
+    target_args: Vec<String>,
+}
+
+/// A running deployment. Its processes are ended when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// Entries.
+    pub entries: Vec<Entry>,
+    /// Settings as first published.
+    pub published: PublishedText,
+    /// The platform's process.
+    pub platform: Child,
+    /// The process that hosts all targets.
+    pub targets: Child,
+    /// Links from the entries to the targets, by number of the target, when asked for.
+    pub target_links: Vec<Arc<Link>>,
+    /// Links from each entry to the platform, when asked for.
+    pub platform_links: Vec<Arc<Link>>,
+    /// Links from all others to the peers' address of each entry, when asked for.
+    pub peer_links: Vec<Arc<Link>>,
+    /// Links from callers to each entry, when asked for.
+    pub call_links: Vec<Arc<Link>>,
+    /// A caller.
+    pub caller: Caller,
+    network: Network,
+    hosts: Vec<HostRecord>,
+    builder: FleetBuilder,
+    running: JoinSet<()>,
+    stop: CancellationToken,
+    _folder: TempDir,
+    _permit: SemaphorePermit<'static>,
+}
+
+impl Fleet {
+    /// A fleet of 3 entries and 4 targets of the service `till`, with 2 slots each.
+    pub fn builder() -> FleetBuilder {
+        let till = ServiceText { name: "till".to_owned(), slots: 2, entry_set: 2, queue: 1_024 };
+        FleetBuilder {
+            entries: 3,
+            targets: 4,
+            slots: 2,
+            service_ms: 5.0,
+            fixed: true,
+            links: false,
+            published: PublishedText {
+                entries: 3,
+                preset: "ordinary".to_owned(),
+                probe_budget: 20.0,
+                services: vec![till],
+                urgent_ms: 2_000,
+            },
+            target_args: Vec::new(),
+        }
+    }
+
+    /// Directions for the till service, from whichever entry answers first.
+    pub async fn directions(&self) -> Directions {
+        eventually("directions", LONG, async || {
+            for entry in &self.entries {
+                let answer = self.caller.directions(entry.directions, "till").await;
+                if let Ok(directions) = answer
+                    && !directions.entries.is_empty()
+                {
+                    return Some(directions);
+                }
+            }
+            None
+        })
+        .await
+    }
+
+    /// The best entry for the till service now.
+    pub async fn direction(&self) -> Direction {
+        self.directions().await.entries.remove(0)
+    }
+
+    /// Makes a call at the entry that directions name first.
+    ///
+    /// # Errors
+    ///
+    /// When no whole answer came.
+    pub async fn call(&self, call: &Call) -> Result<Reply, CallError> {
+        let to = self.direction().await;
+        self.caller.call(to.address, call).await
+    }
+
+    /// The entry with the given host name.
+    pub fn entry(&mut self, host: &str) -> &mut Entry {
+        self.entries.iter_mut().find(|e| e.host == host).expect("an entry of the fleet")
+    }
+
+    /// What the targets counted.
+    pub async fn ledger(&self) -> LedgerReport {
+        let control = self.targets_control();
+        let (_, body) = web::exchange(control, Method::GET, "/runs", "").await.expect("ledger");
+        serde_json::from_slice(&body).expect("a ledger")
+    }
+
+    /// Times that work for `key` was begun at any target.
+    pub async fn starts(&self, key: &str) -> u64 {
+        self.ledger().await.runs.get(key).map_or(0, |r| r.starts)
+    }
+
+    /// Sets the faults of target `number`, of all without one.
+    pub async fn target_faults(&self, number: Option<usize>, faults: TargetFaults) {
+        let path = match number {
+            Some(n) => format!("/faults?target={}", self.target_name(n)),
+            None => "/faults".to_owned(),
+        };
+        self.post(self.targets_control(), &path, &faults).await;
+    }
+
+    /// Sets the faults of the platform.
+    pub async fn platform_faults(&self, faults: PlatformFaults) {
+        self.post(self.platform_address(), "/v1/faults", &faults).await;
+    }
+
+    /// Calls that the platform counted.
+    pub async fn platform_counts(&self) -> CountsReport {
+        let address = self.platform_address();
+        let (_, body) =
+            web::exchange(address, Method::GET, "/v1/counts", "").await.expect("counts");
+        serde_json::from_slice(&body).expect("counts")
+    }
+
+    /// Publishes settings as an operator; the revision, or the one in force after a conflict.
+    pub async fn publish(&self, text: &str, expected: Option<u64>) -> Result<u64, u64> {
+        let address = self.platform_address();
+        let mut request = Request::put("/v1/settings").header("host", address.to_string());
+        if let Some(expected) = expected {
+            request = request.header("x-expected-revision", expected);
+        }
+        let request = request.body(Full::new(Bytes::from(text.to_owned()))).expect("a request");
+        let response = web::send(address, request).await.expect("the platform answers");
+        let revision = response.headers()[REVISION].to_str().expect("text");
+        let revision = revision.parse().expect("a revision");
+        if response.status() == StatusCode::OK { Ok(revision) } else { Err(revision) }
+    }
+
+    /// Publishes the list of hosts with the given ones leaving and the `gone` ones left out.
+    pub async fn publish_hosts(&mut self, leaving: &[&str], gone: &[&str]) {
+        let mut hosts = self.hosts.clone();
+        hosts.retain(|h| !gone.contains(&h.host.as_str()));
+        for host in &mut hosts {
+            if leaving.contains(&host.host.as_str()) {
+                host.state = HostState::Leaving;
+            }
+        }
+        let list = HostList { revision: 0, hosts };
+        let body = serde_json::to_vec(&list).expect("JSON");
+        let address = self.platform_address();
+        let put = web::exchange(address, Method::PUT, "/v1/hosts", body).await;
+        assert_eq!(put.expect("the platform answers").0, StatusCode::OK);
+    }
+
+    /// Host name of target `number`.
+    pub fn target_name(&self, number: usize) -> String {
+        if self.builder.targets == 1 { "till".to_owned() } else { format!("till-{number}") }
+    }
+
+    /// Starts a new incarnation of the entry `number` on the same addresses.
+    pub fn restart(&mut self, number: usize) {
+        let seeds = self.seeds();
+        self.entries[number].start(&seeds);
+    }
+
+    /// Waits until every entry answers calls.
+    pub async fn wait_until_serving(&self) {
+        for entry in &self.entries {
+            self.wait_for(entry).await;
+        }
+    }
+
+    /// Waits until the entry answers calls.
+    pub async fn wait_for(&self, entry: &Entry) {
+        eventually(&format!("{} serves", entry.host), LONG, async || {
+            let call = Call::get("/till/balance", "warm-up").patience(Duration::from_secs(2));
+            let reply = self.caller.call(entry.calls, &call).await.ok()?;
+            reply.is_answered().then_some(())
+        })
+        .await;
+    }
+
+    fn seeds(&self) -> Vec<SocketAddr> {
+        self.entries.iter().map(|e| e.peers_shown).collect()
+    }
+
+    fn platform_address(&self) -> SocketAddr {
+        self.network.address(PLATFORM_HOST, PLATFORM_PORT)
+    }
+
+    fn targets_control(&self) -> SocketAddr {
+        self.network.address(TARGETS_HOST, TARGETS_CONTROL_PORT)
+    }
+
+    async fn post<T>(&self, address: SocketAddr, path: &str, body: &T)
+    where
+        T: serde::Serialize,
+    {
+        let body = serde_json::to_vec(body).expect("JSON");
+        let answer = web::exchange(address, Method::POST, path, body).await;
+        assert_eq!(answer.expect("the control port answers").0, StatusCode::OK);
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.stop.cancel();
+        self.running.abort_all();
+    }
+}
+
+impl FleetBuilder {
+    /// Number of entries.
+    #[must_use]
+    pub fn entries(mut self, entries: u8) -> Self {
+        self.entries = entries;
+        self.published.entries = entries.into();
+        self
+    }
+
+    /// Number of targets.
+    #[must_use]
+    pub fn targets(mut self, targets: u16) -> Self {
+        self.targets = targets;
+        self
+    }
+
+    /// Slots of each target.
+    #[must_use]
+    pub fn slots(mut self, slots: u32) -> Self {
+        self.slots = slots;
+        self.published.services[0].slots = slots;
+        self
+    }
+
+    /// Mean service time.
+    #[must_use]
+    pub fn service_ms(mut self, ms: f64) -> Self {
+        self.service_ms = ms;
+        self
+    }
+
+    /// Puts a fault-injecting link before every target, peer, platform and caller connection.
+    #[must_use]
+    pub fn links(mut self) -> Self {
+        self.links = true;
+        self
+    }
+
+    /// Changes the settings to be published.
+    #[must_use]
+    pub fn published(mut self, change: impl FnOnce(&mut PublishedText)) -> Self {
+        change(&mut self.published);
+        self
+    }
+
+    /// Adds options of the targets' process.
+    #[must_use]
+    pub fn target_args(mut self, args: &[&str]) -> Self {
+        self.target_args.extend(args.iter().map(|a| (*a).to_owned()));
+        self
+    }
+
+    /// Starts all processes and waits until every entry answers calls.
+    pub async fn start(self) -> Fleet {
+        let fleet = self.start_processes().await;
+        fleet.wait_until_serving().await;
+        fleet
+    }
+
+    /// Starts all processes.
+    pub async fn start_processes(self) -> Fleet {
+        let permits = u32::from(self.entries) + 2;
+        let permit = PROCESSES.acquire_many(permits).await.expect("never closed");
+        let network = Network::take();
+        let folder = tempfile::Builder::new().prefix("azuretally-").tempdir().expect("folder");
+        fs::write(folder.path().join("peer.key"), "key of the peers in tests").expect("key");
+
+        let platform = network.address(PLATFORM_HOST, PLATFORM_PORT);
+        let mut entries: Vec<_> =
+            (0..self.entries).map(|i| Entry::new(&network, folder.path(), i, platform)).collect();
+        let mut links = Links::default();
+        let mut target_addresses: Vec<_> =
+            (0..self.targets).map(|i| network.address(TARGETS_HOST, TARGETS_PORT + i)).collect();
+        if self.links {
+            links.open(&network, &mut entries, &mut target_addresses);
+        }
+        let hosts = self.hosts(&entries, &target_addresses);
+        let targets = self.start_targets(&network, &folder);
+        let platform = self.start_platform(&folder, platform, &hosts);
+        let mut fleet = Fleet {
+            entries,
+            published: self.published.clone(),
+            platform,
+            targets,
+            target_links: links.targets,
+            platform_links: links.platform,
+            peer_links: links.peers,
+            call_links: links.calls,
+            caller: Caller::default(),
+            network,
+            hosts,
+            builder: self,
+            running: links.running,
+            stop: links.stop,
+            _folder: folder,
+            _permit: permit,
+        };
+        fleet.wait_for_standins().await;
+        for i in 0..fleet.entries.len() {
+            fleet.restart(i);
+        }
+        fleet
+    }
+
+    fn hosts(&self, entries: &[Entry], targets: &[SocketAddr]) -> Vec<HostRecord> {
+        let mut hosts: Vec<_> = entries.iter().map(|e| e.record(HostState::Live)).collect();
+        for (i, address) in targets.iter().enumerate() {
+            let host = if targets.len() == 1 { "till".to_owned() } else { format!("till-{i}") };
+            hosts.push(HostRecord {
+                host,
+                failure_domain: format!("domain-{}", i % 3),
+                incarnation: None,
+                state: HostState::Live,
+                role: Role::Target { service: "till".to_owned(), address: *address },
+            });
+        }
+        hosts
+    }
+
+    fn start_targets(&self, network: &Network, folder: &TempDir) -> Child {
+        let mut args: Vec<String> = [
+            ("--listen", network.address(TARGETS_HOST, TARGETS_PORT).to_string()),
+            ("--control", network.address(TARGETS_HOST, TARGETS_CONTROL_PORT).to_string()),
+            ("--name", "till".to_owned()),
+            ("--count", self.targets.to_string()),
+            ("--slots", self.slots.to_string()),
+            ("--service-ms", self.service_ms.to_string()),
+        ]
+        .into_iter()
+        .flat_map(|(name, value)| [name.to_owned(), value])
+        .collect();
+        if self.fixed {
+            args.push("--fixed".to_owned());
+        }
+        args.extend(self.target_args.iter().cloned());
+        Child::start(folder.path(), "targets", "azuretally-standin-target", &args)
+    }
+
+    fn start_platform(&self, folder: &TempDir, at: SocketAddr, hosts: &[HostRecord]) -> Child {
+        let settings = folder.path().join("published.toml");
+        fs::write(&settings, self.published.text()).expect("settings");
+        let list = HostList { revision: 1, hosts: hosts.to_vec() };
+        let hosts = folder.path().join("hosts.json");
+        fs::write(&hosts, serde_json::to_vec(&list).expect("JSON")).expect("hosts");
+        let args = [
+            "--listen".to_owned(),
+            at.to_string(),
+            "--settings".to_owned(),
+            settings.display().to_string(),
+            "--hosts".to_owned(),
+            hosts.display().to_string(),
+        ];
+        Child::start(folder.path(), "platform", "azuretally-standin-platform", &args)
+    }
+}
+
+impl Fleet {
+    async fn wait_for_standins(&self) {
+        for address in [self.platform_address(), self.targets_control()] {
+            eventually("the stand-ins listen", LONG, async || {
+                TcpStream::connect(address).await.ok().map(drop)
+            })
+            .await;
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct Links {
+    targets: Vec<Arc<Link>>,
+    platform: Vec<Arc<Link>>,
+    peers: Vec<Arc<Link>>,
+    calls: Vec<Arc<Link>>,
+    running: JoinSet<()>,
+    stop: CancellationToken,
+}
+
+impl Links {
+    fn open(&mut self, network: &Network, entries: &mut [Entry], targets: &mut [SocketAddr]) {
+        for (i, entry) in entries.iter_mut().enumerate() {
+            let i = i as u16;
+            let peers = with_port(entry.peers, PEERS_LINK_PORT);
+            let link = self.link(peers, entry.peers);
+            self.peers.push(link);
+            entry.peers_shown = peers;
+            let calls = with_port(entry.calls, CALLS_LINK_PORT);
+            let link = self.link(calls, entry.calls);
+            self.calls.push(link);
+            let platform = network.address(PLATFORM_HOST, PLATFORM_LINK_PORT + i);
+            let link = self.link(platform, entry.platform);
+            self.platform.push(link);
+            entry.platform = platform;
+        }
+        for (i, target) in targets.iter_mut().enumerate() {
+            let shown = network.address(TARGETS_HOST, TARGET_LINK_PORT + i as u16);
+            let link = self.link(shown, *target);
+            self.targets.push(link);
+            *target = shown;
+        }
+    }
+
+    fn link(&mut self, listening: SocketAddr, target: SocketAddr) -> Arc<Link> {
+        let link = Arc::new(Link::new(target));
+        let listener = listen(listening).expect("an address of this test's own");
+        self.running.spawn(Arc::clone(&link).run(listener, self.stop.clone()));
+        link
+    }
+}
+
+fn with_port(mut address: SocketAddr, port: u16) -> SocketAddr {
+    address.set_port(port);
+    address
+}
