feat(policy): dispatcher with classes, deadlines, owned slots and relays

The thin dispatcher kept one FIFO queue and knew no class, deadline estimate or peer.

Change: calls wait in class order, fair among callers (start-time fair queueing), and bind late to slots that rendezvous hashing with bounded loads gives to this entry. Calls go on to a peer that told of free slots, outsiders relay into the set. Refusals on arrival come with a time to return. Ways of choosing are types behind one trait. Concurrency limits, breakers, budgets for retries, hedges and probes stand in a first form.

A call is never told as not run once an attempt of it may have run.

Failure found on the way: calls that came back from a peer or a refusal went over the queue's limit. Returning calls now need room like arriving ones.

--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -3,9 +3,21 @@
 //! A [`Dispatcher`] takes [`Event`]s and returns [`Action`]s. Calls wait here until a slot of a
 //! target is free (late binding), so that order and priority stay with the entry.
 
+mod breaker;
+mod budget;
+mod calls;
+mod choose;
 mod dispatcher;
 mod event;
+mod fair;
+mod limit;
+mod ownership;
+mod peers;
 mod plan;
+mod queue;
+mod service_time;
+mod speed;
+mod target;
 
 pub use dispatcher::Dispatcher;
 pub use event::{
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -1,95 +1,184 @@
 //! The state machine of one service at one entry.
 
+mod admission;
+mod changes;
+mod outcome;
+mod start;
+mod timers;
+
 use super::{
-    event::{Action, Call, CallId, Event, RefusalReason, UnknownReason},
-    plan::{ServicePlan, TargetPlan},
+    budget::{ShareBudget, TimeBudget},
+    calls::Calls,
+    choose::Chooser,
+    event::{Action, CallId, Event},
+    peers::Peers,
+    plan::ServicePlan,
+    queue::Queue,
+    service_time::ServiceTime,
+    speed,
+    target::Targets,
 };
 use crate::Timestamp;
+use azuretally_settings::Choice;
 use indexmap::IndexMap;
-use std::{collections::VecDeque, sync::Arc, time::Duration};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+/// Further attempts after refusals allowed per first try. A refusal costs a target next to nothing,
+/// and the target that refused is paused, so this is wider than the budget of retries.
+const REDIRECTS_PER_TRY: f64 = 2.0;
+/// Service time assumed before any was seen, in µs.
+const UNKNOWN_SERVICE_US: f64 = 1_000.0;
 
 /// Decides about the calls of one service at one entry.
 #[derive(Debug)]
 pub struct Dispatcher {
     plan: Arc<ServicePlan>,
-    targets: IndexMap<Arc<str>, (TargetPlan, u32)>,
-    waiting: VecDeque<Call>,
-    running: IndexMap<CallId, (Call, u32)>,
+    chooser: Chooser,
+    targets: Targets,
+    calls: Calls,
+    queue: Queue,
+    peers: Peers,
+    /// Service times by operation.
+    times: Vec<ServiceTime>,
+    all_times: ServiceTime,
+    retries: ShareBudget,
+    hedges: ShareBudget,
+    redirects: ShareBudget,
+    probes: TimeBudget,
+    /// Calls by the time of their next attempt.
+    backoffs: BTreeSet<(Timestamp, CallId)>,
+    /// Calls by the time at which a hedge is due.
+    hedge_times: BTreeSet<(Timestamp, CallId)>,
+    /// When the head of the queue is to be looked at again.
+    look_again: Option<Timestamp>,
+    probe_at: Option<Timestamp>,
+    /// Samples of attempts from before this time are of no use.
+    paused_at: Timestamp,
+    has_targets: bool,
+    next_seq: u64,
+    random: Pcg64Mcg,
 }
 
 impl Dispatcher {
     /// A dispatcher without targets. Equal seeds and events give equal actions.
-    pub fn new(plan: Arc<ServicePlan>, _seed: u64) -> Self {
-        Self { plan, targets: IndexMap::new(), waiting: VecDeque::new(), running: IndexMap::new() }
+    pub fn new(plan: Arc<ServicePlan>, seed: u64) -> Self {
+        let quantile = hedge_quantile(&plan);
+        Self {
+            chooser: Chooser::new(plan.choice),
+            targets: Targets::new(),
+            calls: Calls::new(),
+            queue: Queue::new(&plan),
+            peers: Peers::default(),
+            times: plan.operations.iter().map(|_| ServiceTime::new(quantile)).collect(),
+            all_times: ServiceTime::new(1.0),
+            retries: ShareBudget::new(plan.retry_ratio),
+            hedges: ShareBudget::new(plan.hedge_ratio),
+            redirects: ShareBudget::new(REDIRECTS_PER_TRY),
+            probes: TimeBudget::new(plan.probe_share, plan.probe_cost),
+            backoffs: BTreeSet::new(),
+            hedge_times: BTreeSet::new(),
+            look_again: None,
+            probe_at: None,
+            paused_at: Timestamp::default(),
+            has_targets: false,
+            next_seq: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            plan,
+        }
     }
 
     /// Takes in one event and appends what is to be done to `actions`.
     pub fn handle(&mut self, now: Timestamp, event: Event, actions: &mut Vec<Action>) {
         match event {
-            Event::Arrive(call) => self.waiting.push_back(call),
-            Event::Answered { call, target, .. } => {
-                self.release(&target);
-                self.running.swap_remove(&call);
+            Event::Arrive(call) => self.arrive(now, call, actions),
+            Event::Answered { call, target, ok, elapsed, report } => {
+                self.answered(now, call, &target, ok, elapsed, report, actions);
             }
-            Event::Refused { call, target, .. } => {
-                self.release(&target);
-                self.again(call);
+            Event::Refused { call, target, refusal, report } => {
+                self.refused(now, call, &target, refusal, report, actions);
             }
-            Event::Failed { call, target, proof_not_run, .. } => {
-                self.release(&target);
-                if proof_not_run {
-                    self.again(call);
-                } else if self.running.swap_remove(&call).is_some() {
-                    actions.push(Action::Unknown { call, reason: UnknownReason::Broken });
-                }
+            Event::Failed { call, target, kind, proof_not_run } => {
+                self.failed(now, call, &target, kind, proof_not_run, actions);
             }
-            Event::CallerGone(call) => self.waiting.retain(|c| c.id != call),
-            Event::Plan(plan) => self.plan = plan,
-            Event::Targets(targets) => {
-                let old = std::mem::take(&mut self.targets);
-                for t in targets {
-                    let busy = old.get(&t.name).map_or(0, |o| o.1);
-                    self.targets.insert(Arc::clone(&t.name), (t, busy));
-                }
-            }
-            _ => {}
+            Event::PeerRefused { call, peer } => self.peer_refused(now, call, &peer, actions),
+            Event::PeerDone { call, peer } => self.peer_done(call, &peer),
+            Event::CallerGone(call) => self.caller_gone(now, call, actions),
+            Event::Probed { target, report } => self.probed(now, &target, report),
+            Event::Plan(plan) => self.change_plan(now, plan, actions),
+            Event::Targets(targets) => self.change_targets(now, targets),
+            Event::Peers(peers) => self.change_peers(peers),
+            Event::Paused(gap) => self.paused(now, gap),
+            Event::Tick => {}
         }
-        self.start(now, actions);
+        self.advance(now, actions);
     }
 
     /// When [`Event::Tick`] is due next, if ever.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        self.waiting.iter().map(|c| c.deadline).min()
+        let deadline = self.queue.earliest_deadline().map(|(at, _)| at);
+        let backoff = self.backoffs.first().map(|(at, _)| *at);
+        let hedge = self.hedge_times.first().map(|(at, _)| *at);
+        let all = [deadline, backoff, hedge, self.look_again, self.probe_at];
+        all.into_iter().flatten().min()
     }
 
-    fn release(&mut self, target: &str) {
-        if let Some((_, busy)) = self.targets.get_mut(target) {
-            *busy = busy.saturating_sub(1);
-        }
+    /// Slots of this entry that are free beyond its own waiting calls, at targets that are not
+    /// known to be slow. This is what the other entries of the set are to be told.
+    pub fn free_slots(&self, now: Timestamp) -> u32 {
+        let memory = self.memory_us();
+        let sound = |speed: &speed::Speed| speed.slowness(now, memory) <= start::SHARED_SLOWNESS;
+        let targets = self.targets.values().filter(|t| t.free(now) > 0 && sound(&t.speed));
+        let free: u32 = targets.map(|t| t.free(now)).sum();
+        free.saturating_sub(u32::try_from(self.queue.len()).unwrap_or(u32::MAX))
     }
 
-    fn again(&mut self, id: CallId) {
-        if let Some((call, _)) = self.running.swap_remove(&id) {
-            self.waiting.push_front(call);
-        }
+    /// Number of calls that wait for a slot.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
     }
 
-    fn start(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        while let Some(call) = self.waiting.front() {
-            if call.deadline <= now {
-                let reason = RefusalReason::Deadline;
-                let retry_after = Duration::from_secs(1);
-                actions.push(Action::Refuse { call: call.id, reason, retry_after });
-                self.waiting.pop_front();
-                continue;
-            }
-            let free = self.targets.values_mut().filter(|(t, busy)| !t.leaving && *busy < t.slots);
-            let Some((target, busy)) = free.min_by_key(|(_, busy)| *busy) else { return };
-            let target = Arc::clone(&target.name);
-            *busy += 1;
-            let Some(call) = self.waiting.pop_front() else { return };
-            actions.push(Action::Dispatch { call: call.id, target, attempt: 1 });
-            self.running.insert(call.id, (call, 1));
-        }
+    /// Number of calls in flight at each target, for display.
+    pub fn in_flight(&self) -> IndexMap<Arc<str>, u32> {
+        self.targets.iter().map(|(name, t)| (Arc::clone(name), t.in_flight)).collect()
+    }
+
+    /// Brings everything that depends on time up to `now`, then starts what can start.
+    fn advance(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        self.expire(now, actions);
+        self.end_backoffs(now, actions);
+        self.start_calls(now, actions);
+        self.start_hedges(now, actions);
+        self.start_probe(now, actions);
+    }
+
+    /// Mean service time of an operation in µs.
+    fn expected_us(&self, operation: usize) -> f64 {
+        let known = self.times.get(operation).and_then(ServiceTime::mean_us);
+        known.or(self.all_times.mean_us()).unwrap_or(UNKNOWN_SERVICE_US)
+    }
+
+    /// Mean service time of all operations in µs.
+    fn mean_us(&self) -> f64 {
+        self.all_times.mean_us().unwrap_or(UNKNOWN_SERVICE_US)
     }
+
+    fn memory_us(&self) -> f64 {
+        speed::memory_us(self.mean_us())
+    }
+
+    fn is_owning(&self) -> bool {
+        matches!(self.plan.choice, Choice::Owned | Choice::OwnedShared)
+    }
+
+    /// A random duration between half of `mean` and one and a half of it.
+    fn jittered(&mut self, mean: Duration) -> Duration {
+        mean.mul_f64(0.5 + self.random.random::<f64>())
+    }
+}
+
+/// Quantile of service times after which a hedge is worth its cost under the plan's budget.
+fn hedge_quantile(plan: &ServicePlan) -> f64 {
+    if plan.hedge_ratio > 0.0 { (1.0 - plan.hedge_ratio).clamp(0.5, 0.999) } else { 1.0 }
 }
--- /dev/null
+++ b/crates/policy/src/dispatch/fair.rs
@@ -0,0 +1,167 @@
+//! Fair order among the callers of one class.
+//!
+//! Start-time fair queueing (Goyal, Vin and Cheng, 1996) over slot time: each caller is a flow
+//! whose next call has a virtual start tag, and the call with the lowest tag starts first. A start
+//! is charged with the expected slot time; the charge is corrected once the slot is free again.
+
+use super::event::CallId;
+use indexmap::IndexMap;
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+/// Position of a flow in the ready set: start tag, sequence number of its first call, flow.
+type ReadyKey = (u64, u64, u32);
+
+#[derive(Debug, Default)]
+struct Flow {
+    caller: Option<Arc<str>>,
+    tag: u64,
+    waiting: BTreeMap<u64, CallId>,
+    running: u32,
+    ready: Option<ReadyKey>,
+}
+
+/// Waiting calls of one class, fair among callers. All operations take O(log n).
+#[derive(Debug, Default)]
+pub(super) struct FairQueue {
+    flows: Vec<Flow>,
+    vacant: Vec<u32>,
+    by_caller: IndexMap<Arc<str>, u32>,
+    ready: BTreeSet<ReadyKey>,
+    by_length: BTreeSet<(usize, u32)>,
+    idle: BTreeSet<(u64, u32)>,
+    virtual_time: u64,
+    len: usize,
+}
+
+impl FairQueue {
+    /// Number of waiting calls.
+    pub(super) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Number of callers with waiting calls.
+    pub(super) fn active_callers(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Number of waiting calls of `caller`.
+    pub(super) fn waiting_of(&self, caller: &str) -> usize {
+        self.by_caller.get(caller).map_or(0, |f| self.flows[*f as usize].waiting.len())
+    }
+
+    /// The call that starts next.
+    pub(super) fn head(&self) -> Option<CallId> {
+        let (_, seq, flow) = self.ready.first()?;
+        self.flows[*flow as usize].waiting.get(seq).copied()
+    }
+
+    /// The last call of the caller with the most waiting calls, and that number.
+    pub(super) fn longest(&self) -> Option<(CallId, usize)> {
+        let (len, flow) = self.by_length.last()?;
+        let (_, call) = self.flows[*flow as usize].waiting.last_key_value()?;
+        Some((*call, *len))
+    }
+
+    /// Adds a waiting call and returns its flow.
+    pub(super) fn push(&mut self, caller: &Arc<str>, seq: u64, call: CallId) -> u32 {
+        let flow = self.flow_of(caller);
+        self.unlink(flow);
+        let state = &mut self.flows[flow as usize];
+        if state.waiting.is_empty() {
+            state.tag = state.tag.max(self.virtual_time);
+        }
+        if state.waiting.insert(seq, call).is_none() {
+            self.len += 1;
+        }
+        self.link(flow);
+        flow
+    }
+
+    /// Takes out a waiting call that will not start.
+    pub(super) fn remove(&mut self, flow: u32, seq: u64) {
+        self.unlink(flow);
+        if self.flows[flow as usize].waiting.remove(&seq).is_some() {
+            self.len -= 1;
+        }
+        self.link(flow);
+    }
+
+    /// Takes out a waiting call that starts and charges its caller with `cost` µs of slot time.
+    pub(super) fn start(&mut self, flow: u32, seq: u64, cost: u64) {
+        self.unlink(flow);
+        let state = &mut self.flows[flow as usize];
+        if state.waiting.remove(&seq).is_some() {
+            self.len -= 1;
+        }
+        self.virtual_time = self.virtual_time.max(state.tag);
+        state.tag = state.tag.saturating_add(cost);
+        state.running += 1;
+        self.link(flow);
+    }
+
+    /// Ends a started call that was charged with `cost` µs and took `actual` µs.
+    pub(super) fn finish(&mut self, flow: u32, cost: u64, actual: u64) {
+        self.unlink(flow);
+        let state = &mut self.flows[flow as usize];
+        state.tag = state.tag.saturating_add(actual).saturating_sub(cost);
+        state.running = state.running.saturating_sub(1);
+        self.link(flow);
+    }
+
+    fn flow_of(&mut self, caller: &Arc<str>) -> u32 {
+        if let Some(flow) = self.by_caller.get(caller) {
+            return *flow;
+        }
+        let flow = self.vacant.pop().unwrap_or_else(|| {
+            self.flows.push(Flow::default());
+            (self.flows.len() - 1) as u32
+        });
+        let state = &mut self.flows[flow as usize];
+        state.caller = Some(Arc::clone(caller));
+        state.tag = self.virtual_time;
+        self.by_caller.insert(Arc::clone(caller), flow);
+        flow
+    }
+
+    fn unlink(&mut self, flow: u32) {
+        let state = &mut self.flows[flow as usize];
+        if let Some(key) = state.ready.take() {
+            self.ready.remove(&key);
+            self.by_length.remove(&(state.waiting.len(), flow));
+        } else {
+            self.idle.remove(&(state.tag, flow));
+        }
+    }
+
+    fn link(&mut self, flow: u32) {
+        let state = &mut self.flows[flow as usize];
+        if let Some((seq, _)) = state.waiting.first_key_value() {
+            let key = (state.tag, *seq, flow);
+            state.ready = Some(key);
+            self.ready.insert(key);
+            self.by_length.insert((state.waiting.len(), flow));
+        } else if state.running == 0 {
+            self.idle.insert((state.tag, flow));
+        }
+        self.forget_idle();
+    }
+
+    /// Forgets callers without calls whose tag tells nothing any more.
+    fn forget_idle(&mut self) {
+        while let Some((tag, flow)) = self.idle.first().copied() {
+            let unused = self.len == 0 && self.by_caller.len() == self.idle.len();
+            if tag > self.virtual_time && !unused {
+                return;
+            }
+            self.idle.remove(&(tag, flow));
+            let state = std::mem::take(&mut self.flows[flow as usize]);
+            if let Some(caller) = state.caller {
+                self.by_caller.swap_remove(&caller);
+            }
+            self.vacant.push(flow);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/ownership.rs
@@ -0,0 +1,58 @@
+//! Which entry of a set owns which slot.
+//!
+//! Rendezvous hashing with bounded loads: every slot goes to the entry with the highest hash that
+//! still owns fewer slots than its even share, rounded up. Entries with the same view of hosts and
+//! targets reach the same result; views that differ cost a refusal at a target and nothing else.
+
+use super::plan::{PeerSlots, TargetPlan};
+use std::sync::Arc;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Slots of one target beyond which the others are left out.
+const MAX_SLOTS: u32 = 1024;
+
+/// Slots of each target that `host` owns, in the order of `targets`, or nothing when `host` is not
+/// in the set. Leaving targets have no slots to own.
+pub(super) fn owned_slots(
+    host: &str,
+    set: &[PeerSlots],
+    targets: &[&TargetPlan],
+) -> Option<Vec<u32>> {
+    let mut hosts: Vec<&Arc<str>> = set.iter().map(|p| &p.host).collect();
+    hosts.sort_unstable();
+    hosts.dedup();
+    let me = hosts.iter().position(|h| ***h == *host)?;
+    let mut slots = slots_in_order(targets);
+    slots.sort_unstable();
+    let mut free = vec![slots.len().div_ceil(hosts.len()); hosts.len()];
+    let mut owned = vec![0; targets.len()];
+    for (_, target, index) in slots {
+        let name = &targets[target].name;
+        let open = (0..hosts.len()).filter(|h| free[*h] > 0);
+        let Some(owner) = open.max_by_key(|h| (hash(name, index, hosts[*h]), *h)) else { break };
+        free[owner] -= 1;
+        owned[target] += u32::from(owner == me);
+    }
+    Some(owned)
+}
+
+/// Every slot with its place in the order of assignment, which no host has a part in.
+fn slots_in_order(targets: &[&TargetPlan]) -> Vec<(u64, usize, u32)> {
+    let mut slots = Vec::new();
+    for (target, plan) in targets.iter().enumerate().filter(|(_, t)| !t.leaving) {
+        slots.extend(
+            (0..plan.slots.min(MAX_SLOTS))
+                .map(|index| (hash(&plan.name, index, ""), target, index)),
+        );
+    }
+    slots
+}
+
+fn hash(target: &str, index: u32, host: &str) -> u64 {
+    let mut hasher = Xxh3::new();
+    hasher.update(target.as_bytes());
+    hasher.update(&[0xff]);
+    hasher.update(&index.to_le_bytes());
+    hasher.update(host.as_bytes());
+    hasher.digest()
+}
--- /dev/null
+++ b/crates/policy/src/dispatch/service_time.rs
@@ -0,0 +1,91 @@
+//! Service times of operations, as this entry saw them.
+
+use hdrhistogram::Histogram;
+
+/// Samples over which the mean forgets.
+const MEAN_SAMPLES: f64 = 128.0;
+/// Samples after which a histogram is set aside.
+const WINDOW_SAMPLES: u64 = 1024;
+/// Samples after which the cached quantile is worked out again.
+const QUANTILE_SAMPLES: u64 = 64;
+/// Longest service time that is told apart, in µs.
+const MAX_US: u64 = 60_000_000;
+/// Samples below which no quantile is known.
+const MIN_SAMPLES: u64 = 100;
+
+/// Recent service times of one operation.
+#[derive(Debug)]
+pub(super) struct ServiceTime {
+    mean_us: f64,
+    samples: f64,
+    recent: Option<Histogram<u32>>,
+    previous: Option<Histogram<u32>>,
+    quantile: f64,
+    cached_us: Option<u64>,
+    since_cached: u64,
+}
+
+impl ServiceTime {
+    /// No samples yet; `quantile` is the one that [`Self::quantile_us`] gives.
+    pub(super) fn new(quantile: f64) -> Self {
+        Self {
+            mean_us: 0.0,
+            samples: 0.0,
+            recent: None,
+            previous: None,
+            quantile,
+            cached_us: None,
+            since_cached: 0,
+        }
+    }
+
+    /// Takes in one service time.
+    pub(super) fn record(&mut self, us: u64) {
+        self.samples = (self.samples + 1.0).min(MEAN_SAMPLES);
+        self.mean_us += (us as f64 - self.mean_us) / self.samples;
+        if self.quantile >= 1.0 {
+            return;
+        }
+        self.record_histogram(us);
+    }
+
+    /// The same samples with another quantile.
+    pub(super) fn with_quantile(&mut self, quantile: f64) -> Self {
+        let mut times = std::mem::replace(self, Self::new(quantile));
+        times.quantile = quantile;
+        times.cached_us = times.current_quantile();
+        times
+    }
+
+    /// Mean in µs, or nothing without samples.
+    pub(super) fn mean_us(&self) -> Option<f64> {
+        (self.samples > 0.0).then_some(self.mean_us)
+    }
+
+    /// The quantile in µs, or nothing with too few samples.
+    pub(super) fn quantile_us(&self) -> Option<u64> {
+        self.cached_us
+    }
+
+    fn record_histogram(&mut self, us: u64) {
+        if self.recent.is_none() {
+            self.recent = Histogram::new_with_bounds(1, MAX_US, 1).ok();
+        }
+        let Some(recent) = &mut self.recent else { return };
+        recent.saturating_record(us.max(1));
+        self.since_cached += 1;
+        if recent.len() >= WINDOW_SAMPLES {
+            self.previous = self.recent.take();
+        }
+        if self.since_cached >= QUANTILE_SAMPLES {
+            self.since_cached = 0;
+            self.cached_us = self.current_quantile();
+        }
+    }
+
+    fn current_quantile(&self) -> Option<u64> {
+        let enough = |h: &&Histogram<u32>| h.len() >= MIN_SAMPLES;
+        let source = self.previous.as_ref().or(self.recent.as_ref()).filter(enough)?;
+        Some(source.value_at_quantile(self.quantile))
+    }
+}
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -11,6 +11,9 @@
 pub struct Timestamp(u64);
 
 impl Timestamp {
+    /// The latest time that can be told.
+    pub const MAX: Self = Self(u64::MAX);
+
     /// The given number of µs after the origin.
     pub const fn from_micros(us: u64) -> Self {
         Self(us)
--- /dev/null
+++ b/crates/policy/tests/dispatch/fixture.rs
@@ -0,0 +1,97 @@
+//! Plans, targets and calls for the tests.
+
+use azuretally_policy::{
+    Timestamp,
+    dispatch::{Call, CallId, ClassPlan, OperationPlan, PeerSlots, ServicePlan, TargetPlan},
+};
+use azuretally_settings::Choice;
+use std::{sync::Arc, time::Duration};
+
+pub(crate) const CHOICES: [Choice; 9] = [
+    Choice::Random,
+    Choice::RoundRobin,
+    Choice::LeastInFlight,
+    Choice::PowerOfTwo,
+    Choice::HotCold,
+    Choice::TryAndRefuse,
+    Choice::IdleSlots,
+    Choice::Owned,
+    Choice::OwnedShared,
+];
+
+/// Operation of the urgent class that may run again.
+pub(crate) const CHECK: usize = 0;
+/// Operation of the urgent class that may run once.
+pub(crate) const SALE: usize = 1;
+/// Operation of the patient class.
+pub(crate) const PULL: usize = 2;
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+pub(crate) fn plan(choice: Choice) -> ServicePlan {
+    let class = |name: &str, floor, still| ClassPlan {
+        name: name.into(),
+        timeout: ms(1_000),
+        floor,
+        still,
+    };
+    let operation = |name: &str, class, idempotent, worth| OperationPlan {
+        name: name.into(),
+        class,
+        idempotent,
+        worth,
+    };
+    ServicePlan {
+        revision: 1,
+        service: "till".into(),
+        host: "entry-0".into(),
+        choice,
+        queue: 1_000,
+        connections: 240,
+        retry_ratio: 0.1,
+        hedge_ratio: 0.0,
+        probe_share: 0.0,
+        probe_cost: ms(6),
+        classes: vec![class("urgent", 0.0, None), class("patient", 0.05, Some(ms(500)))],
+        operations: vec![
+            operation("check", 0, true, 5.0),
+            operation("sale", 0, false, 10.0),
+            operation("pull", 1, true, 1.0),
+        ],
+    }
+}
+
+pub(crate) fn targets(count: usize, slots: u32) -> Vec<TargetPlan> {
+    let target = |n| TargetPlan {
+        name: target_name(n),
+        failure_domain: format!("domain-{}", n % 3).into(),
+        slots,
+        leaving: false,
+    };
+    (0..count).map(target).collect()
+}
+
+pub(crate) fn target_name(n: usize) -> Arc<str> {
+    format!("target-{n}").into()
+}
+
+pub(crate) fn entry_name(n: usize) -> Arc<str> {
+    format!("entry-{n}").into()
+}
+
+pub(crate) fn entry_set(count: usize) -> Vec<PeerSlots> {
+    (0..count).map(|n| PeerSlots { host: entry_name(n), free: 0 }).collect()
+}
+
+pub(crate) fn call(id: u64, caller: &str, operation: usize, deadline: Timestamp) -> Call {
+    Call {
+        id: CallId(id),
+        caller: caller.into(),
+        operation,
+        deadline,
+        relayable: true,
+        replayable: true,
+    }
+}
