--- a/crates/policy/tests/dispatch/arbitrary_events.rs
+++ b/crates/policy/tests/dispatch/arbitrary_events.rs
@@ -44,7 +44,8 @@
         for action in actions {
             match action {
                 Action::Dispatch { call, target, .. } => {
-                    let idempotent = *self.open.get(&call.0).expect("open call");
+                    let open = self.open.get(&call.0).copied();
+                    let Some(idempotent) = open else { panic!("{call:?} is not open") };
                     assert!(idempotent || !self.maybe_run.contains(&call.0), "ran twice");
                     let running = self.live.iter().any(|(c, _)| *c == call.0);
                     assert!(idempotent || !running, "two attempts of a call that runs once");
