feat(settings): name every problem of a document with line, key and reason

Cause: the check stopped at the first unknown key and let contradictions pass (floors beyond 100%, a still time not below the timeout, no slots, two services with one path, more entries in a set than there are, a probe budget beyond what targets have). Change: an outline of the document gives unknown keys and lines at once; rules for single values and for contradictions; local settings are checked alike; `azuretally check FILE...` calls the same function, exit code 1 when one document is refused. `record_file` joins the local keys. Ruled out: a schema library, which would not know the contradictions. Conclusion: five broken documents are fixtures with their exact messages; 400 seeded damaged documents neither panic nor change their verdict.

--- a/crates/azuretally/src/main.rs
+++ b/crates/azuretally/src/main.rs
@@ -1,3 +1,7 @@
-//! `azuretally`: to be written.
+//! `azuretally`: the operators' command line.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    azuretally::run(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/crates/azuretally/src/ops.rs
@@ -0,0 +1,5 @@
+//! What the commands do.
+
+mod check;
+
+pub use check::check;
--- /dev/null
+++ b/crates/azuretally/src/util.rs
@@ -0,0 +1,4 @@
+//! Help that has nothing to do with azuretally.
+
+pub mod http;
+pub mod table;
--- /dev/null
+++ b/crates/azuretally/tests/testsuite/main.rs
@@ -0,0 +1,4 @@
+//! End-to-end tests of the operators' command line.
+
+mod check;
+mod support;
--- a/crates/settings/src/error.rs
+++ b/crates/settings/src/error.rs
@@ -5,14 +5,19 @@
 /// One thing that is wrong in a document.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Problem {
-    /// Dotted key path, empty for the document as a whole.
+    /// Dotted key path, empty for the document as a whole. Places in a list count from 0.
     pub path: String,
+    /// Line of the key, from 1, or of its nearest parent in the document.
+    pub line: Option<usize>,
     /// What is wrong, as a short sentence.
     pub reason: String,
 }
 
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "{line}: ")?;
+        }
         match self.path.as_str() {
             "" => write!(f, "{}", self.reason),
             path => write!(f, "{path}: {}", self.reason),
@@ -35,7 +40,12 @@
             if i > 0 {
                 writeln!(f)?;
             }
-            write!(f, "{}: {problem}", self.source)?;
+            write!(
+                f,
+                "{}:{}{problem}",
+                self.source,
+                if problem.line.is_some() { "" } else { " " }
+            )?;
         }
         Ok(())
     }
@@ -45,17 +55,6 @@
 
 impl Problem {
     pub(crate) fn new(path: impl Into<String>, reason: impl Into<String>) -> Self {
-        Self { path: path.into(), reason: reason.into() }
-    }
-}
-
-impl SettingsError {
-    pub(crate) fn syntax(source: &str, text: &str, error: &toml::de::Error) -> Self {
-        let line = error.span().map(|s| text[..s.start].matches('\n').count() + 1);
-        let reason = match line {
-            Some(line) => format!("line {line}: {}", error.message()),
-            None => error.message().to_owned(),
-        };
-        Self { source: source.to_owned(), problems: vec![Problem::new("", reason)] }
+        Self { path: path.into(), line: None, reason: reason.into() }
     }
 }
--- /dev/null
+++ b/crates/settings/src/keys.rs
@@ -0,0 +1,71 @@
+//! Every key of both documents.
+
+/// Keys of the local file, dotted.
+pub const LOCAL_KEYS: &[&str] = &[
+    "host",
+    "failure_domain",
+    "listen",
+    "listen.calls",
+    "listen.directions",
+    "listen.admin",
+    "listen.peers",
+    "platform",
+    "seeds",
+    "peer_key_file",
+    "admin_token_file",
+    "log_level",
+    "span_file",
+    "record_file",
+    "call_threads",
+];
+
+/// Keys of the published document, dotted. `*` stands for a name, `#` for a place in a list.
+pub const PUBLISHED_KEYS: &[&str] = &[
+    "deployment",
+    "entries",
+    "preset",
+    "measuring",
+    "measuring.target_ms_per_s",
+    "measuring.probe_cost_ms",
+    "services",
+    "services.*",
+    "services.*.path",
+    "services.*.slots",
+    "services.*.connections",
+    "services.*.choice",
+    "services.*.entry_set",
+    "services.*.queue",
+    "services.*.retry",
+    "services.*.retry.retry_percent",
+    "services.*.retry.hedge_percent",
+    "services.*.operations",
+    "services.*.operations.*",
+    "services.*.operations.*.method",
+    "services.*.operations.*.path",
+    "services.*.operations.*.idempotent",
+    "services.*.operations.*.worth",
+    "presets",
+    "presets.*",
+    "presets.*.classes",
+    "presets.*.classes.#",
+    "presets.*.classes.#.name",
+    "presets.*.classes.#.operations",
+    "presets.*.classes.#.timeout_ms",
+    "presets.*.classes.#.floor_percent",
+    "presets.*.classes.#.still_ms",
+];
+
+/// Finds the known key that has the same parent and stem as an unknown one, for a hint about units.
+pub(crate) fn similar(keys: &[&'static str], parent: &str, name: &str) -> Option<&'static str> {
+    let stem = stem(name);
+    keys.iter().copied().find_map(|key| {
+        let (key_parent, key_name) = key.rsplit_once('.').unwrap_or(("", key));
+        let same = key_parent == parent && key_name.starts_with(stem);
+        (same && !stem.is_empty()).then_some(key_name)
+    })
+}
+
+fn stem(name: &str) -> &str {
+    let name = name.split_once('_').map_or(name, |(stem, _)| stem);
+    if name.len() < 3 { "" } else { name }
+}
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,11 +5,16 @@
 //! presets and budgets. Both are parsed strictly and checked as a whole, because every entry must
 //! give the same verdict on the same text.
 
+mod document;
 mod error;
+mod keys;
 mod local;
+mod outline;
 mod published;
+mod rules;
 
 pub use error::{Problem, SettingsError};
+pub use keys::{LOCAL_KEYS, PUBLISHED_KEYS};
 pub use local::{Listen, LocalSettings};
 pub use published::{
     Choice, ClassSettings, Measuring, OperationSettings, Preset, Published, RetrySettings,
--- a/crates/settings/src/local.rs
+++ b/crates/settings/src/local.rs
@@ -1,9 +1,17 @@
 //! The local settings of one entry process.
 
-use crate::{Problem, SettingsError};
+use crate::{
+    Problem, SettingsError,
+    document::{self, Document},
+    keys::LOCAL_KEYS,
+    rules::Rules,
+};
 use serde::Deserialize;
 use std::{net::SocketAddr, path::PathBuf, sync::Arc};
 
+const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
+const CALL_THREADS_MAX: usize = 1_024;
+
 /// Addresses on which an entry listens.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +52,9 @@
     /// File to which spans are appended, one JSON object a line. No tracing without it.
     #[serde(default)]
     pub span_file: Option<PathBuf>,
+    /// File or pipe to which the audit record is appended, one JSON object a line.
+    #[serde(default)]
+    pub record_file: Option<PathBuf>,
     /// Worker threads of the request path, all cores without it.
     #[serde(default)]
     pub call_threads: Option<usize>,
@@ -56,27 +67,53 @@
     ///
     /// Every problem found, when the document is not accepted.
     pub fn parse(source: &str, text: &str) -> Result<Self, SettingsError> {
-        let settings: Self =
-            toml::from_str(text).map_err(|e| SettingsError::syntax(source, text, &e))?;
-        let problems = settings.problems();
-        if problems.is_empty() {
-            Ok(settings)
-        } else {
-            Err(SettingsError { source: source.to_owned(), problems })
-        }
+        document::parse(source, text)
     }
+}
+
+impl Document for LocalSettings {
+    const KEYS: &'static [&'static str] = LOCAL_KEYS;
 
     fn problems(&self) -> Vec<Problem> {
-        let mut found = Vec::new();
-        if self.platform.is_empty() {
-            found.push(Problem::new("platform", "at least one address is needed"));
+        let mut rules = Rules::default();
+        rules.host_name("host", &self.host);
+        rules.host_name("failure_domain", &self.failure_domain);
+        rules.need(!self.platform.is_empty(), "platform", || {
+            "at least one address is needed".to_owned()
+        });
+        let bound = self.admin_token_file.is_some() || self.listen.admin.ip().is_loopback();
+        rules.need(bound, "listen.admin", || {
+            "without admin_token_file only a loopback address is allowed".to_owned()
+        });
+        self.check_listen(&mut rules);
+        if let Some(level) = &self.log_level {
+            rules.need(LOG_LEVELS.contains(&level.as_str()), "log_level", || {
+                format!("`{level}` is none of {}", LOG_LEVELS.join(", "))
+            });
         }
-        if self.admin_token_file.is_none() && !self.listen.admin.ip().is_loopback() {
-            found.push(Problem::new(
-                "listen.admin",
-                "without admin_token_file only a loopback address is allowed",
-            ));
+        if let Some(threads) = self.call_threads {
+            rules.need((1..=CALL_THREADS_MAX).contains(&threads), "call_threads", || {
+                format!("{threads} is not between 1 and {CALL_THREADS_MAX}")
+            });
+        }
+        rules.found
+    }
+}
+
+impl LocalSettings {
+    fn check_listen(&self, rules: &mut Rules) {
+        let listen = &self.listen;
+        let addresses = [
+            ("calls", listen.calls),
+            ("directions", listen.directions),
+            ("admin", listen.admin),
+            ("peers", listen.peers),
+        ];
+        for (i, (name, address)) in addresses.iter().enumerate() {
+            let same = addresses[..i].iter().find(|(_, a)| a == address && a.port() != 0);
+            rules.need(same.is_none(), &format!("listen.{name}"), || {
+                format!("{address} stands twice")
+            });
         }
-        found
     }
 }
--- a/crates/settings/src/published.rs
+++ b/crates/settings/src/published.rs
@@ -1,7 +1,13 @@
 //! The settings document that the platform publishes to every entry.
 
-use crate::{Problem, SettingsError};
-use indexmap::{IndexMap, IndexSet};
+mod check;
+
+use crate::{
+    Problem, SettingsError,
+    document::{self, Document},
+    keys::PUBLISHED_KEYS,
+};
+use indexmap::IndexMap;
 use serde::Deserialize;
 use std::sync::Arc;
 
@@ -151,14 +157,7 @@
     ///
     /// Every problem found, when the document is not accepted.
     pub fn parse(source: &str, text: &str) -> Result<Self, SettingsError> {
-        let published: Self =
-            toml::from_str(text).map_err(|e| SettingsError::syntax(source, text, &e))?;
-        let problems = published.problems();
-        if problems.is_empty() {
-            Ok(published)
-        } else {
-            Err(SettingsError { source: source.to_owned(), problems })
-        }
+        document::parse(source, text)
     }
 
     /// The preset in force. The check guarantees that it exists.
@@ -166,46 +165,17 @@
         self.presets.get(&self.preset)
     }
 
-    fn problems(&self) -> Vec<Problem> {
-        let mut found = Vec::new();
-        if !self.presets.contains_key(&self.preset) {
-            found.push(Problem::new("preset", format!("no preset named `{}`", self.preset)));
-        }
-        for (name, preset) in &self.presets {
-            self.check_preset(name, preset, &mut found);
-        }
-        found
-    }
-
-    fn check_preset(&self, name: &str, preset: &Preset, found: &mut Vec<Problem>) {
-        let mut seen = IndexSet::new();
-        for class in &preset.classes {
-            let path = format!("presets.{name}.classes.{}", class.name);
-            for operation in &class.operations {
-                if !self.has_operation(operation) {
-                    found.push(Problem::new(&path, format!("no operation `{operation}`")));
-                }
-                if !seen.insert(operation.clone()) {
-                    found.push(Problem::new(&path, format!("`{operation}` stands twice")));
-                }
-            }
-        }
-        for (service, settings) in &self.services {
-            for operation in settings.operations.keys() {
-                let full = format!("{service}.{operation}");
-                if !seen.contains(full.as_str()) {
-                    found.push(Problem::new(
-                        format!("presets.{name}"),
-                        format!("operation `{full}` has no class"),
-                    ));
-                }
-            }
-        }
-    }
-
     fn has_operation(&self, full: &str) -> bool {
         full.split_once('.').is_some_and(|(service, operation)| {
             self.services.get(service).is_some_and(|s| s.operations.contains_key(operation))
         })
     }
 }
+
+impl Document for Published {
+    const KEYS: &'static [&'static str] = PUBLISHED_KEYS;
+
+    fn problems(&self) -> Vec<Problem> {
+        check::problems(self)
+    }
+}
