feat(calls): serve calls from callers to targets and peers

Cause: nothing forwarded a call yet. Change: HTTP/1.1 and HTTP/2 in, routing by the published settings, waiting in the service's dispatcher, one exchange with a target or a peer, and an outcome on every answer. Each connection is judged by its own last answer; a call with a key goes on a fresh one, runs in a task of its own and is settled in the key table. Answers with no framing and answers cut short never pass as whole ones. Every call ends once, in counters, record and dispatcher together. The planned stop gives notice, closes the listener and finishes what is in flight. Directions carry the own token. Ruled out: the pooled client of hyper-util, which does not let a connection be chosen by its last answer.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -38,3 +38,9 @@
 pub const TARGET_INCARNATION: &str = "x-target-incarnation";
 /// Towards a target: time that it still has for the call, in whole ms.
 pub const TARGET_TIMEOUT_MS: &str = "x-target-timeout-ms";
+/// On refusals: when the caller may come back, in whole ms, beside `Retry-After` in seconds.
+pub const RETRY_AFTER_MS: &str = "x-azuretally-retry-after-ms";
+/// Set to `1` on an answer that was kept from the first call with the same key.
+pub const REPLAYED: &str = "x-azuretally-replayed";
+/// Path at which a caller asks what became of an idempotency key, and fences it.
+pub const FENCE_PATH: &str = "/-/fence";
--- a/crates/entry/src/admin/directions.rs
+++ b/crates/entry/src/admin/directions.rs
@@ -40,13 +40,13 @@
         let message = "no settings are in force here yet".to_owned();
         return Err(HttpError::for_unavail(Some("starting".to_owned()), message));
     }
-    directions(&view, &service).map(HttpResponseOk).ok_or_else(|| {
+    directions(request.context(), &view, &service).map(HttpResponseOk).ok_or_else(|| {
         let message = format!("no service named `{service}`");
         HttpError::for_not_found(Some("no-service".to_owned()), message)
     })
 }
 
-fn directions(view: &View, service: &str) -> Option<Directions> {
+fn directions(context: &Context, view: &View, service: &str) -> Option<Directions> {
     let hosts = &view.services.get(service)?.directions;
     let entries = hosts
         .iter()
@@ -56,7 +56,10 @@
                 host: host.to_string(),
                 failure_domain: entry.failure_domain.to_string(),
                 address: entry.calls,
-                token: entry.token.clone(),
+                token: match *host == context.local.host {
+                    true => context.mint_token(),
+                    false => entry.token.clone(),
+                },
             })
         })
         .collect();
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -16,6 +16,8 @@
         preset: view.published.as_ref().map_or_else(String::new, |p| p.preset.to_string()),
         in_force_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         refused: view.refused.clone(),
+        calls: context.counts.snapshot(),
+        probe_ms: context.counts.probe_ms(),
         peers: view
             .entries
             .keys()
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -1,32 +1,25 @@
 //! The request path: callers in, targets and peers out.
+//!
+//! A call is read ([`inbound`]), gets a key check when it is not idempotent ([`keyed`]), waits in
+//! its service's dispatcher ([`service`]), is exchanged with a target or a peer ([`exchange`]) and
+//! is answered with its outcome ([`reply`]). Every call ends exactly once, in [`ending`].
 
-use crate::{StartError, context::Context};
-use error_stack::{Report, ResultExt};
-use std::sync::Arc;
-use tokio::net::TcpListener;
+mod app;
+mod body;
+mod ending;
+mod exchange;
+mod feed;
+mod handler;
+mod inbound;
+mod keyed;
+mod limits;
+mod mailbox;
+mod pool;
+mod probe;
+mod reply;
+mod router;
+mod server;
+mod service;
+mod targets;
 
-/// Server of callers' calls.
-#[derive(Debug)]
-pub struct Server {
-    context: Arc<Context>,
-    _listener: TcpListener,
-}
-
-impl Server {
-    /// Listens on the address for calls.
-    ///
-    /// # Errors
-    ///
-    /// [`StartError::Bind`] when the address cannot be used.
-    pub async fn bind(context: Arc<Context>) -> Result<Self, Report<StartError>> {
-        let address = context.local.listen.calls;
-        let listener =
-            TcpListener::bind(address).await.change_context(StartError::Bind(address))?;
-        Ok(Self { context, _listener: listener })
-    }
-
-    /// Serves until the planned stop has finished every call in flight.
-    pub async fn run(self) {
-        self.context.stop.cancelled().await;
-    }
-}
+pub use server::Server;
--- /dev/null
+++ b/crates/entry/src/calls/handler.rs
@@ -0,0 +1,297 @@
+//! One call from its dispatcher's first step to its answer.
+
+use super::{
+    app::App,
+    body::Answer,
+    ending::Ending,
+    exchange::{Arrived, Exchange, Failure, Received, request_from},
+    inbound::{Inbound, InboundError},
+    keyed,
+    limits::{ATTEMPT_MIN, COME_BACK},
+    mailbox::{Mailbox, Step},
+    pool::Trust,
+    reply::Reply,
+};
+use azuretally_api::{headers, record::Outcome};
+use azuretally_policy::dispatch::{Call, CallId, Event, FailureKind, LoadReport, TargetRefusal};
+use futures_util::{
+    StreamExt,
+    future::{AbortHandle, Abortable, Aborted},
+    stream::FuturesUnordered,
+};
+use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
+
+/// Answers one request.
+///
+/// # Errors
+///
+/// None: every request gets an answer.
+pub(super) async fn handle(
+    app: Arc<App>,
+    from: IpAddr,
+    request: Request<Incoming>,
+) -> Result<Response<Answer>, Infallible> {
+    if request.uri().path() == headers::FENCE_PATH {
+        let reply = keyed::fence(&app, request.headers()).await.unwrap_or_else(refuse);
+        return Ok(reply.finish(&app, app.context.view().revision));
+    }
+    let router = app.router.load_full();
+    let inbound = match Inbound::read(&app.context, &router, from, request).await {
+        Ok(inbound) => inbound,
+        Err(e) => return Ok(refuse(e).finish(&app, app.context.view().revision)),
+    };
+    let revision = inbound.admitted.plan.revision;
+    let reply = match inbound.key.clone() {
+        Some(key) => keyed::run(&app, inbound, &key).await,
+        None => dispatch(&app, inbound).await,
+    };
+    Ok(reply.finish(&app, revision))
+}
+
+/// Field values with which a call goes to a peer.
+pub(super) fn relay_fields(remaining: Duration) -> [(HeaderName, HeaderValue); 2] {
+    [
+        (HeaderName::from_static(headers::HOPS), HeaderValue::from_static("1")),
+        (HeaderName::from_static(headers::TIMEOUT_MS), millis(remaining)),
+    ]
+}
+
+/// Outcome that a peer tells, if it is one.
+pub(super) fn outcome_of(received: &Received) -> Option<Outcome> {
+    match received.head.headers.get(headers::OUTCOME)?.to_str().ok()? {
+        headers::ANSWERED => Some(Outcome::Answered),
+        headers::NOT_RUN => Some(Outcome::NotRun),
+        headers::UNKNOWN => Some(Outcome::Unknown),
+        _ => None,
+    }
+}
+
+/// Waits for the dispatcher and obeys it until the call has ended.
+pub(super) async fn dispatch(app: &Arc<App>, inbound: Inbound) -> Reply {
+    let inbound = Arc::new(inbound);
+    let id = app.next_call();
+    let ending = Ending::new(Arc::clone(app), Arc::clone(&inbound), id);
+    let mailbox = Arc::new(Mailbox::default());
+    let call = Call {
+        id,
+        caller: Arc::clone(&inbound.caller),
+        operation: inbound.admitted.operation,
+        deadline: inbound.deadline,
+        relayable: !inbound.relayed && inbound.key.is_none(),
+        replayable: inbound.is_replayable(),
+    };
+    inbound.route.service.arrive(call, Arc::clone(&mailbox));
+    Run { app, inbound, id, mailbox, ending, handles: Vec::new() }.finish().await
+}
+
+/// How an attempt ended.
+enum End {
+    Target { target: Arc<str>, elapsed: Duration, result: Result<Received, Failure> },
+    Peer { peer: Arc<str>, result: Result<Received, Failure> },
+}
+
+struct Run<'a> {
+    app: &'a Arc<App>,
+    inbound: Arc<Inbound>,
+    id: CallId,
+    mailbox: Arc<Mailbox>,
+    ending: Ending,
+    handles: Vec<(Arc<str>, AbortHandle)>,
+}
+
+impl Run<'_> {
+    async fn finish(mut self) -> Reply {
+        let mailbox = Arc::clone(&self.mailbox);
+        let mut attempts = FuturesUnordered::new();
+        loop {
+            tokio::select! {
+                step = mailbox.next() => match step {
+                    Step::Dispatch { target, .. } => {
+                        self.ending.dispatch(&target);
+                        let (handle, registration) = AbortHandle::new_pair();
+                        self.handles.push((Arc::clone(&target), handle));
+                        let app = Arc::clone(self.app);
+                        let inbound = Arc::clone(&self.inbound);
+                        let attempt = attempt(app, inbound, Way::Target(target));
+                        attempts.push(Abortable::new(attempt, registration));
+                    }
+                    Step::Relay { peer } => {
+                        self.ending.relay(&peer);
+                        let (_, registration) = AbortHandle::new_pair();
+                        let app = Arc::clone(self.app);
+                        let inbound = Arc::clone(&self.inbound);
+                        let attempt = attempt(app, inbound, Way::Peer(peer));
+                        attempts.push(Abortable::new(attempt, registration));
+                    }
+                    Step::Cancel { target } => self.cancel(&target),
+                    Step::Refuse { reason, retry_after } => {
+                        let reason = reason.as_str();
+                        self.ending.end(Outcome::NotRun, Some(reason));
+                        let status = StatusCode::SERVICE_UNAVAILABLE;
+                        return Reply::not_run(status, reason, retry_after);
+                    }
+                    Step::Unknown { reason } => {
+                        self.ending.end(Outcome::Unknown, Some(reason.as_str()));
+                        return Reply::unknown(reason.as_str());
+                    }
+                },
+                Some(end) = attempts.next() => match end {
+                    Ok(End::Target { target, elapsed, result }) => {
+                        match self.take_target(target, elapsed, result) {
+                            Some(received) => {
+                                let outcome = Outcome::Answered;
+                                return Reply::passed_on(outcome, received, self.ending);
+                            }
+                            None => continue,
+                        }
+                    }
+                    Ok(End::Peer { peer, result }) => match self.take_peer(peer, result) {
+                        Some((outcome, received)) => {
+                            return Reply::passed_on(outcome, received, self.ending);
+                        }
+                        None => continue,
+                    },
+                    Err(Aborted) => {}
+                },
+            }
+        }
+    }
+
+    fn cancel(&mut self, target: &str) {
+        if let Some(at) = self.handles.iter().position(|(t, _)| **t == *target) {
+            let (_, handle) = self.handles.swap_remove(at);
+            handle.abort();
+            self.ending.close(target);
+        }
+    }
+
+    /// The answer to pass on, or nothing when the dispatcher decides on.
+    fn take_target(
+        &mut self,
+        target: Arc<str>,
+        elapsed: Duration,
+        result: Result<Received, Failure>,
+    ) -> Option<Received> {
+        self.handles.retain(|(t, _)| *t != target);
+        let call = self.id;
+        let service = Arc::clone(&self.inbound.route.service);
+        match result {
+            Ok(received) => {
+                let report = report_of(&received);
+                if let Some(refusal) = refusal_of(&received) {
+                    self.ending.close(&target);
+                    service.handle(Event::Refused { call, target, refusal, report });
+                    return None;
+                }
+                let ok = !received.head.status.is_server_error();
+                self.ending.answered(target, ok, elapsed, report);
+                Some(received)
+            }
+            Err(Failure { kind, proof_not_run }) => {
+                self.ending.close(&target);
+                service.handle(Event::Failed { call, target, kind, proof_not_run });
+                None
+            }
+        }
+    }
+
+    fn take_peer(
+        &mut self,
+        peer: Arc<str>,
+        result: Result<Received, Failure>,
+    ) -> Option<(Outcome, Received)> {
+        let call = self.id;
+        let service = Arc::clone(&self.inbound.route.service);
+        let answer = result.ok().and_then(|r| outcome_of(&r).map(|o| (o, r)));
+        match answer {
+            Some((outcome, received)) if outcome != Outcome::NotRun => {
+                service.handle(Event::PeerDone { call, peer });
+                Some((outcome, received))
+            }
+            // Only idempotent calls are relayed, so a broken relay may be followed by another try.
+            _ => {
+                service.handle(Event::PeerRefused { call, peer });
+                None
+            }
+        }
+    }
+}
+
+enum Way {
+    Target(Arc<str>),
+    Peer(Arc<str>),
+}
+
+async fn attempt(app: Arc<App>, inbound: Arc<Inbound>, way: Way) -> End {
+    let started = app.context.clock.now();
+    let remaining = inbound.deadline - started;
+    match way {
+        Way::Target(target) => {
+            let address = inbound.route.service.targets.load().address(&target);
+            let fields = [
+                (HeaderName::from_static(headers::TARGET_TIMEOUT_MS), millis(remaining)),
+                (HeaderName::from_static(headers::HOPS), HeaderValue::from_static("1")),
+            ];
+            let limit = match inbound.is_idempotent() && inbound.is_replayable() {
+                true => (remaining / 2).max(ATTEMPT_MIN).min(remaining),
+                false => remaining,
+            };
+            let result = exchange(&app, &inbound, address, fields, limit).await;
+            let elapsed = app.context.clock.now() - started;
+            End::Target { target, elapsed, result }
+        }
+        Way::Peer(peer) => {
+            let address = app.context.view().entries.get(&peer).map(|e| e.calls);
+            let fields = relay_fields(remaining);
+            let result = exchange(&app, &inbound, address, fields, remaining).await;
+            End::Peer { peer, result }
+        }
+    }
+}
+
+async fn exchange(
+    app: &App,
+    inbound: &Inbound,
+    address: Option<std::net::SocketAddr>,
+    fields: [(HeaderName, HeaderValue); 2],
+    limit: Duration,
+) -> Result<Received, Failure> {
+    let unsent = Failure { kind: FailureKind::Connect, proof_not_run: true };
+    let address = address.ok_or(unsent)?;
+    let request = request_from(inbound, address, fields).ok_or(unsent)?;
+    let trust = match inbound.is_idempotent() {
+        true => Trust::Any,
+        false => Trust::Fresh,
+    };
+    Exchange { app, address, trust, deadline: inbound.deadline, limit }.run(request).await
+}
+
+fn refuse(error: InboundError) -> Reply {
+    Reply::not_run(error.status(), error.as_str(), COME_BACK)
+}
+
+fn refusal_of(received: &Received) -> Option<TargetRefusal> {
+    if received.head.status != StatusCode::SERVICE_UNAVAILABLE
+        || matches!(received.body, Arrived::Coming(..))
+    {
+        return None;
+    }
+    match received.head.headers.get(headers::TARGET_REFUSED)?.as_bytes() {
+        b"draining" => Some(TargetRefusal::Draining),
+        _ => Some(TargetRefusal::Busy),
+    }
+}
+
+/// Load that a target reported on its answer.
+pub(super) fn report_of(received: &Received) -> Option<LoadReport> {
+    let fields = &received.head.headers;
+    let busy = fields.get(headers::TARGET_BUSY)?.to_str().ok()?.parse().ok()?;
+    let draining = fields.get(headers::TARGET_STATE).is_some_and(|v| v == "draining");
+    Some(LoadReport { busy, draining })
+}
+
+fn millis(d: Duration) -> HeaderValue {
+    HeaderValue::from(u64::try_from(d.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/entry/src/calls/router.rs
@@ -0,0 +1,108 @@
+//! From method and path to service and operation.
+
+use super::service::Service;
+use crate::counts::OperationCounts;
+use azuretally_settings::OperationSettings;
+use http::Method;
+use indexmap::IndexMap;
+use std::sync::Arc;
+
+/// One operation that calls can reach.
+#[derive(Clone, Debug)]
+pub(super) struct Route {
+    /// Service of the operation.
+    pub(super) service: Arc<Service>,
+    /// Name of the operation.
+    pub(super) operation: Arc<str>,
+    /// Counters of the operation.
+    pub(super) counts: Arc<OperationCounts>,
+    method: Method,
+    path: String,
+}
+
+impl Route {
+    /// The route of one operation.
+    pub(super) fn new(
+        service: Arc<Service>,
+        operation: Arc<str>,
+        settings: &OperationSettings,
+        counts: Arc<OperationCounts>,
+    ) -> Option<Self> {
+        let method = Method::from_bytes(settings.method.as_bytes()).ok()?;
+        Some(Self { service, operation, counts, method, path: settings.path.clone() })
+    }
+}
+
+/// Why no operation matches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RouteError {
+    /// No service has this path.
+    NoService,
+    /// The service has no such operation.
+    NoOperation,
+    /// The operation has another method.
+    Method,
+}
+
+impl RouteError {
+    /// Name on the wire.
+    pub(super) const fn as_str(self) -> &'static str {
+        match self {
+            Self::NoService => "no-service",
+            Self::NoOperation => "no-operation",
+            Self::Method => "method",
+        }
+    }
+}
+
+/// All routes, by the path of their service.
+#[derive(Debug, Default)]
+pub(super) struct Router {
+    routes: IndexMap<String, Vec<Route>>,
+}
+
+impl Router {
+    /// Adds the routes of one service.
+    pub(super) fn add(&mut self, path: &str, mut routes: Vec<Route>) {
+        routes.sort_by_key(|r| std::cmp::Reverse(r.path.len()));
+        self.routes.insert(path.trim_end_matches('/').to_owned(), routes);
+    }
+
+    /// All services, each once.
+    pub(super) fn services(&self) -> impl Iterator<Item = &Arc<Service>> {
+        self.routes.values().filter_map(|routes| routes.first().map(|r| &r.service))
+    }
+
+    /// Finds the operation with the longest matching path.
+    ///
+    /// # Errors
+    ///
+    /// [`RouteError`] when there is none.
+    pub(super) fn find(&self, method: &Method, path: &str) -> Result<&Route, RouteError> {
+        let mut prefix = path.trim_end_matches('/');
+        let routes = loop {
+            if let Some(routes) = self.routes.get(prefix) {
+                break routes;
+            }
+            let end = prefix.rfind('/').ok_or(RouteError::NoService)?;
+            prefix = &prefix[..end];
+        };
+        let rest = &path[prefix.len()..];
+        let mut error = RouteError::NoOperation;
+        for route in routes {
+            if !is_below(rest, &route.path) {
+                continue;
+            }
+            if route.method == *method {
+                return Ok(route);
+            }
+            error = RouteError::Method;
+        }
+        Err(error)
+    }
+}
+
+fn is_below(path: &str, prefix: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
--- /dev/null
+++ b/crates/entry/src/calls/service.rs
@@ -0,0 +1,189 @@
+//! One service at this entry: its dispatcher, the tasks that wait for it, and its timer.
+
+use super::{
+    mailbox::{Mailbox, Step},
+    targets::Targets,
+};
+use crate::{clock::Clock, view::ServiceView};
+use arc_swap::ArcSwap;
+use azuretally_policy::{
+    Timestamp,
+    dispatch::{Action, Call, CallId, Dispatcher, Event, PeerSlots, ServicePlan, TargetPlan},
+};
+use indexmap::IndexMap;
+use parking_lot::Mutex;
+use std::{mem, sync::Arc};
+use tokio::sync::{Notify, mpsc};
+
+/// A probe that a dispatcher asked for.
+#[derive(Debug)]
+pub(super) struct ProbeOrder {
+    /// The service.
+    pub(super) service: Arc<Service>,
+    /// Name of the target.
+    pub(super) target: Arc<str>,
+}
+
+#[derive(Debug)]
+struct State {
+    dispatcher: Dispatcher,
+    plan: Arc<ServicePlan>,
+    targets: Vec<TargetPlan>,
+    peers: Vec<PeerSlots>,
+    waiters: IndexMap<CallId, Arc<Mailbox>>,
+    actions: Vec<Action>,
+    wakeup: Option<Timestamp>,
+}
+
+/// One service at this entry.
+#[derive(Debug)]
+pub(super) struct Service {
+    /// Targets with their addresses.
+    pub(super) targets: ArcSwap<Targets>,
+    clock: Clock,
+    state: Mutex<State>,
+    timer: Notify,
+    probes: mpsc::UnboundedSender<ProbeOrder>,
+}
+
+/// What a call needs to know of the plan under which it was taken in.
+#[derive(Clone, Debug)]
+pub(super) struct Admitted {
+    /// The plan.
+    pub(super) plan: Arc<ServicePlan>,
+    /// Index of the operation in the plan.
+    pub(super) operation: usize,
+}
+
+impl Service {
+    /// A service under its first plan.
+    pub(super) fn new(
+        plan: Arc<ServicePlan>,
+        clock: Clock,
+        probes: mpsc::UnboundedSender<ProbeOrder>,
+    ) -> Self {
+        let dispatcher = Dispatcher::new(Arc::clone(&plan), rand::random());
+        Self {
+            targets: ArcSwap::default(),
+            clock,
+            state: Mutex::new(State {
+                dispatcher,
+                plan,
+                targets: Vec::new(),
+                peers: Vec::new(),
+                waiters: IndexMap::new(),
+                actions: Vec::new(),
+                wakeup: None,
+            }),
+            timer: Notify::new(),
+            probes,
+        }
+    }
+
+    /// The plan in force and the index of `operation` in it.
+    pub(super) fn admit(&self, operation: &str) -> Option<Admitted> {
+        let plan = Arc::clone(&self.state.lock().plan);
+        let operation = plan.operations.iter().position(|o| *o.name == *operation)?;
+        Some(Admitted { plan, operation })
+    }
+
+    /// Takes in a call; its steps go to `mailbox` until [`Service::leave`].
+    pub(super) fn arrive(self: &Arc<Self>, call: Call, mailbox: Arc<Mailbox>) {
+        let mut state = self.state.lock();
+        state.waiters.insert(call.id, mailbox);
+        self.decide(state, Event::Arrive(call));
+    }
+
+    /// Forgets the mailbox of a call that has ended.
+    pub(super) fn leave(&self, call: CallId) {
+        self.state.lock().waiters.swap_remove(&call);
+    }
+
+    /// Takes in any other event.
+    pub(super) fn handle(self: &Arc<Self>, event: Event) {
+        self.decide(self.state.lock(), event);
+    }
+
+    /// Takes over what changed between the last view and this one.
+    pub(super) fn apply(self: &Arc<Self>, view: &ServiceView) {
+        self.targets.store(Arc::new(Targets::new(view)));
+        let plans: Vec<_> = view.targets.values().map(|t| t.plan.clone()).collect();
+        let mut events = Vec::new();
+        {
+            let mut state = self.state.lock();
+            if !Arc::ptr_eq(&state.plan, &view.plan) {
+                state.plan = Arc::clone(&view.plan);
+                events.push(Event::Plan(Arc::clone(&view.plan)));
+            }
+            if state.peers != view.set {
+                state.peers.clone_from(&view.set);
+                events.push(Event::Peers(view.set.clone()));
+            }
+            if state.targets != plans {
+                state.targets.clone_from(&plans);
+                events.push(Event::Targets(plans));
+            }
+        }
+        for event in events {
+            self.handle(event);
+        }
+    }
+
+    /// Sends [`Event::Tick`] whenever it is due. Never returns.
+    pub(super) async fn tick(self: Arc<Self>) {
+        loop {
+            let wakeup = self.state.lock().wakeup;
+            let Some(wakeup) = wakeup else {
+                self.timer.notified().await;
+                continue;
+            };
+            let wait = wakeup - self.clock.now();
+            tokio::select! {
+                () = tokio::time::sleep(wait) => self.handle(Event::Tick),
+                () = self.timer.notified() => {}
+            }
+        }
+    }
+
+    fn decide(self: &Arc<Self>, mut state: parking_lot::MutexGuard<'_, State>, event: Event) {
+        let mut actions = mem::take(&mut state.actions);
+        state.dispatcher.handle(self.clock.now(), event, &mut actions);
+        for action in actions.drain(..) {
+            self.obey(&state, action);
+        }
+        state.actions = actions;
+        let wakeup = state.dispatcher.next_wakeup();
+        let sooner = match (wakeup, state.wakeup) {
+            (Some(new), Some(old)) => new < old,
+            (Some(_), None) => true,
+            (None, _) => false,
+        };
+        state.wakeup = wakeup;
+        drop(state);
+        if sooner {
+            self.timer.notify_one();
+        }
+    }
+
+    fn obey(self: &Arc<Self>, state: &State, action: Action) {
+        let (call, step) = match action {
+            Action::Dispatch { call, target, attempt } => {
+                (call, Step::Dispatch { target, attempt })
+            }
+            Action::Relay { call, peer } => (call, Step::Relay { peer }),
+            Action::Refuse { call, reason, retry_after } => {
+                (call, Step::Refuse { reason, retry_after })
+            }
+            Action::Unknown { call, reason } => (call, Step::Unknown { reason }),
+            Action::Cancel { call, target } => (call, Step::Cancel { target }),
+            Action::Probe { target } => {
+                // The receiver is gone only when the process ends.
+                let _ = self.probes.send(ProbeOrder { service: Arc::clone(self), target });
+                return;
+            }
+        };
+        if let Some(mailbox) = state.waiters.get(&call) {
+            mailbox.post(step);
+        }
+    }
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,6 +1,6 @@
 //! What every part of the daemon is given.
 
-use crate::{clock::Clock, record::Sink, view::View};
+use crate::{clock::Clock, counts::Counts, record::Sink, view::View};
 use arc_swap::ArcSwap;
 use azuretally_policy::idempotency::Token;
 use azuretally_settings::LocalSettings;
@@ -19,6 +19,8 @@
     pub incarnation: Arc<str>,
     /// Clock of the process.
     pub clock: Clock,
+    /// Counters of calls.
+    pub counts: Counts,
     /// Where decided calls are handed to the audit record.
     pub records: Sink,
     /// Asks for the planned stop: no new calls, finish those in flight.
@@ -38,6 +40,7 @@
             peer_key,
             incarnation,
             clock: Clock::start(),
+            counts: Counts::default(),
             records: Sink::new(),
             stop: CancellationToken::new(),
             end: CancellationToken::new(),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod context;
 pub mod control;
+pub mod counts;
 pub mod daemon;
 mod error;
 pub mod record;
