--- a/crates/entry/src/calls/service.rs
+++ b/crates/entry/src/calls/service.rs
@@ -87,7 +87,7 @@
         Some(Admitted { plan, operation })
     }
 
-    /// Takes in a call; its steps go to `mailbox` until [`Service::leave`].
+    /// Takes in a call; its steps go to `mailbox` until `Service::leave`.
     pub(super) fn arrive(self: &Arc<Self>, call: Call, mailbox: Arc<Mailbox>) {
         let mut state = self.state.lock();
         state.waiters.insert(call.id, mailbox);
