feat(trace): a span for each call and each hop, keys counted to their end

Cause: a call could not be followed through entries and targets, and calls that met a known key were in no counter and no record. Ruled out: the exporter to standard output, whose text no program reads.

--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod daemon;
 mod error;
 pub mod record;
+pub mod trace;
 pub mod view;
 
 pub use error::StartError;
