--- a/crates/policy/src/fleet/member.rs
+++ b/crates/policy/src/fleet/member.rs
@@ -79,6 +79,14 @@
     }
 }
 
+/// What the entry sets depend on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Role {
+    usable: bool,
+    failure_domain: Arc<str>,
+    wanted: Vec<(Arc<str>, u16)>,
+}
+
 /// One entry of the fleet.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -130,9 +138,12 @@
     }
 
     /// What the entry sets depend on.
-    pub(super) fn role(&self) -> (bool, Arc<str>, Vec<(Arc<str>, u16)>) {
-        let record = &self.record;
-        (self.is_usable(), Arc::clone(&record.failure_domain), record.wanted.clone())
+    pub(super) fn role(&self) -> Role {
+        Role {
+            usable: self.is_usable(),
+            failure_domain: Arc::clone(&self.record.failure_domain),
+            wanted: self.record.wanted.clone(),
+        }
     }
 
     /// Whether callers are better directed to it than to those that nobody hears.
