--- a/crates/policy/tests/fleet/cases.rs
+++ b/crates/policy/tests/fleet/cases.rs
@@ -4,7 +4,7 @@
 
 /// Checks `property` on `cases` inputs of at most `size` bytes, the same ones each time. A failure
 /// prints its seed.
-pub fn check<Property>(first: u32, cases: u32, size: u32, mut property: Property)
+pub(crate) fn check<Property>(first: u32, cases: u32, size: u32, mut property: Property)
 where
     Property: FnMut(&mut Unstructured<'_>) -> Result<()>,
 {
--- a/crates/policy/tests/fleet/world.rs
+++ b/crates/policy/tests/fleet/world.rs
@@ -13,58 +13,58 @@
     sync::Arc,
 };
 
-pub const KEY: &[u8] = b"key of the tests";
-pub const TICK_US: u64 = 50_000;
+pub(crate) const KEY: &[u8] = b"key of the tests";
+pub(crate) const TICK_US: u64 = 50_000;
 const INBOX: usize = 128;
 
-pub struct Node {
-    pub fleet: Fleet,
+pub(crate) struct Node {
+    pub(crate) fleet: Fleet,
     origin: u64,
-    pub paused: bool,
+    pub(crate) paused: bool,
     inbox: Vec<Vec<u8>>,
-    pub sent_bytes: u64,
-    pub sent_messages: u64,
-    pub redials: u64,
-    pub highest: u64,
+    pub(crate) sent_bytes: u64,
+    pub(crate) sent_messages: u64,
+    pub(crate) redials: u64,
+    pub(crate) highest: u64,
 }
 
 /// Faults of the network, in parts of a thousand.
 #[derive(Clone, Copy, Default)]
-pub struct Faults {
-    pub loss: u32,
-    pub duplicate: u32,
-    pub late: u32,
+pub(crate) struct Faults {
+    pub(crate) loss: u32,
+    pub(crate) duplicate: u32,
+    pub(crate) late: u32,
 }
 
-pub struct World {
-    pub now: u64,
-    pub nodes: Vec<Option<Node>>,
-    pub cut: BTreeSet<(usize, usize)>,
-    pub faults: Faults,
-    pub platform_up: bool,
-    pub platform_cut: BTreeSet<usize>,
-    pub settings: (u64, String),
-    pub hosts: (u64, String),
-    pub recorded: Vec<(usize, Vec<u8>)>,
+pub(crate) struct World {
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<Option<Node>>,
+    pub(crate) cut: BTreeSet<(usize, usize)>,
+    pub(crate) faults: Faults,
+    pub(crate) platform_up: bool,
+    pub(crate) platform_cut: BTreeSet<usize>,
+    pub(crate) settings: (u64, String),
+    pub(crate) hosts: (u64, String),
+    pub(crate) recorded: Vec<(usize, Vec<u8>)>,
     random: Pcg64Mcg,
     wires: BinaryHeap<Reverse<(u64, u64, usize)>>,
     messages: BTreeMap<u64, Vec<u8>>,
     next: u64,
 }
 
-pub fn address(node: usize) -> SocketAddr {
+pub(crate) fn address(node: usize) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 10_000 + node as u16))
 }
 
-pub fn name(node: usize) -> Arc<str> {
+pub(crate) fn name(node: usize) -> Arc<str> {
     Arc::from(format!("entry-{node}"))
 }
 
-pub fn domain(node: usize) -> Arc<str> {
+pub(crate) fn domain(node: usize) -> Arc<str> {
     Arc::from(format!("domain-{}", node % 3))
 }
 
-pub fn settings(preset: &str, timeout_ms: u32) -> String {
+pub(crate) fn settings(preset: &str, timeout_ms: u32) -> String {
     format!(
         r#"
 deployment = "test"
@@ -89,7 +89,11 @@
     )
 }
 
-pub fn hosts(revision: u64, entries: &[usize], targets: &[(&str, Option<&str>, bool)]) -> String {
+pub(crate) fn hosts(
+    revision: u64,
+    entries: &[usize],
+    targets: &[(&str, Option<&str>, bool)],
+) -> String {
     let mut records: Vec<String> = entries
         .iter()
         .map(|n| {
@@ -112,7 +116,7 @@
 }
 
 impl World {
-    pub fn new(nodes: usize, seed: u64) -> Self {
+    pub(crate) fn new(nodes: usize, seed: u64) -> Self {
         let all: Vec<usize> = (0..nodes).collect();
         let mut world = Self {
             now: 0,
@@ -136,7 +140,7 @@
         world
     }
 
-    pub fn start(&mut self, node: usize, generation: u64) {
+    pub(crate) fn start(&mut self, node: usize, generation: u64) {
         let origin = self.random.random_range(0..1_000_000_000);
         let addresses = Addresses { calls: address(node), peers: address(node) };
         let now = Timestamp::from_micros(self.now + origin);
@@ -159,18 +163,18 @@
         });
     }
 
-    pub fn kill(&mut self, node: usize) {
+    pub(crate) fn kill(&mut self, node: usize) {
         self.nodes[node] = None;
     }
 
-    pub fn pause(&mut self, node: usize) {
+    pub(crate) fn pause(&mut self, node: usize) {
         if let Some(n) = &mut self.nodes[node] {
             n.paused = true;
         }
     }
 
     /// Wakes a paused entry, which finds the gap before it reads its messages.
-    pub fn resume(&mut self, node: usize) {
+    pub(crate) fn resume(&mut self, node: usize) {
         let now = self.now;
         let Some(n) = &mut self.nodes[node] else { return };
         if !std::mem::take(&mut n.paused) {
@@ -184,7 +188,7 @@
         self.collect(node);
     }
 
-    pub fn partition(&mut self, side: &BTreeSet<usize>) {
+    pub(crate) fn partition(&mut self, side: &BTreeSet<usize>) {
         for a in 0..self.nodes.len() {
             for b in 0..self.nodes.len() {
                 if side.contains(&a) != side.contains(&b) {
@@ -194,11 +198,11 @@
         }
     }
 
-    pub fn fleet(&self, node: usize) -> &Fleet {
+    pub(crate) fn fleet(&self, node: usize) -> &Fleet {
         &self.nodes[node].as_ref().unwrap().fleet
     }
 
-    pub fn with<Run, Out>(&mut self, node: usize, run: Run) -> Out
+    pub(crate) fn with<Run, Out>(&mut self, node: usize, run: Run) -> Out
     where
         Run: FnOnce(&mut Fleet, Timestamp) -> Out,
     {
@@ -208,17 +212,17 @@
         out
     }
 
-    pub fn time(&self, node: usize) -> Timestamp {
+    pub(crate) fn time(&self, node: usize) -> Timestamp {
         Timestamp::from_micros(self.now + self.nodes[node].as_ref().unwrap().origin)
     }
 
-    pub fn up(&self) -> Vec<usize> {
+    pub(crate) fn up(&self) -> Vec<usize> {
         (0..self.nodes.len())
             .filter(|n| self.nodes[*n].as_ref().is_some_and(|n| !n.paused))
             .collect()
     }
 
-    pub fn run_ms(&mut self, ms: u64) {
+    pub(crate) fn run_ms(&mut self, ms: u64) {
         let end = self.now + ms * 1_000;
         while self.now < end {
             self.step();
@@ -226,7 +230,7 @@
     }
 
     /// Runs until `done`, at most `limit_ms`, and tells after how many ms it was.
-    pub fn run_until<Done>(&mut self, limit_ms: u64, done: Done) -> Option<u64>
+    pub(crate) fn run_until<Done>(&mut self, limit_ms: u64, done: Done) -> Option<u64>
     where
         Done: Fn(&Self) -> bool,
     {
@@ -240,7 +244,7 @@
         done(self).then_some(limit_ms)
     }
 
-    pub fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         let end = self.now + TICK_US;
         while let Some(Reverse((at, id, to))) = self.wires.peek().copied() {
             if at > end {
@@ -331,7 +335,7 @@
     }
 
     /// Whether every running entry serves and calls every other running one alive.
-    pub fn is_whole(&self) -> bool {
+    pub(crate) fn is_whole(&self) -> bool {
         let up = self.up();
         up.iter().all(|a| {
             self.fleet(*a).state() == Lifecycle::Serving
@@ -342,7 +346,7 @@
         })
     }
 
-    pub fn standing(&self, at: usize, of: usize) -> Option<Standing> {
+    pub(crate) fn standing(&self, at: usize, of: usize) -> Option<Standing> {
         self.fleet(at).members().get(&name(of)).map(|m| m.standing)
     }
 }
