--- a/crates/policy/tests/fleet/main.rs
+++ b/crates/policy/tests/fleet/main.rs
@@ -1,5 +1,7 @@
 //! The fleet under message loss, duplication, reordering, pauses, restarts and partitions.
 
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
 mod cases;
 mod chaos;
 mod chart;
--- a/crates/policy/tests/fleet/slots.rs
+++ b/crates/policy/tests/fleet/slots.rs
@@ -64,7 +64,7 @@
         let mut random = Pcg64Mcg::seed_from_u64(u.arbitrary()?);
         let mut pacers = vec![Pacer::new(Timestamp::default(), entries); entries as usize];
         let outage = u.int_in_range(0..=5_000)?;
-        let mut counts = vec![0u32; 10];
+        let mut counts = [0u32; 10];
         for ms in 0..10_000 {
             let now = Timestamp::from_millis(ms);
             for pacer in &mut pacers {
