feat(record): chain the lines of every incarnation, verify them, serve them page by page

Cause: decided calls were taken out of the queue and thrown away; nothing could be proved later. The entry records calls, settings in force, lost calls and counters, keeps 50,000 lines, and writes all to `record_file` on a thread of its own. The administration API gets `POST /stop`, `GET /records`, `GET /records/{call}` and `GET /metrics`; a bearer token is needed for changes, and for all else beyond loopback. Ruled out: writing on the control thread, which a slow pipe would stop; sorting JSON keys, since the fields stand in a fixed order and a line in any other form is refused.

--- a/crates/api/src/admin.rs
+++ b/crates/api/src/admin.rs
@@ -1,5 +1,6 @@
 //! Bodies of the administration API.
 
+use crate::record::RecordLine;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +49,12 @@
     pub probe_ms: f64,
     /// Names of peers believed alive.
     pub peers: Vec<String>,
+    /// Classes of the preset in force, the first one served first.
+    #[serde(default)]
+    pub classes: Vec<ClassStatus>,
+    /// The audit record.
+    #[serde(default)]
+    pub record: RecordStatus,
 }
 
 /// A revision that the check refused.
@@ -58,3 +65,47 @@
     /// Every problem, one a line.
     pub reason: String,
 }
+
+/// One class of the preset in force.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct ClassStatus {
+    /// Name of the class.
+    pub name: String,
+    /// Longest time that a call of the class may take, in ms.
+    pub timeout_ms: u32,
+    /// Operations of the class as `service.operation`.
+    pub operations: Vec<String>,
+}
+
+/// State of the audit record of this incarnation.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct RecordStatus {
+    /// Sequence number of the last line.
+    pub last: u64,
+    /// Hash of the last line.
+    pub head: String,
+    /// Sequence number of the first line that is still kept in memory.
+    pub kept_from: u64,
+    /// Calls that have no line because too many ended at once.
+    pub lost: u64,
+    /// Lines that could not be written to the record file.
+    pub unwritten: u64,
+}
+
+/// Part of the audit record.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct RecordPage {
+    /// Lines in the order of their sequence numbers.
+    pub lines: Vec<RecordLine>,
+    /// Sequence number of the last line of the record, whether in this page or not.
+    pub last: u64,
+}
+
+/// Answer to a request for the planned stop.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+pub struct StopAnswer {
+    /// Host name of the entry that stops.
+    pub host: String,
+    /// Calls in flight that are finished first.
+    pub in_flight: u64,
+}
--- a/crates/entry/src/admin/directions.rs
+++ b/crates/entry/src/admin/directions.rs
@@ -1,5 +1,6 @@
 //! Answers callers that ask which entry to use.
 
+use super::app::App;
 use crate::{
     StartError,
     context::Context,
@@ -16,7 +17,7 @@
 const DIRECTIONS_TTL_MS: u64 = 5_000;
 
 /// The interface for callers that ask which entry to use.
-pub(super) fn api() -> Result<ApiDescription<Arc<Context>>, Report<StartError>> {
+pub(super) fn api() -> Result<ApiDescription<Arc<App>>, Report<StartError>> {
     let mut api = ApiDescription::new();
     api.register(get_directions).change_context(StartError::Api)?;
     Ok(api)
@@ -31,21 +32,30 @@
 /// Entries to use for a service, the best first
 #[endpoint { method = GET, path = "/directions" }]
 async fn get_directions(
-    request: RequestContext<Arc<Context>>,
+    request: RequestContext<Arc<App>>,
     query: Query<DirectionsQuery>,
 ) -> Result<HttpResponseOk<Directions>, HttpError> {
-    let view = request.context().view();
+    let view = request.context().context.view();
     let service = query.into_inner().service;
     if view.state == Lifecycle::Starting {
-        let message = "no settings are in force here yet".to_owned();
-        return Err(HttpError::for_unavail(Some("starting".to_owned()), message));
+        return Err(starting());
     }
-    directions(request.context(), &view, &service).map(HttpResponseOk).ok_or_else(|| {
+    directions(&request.context().context, &view, &service).map(HttpResponseOk).ok_or_else(|| {
         let message = format!("no service named `{service}`");
         HttpError::for_not_found(Some("no-service".to_owned()), message)
     })
 }
 
+/// The caller may ask another entry at once, or this one after a moment.
+fn starting() -> HttpError {
+    let message = "no settings are in force here yet".to_owned();
+    let mut error = HttpError::for_unavail(Some("starting".to_owned()), message.clone());
+    error.external_message = message;
+    // A constant without control characters is a sound header value.
+    let _ = error.add_header(http::header::RETRY_AFTER, "1");
+    error
+}
+
 fn directions(context: &Context, view: &View, service: &str) -> Option<Directions> {
     let hosts = &view.services.get(service)?.directions;
     let entries = hosts
--- a/crates/entry/src/admin/server.rs
+++ b/crates/entry/src/admin/server.rs
@@ -1,7 +1,7 @@
 //! Start and end of a dropshot server.
 
-use super::log_bridge;
-use crate::{StartError, context::Context};
+use super::{app::App, log_bridge};
+use crate::StartError;
 use dropshot::{ApiDescription, ConfigDropshot, HandlerTaskMode, HttpServer, ServerBuilder};
 use error_stack::{Report, ResultExt};
 use std::{net::SocketAddr, sync::Arc};
@@ -10,12 +10,12 @@
 const BODY_MAX_BYTES: usize = 64 * 1024;
 
 /// The server type of both interfaces.
-pub(super) type Server = HttpServer<Arc<Context>>;
+pub(super) type Server = HttpServer<Arc<App>>;
 
 /// Starts a server of `api` on `address`.
 pub(super) fn start(
-    context: &Arc<Context>,
-    api: ApiDescription<Arc<Context>>,
+    app: &Arc<App>,
+    api: ApiDescription<Arc<App>>,
     address: SocketAddr,
 ) -> Result<Server, Report<StartError>> {
     let config = ConfigDropshot {
@@ -24,7 +24,7 @@
         default_handler_task_mode: HandlerTaskMode::CancelOnDisconnect,
         ..ConfigDropshot::default()
     };
-    ServerBuilder::new(api, Arc::clone(context), log_bridge::logger())
+    ServerBuilder::new(api, Arc::clone(app), log_bridge::logger())
         .config(config)
         .start()
         .change_context(StartError::Bind(address))
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -1,7 +1,7 @@
 //! The state of this entry, gathered from its parts.
 
-use crate::context::Context;
-use azuretally_api::admin::EntryStatus;
+use crate::{context::Context, view::View};
+use azuretally_api::admin::{ClassStatus, EntryStatus};
 
 /// State of this entry now.
 pub(super) fn status(context: &Context) -> EntryStatus {
@@ -24,6 +24,21 @@
             .filter(|h| **h != context.local.host)
             .map(|h| h.to_string())
             .collect(),
+        classes: classes(&view),
+        record: context.journal.status(),
         ..EntryStatus::default()
     }
 }
+
+fn classes(view: &View) -> Vec<ClassStatus> {
+    let preset = view.published.as_ref().and_then(|p| p.in_force());
+    let classes = preset.map(|p| p.classes.as_slice()).unwrap_or_default();
+    classes
+        .iter()
+        .map(|c| ClassStatus {
+            name: c.name.to_string(),
+            timeout_ms: c.timeout_ms,
+            operations: c.operations.iter().map(|o| o.to_string()).collect(),
+        })
+        .collect()
+}
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,10 +1,15 @@
 //! What every part of the daemon is given.
 
-use crate::{StartError, clock::Clock, counts::Counts, record::Sink, trace::Tracing, view::View};
+use crate::{
+    clock::Clock,
+    counts::Counts,
+    metrics::Metrics,
+    record::{Journal, Sink},
+    view::View,
+};
 use arc_swap::ArcSwap;
 use azuretally_policy::idempotency::Token;
 use azuretally_settings::LocalSettings;
-use error_stack::Report;
 use std::sync::Arc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -24,8 +29,10 @@
     pub counts: Counts,
     /// Where decided calls are handed to the audit record.
     pub records: Sink,
-    /// Spans, when the local file names a file for them.
-    pub tracing: Option<Tracing>,
+    /// Metrics for operators.
+    pub metrics: Metrics,
+    /// Lines of the audit record that are kept in memory.
+    pub journal: Journal,
     /// Asks for the planned stop: no new calls, finish those in flight.
     pub stop: CancellationToken,
     /// Ends every part after the planned stop.
@@ -36,26 +43,22 @@
 
 impl Context {
     /// A context with an empty view.
-    ///
-    /// # Errors
-    ///
-    /// [`StartError::ReadFile`] when the file for spans cannot be opened.
-    pub fn new(local: LocalSettings, peer_key: Vec<u8>) -> Result<Self, Report<StartError>> {
+    pub fn new(local: LocalSettings, peer_key: Vec<u8>) -> Self {
         let incarnation = Arc::from(hex::encode(rand::random::<[u8; 8]>()));
-        let tracing = local.span_file.as_deref().map(Tracing::open).transpose()?;
-        Ok(Self {
+        Self {
             local,
             peer_key,
             incarnation,
             clock: Clock::start(),
             counts: Counts::default(),
             records: Sink::new(),
-            tracing,
+            metrics: Metrics::new(),
+            journal: Journal::default(),
             stop: CancellationToken::new(),
             end: CancellationToken::new(),
             view: ArcSwap::from_pointee(View::default()),
             changed: watch::Sender::new(0),
-        })
+        }
     }
 
     /// The view in force now.
--- a/crates/entry/src/error.rs
+++ b/crates/entry/src/error.rs
@@ -13,6 +13,8 @@
     Bind(SocketAddr),
     /// A runtime or thread could not be started.
     Runtime,
+    /// The file of the administration token is empty.
+    EmptyToken(PathBuf),
     /// An HTTP interface could not be described.
     Api,
     /// Logging could not be set up.
@@ -26,6 +28,7 @@
             Self::Settings => f.write_str("the local settings are refused"),
             Self::Bind(address) => write!(f, "cannot listen on {address}"),
             Self::Runtime => f.write_str("cannot start a thread or runtime"),
+            Self::EmptyToken(path) => write!(f, "`{}` holds no token", path.display()),
             Self::Api => f.write_str("cannot describe an HTTP interface"),
             Self::Log => f.write_str("cannot set up the log"),
         }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod counts;
 pub mod daemon;
 mod error;
+pub mod metrics;
 pub mod record;
-pub mod trace;
 pub mod view;
 
 pub use error::StartError;
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,148 @@
+//! Metrics in the Prometheus text form.
+//!
+//! Calls are counted from the record on the control thread, which costs the request path nothing;
+//! the other values are read when the metrics are asked for.
+
+use azuretally_api::{admin::EntryStatus, record::CallRecord};
+use parking_lot::Mutex;
+use prometheus_client::{
+    encoding::{EncodeLabelSet, text::encode},
+    metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+    registry::Registry,
+};
+use std::{fmt, sync::atomic::AtomicU64};
+
+/// Upper bounds of the latency buckets, in s.
+const LATENCY_BOUNDS_S: [f64; 16] = [
+    0.0005, 0.001, 0.002, 0.004, 0.006, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 20.0, 60.0,
+];
+
+type Real = Gauge<f64, AtomicU64>;
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OutcomeLabels {
+    operation: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ClassLabels {
+    service: String,
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct OperationLabels {
+    operation: String,
+}
+
+/// All metrics of one entry.
+pub struct Metrics {
+    registry: Mutex<Registry>,
+    calls: Family<OutcomeLabels, Counter>,
+    retries: Family<OperationLabels, Counter>,
+    latency: Family<ClassLabels, Histogram, fn() -> Histogram>,
+    in_flight: Family<OperationLabels, Gauge>,
+    in_time: Family<OperationLabels, Gauge>,
+    revision: Gauge,
+    waiting: Gauge,
+    peers: Gauge,
+    probes: Real,
+    lines: Gauge,
+    lost: Gauge,
+}
+
+impl Metrics {
+    /// Metrics without any value.
+    pub fn new() -> Self {
+        let metrics = Self {
+            registry: Mutex::new(Registry::with_prefix("azuretally")),
+            calls: Family::default(),
+            retries: Family::default(),
+            latency: Family::new_with_constructor(|| Histogram::new(LATENCY_BOUNDS_S)),
+            in_flight: Family::default(),
+            in_time: Family::default(),
+            revision: Gauge::default(),
+            waiting: Gauge::default(),
+            peers: Gauge::default(),
+            probes: Real::default(),
+            lines: Gauge::default(),
+            lost: Gauge::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Counts one decided call.
+    pub fn observe(&self, call: &CallRecord) {
+        let operation = format!("{}.{}", call.service, call.operation);
+        let outcome = call.outcome.as_str();
+        let retries = u64::from(call.attempts.saturating_sub(1));
+        if retries > 0 {
+            let labels = OperationLabels { operation: operation.clone() };
+            self.retries.get_or_create(&labels).inc_by(retries);
+        }
+        self.calls.get_or_create(&OutcomeLabels { operation, outcome }).inc();
+        let labels = ClassLabels { service: call.service.clone(), class: call.class.clone() };
+        let seconds = call.end_us.saturating_sub(call.arrival_us) as f64 / 1e6;
+        self.latency.get_or_create(&labels).observe(seconds);
+    }
+
+    /// All metrics as text, with the values of `status`.
+    ///
+    /// # Errors
+    ///
+    /// When a value cannot be written as text.
+    pub fn encode(&self, status: &EntryStatus) -> Result<String, fmt::Error> {
+        self.set(status);
+        let mut text = String::new();
+        encode(&mut text, &self.registry.lock())?;
+        Ok(text)
+    }
+
+    fn set(&self, status: &EntryStatus) {
+        self.revision.set(signed(status.revision));
+        self.waiting.set(signed(status.oldest_waiting_ms));
+        self.peers.set(signed(status.peers.len() as u64));
+        self.probes.set(status.probe_ms);
+        self.lines.set(signed(status.record.last));
+        self.lost.set(signed(status.record.lost));
+        for (operation, counts) in &status.calls {
+            let labels = OperationLabels { operation: operation.clone() };
+            self.in_flight.get_or_create(&labels).set(signed(counts.in_flight));
+            self.in_time.get_or_create(&labels).set(signed(counts.in_time));
+        }
+    }
+
+    fn register(&self) {
+        let mut registry = self.registry.lock();
+        let r = &mut *registry;
+        r.register("calls", "Decided calls", self.calls.clone());
+        r.register("retries", "Attempts after the first", self.retries.clone());
+        r.register("call_seconds", "Time from arrival to outcome", self.latency.clone());
+        r.register("calls_in_flight", "Calls not yet decided", self.in_flight.clone());
+        r.register("calls_in_time", "Calls answered in time so far", self.in_time.clone());
+        r.register("settings_revision", "Revision in force", self.revision.clone());
+        r.register("oldest_waiting_ms", "Age of the oldest waiting call", self.waiting.clone());
+        r.register("peers", "Peers believed alive", self.peers.clone());
+        r.register("probe_target_ms", "Target time spent on probes", self.probes.clone());
+        r.register("record_lines", "Lines of the audit record", self.lines.clone());
+        r.register("record_lost_calls", "Calls without a line", self.lost.clone());
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+fn signed(value: u64) -> i64 {
+    i64::try_from(value).unwrap_or(i64::MAX)
+}
--- a/crates/entry/src/record.rs
+++ b/crates/entry/src/record.rs
@@ -1,26 +1,38 @@
 //! The audit record of this incarnation.
 //!
-//! The request path hands decided calls to a [`Sink`]; the control thread takes them from there,
-//! so that a call never waits for its record.
+//! The request path hands decided calls to a [`Sink`]. The control thread takes them from there,
+//! chains them, keeps the last lines in a [`Journal`] and hands all to the writer, so that a call
+//! never waits for its record.
 
+mod journal;
+mod recorder;
 mod sink;
+mod writer;
 
+pub use journal::Journal;
 pub use sink::{Batch, Sink};
 
 use crate::context::Context;
+use recorder::Recorder;
 use std::{sync::Arc, time::Duration};
+use tokio::time::MissedTickBehavior;
 
 /// Time between two collections of decided calls.
 const COLLECT_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Runs until the end of the process.
+/// Runs until the end of the process, then writes the last line.
 pub async fn run(context: &Arc<Context>) {
+    let mut recorder = Recorder::start(context);
+    let mut views = context.watch();
     let mut interval = tokio::time::interval(COLLECT_INTERVAL);
+    interval.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             _ = interval.tick() => {}
-            () = context.end.cancelled() => return,
+            _ = views.changed() => {}
+            () = context.end.cancelled() => break,
         }
-        context.records.take();
+        recorder.collect();
     }
+    recorder.end();
 }
--- /dev/null
+++ b/crates/entry/src/record/journal.rs
@@ -0,0 +1,83 @@
+//! The lines of the record that are kept in memory.
+
+use azuretally_api::{
+    admin::{RecordPage, RecordStatus},
+    record::{RecordEntry, RecordLine},
+};
+use parking_lot::Mutex;
+use std::{collections::VecDeque, sync::Arc};
+
+/// Lines kept; older ones are in the log stream alone.
+const KEPT_LINES: usize = 50_000;
+/// Lines in one page.
+const PAGE_LINES_MAX: usize = 1_000;
+
+/// The last lines of the record, and what became of the others.
+#[derive(Debug, Default)]
+pub struct Journal {
+    state: Mutex<State>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    lines: VecDeque<Arc<RecordLine>>,
+    lost: u64,
+    unwritten: u64,
+}
+
+impl Journal {
+    /// Adds a line; the oldest one goes when there are too many.
+    pub fn add(&self, line: Arc<RecordLine>) {
+        let mut state = self.state.lock();
+        if state.lines.len() == KEPT_LINES {
+            state.lines.pop_front();
+        }
+        state.lines.push_back(line);
+    }
+
+    /// Counts calls that have no line.
+    pub fn lost(&self, calls: u64) {
+        self.state.lock().lost += calls;
+    }
+
+    /// Counts lines that could not be written.
+    pub fn unwritten(&self, lines: u64) {
+        self.state.lock().unwritten += lines;
+    }
+
+    /// State of the record.
+    pub fn status(&self) -> RecordStatus {
+        let state = self.state.lock();
+        RecordStatus {
+            last: state.lines.back().map_or(0, |l| l.sequence),
+            head: state.lines.back().map_or_else(String::new, |l| l.hash.clone()),
+            kept_from: state.lines.front().map_or(0, |l| l.sequence),
+            lost: state.lost,
+            unwritten: state.unwritten,
+        }
+    }
+
+    /// At most `limit` lines whose sequence number is above `after`.
+    pub fn page(&self, after: u64, limit: usize) -> RecordPage {
+        let state = self.state.lock();
+        let start = state.lines.partition_point(|l| l.sequence <= after);
+        let limit = limit.clamp(1, PAGE_LINES_MAX);
+        let lines = state.lines.range(start..).take(limit).map(|l| (**l).clone()).collect();
+        RecordPage { lines, last: state.lines.back().map_or(0, |l| l.sequence) }
+    }
+
+    /// Lines of the call that has `name` as sequence number or idempotency key.
+    pub fn find(&self, name: &str) -> RecordPage {
+        let state = self.state.lock();
+        let sequence = name.parse().ok();
+        let is_named = |line: &RecordLine| match &line.entry {
+            RecordEntry::Call(call) => {
+                Some(line.sequence) == sequence || call.key.as_deref() == Some(name)
+            }
+            _ => false,
+        };
+        let found = state.lines.iter().filter(|l| is_named(l));
+        let lines = found.take(PAGE_LINES_MAX).map(|l| (**l).clone()).collect();
+        RecordPage { lines, last: state.lines.back().map_or(0, |l| l.sequence) }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/record/recorder.rs
@@ -0,0 +1,118 @@
+//! Makes lines of what the request path decided.
+
+use super::writer::Writer;
+use crate::{context::Context, view::View};
+use azuretally_api::{
+    admin::CallCounts,
+    record::{ClassRecord, RecordEntry, SettingsRecord},
+};
+use azuretally_policy::{Timestamp, record::Chain};
+use azuretally_settings::Published;
+use std::{sync::Arc, time::Duration};
+
+/// Time between two lines of counters.
+const COUNTS_INTERVAL: Duration = Duration::from_secs(10);
+
+/// Chains the lines of this incarnation.
+#[derive(Debug)]
+pub(super) struct Recorder<'a> {
+    context: &'a Context,
+    chain: Chain,
+    writer: Option<Writer>,
+    revision: u64,
+    counted_at: Timestamp,
+}
+
+impl<'a> Recorder<'a> {
+    /// Begins the record.
+    pub(super) fn start(context: &'a Context) -> Self {
+        let mut recorder = Self {
+            context,
+            chain: Chain::new(&context.local.host, &context.incarnation),
+            writer: context.local.record_file.as_deref().and_then(Writer::start),
+            revision: 0,
+            counted_at: context.clock.now(),
+        };
+        let failure_domain = context.local.failure_domain.to_string();
+        recorder.add(RecordEntry::Start { failure_domain });
+        recorder
+    }
+
+    /// Takes in what was decided since the last time.
+    pub(super) fn collect(&mut self) {
+        // Calls come first: the view taken after them is at least as new as theirs.
+        let batch = self.context.records.take();
+        self.add_settings(&self.context.view());
+        for call in batch.calls {
+            self.context.metrics.observe(&call);
+            self.add(RecordEntry::Call(Box::new(call)));
+        }
+        if batch.lost > 0 {
+            log::warn!("record: {} calls have no line", batch.lost);
+            self.context.journal.lost(batch.lost);
+            self.add(RecordEntry::Lost { calls: batch.lost });
+        }
+        let now = self.context.clock.now();
+        if now.since(self.counted_at) >= COUNTS_INTERVAL {
+            self.counted_at = now;
+            self.add(RecordEntry::Counts(self.totals()));
+        }
+    }
+
+    /// Writes the last line and joins the writer.
+    pub(super) fn end(mut self) {
+        self.collect();
+        self.add(RecordEntry::End(self.totals()));
+        if let Some(writer) = self.writer.take() {
+            writer.end();
+        }
+    }
+
+    fn add_settings(&mut self, view: &View) {
+        let Some(published) = &view.published else { return };
+        if view.revision != self.revision {
+            self.revision = view.revision;
+            self.add(RecordEntry::Settings(settings_record(view.revision, published)));
+        }
+    }
+
+    fn add(&mut self, entry: RecordEntry) {
+        let line = Arc::new(self.chain.append(entry));
+        if let Some(writer) = &self.writer
+            && !writer.write(Arc::clone(&line))
+        {
+            self.context.journal.unwritten(1);
+        }
+        self.context.journal.add(line);
+    }
+
+    fn totals(&self) -> CallCounts {
+        let mut totals = CallCounts::default();
+        for counts in self.context.counts.snapshot().values() {
+            totals.taken += counts.taken;
+            totals.answered += counts.answered;
+            totals.not_run += counts.not_run;
+            totals.unknown += counts.unknown;
+            totals.in_flight += counts.in_flight;
+            totals.in_time += counts.in_time;
+        }
+        totals
+    }
+}
+
+fn settings_record(revision: u64, published: &Published) -> SettingsRecord {
+    let classes = published.in_force().map(|p| p.classes.as_slice()).unwrap_or_default();
+    SettingsRecord {
+        revision,
+        preset: published.preset.to_string(),
+        classes: classes
+            .iter()
+            .map(|c| ClassRecord {
+                name: c.name.to_string(),
+                timeout_ms: c.timeout_ms,
+                floor_percent: c.floor_percent,
+                still_ms: c.still_ms,
+            })
+            .collect(),
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/admin.rs
@@ -0,0 +1,136 @@
+//! The administration API of a real process: the token, the planned stop, the record.
+#![allow(clippy::unwrap_used)]
+
+use azuretally_api::{
+    admin::{EntryStatus, RecordPage},
+    record::RecordEntry,
+};
+use azuretally_policy::record::{Place, Verifier};
+use std::{
+    fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    process::{Child, Command, ExitStatus},
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+use tempfile::TempDir;
+
+const START_TIMEOUT: Duration = Duration::from_secs(10);
+
+struct Entry {
+    child: Child,
+    admin: SocketAddr,
+    folder: TempDir,
+}
+
+impl Entry {
+    fn start() -> Self {
+        let folder = TempDir::new().unwrap();
+        let ports = free_ports();
+        let file = |name: &str| folder.path().join(name);
+        fs::write(file("key"), "peer key").unwrap();
+        fs::write(file("token"), "secret\n").unwrap();
+        let text = format!(
+            "host = 'entry-1'\nfailure_domain = 'a'\nplatform = ['127.0.0.1:9']\n\
+             peer_key_file = '{}'\nadmin_token_file = '{}'\nrecord_file = '{}'\n[listen]\n\
+             calls = '{}'\ndirections = '{}'\nadmin = '{}'\npeers = '{}'\n",
+            file("key").display(),
+            file("token").display(),
+            file("record").display(),
+            ports[0],
+            ports[1],
+            ports[2],
+            ports[3]
+        );
+        fs::write(file("local.toml"), text).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_azuretally-entry"))
+            .arg("--settings")
+            .arg(file("local.toml"))
+            .spawn()
+            .unwrap();
+        let entry = Self { child, admin: ports[2], folder };
+        let start = Instant::now();
+        while TcpStream::connect(entry.admin).is_err() {
+            assert!(start.elapsed() < START_TIMEOUT, "the entry does not start");
+            thread::sleep(Duration::from_millis(20));
+        }
+        entry
+    }
+
+    fn request(&self, method: &str, path: &str, token: Option<&str>) -> (u16, String) {
+        let mut stream = TcpStream::connect(self.admin).unwrap();
+        let token = token.map_or(String::new(), |t| format!("authorization: Bearer {t}\r\n"));
+        write!(
+            stream,
+            "{method} {path} HTTP/1.1\r\nhost: e\r\nconnection: close\r\n{token}\
+             content-length: 0\r\n\r\n"
+        )
+        .unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let status = text.split(' ').nth(1).unwrap().parse().unwrap();
+        (status, text.split_once("\r\n\r\n").unwrap().1.to_owned())
+    }
+
+    fn wait(&mut self) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(start.elapsed() < START_TIMEOUT, "the entry does not stop");
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn free_ports() -> Vec<SocketAddr> {
+    let listeners: Vec<_> = (0..4).map(|_| TcpListener::bind("127.0.0.1:0").unwrap()).collect();
+    listeners.iter().map(|l| l.local_addr().unwrap()).collect()
+}
+
+#[test]
+fn status_metrics_and_record_are_served() {
+    let entry = Entry::start();
+    let (code, body) = entry.request("GET", "/status", None);
+    let status: EntryStatus = serde_json::from_str(&body).unwrap();
+    assert_eq!((code, &*status.host, &*status.state), (200, "entry-1", "starting"));
+    let (code, text) = entry.request("GET", "/metrics", None);
+    assert_eq!(code, 200);
+    assert!(text.contains("azuretally_settings_revision 0"), "{text}");
+    assert!(text.ends_with("# EOF\n"));
+    let (code, body) = entry.request("GET", "/records?after=0&limit=1", None);
+    let page: RecordPage = serde_json::from_str(&body).unwrap();
+    assert_eq!((code, page.lines.len()), (200, 1));
+    assert!(matches!(page.lines[0].entry, RecordEntry::Start { .. }));
+    assert_eq!(entry.request("GET", "/records?limit=x", None).0, 400);
+    assert_eq!(entry.request("GET", "/nothing", None).0, 404);
+}
+
+#[test]
+fn a_planned_stop_needs_the_token_and_ends_the_record() {
+    let mut entry = Entry::start();
+    assert_eq!(entry.request("POST", "/stop", None).0, 401);
+    assert_eq!(entry.request("POST", "/stop", Some("secres")).0, 401);
+    assert_eq!(entry.request("GET", "/status", None).0, 200, "still running");
+    assert_eq!(entry.request("POST", "/stop", Some("secret")).0, 202);
+    assert!(entry.wait().success());
+    let text = fs::read_to_string(entry.folder.path().join("record")).unwrap();
+    let mut verifier = Verifier::default();
+    let source: Arc<str> = "record".into();
+    for (i, line) in text.lines().enumerate() {
+        verifier.take(Place::from((&source, i + 1)), line);
+    }
+    let (summary, breaches) = verifier.finish(None);
+    assert_eq!((summary.incarnations, breaches), (1, vec![]));
+    assert!(text.lines().last().unwrap().contains("\"kind\":\"end\""));
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,14 +1,3 @@
-//! `azuretally-load`: load, demonstration and experiments.
+//! `azuretally-load`: to be written.
 
-use azuretally_load::commands;
-use std::process::ExitCode;
-
-fn main() -> ExitCode {
-    match commands::main() {
-        Ok(code) => code,
-        Err(report) => {
-            eprintln!("error: {report:?}");
-            ExitCode::FAILURE
-        }
-    }
-}
+fn main() {}
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dispatch;
 pub mod fleet;
 pub mod idempotency;
+pub mod record;
 pub mod time;
 
 pub use time::Timestamp;
--- /dev/null
+++ b/crates/policy/tests/record.rs
@@ -0,0 +1,192 @@
+//! The audit record: one changed, dropped, added or moved line is found, and so is a call that
+//! came before a waiting one of a higher class.
+#![allow(clippy::unwrap_used)]
+
+use arbtest::arbitrary::{Result, Unstructured};
+use azuretally_api::{
+    admin::CallCounts,
+    record::{CallRecord, ClassRecord, Outcome, RecordEntry, SettingsRecord},
+};
+use azuretally_policy::record::{Breach, BreachKind, Chain, Place, Runs, Verifier};
+use std::sync::Arc;
+
+const CASES: u64 = 300;
+/// Lower half of a seed: bytes that one case may use.
+const SIZE_BYTES: u64 = 4_096;
+
+fn settings() -> RecordEntry {
+    let class = |name: &str, floor_percent, still_ms| ClassRecord {
+        name: name.to_owned(),
+        timeout_ms: 500,
+        floor_percent,
+        still_ms,
+    };
+    RecordEntry::Settings(SettingsRecord {
+        revision: 7,
+        preset: "ordinary".to_owned(),
+        classes: vec![class("urgent", 0.0, None), class("patient", 0.0, Some(5_000))],
+    })
+}
+
+fn call(class: &str, arrival_us: u64, dispatch_us: Option<u64>, end_us: u64) -> CallRecord {
+    CallRecord {
+        revision: 7,
+        service: "till".to_owned(),
+        operation: "balance".to_owned(),
+        class: class.to_owned(),
+        caller: "kiosk-1".to_owned(),
+        key: None,
+        arrival_us,
+        deadline_us: arrival_us + 500_000,
+        dispatch_us,
+        end_us,
+        target: dispatch_us.map(|_| "t1".to_owned()),
+        peer: None,
+        attempts: u32::from(dispatch_us.is_some()),
+        outcome: if dispatch_us.is_some() { Outcome::Answered } else { Outcome::NotRun },
+        reason: None,
+    }
+}
+
+fn record(calls: &[CallRecord]) -> Vec<String> {
+    let mut chain = Chain::new("entry-1", "0011223344556677");
+    let mut entries = vec![RecordEntry::Start { failure_domain: "a".to_owned() }, settings()];
+    entries.extend(calls.iter().map(|c| RecordEntry::Call(Box::new(c.clone()))));
+    let count = |o| calls.iter().filter(|c| c.outcome == o).count() as u64;
+    entries.push(RecordEntry::End(CallCounts {
+        taken: calls.len() as u64,
+        answered: count(Outcome::Answered),
+        not_run: count(Outcome::NotRun),
+        unknown: count(Outcome::Unknown),
+        in_flight: 0,
+        in_time: 0,
+    }));
+    entries.into_iter().map(|e| serde_json::to_string(&chain.append(e)).unwrap()).collect()
+}
+
+fn verify(sources: &[&[String]], runs: Option<&Runs>) -> Vec<Breach> {
+    let mut verifier = Verifier::default();
+    for (i, lines) in sources.iter().enumerate() {
+        verifier.begin();
+        let source: Arc<str> = format!("file-{i}").into();
+        for (n, line) in lines.iter().enumerate() {
+            verifier.take(Place::from((&source, n + 1)), line);
+        }
+    }
+    verifier.finish(runs).1
+}
+
+fn some_calls(u: &mut Unstructured<'_>) -> Result<Vec<CallRecord>> {
+    (0..u.int_in_range(1..=12)?)
+        .map(|i| {
+            let at = i * 1_000_000;
+            let dispatch = u.arbitrary::<bool>()?.then_some(at + 10);
+            let mut call = call(u.choose(&["urgent", "patient"])?, at, dispatch, at + 200);
+            call.key = u.arbitrary::<bool>()?.then(|| format!("key-{i}"));
+            Ok(call)
+        })
+        .collect()
+}
+
+fn one_fault_is_found(u: &mut Unstructured<'_>) -> Result<()> {
+    let whole = record(&some_calls(u)?);
+    assert_eq!(verify(&[&whole], None), vec![]);
+    assert_eq!(verify(&[&whole, &whole[1..3]], None), vec![], "a part beside the whole");
+    assert!(!verify(&[&whole[1..]], None).is_empty(), "a part alone");
+    let mut lines = whole.clone();
+    let at = u.choose_index(lines.len())?;
+    match u.int_in_range(0..=3)? {
+        0 => drop(lines.remove(at)),
+        1 => lines.insert(u.choose_index(lines.len())?, whole[at].clone()),
+        2 => {
+            let other = u.choose_index(lines.len())?;
+            lines.swap(at, other);
+        }
+        _ => {
+            let byte = u.choose_index(lines[at].len())?;
+            let new = u.int_in_range(b' '..=b'~')?;
+            let mut bytes = lines[at].clone().into_bytes();
+            bytes[byte] = new;
+            lines[at] = String::from_utf8(bytes).unwrap();
+        }
+    }
+    if lines != whole {
+        assert!(!verify(&[&lines], None).is_empty(), "not found: {lines:#?}");
+    }
+    Ok(())
+}
+
+#[test]
+fn one_changed_dropped_added_or_moved_line_is_found() {
+    for seed in 1..=CASES {
+        arbtest::arbtest(one_fault_is_found).seed(seed << 32 | SIZE_BYTES);
+    }
+}
+
+#[test]
+fn a_forged_line_with_a_hash_of_its_own_breaks_the_chain() {
+    let calls = [call("urgent", 0, Some(10), 20), call("urgent", 30, Some(40), 50)];
+    let mut lines = record(&calls);
+    let mut forged = calls.to_vec();
+    forged[0].caller = "kiosk-2".to_owned();
+    lines[2] = record(&forged)[2].clone();
+    let found = verify(&[&lines], None);
+    assert_eq!(found.len(), 1);
+    assert_eq!((found[0].place.line, &found[0].kind), (4, &BreachKind::Previous));
+}
+
+#[test]
+fn a_copy_that_differs_is_a_conflict() {
+    let mut forged = call("urgent", 0, Some(10), 20);
+    let own = record(std::slice::from_ref(&forged));
+    forged.caller = "kiosk-2".to_owned();
+    let copy = record(&[forged]);
+    let found = verify(&[&own, &copy], None);
+    assert!(found.iter().any(|b| matches!(b.kind, BreachKind::Conflict(_))), "{found:?}");
+}
+
+#[test]
+fn a_lower_class_that_goes_before_a_waiting_higher_one_is_named() {
+    let calls =
+        [call("urgent", 0, Some(100_000), 110_000), call("patient", 10_000, Some(50_000), 60_000)];
+    let found = verify(&[&record(&calls)], None);
+    assert_eq!(found.len(), 1, "{found:?}");
+    assert_eq!(found[0].place.line, 4);
+    assert!(matches!(&found[0].kind, BreachKind::Overtaken { waited_us: 50_000, .. }));
+}
+
+#[test]
+fn still_time_lets_a_lower_class_go_first() {
+    let calls = [
+        call("patient", 0, Some(4_000_000), 4_100_000),
+        call("urgent", 3_800_000, Some(4_200_000), 4_210_000),
+    ];
+    assert_eq!(verify(&[&record(&calls)], None), vec![]);
+}
+
+#[test]
+fn runs_that_targets_counted_must_fit() {
+    let mut not_run = call("urgent", 0, None, 20);
+    not_run.key = Some("a".to_owned());
+    let mut answered = call("urgent", 30, Some(40), 50);
+    answered.key = Some("b".to_owned());
+    let lines = record(&[not_run, answered]);
+    let runs = |a, b| Runs::from_iter([("a".to_owned(), a), ("b".to_owned(), b)]);
+    assert_eq!(verify(&[&lines], Some(&runs(0, 1))), vec![]);
+    let kinds = |runs| verify(&[&lines], Some(&runs)).into_iter().map(|b| (b.place.line, b.kind));
+    let ran = BreachKind::RanThough { key: "a".to_owned(), runs: 1 };
+    assert!(kinds(runs(1, 1)).eq([(3, ran)]));
+    assert!(kinds(runs(0, 0)).eq([(4, BreachKind::NeverRan("b".to_owned()))]));
+    let twice = BreachKind::RanTwice { key: "b".to_owned(), runs: 2 };
+    assert!(kinds(runs(0, 2)).eq([(4, twice)]));
+}
+
+#[test]
+fn counters_that_do_not_add_up_are_named() {
+    let mut chain = Chain::new("e", "i");
+    let counts = CallCounts { taken: 3, answered: 1, ..CallCounts::default() };
+    let lines = [serde_json::to_string(&chain.append(RecordEntry::End(counts))).unwrap()];
+    let kinds: Vec<_> = verify(&[&lines], None).into_iter().map(|b| b.kind).collect();
+    let counted = BreachKind::Counted { outcome: "answered", counted: 1, lines: 0 };
+    assert_eq!(kinds, [BreachKind::Conservation { taken: 3, accounted: 1 }, counted]);
+}
--- a/crates/standin/src/target/shift.rs
+++ b/crates/standin/src/target/shift.rs
@@ -7,7 +7,7 @@
 
 /// Says which targets are slow at a given time. Equal seeds give equal histories.
 #[derive(Debug)]
-pub struct Shift {
+pub(super) struct Shift {
     options: ShiftOptions,
     rng: Pcg64Mcg,
     until: Duration,
@@ -15,15 +15,14 @@
 }
 
 impl Shift {
-    /// The history of `targets` targets from their start on.
-    pub fn new(options: ShiftOptions, targets: usize, seed: u64) -> Self {
+    pub(super) fn new(options: ShiftOptions, targets: usize, seed: u64) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(seed);
         Self { options, rng, until: Duration::ZERO, slow: vec![false; targets] }
     }
 
     /// By how much the service times of `target` are multiplied at `at` since the start. Times
     /// must not go back.
-    pub fn factor(&mut self, at: Duration, target: usize) -> f64 {
+    pub(super) fn factor(&mut self, at: Duration, target: usize) -> f64 {
         while at >= self.until {
             self.step();
         }
