--- a/crates/audit/src/main.rs
+++ b/crates/audit/src/main.rs
@@ -1,3 +1,7 @@
-//! `azuretally-audit`: to be written.
+//! `azuretally-audit`: verifies the audit record.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    azuretally_audit::run(std::env::args_os().skip(1))
+}
--- /dev/null
+++ b/crates/audit/src/sources.rs
@@ -0,0 +1,116 @@
+//! Where lines and runs come from.
+
+use crate::AuditError;
+use ::http::{Method, StatusCode};
+use azuretally::util::http;
+use azuretally_api::admin::RecordPage;
+use azuretally_policy::record::{Place, Runs, Verifier};
+use error_stack::{Report, ResultExt};
+use serde::Deserialize;
+use std::{
+    fs::{self, File},
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+use tokio::runtime;
+
+/// Lines asked for at once.
+const PAGE_LINES: usize = 1_000;
+
+/// Takes in every line of a file.
+pub(crate) fn read_file(verifier: &mut Verifier, file: &Path) -> Result<(), Report<AuditError>> {
+    let failed = || AuditError::ReadFile(file.to_owned());
+    let reader = BufReader::new(File::open(file).change_context_lazy(failed)?);
+    let source: Arc<str> = file.display().to_string().into();
+    verifier.begin();
+    for (i, line) in reader.lines().enumerate() {
+        let line = line.change_context_lazy(failed)?;
+        verifier.take(Place::from((&source, i + 1)), &line);
+    }
+    Ok(())
+}
+
+/// Takes in every line that the entries still keep.
+pub(crate) fn read_entries(
+    verifier: &mut Verifier,
+    entries: &[SocketAddr],
+    token_file: Option<&Path>,
+) -> Result<(), Report<AuditError>> {
+    if entries.is_empty() {
+        return Ok(());
+    }
+    let token = match token_file {
+        Some(path) => {
+            let text = fs::read_to_string(path);
+            Some(text.change_context_lazy(|| AuditError::ReadFile(path.to_owned()))?)
+        }
+        None => None,
+    };
+    let token = token.as_deref().map(str::trim);
+    let runtime = runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.change_context(AuditError::Runtime)?;
+    for entry in entries {
+        verifier.begin();
+        runtime.block_on(read_entry(verifier, *entry, token))?;
+    }
+    Ok(())
+}
+
+async fn read_entry(
+    verifier: &mut Verifier,
+    entry: SocketAddr,
+    token: Option<&str>,
+) -> Result<(), Report<AuditError>> {
+    let source: Arc<str> = entry.to_string().into();
+    let (mut after, mut number) = (0, 0);
+    loop {
+        let page = read_page(entry, after, token).await?;
+        let Some(last) = page.lines.last() else { return Ok(()) };
+        after = last.sequence;
+        for line in &page.lines {
+            number += 1;
+            let text = serde_json::to_string(line).change_context(AuditError::Answer(entry))?;
+            verifier.take(Place::from((&source, number)), &text);
+        }
+        if after >= page.last {
+            return Ok(());
+        }
+    }
+}
+
+async fn read_page(
+    entry: SocketAddr,
+    after: u64,
+    token: Option<&str>,
+) -> Result<RecordPage, Report<AuditError>> {
+    let path = format!("/records?after={after}&limit={PAGE_LINES}");
+    let answer = http::send(Method::GET, entry, &path, token).await;
+    let (status, body) = answer.change_context(AuditError::Ask(entry))?;
+    if status != StatusCode::OK {
+        return Err(Report::new(AuditError::Refused(entry, status.as_u16())));
+    }
+    serde_json::from_slice(&body).change_context(AuditError::Answer(entry))
+}
+
+/// What one target counted.
+#[derive(Debug, Deserialize)]
+struct TargetRuns {
+    runs: Runs,
+}
+
+/// Adds up what the targets counted, if any file was given.
+pub(crate) fn read_runs(files: &[PathBuf]) -> Result<Option<Runs>, Report<AuditError>> {
+    let mut sum = None;
+    for file in files {
+        let text = fs::read(file).change_context_lazy(|| AuditError::ReadFile(file.clone()))?;
+        let counted: TargetRuns =
+            serde_json::from_slice(&text).change_context_lazy(|| AuditError::Runs(file.clone()))?;
+        let sum = sum.get_or_insert_with(Runs::new);
+        for (key, runs) in counted.runs {
+            *sum.entry(key).or_default() += runs;
+        }
+    }
+    Ok(sum)
+}
