feat(load): run variants of an experiment side by side

Ways of choosing a target can only be compared in one run on one machine. An experiment is a TOML file with a seed; each variant changes settings or options of the stand-in targets and is run with real entries under the same calls and the same service times. The ideal, one central queue that knows every slot and speed, drives the same targets directly, so that it carries the same noise. A reference in virtual time was ruled out because its ratio to a real run would measure the machine too.

The demonstration also fails when an operation got no answer at all.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -1,3 +1,14 @@
-//! `azuretally-load`: to be written.
+//! `azuretally-load`: load, demonstration and experiments.
 
-fn main() {}
+use azuretally_load::commands;
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    match commands::main() {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("error: {report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/util/mod.rs
@@ -0,0 +1,6 @@
+//! Helpers without knowledge of calls.
+
+pub mod client;
+pub mod process;
+pub mod table;
+pub mod web;
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -13,3 +13,4 @@
 pub use fleet::TargetFleet;
 pub use ledger::{LedgerReport, RunReport, Totals};
 pub use options::{Distribution, ShiftOptions, TargetOptions};
+pub use shift::Shift;
--- a/crates/standin/src/target/shift.rs
+++ b/crates/standin/src/target/shift.rs
@@ -7,7 +7,7 @@
 
 /// Says which targets are slow at a given time. Equal seeds give equal histories.
 #[derive(Debug)]
-pub(super) struct Shift {
+pub struct Shift {
     options: ShiftOptions,
     rng: Pcg64Mcg,
     until: Duration,
@@ -15,14 +15,15 @@
 }
 
 impl Shift {
-    pub(super) fn new(options: ShiftOptions, targets: usize, seed: u64) -> Self {
+    /// The history of `targets` targets from their start on.
+    pub fn new(options: ShiftOptions, targets: usize, seed: u64) -> Self {
         let rng = Pcg64Mcg::seed_from_u64(seed);
         Self { options, rng, until: Duration::ZERO, slow: vec![false; targets] }
     }
 
     /// By how much the service times of `target` are multiplied at `at` since the start. Times
     /// must not go back.
-    pub(super) fn factor(&mut self, at: Duration, target: usize) -> f64 {
+    pub fn factor(&mut self, at: Duration, target: usize) -> f64 {
         while at >= self.until {
             self.step();
         }
