feat(control): entries speak to each other over nng

Cause: an entry knew only what the platform told it; free slots, leaving targets, settings and the state of other entries did not travel between entries. Change: a thin shell around the fleet state machine on the control thread: one PULL socket, a PUSH socket for each peer, never waiting; watches of 2 s on a call budget with jittered backoff, by a few entries of each failure domain; a gap of the boot-time clock makes the entry stale until platform or peer is heard. Context::control carries sightings, free slots, pauses, tickets and counters of bytes, messages and platform calls. Directions begin with another member of the set each time.

--- a/crates/entry/src/admin/directions.rs
+++ b/crates/entry/src/admin/directions.rs
@@ -4,18 +4,16 @@
 use crate::{
     StartError,
     context::Context,
+    control,
     view::{Lifecycle, View},
 };
-use azuretally_api::directions::{Direction, Directions};
+use azuretally_api::directions::Directions;
 use dropshot::{ApiDescription, HttpError, HttpResponseOk, Query, RequestContext, endpoint};
 use error_stack::{Report, ResultExt};
 use schemars::JsonSchema;
 use serde::Deserialize;
 use std::sync::Arc;
 
-/// How long a caller may keep an answer, in ms.
-const DIRECTIONS_TTL_MS: u64 = 5_000;
-
 /// The interface for callers that ask which entry to use.
 pub(super) fn api() -> Result<ApiDescription<Arc<App>>, Report<StartError>> {
     let mut api = ApiDescription::new();
@@ -40,7 +38,7 @@
     if view.state == Lifecycle::Starting {
         return Err(starting());
     }
-    directions(&request.context().context, &view, &service).map(HttpResponseOk).ok_or_else(|| {
+    answer(&request.context().context, &view, &service).map(HttpResponseOk).ok_or_else(|| {
         let message = format!("no service named `{service}`");
         HttpError::for_not_found(Some("no-service".to_owned()), message)
     })
@@ -56,22 +54,10 @@
     error
 }
 
-fn directions(context: &Context, view: &View, service: &str) -> Option<Directions> {
-    let hosts = &view.services.get(service)?.directions;
-    let entries = hosts
-        .iter()
-        .filter_map(|host| {
-            let entry = view.entries.get(host)?;
-            Some(Direction {
-                host: host.to_string(),
-                failure_domain: entry.failure_domain.to_string(),
-                address: entry.calls,
-                token: match *host == context.local.host {
-                    true => context.mint_token(),
-                    false => entry.token.clone(),
-                },
-            })
-        })
-        .collect();
-    Some(Directions { service: service.to_owned(), ttl_ms: DIRECTIONS_TTL_MS, entries })
+/// Directions that begin with another member of the set for each request.
+fn answer(context: &Context, view: &View, service: &str) -> Option<Directions> {
+    let mut answer = control::directions(view, service, context.control.ticket(service))?;
+    let own = answer.entries.iter_mut().filter(|e| *e.host == *context.local.host);
+    own.for_each(|e| e.token = context.mint_token());
+    Some(answer)
 }
--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -20,9 +20,9 @@
         probe_ms: context.counts.probe_ms(),
         peers: view
             .entries
-            .keys()
-            .filter(|h| **h != context.local.host)
-            .map(|h| h.to_string())
+            .iter()
+            .filter(|(h, e)| e.usable && **h != context.local.host)
+            .map(|(h, _)| h.to_string())
             .collect(),
         classes: classes(&view),
         record: context.journal.status(),
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     clock::Clock,
+    control::Link,
     counts::Counts,
     metrics::Metrics,
     record::{Journal, Sink},
@@ -27,6 +28,8 @@
     pub clock: Clock,
     /// Counters of calls.
     pub counts: Counts,
+    /// Channels and counters shared with control.
+    pub control: Link,
     /// Where decided calls are handed to the audit record.
     pub records: Sink,
     /// Metrics for operators.
@@ -51,6 +54,7 @@
             incarnation,
             clock: Clock::start(),
             counts: Counts::default(),
+            control: Link::new(),
             records: Sink::new(),
             metrics: Metrics::new(),
             journal: Journal::default(),
--- a/crates/entry/src/control/assemble.rs
+++ b/crates/entry/src/control/assemble.rs
@@ -1,136 +1,188 @@
-//! Builds the view from what is known.
+//! Builds the view from what the fleet state machine knows.
 
 use crate::{
     context::Context,
-    view::{EntryView, Lifecycle, ServiceView, TargetView, View},
+    view::{EntryView, ServiceView, TargetView, View},
 };
 use azuretally_api::{
     admin::RefusedRevision,
-    platform::{HostList, HostRecord, HostState, Role},
+    platform::{HostList, HostState, Role},
 };
 use azuretally_policy::{
     Timestamp,
     dispatch::{PeerSlots, ServicePlan, TargetPlan},
-    fleet::{Candidate, place},
+    fleet::{Fleet, Lifecycle},
+};
+use azuretally_settings::Published;
+use indexmap::{IndexMap, IndexSet};
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    sync::Arc,
 };
-use azuretally_settings::{Published, Revision, ServiceSettings};
-use indexmap::IndexMap;
-use std::sync::Arc;
 
 /// Entries named after the set, for callers that cannot reach any of its members.
 const FALLBACK_ENTRIES: usize = 2;
 
-/// What the view is built from.
-#[derive(Clone, Debug, Default)]
-pub struct Inputs {
-    /// Settings in force.
-    pub published: Option<Arc<Published>>,
-    /// Their revision.
-    pub revision: Revision,
-    /// When they came into force here.
-    pub since: Timestamp,
-    /// Last refused revision.
-    pub refused: Option<RefusedRevision>,
-    /// Host list with the highest revision seen.
-    pub hosts: HostList,
+type Entries = IndexMap<Arc<str>, EntryView>;
+type Targets = IndexMap<Arc<str>, TargetView>;
+
+/// Builds views, and keeps the plans of the settings in force.
+#[derive(Debug, Default)]
+pub(super) struct Assembler {
+    revision: u64,
+    plans: IndexMap<Arc<str>, Arc<ServicePlan>>,
 }
 
-/// Builds the view of this entry.
-pub fn assemble(context: &Context, inputs: &Inputs) -> View {
-    let entries = entries(context, &inputs.hosts);
-    let services = services(context, inputs, &entries);
-    let state = match inputs.published {
-        Some(_) => Lifecycle::Serving,
-        None => Lifecycle::Starting,
-    };
-    View {
-        state,
-        revision: inputs.revision,
-        since: inputs.since,
-        published: inputs.published.clone(),
-        refused: inputs.refused.clone(),
-        services,
-        entries,
+impl Assembler {
+    /// The view of this entry.
+    pub(super) fn view(&mut self, context: &Context, fleet: &Fleet, now: Timestamp) -> View {
+        let entries = entries(context, fleet);
+        let accepted = fleet.settings().accepted();
+        let published = accepted.map(|a| Arc::clone(&a.value));
+        if let Some(accepted) = accepted.filter(|a| a.revision != self.revision) {
+            self.revision = accepted.revision;
+            self.plans = plans(&accepted.value, accepted.revision, &context.local.host);
+        }
+        let services = match &published {
+            Some(published) => self.services(published, fleet, &entries, now),
+            None => IndexMap::new(),
+        };
+        View {
+            state: fleet.state(),
+            revision: self.revision,
+            since: fleet.since(),
+            published,
+            refused: fleet
+                .settings()
+                .refused()
+                .map(|r| RefusedRevision { revision: r.revision, reason: r.reason.clone() }),
+            services,
+            entries,
+        }
+    }
+
+    fn services(
+        &self,
+        published: &Published,
+        fleet: &Fleet,
+        entries: &Entries,
+        now: Timestamp,
+    ) -> IndexMap<Arc<str>, Arc<ServiceView>> {
+        let mut targets = targets(published, fleet);
+        let usable: Vec<&Arc<str>> =
+            entries.iter().filter(|(_, e)| e.usable).map(|(host, _)| host).collect();
+        let mut services = IndexMap::with_capacity(self.plans.len());
+        for (name, plan) in &self.plans {
+            let set = set(fleet, name, now);
+            let service = ServiceView {
+                plan: Arc::clone(plan),
+                targets: targets.swap_remove(name).unwrap_or_default(),
+                directions: directions(name, &set, &usable, entries),
+                set,
+            };
+            services.insert(Arc::clone(name), Arc::new(service));
+        }
+        services
     }
 }
 
-fn entries(context: &Context, hosts: &HostList) -> IndexMap<Arc<str>, EntryView> {
-    let local = &context.local;
-    let mut entries: IndexMap<Arc<str>, EntryView> =
-        hosts.hosts.iter().filter_map(|h| Some((Arc::from(&*h.host), entry(h)?))).collect();
-    let own = EntryView {
-        failure_domain: Arc::clone(&local.failure_domain),
-        calls: local.listen.calls,
-        token: String::new(),
-        usable: true,
-    };
-    entries.entry(Arc::clone(&local.host)).or_insert(own);
-    entries.sort_unstable_keys();
-    entries
+/// `view` with the free slots that peers told of `services`.
+pub(super) fn with_slots(
+    view: &View,
+    fleet: &Fleet,
+    services: &IndexSet<Arc<str>>,
+    now: Timestamp,
+) -> View {
+    let mut view = view.clone();
+    for name in services {
+        if let Some(service) = view.services.get_mut(name) {
+            Arc::make_mut(service).set = set(fleet, name, now);
+        }
+    }
+    view
 }
 
-fn entry(record: &HostRecord) -> Option<EntryView> {
-    let Role::Entry { calls, .. } = record.role else { return None };
-    Some(EntryView {
-        failure_domain: Arc::from(&*record.failure_domain),
-        calls,
-        token: String::new(),
-        usable: record.state == HostState::Live,
-    })
+fn set(fleet: &Fleet, service: &Arc<str>, now: Timestamp) -> Vec<PeerSlots> {
+    let members = fleet.sets().services.get(service);
+    let members = members.into_iter().flatten();
+    members
+        .map(|host| PeerSlots {
+            host: Arc::clone(host),
+            free: fleet.free_slots(now, host, service),
+        })
+        .collect()
 }
 
-fn services(
-    context: &Context,
-    inputs: &Inputs,
-    entries: &IndexMap<Arc<str>, EntryView>,
-) -> IndexMap<Arc<str>, Arc<ServiceView>> {
-    let Some(published) = &inputs.published else { return IndexMap::new() };
-    let mut targets = targets(published, &inputs.hosts);
-    let candidates: Vec<Candidate> = entries
+fn plans(published: &Published, revision: u64, host: &str) -> IndexMap<Arc<str>, Arc<ServicePlan>> {
+    let names = published.services.keys();
+    names
+        .filter_map(|name| {
+            let plan = ServicePlan::new(published, revision, name, host)?;
+            Some((Arc::clone(name), Arc::new(plan)))
+        })
+        .collect()
+}
+
+fn entries(context: &Context, fleet: &Fleet) -> Entries {
+    let mut entries: Entries = fleet
+        .members()
         .iter()
-        .filter(|(_, e)| e.usable)
-        .map(|(host, e)| Candidate {
-            host: Arc::clone(host),
-            failure_domain: Arc::clone(&e.failure_domain),
+        .map(|(host, member)| {
+            let entry = EntryView {
+                failure_domain: Arc::clone(&member.record.failure_domain),
+                calls: member.record.addresses.calls,
+                token: member.record.token.clone(),
+                usable: member.is_usable() && member.is_reachable(),
+            };
+            (Arc::clone(host), entry)
         })
         .collect();
-    let mut services = IndexMap::with_capacity(published.services.len());
-    for (name, settings) in &published.services {
-        let plan = ServicePlan::new(published, inputs.revision, name, &context.local.host);
-        let Some(plan) = plan else { continue };
-        let size = settings.entry_set.max(1) as usize;
-        let mut directions = place(name, size + FALLBACK_ENTRIES, &candidates);
-        let set = directions
-            .iter()
-            .take(size)
-            .map(|host| PeerSlots { host: Arc::clone(host), free: 0 })
-            .collect();
-        directions.truncate(size + FALLBACK_ENTRIES);
-        let targets = targets.swap_remove(name).unwrap_or_default();
-        let service = ServiceView { plan: Arc::new(plan), targets, set, directions };
-        services.insert(Arc::clone(name), Arc::new(service));
-    }
-    services
+    let own = EntryView {
+        failure_domain: Arc::clone(&context.local.failure_domain),
+        calls: context.local.listen.calls,
+        token: context.mint_token(),
+        usable: fleet.state() == Lifecycle::Serving,
+    };
+    entries.insert(Arc::clone(&context.local.host), own);
+    entries.sort_unstable_keys();
+    entries
 }
 
-type Targets = IndexMap<Arc<str>, TargetView>;
+/// Members of the set that are usable, then a few other usable entries, then the other members.
+fn directions(
+    service: &str,
+    set: &[PeerSlots],
+    usable: &[&Arc<str>],
+    entries: &Entries,
+) -> Vec<Arc<str>> {
+    let is_usable = |host: &Arc<str>| entries.get(host).is_some_and(|e| e.usable);
+    let (mut order, lost): (Vec<Arc<str>>, Vec<Arc<str>>) =
+        set.iter().map(|m| Arc::clone(&m.host)).partition(is_usable);
+    let mut hasher = DefaultHasher::new();
+    service.hash(&mut hasher);
+    let start = hasher.finish() as usize % usable.len().max(1);
+    let others = usable[start..].iter().chain(&usable[..start]);
+    let others = others.filter(|host| !set.iter().any(|m| m.host == ***host));
+    order.extend(others.take(FALLBACK_ENTRIES).map(|host| Arc::clone(host)));
+    order.extend(lost);
+    order
+}
 
-fn targets(published: &Published, hosts: &HostList) -> IndexMap<Arc<str>, Targets> {
+fn targets(published: &Published, fleet: &Fleet) -> IndexMap<Arc<str>, Targets> {
     let mut all: IndexMap<Arc<str>, Targets> = IndexMap::new();
-    for record in &hosts.hosts {
+    let Some(list) = fleet.hosts().accepted() else { return all };
+    let list: &HostList = &list.value;
+    for record in &list.hosts {
         let Role::Target { service, address } = &record.role else { continue };
         let Some((name, settings)) = published.services.get_key_value(&**service) else { continue };
-        let target = TargetView { plan: target_plan(record, settings), address: *address };
+        let plan = TargetPlan {
+            name: Arc::from(&*record.host),
+            failure_domain: Arc::from(&*record.failure_domain),
+            slots: settings.slots,
+            leaving: record.state == HostState::Leaving || fleet.is_leaving(&record.host),
+        };
+        let target = TargetView { plan, address: *address };
         all.entry(Arc::clone(name)).or_default().insert(Arc::clone(&target.plan.name), target);
     }
     all
 }
-
-fn target_plan(record: &HostRecord, settings: &ServiceSettings) -> TargetPlan {
-    TargetPlan {
-        name: Arc::from(&*record.host),
-        failure_domain: Arc::from(&*record.failure_domain),
-        slots: settings.slots,
-        leaving: record.state == HostState::Leaving,
-    }
-}
--- a/crates/entry/src/control/platform.rs
+++ b/crates/entry/src/control/platform.rs
@@ -15,8 +15,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
-const WATCH_WAIT: Duration = Duration::from_secs(20);
-const ANSWER_MARGIN: Duration = Duration::from_secs(2);
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
 const MAX_VALUE_BYTES: usize = 2 << 20;
 
 /// A value that the platform published.
@@ -41,8 +40,8 @@
         Self { addresses, next: 0 }
     }
 
-    /// Waits until the revision of the value at `path` exceeds `after`. Nothing when it did not
-    /// in the time of one watch.
+    /// Waits until the revision of the value at `path` exceeds `after`, at most for `wait`. Nothing
+    /// when it did not.
     ///
     /// # Errors
     ///
@@ -51,9 +50,9 @@
         &mut self,
         path: &str,
         after: Revision,
+        wait: Duration,
     ) -> Result<Option<Answer>, PlatformError> {
         let address = self.addresses[self.next % self.addresses.len()];
-        let wait = if after == 0 { Duration::ZERO } else { WATCH_WAIT };
         let query = format!("{path}?after={after}&wait_ms={}", wait.as_millis());
         let result = match timeout(wait + ANSWER_MARGIN, get(address, &query)).await {
             Ok(result) => result,
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -71,12 +71,20 @@
         .spawn(move || {
             runtime.block_on(async {
                 let admin = serve_admin(&context);
-                tokio::join!(control::run(&context), admin, record::run(&context));
+                let control = run_control(&context);
+                tokio::join!(control, admin, record::run(&context));
             });
         })
         .change_context(StartError::Runtime)
 }
 
+async fn run_control(context: &Arc<Context>) {
+    if let Err(report) = control::run(context).await {
+        log::error!("control: {report:?}");
+        context.stop.cancel();
+    }
+}
+
 async fn serve_admin(context: &Arc<Context>) {
     if let Err(report) = admin::run(context).await {
         log::error!("admin: {report:?}");
--- a/crates/entry/src/view.rs
+++ b/crates/entry/src/view.rs
@@ -3,6 +3,8 @@
 //! The control thread publishes a new [`View`] whenever settings, hosts or membership change. A
 //! call takes one view when it arrives and keeps it, so that its record can name one revision.
 
+pub use azuretally_policy::fleet::Lifecycle;
+
 use azuretally_api::admin::RefusedRevision;
 use azuretally_policy::{
     Timestamp,
@@ -12,32 +14,6 @@
 use indexmap::IndexMap;
 use std::{net::SocketAddr, sync::Arc};
 
-/// Lifecycle of an entry.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Lifecycle {
-    /// No settings yet.
-    #[default]
-    Starting,
-    /// Taking calls.
-    Serving,
-    /// Cut off from platform and peers: takes calls under the last settings, directs others away.
-    Stale,
-    /// Planned stop: finishes what is in flight.
-    Stopping,
-}
-
-impl Lifecycle {
-    /// Name on the wire and in logs.
-    pub const fn as_str(self) -> &'static str {
-        match self {
-            Self::Starting => "starting",
-            Self::Serving => "serving",
-            Self::Stale => "stale",
-            Self::Stopping => "stopping",
-        }
-    }
-}
-
 /// A target with its address.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct TargetView {
--- a/crates/policy/src/fleet/gossip.rs
+++ b/crates/policy/src/fleet/gossip.rs
@@ -74,8 +74,8 @@
                 }
             }
             Body::Slots(slots) => {
+                self.told.extend(slots.iter().map(|(service, _)| Arc::clone(service)));
                 self.slots.hear(now, from, slots);
-                self.changed = true;
             }
         }
     }
--- a/crates/policy/src/fleet/heartbeat.rs
+++ b/crates/policy/src/fleet/heartbeat.rs
@@ -197,6 +197,7 @@
     }
 
     fn tell_slots(&mut self, now: Timestamp) {
+        self.told.extend(self.slots.expire(now));
         let shared = &self.sets.shared;
         let members = &self.members;
         let alive = shared
--- a/crates/policy/src/fleet/member.rs
+++ b/crates/policy/src/fleet/member.rs
@@ -31,11 +31,9 @@
     Gone,
 }
 
-impl Label for Standing {
-    const ALL: &'static [Self] =
-        &[Self::Listed, Self::Alive, Self::Suspect, Self::Leaving, Self::Gone];
-
-    fn label(self) -> &'static str {
+impl Standing {
+    /// Name in logs and in the chart.
+    pub const fn as_str(self) -> &'static str {
         match self {
             Self::Listed => "listed",
             Self::Alive => "alive",
@@ -46,6 +44,15 @@
     }
 }
 
+impl Label for Standing {
+    const ALL: &'static [Self] =
+        &[Self::Listed, Self::Alive, Self::Suspect, Self::Leaving, Self::Gone];
+
+    fn label(self) -> &'static str {
+        self.as_str()
+    }
+}
+
 /// What changes the standing of a peer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerEvent {
--- a/crates/policy/src/fleet/node.rs
+++ b/crates/policy/src/fleet/node.rs
@@ -6,8 +6,8 @@
     leaving::{Leaving, Listed},
     lifecycle::{ENTRY_CHART, Lifecycle, LifecycleEvent},
     member::{PEER_CHART, Standing},
-    membership::{Membership, hash},
-    message::{Addresses, Body, Condition, Header, Record, Sighting, Topic, Version},
+    membership::{Change, Membership, hash},
+    message::{Addresses, Body, Condition, Header, Heads, Record, Sighting, Topic, Version},
     monitor::Monitor,
     placement::Candidate,
     roll_call::RollCall,
@@ -23,7 +23,7 @@
 };
 use azuretally_api::platform::HostList;
 use azuretally_settings::Published;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::{net::SocketAddr, sync::Arc};
@@ -124,6 +124,8 @@
             joined: false,
             superseded: false,
             changed: true,
+            told: IndexSet::new(),
+            journal: Vec::new(),
             out: Vec::new(),
         })
     }
@@ -153,6 +155,8 @@
     pub(super) joined: bool,
     pub(super) superseded: bool,
     pub(super) changed: bool,
+    pub(super) told: IndexSet<Arc<str>>,
+    journal: Vec<Change>,
     pub(super) out: Vec<Action>,
 }
 
@@ -207,6 +211,21 @@
         std::mem::take(&mut self.changed)
     }
 
+    /// Standings of peers that changed since the last call.
+    pub fn take_journal(&mut self) -> Vec<Change> {
+        std::mem::take(&mut self.journal)
+    }
+
+    /// Revisions of `topic`.
+    pub fn heads(&self, topic: Topic) -> Heads {
+        self.shelf_heads(topic)
+    }
+
+    /// Services of which a peer told its free slots since the last call.
+    pub fn take_told(&mut self) -> IndexSet<Arc<str>> {
+        std::mem::take(&mut self.told)
+    }
+
     /// What is to be done, in order.
     pub fn take_actions(&mut self) -> Vec<Action> {
         std::mem::take(&mut self.out)
@@ -322,6 +341,7 @@
                 self.slots.retain(|peer| *peer != *change.host);
             }
         }
+        self.journal.extend(changes);
         self.place();
     }
 
@@ -352,7 +372,7 @@
         }
     }
 
-    pub(super) fn shelf_heads(&self, topic: Topic) -> super::message::Heads {
+    pub(super) fn shelf_heads(&self, topic: Topic) -> Heads {
         match topic {
             Topic::Settings => self.values.settings.heads(),
             Topic::Hosts => self.values.hosts.heads(),
--- a/crates/policy/src/fleet/slots.rs
+++ b/crates/policy/src/fleet/slots.rs
@@ -101,6 +101,19 @@
         }
     }
 
+    /// Drops counts that no longer hold, and gives their services.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<Arc<str>> {
+        let old = |at: Timestamp| now.since(at) >= SLOTS_HOLD;
+        let services: Vec<_> = self
+            .heard
+            .iter()
+            .filter(|(_, (_, at))| old(*at))
+            .map(|((_, service), _)| Arc::clone(service))
+            .collect();
+        self.heard.retain(|_, (_, at)| !old(*at));
+        services
+    }
+
     /// Forgets what peers told and were told, when they left or after a pause of the process.
     pub fn retain<Keep>(&mut self, keep: Keep)
     where
