feat(policy): addresses of the host list go before an entry's own

Cause: an entry tells the address on which it listens, which peers may not reach (found with links between the entries of the process tests). Change: where the host list names an entry, its addresses are used; else those of its record. Conclusion: peers and callers follow the platform.

--- a/crates/entry/src/control/assemble.rs
+++ b/crates/entry/src/control/assemble.rs
@@ -130,7 +130,7 @@
         .map(|(host, member)| {
             let entry = EntryView {
                 failure_domain: Arc::clone(&member.record.failure_domain),
-                calls: member.record.addresses.calls,
+                calls: member.addresses().calls,
                 token: member.record.token.clone(),
                 usable: member.is_usable() && member.is_reachable(),
             };
--- a/crates/policy/src/fleet/heartbeat.rs
+++ b/crates/policy/src/fleet/heartbeat.rs
@@ -126,7 +126,7 @@
     fn ping(&mut self, now: Timestamp, host: &Arc<str>, monitored: bool) {
         let ping = self.monitor.ping(host, self.own.version.change);
         let Some(member) = self.members.get(host) else { return };
-        let (version, address) = (member.record.version, member.record.addresses.peers);
+        let (version, address) = (member.record.version, member.addresses().peers);
         if ping.missed >= MISSES_ALLOWED {
             let since = ping.missed - MISSES_ALLOWED;
             if since.is_multiple_of(MISSES_ALLOWED) {
--- a/crates/policy/src/fleet/member.rs
+++ b/crates/policy/src/fleet/member.rs
@@ -1,6 +1,6 @@
 //! One entry of the fleet as seen by another.
 
-use super::message::{Accusation, Condition, Heads, Record, Version};
+use super::message::{Accusation, Addresses, Condition, Heads, Record, Version};
 use crate::{Timestamp, chart::Label};
 use indexmap::IndexMap;
 use std::{sync::Arc, time::Duration};
@@ -109,8 +109,8 @@
     pub hosts: Heads,
     /// Whether the host list calls it leaving.
     pub retiring: bool,
-    /// Whether the host list names it.
-    pub listed: bool,
+    /// Addresses in the host list, if it names the entry. They go before its own.
+    pub listed: Option<Addresses>,
     /// Whether it did not answer the last roll call of this entry.
     pub silent: bool,
     accusers: IndexMap<Arc<str>, Timestamp>,
@@ -126,13 +126,18 @@
             settings: Heads::default(),
             hosts: Heads::default(),
             retiring: false,
-            listed: false,
+            listed: None,
             silent: false,
             accusers: IndexMap::new(),
             given_up: None,
         }
     }
 
+    /// Where it is reached.
+    pub fn addresses(&self) -> Addresses {
+        self.listed.unwrap_or(self.record.addresses)
+    }
+
     /// Whether it ever said anything of itself.
     pub fn is_heard(&self) -> bool {
         self.record.version != Version::default()
--- a/crates/policy/src/fleet/membership.rs
+++ b/crates/policy/src/fleet/membership.rs
@@ -104,7 +104,7 @@
                 .members
                 .entry(Arc::clone(host))
                 .or_insert_with(|| Member::new(now, unheard(record)));
-            member.listed = true;
+            member.listed = Some(record.addresses);
             member.retiring = *retiring;
             if !member.is_heard() {
                 member.record = unheard(record);
@@ -113,7 +113,7 @@
         let mut dropped = Vec::new();
         for (host, member) in &mut self.members {
             if !listed.contains_key(host) {
-                member.listed = false;
+                member.listed = None;
                 let silent = matches!(member.standing, Standing::Listed | Standing::Suspect);
                 if silent {
                     dropped.push(Arc::clone(host));
@@ -187,7 +187,7 @@
         }
         self.members.retain(|_, m| {
             let old = now.since(m.since) >= GONE_MEMORY;
-            m.standing != Standing::Gone || m.listed || !old
+            m.standing != Standing::Gone || m.listed.is_some() || !old
         });
     }
 
--- a/crates/policy/src/fleet/node.rs
+++ b/crates/policy/src/fleet/node.rs
@@ -355,7 +355,7 @@
 
     pub(super) fn send(&mut self, to: &Arc<str>, body: &Body) {
         let Some(member) = self.members.get(to) else { return };
-        let address = member.record.addresses.peers;
+        let address = member.addresses().peers;
         self.send_to(address, to, body);
     }
 
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/control.rs
@@ -0,0 +1,180 @@
+//! Settings, membership and leaving targets between real entries.
+
+use azuretally_standin::{platform::Faults as PlatformFaults, proxy::Faults as LinkFaults};
+use azuretally_testsuite::{Call, Fleet, LONG, eventually};
+use std::time::{Duration, Instant};
+
+/// Within so long an accepted revision is in force wherever a path exists.
+const IN_FORCE: Duration = Duration::from_secs(2);
+
+async fn revisions(fleet: &Fleet) -> Vec<u64> {
+    let mut revisions = Vec::new();
+    for entry in &fleet.entries {
+        revisions.push(entry.status().await.map_or(0, |s| s.revision));
+    }
+    revisions
+}
+
+async fn states(fleet: &Fleet) -> Vec<String> {
+    let mut states = Vec::new();
+    for entry in &fleet.entries {
+        states.push(entry.status().await.map_or_else(|_| String::new(), |s| s.state));
+    }
+    states
+}
+
+async fn whole(fleet: &Fleet) {
+    let others = fleet.entries.len() - 1;
+    eventually("every entry sees every other one", LONG, async || {
+        for entry in &fleet.entries {
+            if entry.status().await.ok()?.peers.len() < others {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await;
+}
+
+fn changed(fleet: &Fleet, urgent_ms: u32) -> String {
+    let mut published = fleet.published.clone();
+    published.urgent_ms = urgent_ms;
+    published.text()
+}
+
+async fn in_force_everywhere(fleet: &Fleet, revision: u64) {
+    eventually(&format!("revision {revision} is in force everywhere"), IN_FORCE, async || {
+        revisions(fleet).await.iter().all(|r| *r == revision).then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_path_to_the_platform_brings_settings_to_all() {
+    let fleet = Fleet::builder().entries(6).links().start().await;
+    whole(&fleet).await;
+    for link in &fleet.platform_links[1..] {
+        link.set_faults(LinkFaults { cut: true, ..LinkFaults::default() });
+    }
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let revision = fleet.publish(&changed(&fleet, 1_500), None).await.unwrap();
+    in_force_everywhere(&fleet, revision).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn frozen_entry_wakes_up_stale_and_never_reverts() {
+    let mut fleet = Fleet::builder().entries(4).start().await;
+    whole(&fleet).await;
+    fleet.entries[2].process().freeze();
+    let revision = fleet.publish(&changed(&fleet, 1_500), None).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let shown = fleet.entries[0].status().await.unwrap();
+    assert!(!shown.peers.contains(&"entry-2".to_owned()), "{:?}", shown.peers);
+    fleet.platform_faults(PlatformFaults { stale_revision: Some(1), ..Default::default() }).await;
+    fleet.entries[2].process().thaw();
+    in_force_everywhere(&fleet, revision).await;
+    whole(&fleet).await;
+    let log = fleet.entries[2].process().log();
+    assert!(log.contains("control: the process was paused"), "{log}");
+    assert!(log.contains("control: stale"), "{log}");
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_secs(3) {
+        assert!(revisions(&fleet).await.iter().all(|r| *r == revision));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn fresh_entry_takes_later_settings_from_its_peers() {
+    let mut fleet = Fleet::builder().entries(4).start().await;
+    whole(&fleet).await;
+    let revision = fleet.publish(&changed(&fleet, 1_500), None).await.unwrap();
+    in_force_everywhere(&fleet, revision).await;
+    fleet.platform_faults(PlatformFaults { stale_revision: Some(1), ..Default::default() }).await;
+    fleet.entries[1].kill();
+    fleet.restart(1);
+    eventually("the fresh entry serves", LONG, async || {
+        let status = fleet.entries[1].status().await.ok()?;
+        let serves = status.state == "serving";
+        assert!(!serves || status.revision == revision, "served revision {}", status.revision);
+        serves.then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_that_is_cut_off_is_stale_and_directs_away() {
+    let fleet = Fleet::builder().entries(4).links().start().await;
+    whole(&fleet).await;
+    let cut = LinkFaults { cut: true, ..LinkFaults::default() };
+    fleet.platform_links[3].set_faults(cut.clone());
+    fleet.peer_links[3].set_faults(cut);
+    eventually("entry-3 is stale", Duration::from_secs(6), async || {
+        (fleet.entries[3].status().await.ok()?.state == "stale").then_some(())
+    })
+    .await;
+    let answer = fleet.caller.directions(fleet.entries[3].directions, "till").await.unwrap();
+    assert!(!answer.entries.is_empty());
+    assert!(answer.entries.iter().all(|e| e.host != "entry-3"), "{answer:?}");
+    for link in fleet.platform_links.iter().chain(&fleet.peer_links) {
+        link.set_faults(LinkFaults::default());
+    }
+    eventually("all serve again", LONG, async || {
+        states(&fleet).await.iter().all(|s| s == "serving").then_some(())
+    })
+    .await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_between_entries_are_made_anew() {
+    let fleet = Fleet::builder().entries(4).links().start().await;
+    whole(&fleet).await;
+    for link in &fleet.peer_links {
+        link.set_faults(LinkFaults { silence_open: true, ..LinkFaults::default() });
+    }
+    fleet.platform_faults(PlatformFaults { down: true, ..Default::default() }).await;
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    eventually("all serve by their peers alone", LONG, async || {
+        states(&fleet).await.iter().all(|s| s == "serving").then_some(())
+    })
+    .await;
+    whole(&fleet).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_to_the_platform_stay_within_the_share_through_an_outage() {
+    let fleet = Fleet::builder().entries(8).start().await;
+    whole(&fleet).await;
+    fleet.platform_faults(PlatformFaults { down: true, ..Default::default() }).await;
+    tokio::time::sleep(Duration::from_secs(8)).await;
+    fleet.platform_faults(PlatformFaults::default()).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let counts = fleet.platform_counts().await;
+    assert!(counts.peak_per_s <= 200, "{counts:?}");
+    assert!(states(&fleet).await.iter().all(|s| s == "serving"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_stop_takes_an_entry_out_of_directions_at_once() {
+    let mut fleet = Fleet::builder().entries(4).start().await;
+    whole(&fleet).await;
+    let host = fleet.direction().await.host;
+    let asked: Vec<_> =
+        fleet.entries.iter().filter(|e| e.host != host).map(|e| e.directions).collect();
+    fleet.entry(&host).process().terminate();
+    eventually("nobody directs to the stopping entry", Duration::from_secs(1), async || {
+        for address in &asked {
+            let answer = fleet.caller.directions(*address, "till").await.ok()?;
+            if answer.entries.iter().any(|e| e.host == host) {
+                return None;
+            }
+        }
+        Some(())
+    })
+    .await;
+    let call = Call::get("/till/balance", "after the stop");
+    assert!(fleet.caller.call(asked_calls(&fleet, &host), &call).await.unwrap().is_answered());
+}
+
+fn asked_calls(fleet: &Fleet, except: &str) -> std::net::SocketAddr {
+    fleet.entries.iter().find(|e| e.host != except).unwrap().calls
+}
