--- a/crates/entry/src/calls/ending.rs
+++ b/crates/entry/src/calls/ending.rs
@@ -1,11 +1,13 @@
 //! The one end of every call: counters, record and dispatcher are told together.
 
-use super::{app::App, inbound::Inbound, pool::Connection};
+use super::{app::App, inbound::Inbound, pool::Connection, reply::Reply};
+use crate::trace::Hop;
 use azuretally_api::record::{CallRecord, Outcome};
 use azuretally_policy::{
     Timestamp,
     dispatch::{CallId, Event, FailureKind, LoadReport},
 };
+use opentelemetry::trace::SpanContext;
 use std::{sync::Arc, time::Duration};
 
 /// Answer of a target that is reported to the dispatcher when its body has ended.
@@ -29,13 +31,20 @@
     target: Option<Arc<str>>,
     peer: Option<Arc<str>>,
     attempts: u32,
+    hop: Option<Hop>,
+    doubtful: bool,
     ended: bool,
 }
 
 impl Ending {
     /// Counts the call as taken in.
-    pub(super) fn new(app: Arc<App>, inbound: Arc<Inbound>, call: CallId) -> Self {
+    pub(super) fn new(app: Arc<App>, inbound: Arc<Inbound>) -> Self {
+        let call = app.next_call();
         inbound.route.counts.take();
+        let hop = app.context.tracing.as_ref().map(|t| {
+            let plan = &inbound.admitted.plan;
+            t.call(format!("{}.{}", plan.service, inbound.route.operation), &inbound.headers)
+        });
         Self {
             app,
             inbound,
@@ -46,10 +55,33 @@
             target: None,
             peer: None,
             attempts: 0,
+            hop,
+            doubtful: false,
             ended: false,
         }
     }
 
+    /// Number of the call.
+    pub(super) fn call(&self) -> CallId {
+        self.call
+    }
+
+    /// Notes that an earlier call with the same key may run or have run.
+    pub(super) fn doubt(&mut self) {
+        self.doubtful = true;
+    }
+
+    /// Ends the call with the outcome of a reply.
+    pub(super) fn conclude(mut self, reply: Reply) -> Reply {
+        self.end(reply.outcome, reply.reason);
+        reply
+    }
+
+    /// Names the span of the call towards its attempts.
+    pub(super) fn trace(&self) -> Option<SpanContext> {
+        self.hop.as_ref().map(Hop::context)
+    }
+
     /// An attempt at a target begins.
     pub(super) fn dispatch(&mut self, target: &Arc<str>) {
         self.dispatched = Some(self.app.context.clock.now());
@@ -107,6 +139,11 @@
         service.leave(self.call);
         let now = self.app.context.clock.now();
         self.inbound.route.counts.end(outcome, now <= self.inbound.deadline);
+        if let Some(mut hop) = self.hop.take() {
+            hop.note("outcome", outcome.as_str().to_owned());
+            hop.note("reason", reason.unwrap_or_default().to_owned());
+            hop.note("revision", self.inbound.admitted.plan.revision.to_string());
+        }
         self.app.context.records.push(self.record(now, outcome, reason));
     }
 
@@ -140,9 +177,9 @@
             return;
         }
         self.inbound.route.service.handle(Event::CallerGone(self.call));
-        let outcome = match self.dispatched {
-            Some(_) => Outcome::Unknown,
-            None => Outcome::NotRun,
+        let outcome = match self.dispatched.is_some() || self.doubtful {
+            true => Outcome::Unknown,
+            false => Outcome::NotRun,
         };
         self.end(outcome, Some("caller-gone"));
     }
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -12,6 +12,7 @@
     pool::Trust,
     reply::Reply,
 };
+use crate::trace::Hop;
 use azuretally_api::{headers, record::Outcome};
 use azuretally_policy::dispatch::{Call, CallId, Event, FailureKind, LoadReport, TargetRefusal};
 use futures_util::{
@@ -21,6 +22,7 @@
 };
 use http::{HeaderName, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use opentelemetry::trace::SpanContext;
 use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
 /// Answers one request.
@@ -43,9 +45,11 @@
         Err(e) => return Ok(refuse(e).finish(&app, app.context.view().revision)),
     };
     let revision = inbound.admitted.plan.revision;
-    let reply = match inbound.key.clone() {
-        Some(key) => keyed::run(&app, inbound, &key).await,
-        None => dispatch(&app, inbound).await,
+    let inbound = Arc::new(inbound);
+    let ending = Ending::new(Arc::clone(&app), Arc::clone(&inbound));
+    let reply = match &inbound.key {
+        Some(key) => keyed::run(&app, &inbound, key, ending).await,
+        None => dispatch(&app, inbound, ending).await,
     };
     Ok(reply.finish(&app, revision))
 }
@@ -69,10 +73,8 @@
 }
 
 /// Waits for the dispatcher and obeys it until the call has ended.
-pub(super) async fn dispatch(app: &Arc<App>, inbound: Inbound) -> Reply {
-    let inbound = Arc::new(inbound);
-    let id = app.next_call();
-    let ending = Ending::new(Arc::clone(app), Arc::clone(&inbound), id);
+pub(super) async fn dispatch(app: &Arc<App>, inbound: Arc<Inbound>, ending: Ending) -> Reply {
+    let id = ending.call();
     let mailbox = Arc::new(Mailbox::default());
     let call = Call {
         id,
@@ -114,7 +116,8 @@
                         self.handles.push((Arc::clone(&target), handle));
                         let app = Arc::clone(self.app);
                         let inbound = Arc::clone(&self.inbound);
-                        let attempt = attempt(app, inbound, Way::Target(target));
+                        let trace = self.ending.trace();
+                        let attempt = attempt(app, inbound, Way::Target(target), trace);
                         attempts.push(Abortable::new(attempt, registration));
                     }
                     Step::Relay { peer } => {
@@ -122,7 +125,8 @@
                         let (_, registration) = AbortHandle::new_pair();
                         let app = Arc::clone(self.app);
                         let inbound = Arc::clone(&self.inbound);
-                        let attempt = attempt(app, inbound, Way::Peer(peer));
+                        let trace = self.ending.trace();
+                        let attempt = attempt(app, inbound, Way::Peer(peer), trace);
                         attempts.push(Abortable::new(attempt, registration));
                     }
                     Step::Cancel { target } => self.cancel(&target),
@@ -224,9 +228,15 @@
     Peer(Arc<str>),
 }
 
-async fn attempt(app: Arc<App>, inbound: Arc<Inbound>, way: Way) -> End {
+async fn attempt(
+    app: Arc<App>,
+    inbound: Arc<Inbound>,
+    way: Way,
+    trace: Option<SpanContext>,
+) -> End {
     let started = app.context.clock.now();
     let remaining = inbound.deadline - started;
+    let hop = open_hop(&app, trace, &way);
     match way {
         Way::Target(target) => {
             let address = inbound.route.service.targets.load().address(&target);
@@ -238,14 +248,14 @@
                 true => (remaining / 2).max(ATTEMPT_MIN).min(remaining),
                 false => remaining,
             };
-            let result = exchange(&app, &inbound, address, fields, limit).await;
+            let result = exchange(&app, &inbound, address, fields, limit, hop).await;
             let elapsed = app.context.clock.now() - started;
             End::Target { target, elapsed, result }
         }
         Way::Peer(peer) => {
             let address = app.context.view().entries.get(&peer).map(|e| e.calls);
             let fields = relay_fields(remaining);
-            let result = exchange(&app, &inbound, address, fields, remaining).await;
+            let result = exchange(&app, &inbound, address, fields, remaining, hop).await;
             End::Peer { peer, result }
         }
     }
@@ -257,10 +267,14 @@
     address: Option<std::net::SocketAddr>,
     fields: [(HeaderName, HeaderValue); 2],
     limit: Duration,
+    hop: Option<Hop>,
 ) -> Result<Received, Failure> {
     let unsent = Failure { kind: FailureKind::Connect, proof_not_run: true };
     let address = address.ok_or(unsent)?;
-    let request = request_from(inbound, address, fields).ok_or(unsent)?;
+    let mut request = request_from(inbound, address, fields).ok_or(unsent)?;
+    if let (Some(tracing), Some(hop)) = (&app.context.tracing, &hop) {
+        tracing.inject(hop, request.headers_mut());
+    }
     let trust = match inbound.is_idempotent() {
         true => Trust::Any,
         false => Trust::Fresh,
@@ -268,6 +282,14 @@
     Exchange { app, address, trust, deadline: inbound.deadline, limit }.run(request).await
 }
 
+fn open_hop(app: &App, trace: Option<SpanContext>, way: &Way) -> Option<Hop> {
+    let name = match way {
+        Way::Target(target) => format!("target {target}"),
+        Way::Peer(peer) => format!("peer {peer}"),
+    };
+    Some(app.context.tracing.as_ref()?.attempt(name, &trace?))
+}
+
 fn refuse(error: InboundError) -> Reply {
     Reply::not_run(error.status(), error.as_str(), COME_BACK)
 }
--- a/crates/entry/src/calls/inbound.rs
+++ b/crates/entry/src/calls/inbound.rs
@@ -23,7 +23,7 @@
 use xxhash_rust::xxh3::Xxh3;
 
 /// What is kept of an answer to a call with a key.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) struct KeptReply {
     /// Status of the answer.
     pub(super) status: StatusCode,
--- a/crates/entry/src/calls/keyed.rs
+++ b/crates/entry/src/calls/keyed.rs
@@ -6,7 +6,7 @@
     ending::Ending,
     exchange::{Exchange, Received, request_from},
     handler,
-    inbound::{Inbound, InboundError, read_key},
+    inbound::{Inbound, InboundError, KeptReply, read_key},
     limits::COME_BACK,
     pool::Trust,
     reply::Reply,
@@ -22,9 +22,15 @@
 const FENCE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Answers a call with a key.
-pub(super) async fn run(app: &Arc<App>, inbound: Inbound, key: &BoundKey) -> Reply {
+pub(super) async fn run(
+    app: &Arc<App>,
+    inbound: &Arc<Inbound>,
+    key: &BoundKey,
+    mut ending: Ending,
+) -> Reply {
+    ending.doubt();
     if !is_own(app, &key.token) {
-        return forward(app, inbound, &key.token).await;
+        return forward(app, inbound, &key.token, ending).await;
     }
     let fingerprint = inbound.fingerprint();
     loop {
@@ -32,31 +38,35 @@
         tokio::pin!(ended);
         ended.as_mut().enable();
         let begun = app.keys.lock().begin(app.context.clock.now(), key, fingerprint);
-        match begun {
-            Begun::Run => return run_once(app, inbound, key).await,
-            Begun::Replay(kept) => return Reply::replayed(&kept),
-            Begun::Unknown => return Reply::unknown("earlier-unknown"),
-            Begun::Expired => return Reply::unknown("token-expired"),
-            Begun::Fenced => {
-                return Reply::not_run(StatusCode::CONFLICT, "fenced", Duration::ZERO);
-            }
-            Begun::Mismatch => {
-                let status = StatusCode::UNPROCESSABLE_ENTITY;
-                return Reply::not_run(status, "key-reused", Duration::ZERO);
-            }
-            Begun::Full => {
-                let status = StatusCode::SERVICE_UNAVAILABLE;
-                return Reply::not_run(status, "keys-full", COME_BACK);
-            }
-            Begun::Wait => {}
+        if begun == Begun::Run {
+            return run_once(app, inbound, key, ending).await;
+        }
+        if let Some(reply) = reply_to(begun) {
+            return ending.conclude(reply);
         }
         let wait = inbound.deadline - app.context.clock.now();
         if tokio::time::timeout(wait, ended).await.is_err() {
-            return Reply::unknown("still-running");
+            return ending.conclude(Reply::unknown("still-running"));
         }
     }
 }
 
+/// The answer to a call that is not run now, or nothing when its key is running.
+fn reply_to(begun: Begun<Arc<KeptReply>>) -> Option<Reply> {
+    let reply = match begun {
+        Begun::Run | Begun::Wait => return None,
+        Begun::Replay(kept) => Reply::replayed(&kept),
+        Begun::Unknown => Reply::unknown("earlier-unknown"),
+        Begun::Expired => Reply::unknown("token-expired"),
+        Begun::Fenced => Reply::not_run(StatusCode::CONFLICT, "fenced", Duration::ZERO),
+        Begun::Mismatch => {
+            Reply::not_run(StatusCode::UNPROCESSABLE_ENTITY, "key-reused", Duration::ZERO)
+        }
+        Begun::Full => Reply::not_run(StatusCode::SERVICE_UNAVAILABLE, "keys-full", COME_BACK),
+    };
+    Some(reply)
+}
+
 /// Tells what became of a key, and fences it when it has not run.
 pub(super) async fn fence(app: &Arc<App>, fields: &HeaderMap) -> Result<Reply, InboundError> {
     let key = read_key(fields, &app.context.peer_key)?;
@@ -72,12 +82,13 @@
 }
 
 /// Runs the call in a task of its own, so that it comes to its end when the caller goes away.
-async fn run_once(app: &Arc<App>, inbound: Inbound, key: &BoundKey) -> Reply {
+async fn run_once(app: &Arc<App>, inbound: &Arc<Inbound>, key: &BoundKey, ending: Ending) -> Reply {
     let task = {
         let app = Arc::clone(app);
+        let inbound = Arc::clone(inbound);
         let text = Arc::clone(&key.text);
         async move {
-            let mut reply = handler::dispatch(&app, inbound).await;
+            let mut reply = handler::dispatch(&app, inbound, ending).await;
             settle(&app, &text, &mut reply);
             reply
         }
@@ -113,18 +124,15 @@
 
 /// Lets the incarnation that the token names run the call. Without its word the outcome is
 /// unknown, because an earlier call with the key may have reached it.
-async fn forward(app: &Arc<App>, inbound: Inbound, token: &Token) -> Reply {
-    let inbound = Arc::new(inbound);
-    let mut ending = Ending::new(Arc::clone(app), Arc::clone(&inbound), app.next_call());
+async fn forward(app: &Arc<App>, inbound: &Inbound, token: &Token, mut ending: Ending) -> Reply {
     let reason = match (inbound.relayed, holder(app, token)) {
-        (false, Some(address)) => match ask(app, &inbound, address, &mut ending, token).await {
+        (false, Some(address)) => match ask(app, inbound, address, &mut ending, token).await {
             Some((outcome, received)) => return Reply::passed_on(outcome, received, ending),
             None => "holder-silent",
         },
         _ => "holder-gone",
     };
-    ending.end(Outcome::Unknown, Some(reason));
-    Reply::unknown(reason)
+    ending.conclude(Reply::unknown(reason))
 }
 
 async fn ask(
--- a/crates/entry/src/calls/reply.rs
+++ b/crates/entry/src/calls/reply.rs
@@ -21,6 +21,8 @@
 pub(super) struct Reply {
     /// What became of the call.
     pub(super) outcome: Outcome,
+    /// Reason when the call was not answered.
+    pub(super) reason: Option<&'static str>,
     /// The answer.
     pub(super) response: Response<Answer>,
     /// The answer once more, when it is small enough to be kept.
@@ -70,7 +72,7 @@
                 *response.body_mut() = Either::Right(streamed);
             }
         }
-        Self { outcome, response, kept }
+        Self { outcome, reason: None, response, kept }
     }
 
     /// What a peer told of a key.
@@ -84,7 +86,7 @@
         let mut response = Response::new(Either::Left(Full::new(body)));
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
-        Self { outcome, response, kept: None }
+        Self { outcome, reason: None, response, kept: None }
     }
 
     /// The answer kept from the first call with the same key.
@@ -93,7 +95,7 @@
         *response.status_mut() = kept.status;
         response.headers_mut().clone_from(&kept.headers);
         response.headers_mut().insert(headers::REPLAYED, HeaderValue::from_static("1"));
-        Self { outcome: Outcome::Answered, response, kept: None }
+        Self { outcome: Outcome::Answered, reason: None, response, kept: None }
     }
 
     /// Completes the header fields and gives the response.
@@ -121,7 +123,7 @@
         let fields = response.headers_mut();
         fields.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         fields.insert(headers::REASON, HeaderValue::from_static(reason));
-        Self { outcome, response, kept: None }
+        Self { outcome, reason: Some(reason), response, kept: None }
     }
 }
 
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -1,16 +1,19 @@
 //! What every part of the daemon is given.
 
 use crate::{
+    StartError,
     clock::Clock,
     control::Link,
     counts::Counts,
     metrics::Metrics,
     record::{Journal, Sink},
+    trace::Tracing,
     view::View,
 };
 use arc_swap::ArcSwap;
 use azuretally_policy::idempotency::Token;
 use azuretally_settings::LocalSettings;
+use error_stack::Report;
 use std::sync::Arc;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -36,6 +39,8 @@
     pub metrics: Metrics,
     /// Lines of the audit record that are kept in memory.
     pub journal: Journal,
+    /// Spans, when the local file names a file for them.
+    pub tracing: Option<Tracing>,
     /// Asks for the planned stop: no new calls, finish those in flight.
     pub stop: CancellationToken,
     /// Ends every part after the planned stop.
@@ -46,9 +51,14 @@
 
 impl Context {
     /// A context with an empty view.
-    pub fn new(local: LocalSettings, peer_key: Vec<u8>) -> Self {
+    ///
+    /// # Errors
+    ///
+    /// [`StartError::ReadFile`] when the file for spans cannot be opened.
+    pub fn new(local: LocalSettings, peer_key: Vec<u8>) -> Result<Self, Report<StartError>> {
         let incarnation = Arc::from(hex::encode(rand::random::<[u8; 8]>()));
-        Self {
+        let tracing = local.span_file.as_deref().map(Tracing::open).transpose()?;
+        Ok(Self {
             local,
             peer_key,
             incarnation,
@@ -58,11 +68,12 @@
             records: Sink::new(),
             metrics: Metrics::new(),
             journal: Journal::default(),
+            tracing,
             stop: CancellationToken::new(),
             end: CancellationToken::new(),
             view: ArcSwap::from_pointee(View::default()),
             changed: watch::Sender::new(0),
-        }
+        })
     }
 
     /// The view in force now.
--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -21,7 +21,7 @@
     set_up_log(&local)?;
     let peer_key = std::fs::read(&local.peer_key_file)
         .change_context_lazy(|| StartError::ReadFile(local.peer_key_file.clone()))?;
-    let context = Arc::new(Context::new(local, peer_key));
+    let context = Arc::new(Context::new(local, peer_key)?);
     log::info!("entry: start host={} run={}", context.local.host, context.incarnation);
 
     let control = spawn_control(&context)?;
@@ -36,6 +36,9 @@
     if control.join().is_err() {
         log::error!("entry: control thread panicked");
     }
+    if let Some(tracing) = &context.tracing {
+        tracing.close();
+    }
     log::info!("entry: end");
     result
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 pub mod metrics;
 pub mod record;
+pub mod trace;
 pub mod view;
 
 pub use error::StartError;
