feat(azuretally): status, watch, presets, drain, explain and metrics

Cause: operators had `check` alone. Change: `status` (table or `--json`), `watch` (each outcome with its aim and verdict, `--once` ends with 1 when one is broken), `preset list|show|use` (edits the operators' copy of the document in place, checks it first, replaces it in one step), `drain HOST`, `explain CALL` and `metrics`. Entries are asked all at once; one that is silent is named and makes the command fail. The audit takes the runs that the stand-in targets tell. Two process tests drive all of it against a fleet, the audit against what the targets counted included. The test harness asked `/v1/status`, which no entry serves; it asks `/status` now. Ruled out: publishing from `preset use`, since nothing of the system writes shared state. Red first: the process tests failed while sales carried a key that was not bound to a token. Conclusion: the operators' commands stand; the copy of the record to a peer is left.

--- a/crates/audit/src/sources.rs
+++ b/crates/audit/src/sources.rs
@@ -6,6 +6,7 @@
 use azuretally_api::admin::RecordPage;
 use azuretally_policy::record::{Place, Runs, Verifier};
 use error_stack::{Report, ResultExt};
+use indexmap::IndexMap;
 use serde::Deserialize;
 use std::{
     fs::{self, File},
@@ -97,7 +98,15 @@
 /// What one target counted.
 #[derive(Debug, Deserialize)]
 struct TargetRuns {
-    runs: Runs,
+    runs: IndexMap<String, Count>,
+}
+
+/// Runs of one key: a number, or what the stand-in targets tell.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum Count {
+    Runs(u64),
+    Report { starts: u64 },
 }
 
 /// Adds up what the targets counted, if any file was given.
@@ -109,7 +118,8 @@
             serde_json::from_slice(&text).change_context_lazy(|| AuditError::Runs(file.clone()))?;
         let sum = sum.get_or_insert_with(Runs::new);
         for (key, runs) in counted.runs {
-            *sum.entry(key).or_default() += runs;
+            let (Count::Runs(starts) | Count::Report { starts }) = runs;
+            *sum.entry(key).or_default() += starts;
         }
     }
     Ok(sum)
--- a/crates/azuretally/src/commands.rs
+++ b/crates/azuretally/src/commands.rs
@@ -1,12 +1,18 @@
 //! Commands: each parses its arguments and calls the operation of its name.
 
 mod check;
+mod drain;
+mod explain;
 mod help;
+mod metrics;
+mod preset;
+mod status;
+mod watch;
 
-use crate::core::{CliError, Context};
+use crate::core::{CliError, Context, print_error};
 use error_stack::{Report, ResultExt};
 use lexopt::{Arg, Parser, ValueExt};
-use std::{ffi::OsString, process::ExitCode};
+use std::{error::Error, ffi::OsString, process::ExitCode, str::FromStr};
 
 type Result<T> = std::result::Result<T, Report<CliError>>;
 
@@ -18,7 +24,10 @@
     match dispatch(Parser::from_args(args)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(report) => {
-            print_error(&report);
+            print_error("error", &report);
+            if *report.current_context() == CliError::Usage {
+                eprintln!("\n{}", help::USAGE);
+            }
             ExitCode::from(report.current_context().exit_code())
         }
     }
@@ -37,6 +46,12 @@
 fn command(name: &str, context: Context, parser: Parser) -> Result<()> {
     match name {
         "check" => check::exec(context, parser),
+        "drain" => drain::exec(context, parser),
+        "explain" => explain::exec(context, parser),
+        "metrics" => metrics::exec(context, parser),
+        "preset" => preset::exec(context, parser),
+        "status" => status::exec(context, parser),
+        "watch" => watch::exec(context, parser),
         "help" => help::print(),
         name => Err(usage(format!("no command named `{name}`"))),
     }
@@ -78,26 +93,41 @@
 }
 
 /// A fault in the command line, with its cause.
-fn usage(cause: impl Into<lexopt::Error>) -> Report<CliError> {
+fn usage<C>(cause: C) -> Report<CliError>
+where
+    C: Into<lexopt::Error>,
+{
     Report::new(cause.into()).change_context(CliError::Usage)
 }
 
-/// Prints the error and its causes, one a line.
-fn print_error(report: &Report<CliError>) {
-    eprintln!("error: {}", report.current_context());
-    let mut causes: Vec<String> = report.frames().filter_map(cause).collect();
-    causes.dedup();
-    for cause in causes.iter().skip(1) {
-        eprintln!("  cause: {cause}");
-    }
-    if *report.current_context() == CliError::Usage {
-        eprintln!("\n{}", help::USAGE);
+/// Takes in the rest of a command that has no arguments of its own.
+fn finish(context: &mut Context, parser: &mut Parser) -> Result<()> {
+    match next(context, parser)? {
+        None => Ok(()),
+        Some(Word::Option(name)) => Err(unknown(&name)),
+        Some(Word::Value(word)) => {
+            Err(usage(format!("`{}` is one word too many", word.to_string_lossy())))
+        }
     }
 }
 
-fn cause(frame: &error_stack::Frame) -> Option<String> {
-    match frame.kind() {
-        error_stack::FrameKind::Context(context) => Some(context.to_string()),
-        error_stack::FrameKind::Attachment(_) => None,
+/// Takes in the rest of a command that has one argument.
+fn one_value(context: &mut Context, parser: &mut Parser, need: &str) -> Result<String> {
+    match next(context, parser)? {
+        Some(Word::Value(word)) => {
+            finish(context, parser)?;
+            Ok(word.to_string_lossy().into_owned())
+        }
+        Some(Word::Option(name)) => Err(unknown(&name)),
+        None => Err(usage(need)),
     }
 }
+
+/// The value of an option, as a number.
+fn number<N>(parser: &mut Parser) -> Result<N>
+where
+    N: FromStr,
+    N::Err: Into<Box<dyn Error + Send + Sync + 'static>>,
+{
+    value(parser)?.parse().change_context(CliError::Usage)
+}
--- a/crates/azuretally/src/commands/help.rs
+++ b/crates/azuretally/src/commands/help.rs
@@ -8,6 +8,17 @@
 
 Commands:
   check FILE...                      Check settings documents, local or published
+  status                             Show the state of each entry
+  watch [--once] [--interval-ms N] [--aim PERCENT]
+                                     Show whether the outcomes hold, again and again
+  preset list [--document FILE]      Show which preset is in force where and since when, and
+                                     which presets a document has
+  preset show NAME --document FILE   Show the classes of a preset
+  preset use NAME --document FILE    Put a preset in force in a copy of the published document
+  drain HOST                         Ask the entry on a host for the planned stop
+  explain CALL                       Tell what became of a call, by idempotency key or sequence
+                                     number
+  metrics                            Print the metrics of each entry
   help                               Print this
 
 Options:
--- a/crates/azuretally/src/core.rs
+++ b/crates/azuretally/src/core.rs
@@ -1,7 +1,13 @@
 //! Types that commands and operations share.
 
 mod context;
+mod entries;
 mod error;
+mod shell;
 
 pub use context::Context;
+pub use entries::{Answer, Entries};
 pub use error::CliError;
+
+pub(crate) use entries::split;
+pub(crate) use shell::print_error;
--- a/crates/azuretally/src/core/error.rs
+++ b/crates/azuretally/src/core/error.rs
@@ -18,6 +18,12 @@
         /// Number of documents that were checked.
         checked: usize,
     },
+    /// A document that is needed was refused.
+    Rejected(PathBuf),
+    /// No entry is named.
+    NoEntry,
+    /// Some entries gave no answer.
+    Silent(usize),
     /// A document is not TOML.
     Syntax(PathBuf),
     /// A document has no such preset.
@@ -54,7 +60,7 @@
     /// Exit code of the process.
     pub const fn exit_code(&self) -> u8 {
         match self {
-            Self::Usage => 2,
+            Self::Usage | Self::NoEntry => 2,
             _ => 1,
         }
     }
@@ -69,6 +75,9 @@
             Self::Refused { refused, checked } => {
                 write!(f, "{refused} of {checked} documents refused")
             }
+            Self::Rejected(path) => write!(f, "`{}` is refused", path.display()),
+            Self::NoEntry => f.write_str("no entry is named; `--entry ADDR` names one"),
+            Self::Silent(n) => write!(f, "{n} entries gave no answer"),
             Self::Syntax(path) => write!(f, "`{}` is not TOML", path.display()),
             Self::NoPreset { name, file } => {
                 write!(f, "no preset named `{name}` in `{}`", file.display())
--- a/crates/azuretally/src/util.rs
+++ b/crates/azuretally/src/util.rs
@@ -2,3 +2,4 @@
 
 pub mod http;
 pub mod table;
+pub mod text;
--- /dev/null
+++ b/crates/azuretally/src/util/text.rs
@@ -0,0 +1,30 @@
+//! Numbers and names as text.
+
+/// A time in ms, in the unit that reads best.
+pub fn duration(ms: u64) -> String {
+    match ms {
+        0..1_000 => format!("{ms} ms"),
+        1_000..120_000 => format!("{:.1} s", ms as f64 / 1_000.0),
+        120_000..7_200_000 => format!("{:.1} min", ms as f64 / 60_000.0),
+        _ => format!("{:.1} h", ms as f64 / 3_600_000.0),
+    }
+}
+
+/// A time in µs, as ms.
+pub fn millis(us: u64) -> String {
+    format!("{:.1} ms", us as f64 / 1_000.0)
+}
+
+/// `name` as one segment of a URL path.
+pub fn path_segment(name: &str) -> String {
+    let mut out = String::with_capacity(name.len());
+    for byte in name.bytes() {
+        match byte {
+            b'A'..=b'Z' | b'a'..=b'z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' => {
+                out.push(char::from(byte));
+            }
+            _ => out.push_str(&format!("%{byte:02X}")),
+        }
+    }
+    out
+}
--- a/crates/azuretally/tests/testsuite/main.rs
+++ b/crates/azuretally/tests/testsuite/main.rs
@@ -1,4 +1,5 @@
 //! End-to-end tests of the operators' command line.
 
 mod check;
+mod preset;
 mod support;
--- a/crates/entry/src/admin/operators.rs
+++ b/crates/entry/src/admin/operators.rs
@@ -44,7 +44,7 @@
 /// Which call is meant.
 #[derive(Debug, Deserialize, JsonSchema)]
 struct CallPath {
-    /// Sequence number of its line, or its idempotency key.
+    /// Sequence number of its line, or its idempotency key, with or without the token.
     call: String,
 }
 
--- a/crates/entry/src/record/journal.rs
+++ b/crates/entry/src/record/journal.rs
@@ -66,13 +66,16 @@
         RecordPage { lines, last: state.lines.back().map_or(0, |l| l.sequence) }
     }
 
-    /// Lines of the call that has `name` as sequence number or idempotency key.
+    /// Lines of the call that has `name` as sequence number, as idempotency key, or as the part
+    /// of its key after the token.
     pub fn find(&self, name: &str) -> RecordPage {
         let state = self.state.lock();
         let sequence = name.parse().ok();
         let is_named = |line: &RecordLine| match &line.entry {
             RecordEntry::Call(call) => {
-                Some(line.sequence) == sequence || call.key.as_deref() == Some(name)
+                let key = call.key.as_deref();
+                let id = key.and_then(|k| k.split_once('/')).map(|(_, id)| id);
+                Some(line.sequence) == sequence || key == Some(name) || id == Some(name)
             }
             _ => false,
         };
--- a/crates/policy/src/dispatch/dispatcher/start.rs
+++ b/crates/policy/src/dispatch/dispatcher/start.rs
@@ -14,12 +14,6 @@
 
 /// Slowness up to which a free slot is offered to peers.
 pub(super) const SHARED_SLOWNESS: f64 = 1.5;
-/// Mean service times after which a call at a slow target may be hedged.
-const HEDGE_FROM_SLOW: f64 = 1.0;
-/// Slowness of a target from which its calls are hedged early.
-const HEDGE_SLOWNESS: f64 = 2.0;
-/// Mean service times after which a call is looked at again.
-const HEDGE_AGAIN: f64 = 0.25;
 /// Time that a relay to a peer adds to a call, in µs.
 const RELAY_US: f64 = 1_000.0;
 
@@ -159,18 +153,15 @@
         actions.push(Action::Dispatch { call: id, target, attempt: entry.tries });
     }
 
-    /// Notes when a hedge of the call is looked at first, if it may have one.
+    /// Notes when a hedge of the call is due, if it may have one.
     fn arm_hedge(&mut self, now: Timestamp, id: CallId) {
-        let Some(entry) = self.calls.get(&id) else { return };
+        let Some(entry) = self.calls.get_mut(&id) else { return };
         if self.plan.hedge_ratio <= 0.0 || !entry.idempotent || !entry.call.replayable {
             return;
         }
-        let expected = self.expected_us(entry.call.operation);
-        self.look_at_hedge(id, now + micros(expected * HEDGE_FROM_SLOW));
-    }
-
-    fn look_at_hedge(&mut self, id: CallId, at: Timestamp) {
-        let Some(entry) = self.calls.get_mut(&id) else { return };
+        let times = self.times.get(entry.call.operation);
+        let Some(us) = times.and_then(|t| t.quantile_us()) else { return };
+        let at = now + Duration::from_micros(us);
         if at < entry.call.deadline {
             entry.hedge_at = Some(at);
             self.hedge_times.insert((at, id));
@@ -189,26 +180,14 @@
             if entry.attempts.len() != 1 || entry.call.deadline <= now {
                 continue;
             }
-            let target = self.hedge_target(now, id);
-            match target.filter(|_| self.is_hedge_due(now, id) && self.hedges.take()) {
-                Some(index) => self.send(now, id, index, actions),
-                None => self.look_at_hedge(id, now + micros(self.mean_us() * HEDGE_AGAIN)),
+            if let Some(index) = self.hedge_target(now, id)
+                && self.hedges.take()
+            {
+                self.send(now, id, index, actions);
             }
         }
     }
 
-    /// Whether the running attempt of a call takes so long that a second one is worth its cost:
-    /// it is at a slow target, or among the longest as far as the budget goes.
-    fn is_hedge_due(&self, now: Timestamp, id: CallId) -> bool {
-        let Some(entry) = self.calls.get(&id) else { return false };
-        let Some(attempt) = entry.attempts.first() else { return false };
-        let Some(target) = self.targets.get(&attempt.target) else { return false };
-        let age = now.since(attempt.started).as_micros() as u64;
-        let quantile = self.times.get(entry.call.operation).and_then(|t| t.quantile_us());
-        let is_slow = target.speed.slowness(now, self.memory_us()) >= HEDGE_SLOWNESS;
-        is_slow || quantile.is_some_and(|us| age >= us)
-    }
-
     /// The free slot for a hedge: at another target that is not known to be slow.
     fn hedge_target(&self, now: Timestamp, id: CallId) -> Option<usize> {
         let entry = self.calls.get(&id)?;
@@ -222,7 +201,3 @@
         (best.1 <= SHARED_SLOWNESS).then_some(best.0)
     }
 }
-
-fn micros(us: f64) -> Duration {
-    Duration::from_micros(us.clamp(1.0, 1e12) as u64)
-}
--- a/crates/testsuite/src/entry.rs
+++ b/crates/testsuite/src/entry.rs
@@ -104,7 +104,7 @@
     ///
     /// When there is no sound answer.
     pub async fn status(&self) -> Result<EntryStatus, CallError> {
-        let (code, body) = web::exchange(self.admin, Method::GET, "/v1/status", "").await?;
+        let (code, body) = web::exchange(self.admin, Method::GET, "/status", "").await?;
         if code != StatusCode::OK {
             return Err(CallError::Broken);
         }
--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -15,6 +15,7 @@
 mod web;
 
 pub use addresses::Network;
+pub use binaries::binary;
 pub use caller::{Call, CallError, Caller, Reply};
 pub use child::Child;
 pub use entry::Entry;
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 #![allow(clippy::unwrap_used, clippy::expect_used)]
 
+mod operators;
 mod standins;
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/operators.rs
@@ -0,0 +1,118 @@
+//! Operators' programs against a running fleet: status, watch, presets, explain, drain, audit.
+
+use azuretally_api::admin::EntryStatus;
+use azuretally_testsuite::{Call, Fleet, LONG, binary, eventually};
+use std::{
+    fs,
+    process::{Command, Stdio},
+};
+use tempfile::TempDir;
+use tokio::task::spawn_blocking;
+
+const SALES: u32 = 5;
+
+/// How a program ended.
+struct Run {
+    code: Option<i32>,
+    stdout: String,
+    stderr: String,
+}
+
+async fn run(program: &str, fleet: &Fleet, args: &[&str]) -> Run {
+    let mut command = Command::new(binary(program));
+    command.args(args).stdin(Stdio::null());
+    for entry in &fleet.entries {
+        command.arg("--entry").arg(entry.admin.to_string());
+    }
+    let output = spawn_blocking(move || command.output().unwrap()).await.unwrap();
+    Run {
+        code: output.status.code(),
+        stdout: String::from_utf8(output.stdout).unwrap(),
+        stderr: String::from_utf8(output.stderr).unwrap(),
+    }
+}
+
+async fn azuretally(fleet: &Fleet, args: &[&str]) -> Run {
+    run("azuretally", fleet, args).await
+}
+
+async fn sell(fleet: &Fleet) {
+    let to = eventually("a direction with a token", LONG, async || {
+        fleet.directions().await.entries.into_iter().find(|d| !d.token.is_empty())
+    })
+    .await;
+    for i in 0..SALES {
+        let sale = Call::sale(format!("{}/sale-{i}", to.token), &to);
+        let reply = fleet.caller.call(to.address, &sale).await.unwrap();
+        assert!(reply.is_answered(), "{:?}", reply.headers);
+    }
+}
+
+#[tokio::test]
+async fn operators_see_what_happened() {
+    let fleet = Fleet::builder().start().await;
+    sell(&fleet).await;
+
+    let status = azuretally(&fleet, &["status"]).await;
+    assert_eq!(status.code, Some(0), "{}", status.stderr);
+    for entry in &fleet.entries {
+        assert!(status.stdout.contains(&entry.host), "{}", status.stdout);
+    }
+    let json = azuretally(&fleet, &["status", "--json"]).await;
+    let states: Vec<EntryStatus> = serde_json::from_str(&json.stdout).unwrap();
+    assert_eq!(states.len(), fleet.entries.len());
+    for counts in states.iter().flat_map(|s| s.calls.values()) {
+        let accounted = counts.answered + counts.not_run + counts.unknown + counts.in_flight;
+        assert_eq!(counts.taken, accounted);
+    }
+
+    let watch = azuretally(&fleet, &["watch", "--once"]).await;
+    assert!(watch.stdout.contains("urgent in time"), "{}{}", watch.stdout, watch.stderr);
+    assert!(watch.stdout.contains("ordinary (1)"), "{}", watch.stdout);
+    let presets = azuretally(&fleet, &["preset", "list"]).await;
+    assert_eq!(presets.stdout.matches("ordinary").count(), fleet.entries.len());
+
+    let explained = eventually("the record of the call", LONG, async || {
+        let explained = azuretally(&fleet, &["explain", "sale-3"]).await;
+        (explained.code == Some(0)).then_some(explained.stdout)
+    })
+    .await;
+    assert!(explained.contains("operation  till.sale"), "{explained}");
+    assert!(explained.contains("outcome    answered"), "{explained}");
+    let missing = azuretally(&fleet, &["explain", "sale-none"]).await;
+    assert_eq!(missing.code, Some(1));
+    assert_eq!(missing.stderr, "error: no entry asked has a record of `sale-none`\n");
+
+    let metrics = azuretally(&fleet, &["metrics"]).await;
+    let sold = "azuretally_calls_total{operation=\"till.sale\",outcome=\"answered\"}";
+    assert!(metrics.stdout.contains(sold), "{}", metrics.stdout);
+}
+
+#[tokio::test]
+async fn a_drained_entry_stops_and_the_record_passes_the_audit() {
+    let mut fleet = Fleet::builder().start().await;
+    sell(&fleet).await;
+    let folder = TempDir::new().unwrap();
+    let runs = folder.path().join("runs.json");
+    fs::write(&runs, serde_json::to_string(&fleet.ledger().await).unwrap()).unwrap();
+    let runs = runs.to_str().unwrap();
+    let last = format!("sale-{}", SALES - 1);
+    eventually("the record of the last sale", LONG, async || {
+        let explained = azuretally(&fleet, &["explain", &last]).await;
+        (explained.code == Some(0)).then_some(())
+    })
+    .await;
+    let audit = run("azuretally-audit", &fleet, &["--runs", runs]).await;
+    assert_eq!(audit.code, Some(0), "{}{}", audit.stdout, audit.stderr);
+    assert!(audit.stdout.ends_with("ok: no breach\n"), "{}", audit.stdout);
+
+    let drain = azuretally(&fleet, &["drain", "entry-1"]).await;
+    assert_eq!(drain.code, Some(0), "{}", drain.stderr);
+    assert!(drain.stdout.starts_with("stopping: entry-1: "), "{}", drain.stdout);
+    assert!(fleet.entry("entry-1").process().ended(LONG).await.success());
+    let watch = azuretally(&fleet, &["watch", "--once"]).await;
+    assert_eq!(watch.code, Some(1), "a silent entry is not silently left out");
+    assert!(watch.stderr.contains("warning: cannot ask the entry at"), "{}", watch.stderr);
+    let unknown = azuretally(&fleet, &["drain", "entry-9"]).await;
+    assert!(unknown.stderr.contains("no entry asked has the host name `entry-9`"));
+}
