feat(calls): tell control of draining targets, free slots and waiting calls

Cause: the signals that control takes were not fed: a target's own drain signal, free slots for the entry set, the age of the oldest waiting call; and pauses were looked for in two places. Ruled out: telling free slots on every event, which would scan all targets each time; they are told at most every 2 ms and every 200 ms when idle.

--- a/crates/entry/src/admin/status.rs
+++ b/crates/entry/src/admin/status.rs
@@ -17,6 +17,7 @@
         in_force_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         refused: view.refused.clone(),
         calls: context.counts.snapshot(),
+        oldest_waiting_ms: context.counts.oldest_waiting_ms(),
         probe_ms: context.counts.probe_ms(),
         peers: view
             .entries
@@ -26,7 +27,6 @@
             .collect(),
         classes: classes(&view),
         record: context.journal.status(),
-        ..EntryStatus::default()
     }
 }
 
--- a/crates/entry/src/calls/feed.rs
+++ b/crates/entry/src/calls/feed.rs
@@ -41,7 +41,8 @@
     for (name, service_view) in &view.services {
         let service = services.entry(Arc::clone(name)).or_insert_with(|| {
             let plan = Arc::clone(&service_view.plan);
-            let new = Arc::new(Service::new(plan, app.context.clock, app.probes.clone()));
+            let free = app.context.control.free(name);
+            let new = Arc::new(Service::new(plan, app.context.clock, free, app.probes.clone()));
             timers.spawn(Arc::clone(&new).tick());
             new
         });
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -184,6 +184,7 @@
         match result {
             Ok(received) => {
                 let report = report_of(&received);
+                self.sight(&target, &received, report);
                 if let Some(refusal) = refusal_of(&received) {
                     self.ending.close(&target);
                     service.handle(Event::Refused { call, target, refusal, report });
@@ -201,6 +202,17 @@
         }
     }
 
+    /// Tells control of a target that is leaving.
+    fn sight(&self, target: &Arc<str>, received: &Received, report: Option<LoadReport>) {
+        if report.is_some_and(|r| r.draining)
+            || refusal_of(received) == Some(TargetRefusal::Draining)
+        {
+            let incarnation = received.head.headers.get(headers::TARGET_INCARNATION);
+            let incarnation = incarnation.and_then(|v| v.to_str().ok()).unwrap_or_default();
+            self.app.context.control.sight(target, incarnation);
+        }
+    }
+
     fn take_peer(
         &mut self,
         peer: Arc<str>,
--- a/crates/entry/src/calls/limits.rs
+++ b/crates/entry/src/calls/limits.rs
@@ -35,7 +35,9 @@
 pub(super) const COME_BACK: Duration = Duration::from_secs(1);
 /// Time for one probe.
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Interval at which pauses of the process are looked for.
-pub(super) const PAUSE_INTERVAL: Duration = Duration::from_millis(50);
-/// Gap that counts as a pause of the process.
+/// Interval at which idle connections and the oldest waiting call are looked at.
+pub(super) const HOUSE_INTERVAL: Duration = Duration::from_millis(200);
+/// Shortest gap that control reports as a pause of the process.
 pub(super) const PAUSE_GAP: Duration = Duration::from_millis(400);
+/// Interval at which the free slots of a service are told to control.
+pub(super) const FREE_INTERVAL: Duration = Duration::from_millis(2);
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -4,7 +4,7 @@
     app::App,
     feed, handler,
     limits::{
-        CALLER_CONNECTIONS, HEAD_BYTES, HEAD_FIELDS, HEAD_TIMEOUT, PAUSE_GAP, PAUSE_INTERVAL,
+        CALLER_CONNECTIONS, HEAD_BYTES, HEAD_FIELDS, HEAD_TIMEOUT, HOUSE_INTERVAL, PAUSE_GAP,
         STOP_LIMIT, STOP_NOTICE,
     },
     probe,
@@ -55,7 +55,7 @@
         let Self { app, listener, orders } = self;
         let feed = tokio::spawn(feed::run(Arc::clone(&app)));
         let prober = tokio::spawn(probe::run(Arc::clone(&app), orders));
-        let pauses = tokio::spawn(watch_pauses(Arc::clone(&app)));
+        let keeper = tokio::spawn(keep_house(Arc::clone(&app)));
         let graceful = GracefulShutdown::new();
         accept(&app, &listener, &graceful).await;
         drop(listener);
@@ -64,7 +64,7 @@
             log::warn!("calls: some calls did not end in {STOP_LIMIT:?}");
         }
         app.context.end.cancel();
-        for task in [feed, prober, pauses] {
+        for task in [feed, prober, keeper] {
             if task.await.is_err() {
                 log::error!("calls: a task panicked");
             }
@@ -134,25 +134,25 @@
     app.tasks.wait().await;
 }
 
-/// Looks for gaps in the boot-time clock and tells every dispatcher of them.
-async fn watch_pauses(app: Arc<App>) {
-    let mut ticks = interval(PAUSE_INTERVAL);
+/// Tells every dispatcher of pauses of the process, closes connections that were idle for long and
+/// notes the age of the oldest waiting call.
+async fn keep_house(app: Arc<App>) {
+    let mut pauses = app.context.control.pauses();
+    let mut ticks = interval(HOUSE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut last = app.context.clock.now();
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
+            _ = pauses.changed() => {
+                for service in app.router.load().services() {
+                    service.handle(Event::Paused(PAUSE_GAP));
+                }
+            }
             () = app.context.end.cancelled() => return,
         }
-        let now = app.context.clock.now();
-        let gap = now - last;
-        last = now;
         app.pool.sweep();
-        if gap > PAUSE_GAP {
-            log::warn!("calls: the process was paused for {gap:?}");
-            for service in app.router.load().services() {
-                service.handle(Event::Paused(gap));
-            }
-        }
+        let oldest = app.router.load().services().filter_map(|s| s.look()).min();
+        let now = app.context.clock.now();
+        app.context.counts.set_oldest_waiting(oldest.map_or(Duration::ZERO, |at| now - at));
     }
 }
--- a/crates/entry/src/calls/service.rs
+++ b/crates/entry/src/calls/service.rs
@@ -1,6 +1,7 @@
 //! One service at this entry: its dispatcher, the tasks that wait for it, and its timer.
 
 use super::{
+    limits::FREE_INTERVAL,
     mailbox::{Mailbox, Step},
     targets::Targets,
 };
@@ -12,7 +13,13 @@
 };
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use std::{mem, sync::Arc};
+use std::{
+    mem,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
+};
 use tokio::sync::{Notify, mpsc};
 
 /// A probe that a dispatcher asked for.
@@ -24,15 +31,23 @@
     pub(super) target: Arc<str>,
 }
 
+#[derive(Debug)]
+struct Waiter {
+    mailbox: Arc<Mailbox>,
+    arrival: Timestamp,
+    started: bool,
+}
+
 #[derive(Debug)]
 struct State {
     dispatcher: Dispatcher,
     plan: Arc<ServicePlan>,
     targets: Vec<TargetPlan>,
     peers: Vec<PeerSlots>,
-    waiters: IndexMap<CallId, Arc<Mailbox>>,
+    waiters: IndexMap<CallId, Waiter>,
     actions: Vec<Action>,
     wakeup: Option<Timestamp>,
+    told_free: Timestamp,
 }
 
 /// One service at this entry.
@@ -41,6 +56,7 @@
     /// Targets with their addresses.
     pub(super) targets: ArcSwap<Targets>,
     clock: Clock,
+    free: Arc<AtomicU32>,
     state: Mutex<State>,
     timer: Notify,
     probes: mpsc::UnboundedSender<ProbeOrder>,
@@ -60,12 +76,14 @@
     pub(super) fn new(
         plan: Arc<ServicePlan>,
         clock: Clock,
+        free: Arc<AtomicU32>,
         probes: mpsc::UnboundedSender<ProbeOrder>,
     ) -> Self {
         let dispatcher = Dispatcher::new(Arc::clone(&plan), rand::random());
         Self {
             targets: ArcSwap::default(),
             clock,
+            free,
             state: Mutex::new(State {
                 dispatcher,
                 plan,
@@ -74,6 +92,7 @@
                 waiters: IndexMap::new(),
                 actions: Vec::new(),
                 wakeup: None,
+                told_free: Timestamp::default(),
             }),
             timer: Notify::new(),
             probes,
@@ -90,7 +109,8 @@
     /// Takes in a call; its steps go to `mailbox` until `Service::leave`.
     pub(super) fn arrive(self: &Arc<Self>, call: Call, mailbox: Arc<Mailbox>) {
         let mut state = self.state.lock();
-        state.waiters.insert(call.id, mailbox);
+        let waiter = Waiter { mailbox, arrival: self.clock.now(), started: false };
+        state.waiters.insert(call.id, waiter);
         self.decide(state, Event::Arrive(call));
     }
 
@@ -129,6 +149,14 @@
         }
     }
 
+    /// Tells control of the free slots, and when the call that has waited longest for its first
+    /// start arrived.
+    pub(super) fn look(&self) -> Option<Timestamp> {
+        let mut state = self.state.lock();
+        self.tell_free(&mut state, self.clock.now());
+        state.waiters.values().filter(|w| !w.started).map(|w| w.arrival).min()
+    }
+
     /// Sends [`Event::Tick`] whenever it is due. Never returns.
     pub(super) async fn tick(self: Arc<Self>) {
         loop {
@@ -147,11 +175,15 @@
 
     fn decide(self: &Arc<Self>, mut state: parking_lot::MutexGuard<'_, State>, event: Event) {
         let mut actions = mem::take(&mut state.actions);
-        state.dispatcher.handle(self.clock.now(), event, &mut actions);
+        let now = self.clock.now();
+        state.dispatcher.handle(now, event, &mut actions);
         for action in actions.drain(..) {
-            self.obey(&state, action);
+            self.obey(&mut state, action);
         }
         state.actions = actions;
+        if now - state.told_free >= FREE_INTERVAL {
+            self.tell_free(&mut state, now);
+        }
         let wakeup = state.dispatcher.next_wakeup();
         let sooner = match (wakeup, state.wakeup) {
             (Some(new), Some(old)) => new < old,
@@ -165,7 +197,12 @@
         }
     }
 
-    fn obey(self: &Arc<Self>, state: &State, action: Action) {
+    fn tell_free(&self, state: &mut State, now: Timestamp) {
+        state.told_free = now;
+        self.free.store(state.dispatcher.free_slots(now), Ordering::Relaxed);
+    }
+
+    fn obey(self: &Arc<Self>, state: &mut State, action: Action) {
         let (call, step) = match action {
             Action::Dispatch { call, target, attempt } => {
                 (call, Step::Dispatch { target, attempt })
@@ -182,8 +219,9 @@
                 return;
             }
         };
-        if let Some(mailbox) = state.waiters.get(&call) {
-            mailbox.post(step);
+        if let Some(waiter) = state.waiters.get_mut(&call) {
+            waiter.started |= matches!(step, Step::Dispatch { .. } | Step::Relay { .. });
+            waiter.mailbox.post(step);
         }
     }
 }
--- a/crates/entry/src/counts.rs
+++ b/crates/entry/src/counts.rs
@@ -9,6 +9,7 @@
         Arc,
         atomic::{AtomicU64, Ordering},
     },
+    time::Duration,
 };
 
 /// Counters of one operation.
@@ -62,6 +63,8 @@
     operations: RwLock<IndexMap<String, Arc<OperationCounts>>>,
     /// Target time spent on probes, in µs.
     probe_us: AtomicU64,
+    /// Age of the oldest waiting call, in ms.
+    oldest_ms: AtomicU64,
 }
 
 impl Counts {
@@ -81,6 +84,17 @@
         self.probe_us.load(Ordering::Relaxed) as f64 / 1_000.0
     }
 
+    /// Notes the age of the oldest waiting call.
+    pub fn set_oldest_waiting(&self, age: Duration) {
+        let ms = u64::try_from(age.as_millis()).unwrap_or(u64::MAX);
+        self.oldest_ms.store(ms, Ordering::Relaxed);
+    }
+
+    /// Age of the oldest waiting call, in ms.
+    pub fn oldest_waiting_ms(&self) -> u64 {
+        self.oldest_ms.load(Ordering::Relaxed)
+    }
+
     /// All counters by `service.operation`.
     pub fn snapshot(&self) -> BTreeMap<String, CallCounts> {
         self.operations.read().iter().map(|(name, c)| (name.clone(), c.snapshot())).collect()
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -2,8 +2,12 @@
 
 use azuretally_entry::{StartError, daemon};
 use error_stack::{Report, ResultExt};
+use mimalloc::MiMalloc;
 use std::{ffi::OsString, path::PathBuf, process::ExitCode};
 
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
 const USAGE: &str = "Usage: azuretally-entry --settings FILE";
 
 fn main() -> ExitCode {
