--- /dev/null
+++ b/crates/settings/tests/page.rs
@@ -0,0 +1,16 @@
+//! The settings page names every key.
+#![allow(clippy::unwrap_used)]
+
+use azuretally_settings::{LOCAL_KEYS, PUBLISHED_KEYS};
+
+const PAGE: &str = include_str!("../../../docs/settings.md");
+
+#[test]
+fn the_page_names_every_key() {
+    let all: Vec<&str> = LOCAL_KEYS.iter().chain(PUBLISHED_KEYS).copied().collect();
+    for key in &all {
+        let is_parent = all.iter().any(|k| k.starts_with(&format!("{key}.")));
+        let named = format!("| `{}` |", key.replace('*', "NAME"));
+        assert!(is_parent || PAGE.contains(&named), "docs/settings.md does not name {key}");
+    }
+}
