fix(load): send idempotency keys bound to their token

Every sale of the demonstration was refused as key-without-token: the entry takes a key of the form TOKEN/ID in Idempotency-Key, the callers sent the token in a field of its own. Ruled out: directions without tokens, by asking an entry for directions during a run.

Callers now send TOKEN/ID. The proof counts runs by ID over all tokens, so that a call which ran once under each of two tokens is found; the test of the proof now has such a call.

Processes of a deployment are told to end together, not one after the other: a trial took about 40 s, most of it waiting for 16 entries in turn.

--- a/crates/load/src/core/proof.rs
+++ b/crates/load/src/core/proof.rs
@@ -3,6 +3,7 @@
 use super::{mix::Mix, score::Outcomes};
 use azuretally_api::record::Outcome;
 use azuretally_standin::target::LedgerReport;
+use std::collections::HashMap;
 
 /// Breaches found. All but `once` must be 0.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -20,11 +21,11 @@
 impl Proof {
     /// Compares `outcomes` of the load with seed `seed` with what `ledgers` counted by key.
     pub fn new(mix: &Mix, seed: u64, outcomes: &Outcomes, ledgers: &[LedgerReport]) -> Self {
+        let runs = runs_by_id(ledgers);
         let mut proof = Self::default();
         for sample in &outcomes.samples {
             let key = format!("{seed}-{}", sample.number);
-            let runs = ledgers.iter().filter_map(|l| l.runs.get(&key));
-            let starts: u64 = runs.map(|r| r.starts).sum();
+            let starts = runs.get(key.as_str()).copied().unwrap_or_default();
             let may_repeat = mix.operations[sample.operation].idempotent;
             proof.once += u64::from(!may_repeat);
             proof.repeated += u64::from(!may_repeat && starts > 1);
@@ -39,3 +40,14 @@
         proof
     }
 }
+
+/// Runs of each call over all targets. A key of the form `TOKEN/ID` counts for `ID`, so that a
+/// call that ran once under each of two tokens is found.
+fn runs_by_id(ledgers: &[LedgerReport]) -> HashMap<&str, u64> {
+    let mut runs = HashMap::new();
+    for (key, run) in ledgers.iter().flat_map(|l| &l.runs) {
+        let id = key.rsplit_once('/').map_or(key.as_str(), |(_, id)| id);
+        *runs.entry(id).or_default() += run.starts;
+    }
+    runs
+}
--- a/crates/load/src/ops/callers.rs
+++ b/crates/load/src/ops/callers.rs
@@ -165,7 +165,7 @@
         add(headers::CALLER, &caller);
         add(headers::TIMEOUT_MS, &timeout);
         if !operation.idempotent {
-            add(headers::TOKEN, token);
+            add(headers::IDEMPOTENCY_KEY, &format!("{token}/{}", self.shape.key(call)));
         }
     }
 
--- a/crates/load/src/ops/direct.rs
+++ b/crates/load/src/ops/direct.rs
@@ -58,10 +58,12 @@
         request.body(Full::new(Bytes::from(vec![b'.'; BODY_BYTES])))
     }
 
-    /// Whether `answer` belongs to `call`. Targets repeat the name of the call in the first line.
+    /// Whether `answer` belongs to `call`. Targets repeat the name of the call, or its key, in the
+    /// first line.
     pub fn is_own(&self, call: &Due, answer: &[u8]) -> bool {
         let line = answer.split(|b| *b == b'\n').next().unwrap_or_default();
-        !self.is_named || line.ends_with(format!(" {}", self.key(call)).as_bytes())
+        let name = line.rsplit(|b| matches!(b, b' ' | b'/')).next().unwrap_or_default();
+        !self.is_named || name == self.key(call).as_bytes()
     }
 }
 
--- a/crates/load/src/ops/fleet.rs
+++ b/crates/load/src/ops/fleet.rs
@@ -11,6 +11,7 @@
 use azuretally_standin::target::LedgerReport;
 use error_stack::{Report, ResultExt};
 use http::Method;
+use rustix::process::Signal;
 use std::{
     fs,
     net::SocketAddr,
@@ -62,6 +63,18 @@
     folder: TempDir,
 }
 
+impl Drop for Fleet {
+    /// Tells every process to end before any of them is waited for.
+    fn drop(&mut self) {
+        for entry in &self.entries {
+            entry.process.signal(Signal::TERM);
+        }
+        for group in &self.groups {
+            group.process.signal(Signal::TERM);
+        }
+    }
+}
+
 impl Fleet {
     /// Starts `deployment` and waits until every entry gives directions for every service.
     ///
--- a/crates/load/tests/score.rs
+++ b/crates/load/tests/score.rs
@@ -85,10 +85,10 @@
         sample(3, SALE, 10, Verdict::not_run("deadline")),
         sample(4, BALANCE, 10, Verdict::answered(true)),
     ]);
-    // Call 1 ran at two targets of different groups, call 2 may be repeated, call 3 was told as
+    // Call 1 ran at targets of two groups under different tokens, call 2 may be repeated, call 3 was told as
     // not run, call 4 never ran.
-    let ledgers =
-        [ledger(&[("9-0", 1), ("9-1", 1), ("9-2", 2), ("9-3", 1)]), ledger(&[("9-1", 1)])];
+    let first = ledger(&[("a.1/9-0", 1), ("a.1/9-1", 1), ("9-2", 2), ("a.1/9-3", 1)]);
+    let ledgers = [first, ledger(&[("b.2/9-1", 1)])];
     let proof = Proof::new(&mix, 9, &all, &ledgers);
     let found = Proof { once: 3, repeated: 1, refused_run: 1, answered_unrun: 1 };
     assert_eq!(proof, found);
