fix(calls): a relay that lost its answer leaves the outcome unknown

Cause: a call that was relayed to a peer and whose exchange broke or timed out was handed back to the dispatcher as refused by the peer, which is a proof of not run. At its deadline the caller was then told not-run, although the peer's target had run the call. Now only a peer's own not-run is handed back as a refusal; everything else is a failure, with proof only when nothing was written.

Ruled out: the dispatcher, which already keeps calls that may have run apart.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -220,15 +220,20 @@
     ) -> Option<(Outcome, Received)> {
         let call = self.id;
         let service = Arc::clone(&self.inbound.route.service);
-        let answer = result.ok().and_then(|r| outcome_of(&r).map(|o| (o, r)));
-        match answer {
-            Some((outcome, received)) if outcome != Outcome::NotRun => {
+        let broken = Failure { kind: FailureKind::Broken, proof_not_run: false };
+        let result = result.and_then(|r| outcome_of(&r).map(|o| (o, r)).ok_or(broken));
+        match result {
+            Ok((Outcome::NotRun, _)) => {
+                service.handle(Event::PeerRefused { call, peer });
+                None
+            }
+            Ok((outcome, received)) => {
                 service.handle(Event::PeerDone { call, peer });
                 Some((outcome, received))
             }
-            // Only idempotent calls are relayed, so a broken relay may be followed by another try.
-            _ => {
-                service.handle(Event::PeerRefused { call, peer });
+            // The peer may have run the call, so it may never be called not run from here on.
+            Err(Failure { kind, proof_not_run }) => {
+                service.handle(Event::Failed { call, target: peer, kind, proof_not_run });
                 None
             }
         }
--- a/crates/testsuite/src/caller.rs
+++ b/crates/testsuite/src/caller.rs
@@ -22,11 +22,11 @@
     path: String,
     id: String,
     key: Option<String>,
-    token: Option<String>,
     timeout: Option<Duration>,
     caller: Option<String>,
     patience: Duration,
     body: Bytes,
+    answer_bytes: Option<usize>,
     query: String,
 }
 
@@ -38,11 +38,11 @@
             path: path.to_owned(),
             id: id.into(),
             key: None,
-            token: None,
             timeout: None,
             caller: None,
             patience: Duration::from_secs(15),
             body: Bytes::new(),
+            answer_bytes: None,
             query: String::new(),
         }
     }
@@ -52,11 +52,22 @@
         Self { method: Method::POST, body: body.into(), ..Self::get(path, id) }
     }
 
-    /// A sale: not idempotent, so `key` is its idempotency key and it goes where `to` says.
-    pub fn sale(key: impl Into<String>, to: &Direction) -> Self {
-        let key = key.into();
-        let call = Self::post("/till/sale", key.clone(), format!("voucher {key}"));
-        Self { key: Some(key), token: Some(to.token.clone()), ..call }
+    /// A sale: not idempotent, so its idempotency key begins with the token of the entry `to`.
+    pub fn sale(id: impl Into<String>, to: &Direction) -> Self {
+        let id = id.into();
+        let key = format!("{}/{id}", to.token);
+        let call = Self::post("/till/sale", id.clone(), format!("voucher {id}"));
+        Self { key: Some(key), ..call }
+    }
+
+    /// Name under which the targets count the runs of this call.
+    pub fn run_key(&self) -> &str {
+        self.key.as_deref().unwrap_or(&self.id)
+    }
+
+    /// Whether the call may run at most once.
+    pub fn is_sale(&self) -> bool {
+        self.key.is_some()
     }
 
     /// Time that the caller allows.
@@ -87,17 +98,21 @@
     /// Size of the answer that the call asks of the target.
     #[must_use]
     pub fn answer_bytes(mut self, bytes: usize) -> Self {
+        self.answer_bytes = Some(bytes);
         self.query.push_str(&format!("&size={bytes}"));
         self
     }
 
-    /// What the target's answer must be after its first line.
-    pub fn expected(&self, bytes: Option<usize>) -> Bytes {
-        let id = self.key.as_ref().unwrap_or(&self.id);
-        match bytes {
-            Some(bytes) => id.bytes().cycle().take(bytes).collect(),
-            None => self.body.clone(),
-        }
+    /// Whether `body` is the target's whole answer to this very call.
+    pub fn is_own_answer(&self, body: &Bytes) -> bool {
+        let Some(end) = body.iter().position(|b| *b == b'\n') else { return false };
+        let (line, rest) = (&body[..end], &body[end + 1..]);
+        let key = self.run_key();
+        let is_rest = match self.answer_bytes {
+            Some(n) => rest.len() == n && rest.iter().copied().eq(key.bytes().cycle().take(n)),
+            None => rest == self.body,
+        };
+        is_rest && line.ends_with(format!(" {key}").as_bytes())
     }
 
     fn request(&self, address: SocketAddr) -> Request<Full<Bytes>> {
@@ -106,7 +121,6 @@
         let ms = self.timeout.map(|t| t.as_millis().to_string());
         let fields = [
             (headers::IDEMPOTENCY_KEY, self.key.as_ref()),
-            (headers::TOKEN, self.token.as_ref()),
             (headers::TIMEOUT_MS, ms.as_ref()),
             (headers::CALLER, self.caller.as_ref()),
         ];
--- a/crates/testsuite/src/entry.rs
+++ b/crates/testsuite/src/entry.rs
@@ -29,6 +29,8 @@
     pub failure_domain: String,
     /// Where it takes calls.
     pub calls: SocketAddr,
+    /// Where callers and peers are told to reach it.
+    pub calls_shown: SocketAddr,
     /// Where it gives directions.
     pub directions: SocketAddr,
     /// Administration API.
@@ -50,6 +52,7 @@
             host: format!("entry-{number}"),
             failure_domain: format!("domain-{}", number % 3),
             calls: address(CALLS_PORT),
+            calls_shown: address(CALLS_PORT),
             directions: address(DIRECTIONS_PORT),
             admin: address(ADMIN_PORT),
             peers: address(PEERS_PORT),
@@ -68,7 +71,7 @@
             incarnation: None,
             state,
             role: Role::Entry {
-                calls: self.calls,
+                calls: self.calls_shown,
                 directions: self.directions,
                 peers: self.peers_shown,
                 admin: self.admin,
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -272,6 +272,8 @@
     pub fn entries(mut self, entries: u8) -> Self {
         self.entries = entries;
         self.published.entries = entries.into();
+        let service = &mut self.published.services[0];
+        service.entry_set = service.entry_set.min(entries.into());
         self
     }
 
@@ -454,6 +456,7 @@
             let calls = with_port(entry.calls, CALLS_LINK_PORT);
             let link = self.link(calls, entry.calls);
             self.calls.push(link);
+            entry.calls_shown = calls;
             let platform = network.address(PLATFORM_HOST, PLATFORM_LINK_PORT + i);
             let link = self.link(platform, entry.platform);
             self.platform.push(link);
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/answers.rs
@@ -0,0 +1,94 @@
+//! Each caller gets the whole answer to its own request, or a broken transfer.
+
+use azuretally_api::record::Outcome;
+use azuretally_standin::target::Faults;
+use azuretally_testsuite::{Call, CallError, Caller, Crowd, Fleet, Mix};
+use std::time::Duration;
+use tokio::{task::JoinSet, time};
+
+#[tokio::test]
+async fn large_bodies_stream_both_ways() {
+    let fleet = Fleet::builder().entries(1).start().await;
+    let body: Vec<u8> = (0..4_000_000_u32).map(|i| (i % 251) as u8).collect();
+    let call = Call::post("/till/reconcile", "large", body);
+    let reply = fleet.caller.call(fleet.entries[0].calls, &call).await.unwrap();
+    assert!(reply.is_answered());
+    assert!(call.is_own_answer(&reply.body), "{} bytes", reply.body.len());
+}
+
+/// An answer that the target cuts off, whether it is small enough to be kept or streamed.
+#[tokio::test]
+async fn answer_cut_off_by_the_target_is_never_passed_on_as_whole() {
+    let fleet = Fleet::builder().entries(1).start().await;
+    let to = fleet.direction().await;
+    for (i, (size, cut)) in [(2_000, 100), (2_000, 0), (500_000, 100_000)].into_iter().enumerate() {
+        let faults = Faults { cut_answer_after_bytes: Some(cut), ..Faults::default() };
+        fleet.target_faults(None, faults).await;
+        let calls = [
+            Call::get("/till/balance", format!("b{i}")).answer_bytes(size),
+            Call::sale(format!("s{i}"), &to).answer_bytes(size),
+        ];
+        for call in calls {
+            match fleet.caller.call(to.address, &call).await {
+                Ok(reply) => {
+                    assert_eq!(reply.outcome(), Some(Outcome::Unknown), "{call:?}: {reply:?}");
+                }
+                Err(e) => assert_eq!(e, CallError::Broken, "{call:?}"),
+            }
+            if call.is_sale() {
+                assert_eq!(fleet.starts(call.run_key()).await, 1);
+            }
+        }
+    }
+}
+
+/// An answer that comes after its caller has gone must not reach the next caller.
+#[tokio::test]
+async fn late_answers_reach_nobody_else() {
+    let fleet = Fleet::builder().entries(1).targets(1).slots(4).start().await;
+    let at = fleet.entries[0].calls;
+    fleet.target_faults(None, Faults { delay_answer_ms: 120, ..Faults::default() }).await;
+    for round in 0..10 {
+        let mut gone = JoinSet::new();
+        for i in 0..4 {
+            let caller = Caller::default();
+            let call = Call::get("/till/balance", format!("gone-{round}-{i}"))
+                .patience(Duration::from_millis(40 + 10 * i));
+            gone.spawn(async move { caller.call(at, &call).await });
+        }
+        let call = Call::get("/till/balance", format!("stays-{round}"));
+        let reply = fleet.caller.call(at, &call).await.unwrap();
+        assert!(reply.is_answered(), "{reply:?}");
+        assert!(call.is_own_answer(&reply.body), "{reply:?}");
+        for result in gone.join_all().await {
+            assert_eq!(result.unwrap_err(), CallError::Timeout);
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_stay_apart_while_targets_misbehave() {
+    let fleet = Fleet::builder().targets(5).service_ms(3.0).start().await;
+    let mix = Mix {
+        callers: 24,
+        pause: Duration::from_millis(2),
+        sale_every: 3,
+        timeout: Duration::from_millis(800),
+    };
+    let crowd = Crowd::start(&fleet, mix);
+    let faults = [
+        Faults { cut_answer_after_bytes: Some(5), ..Faults::default() },
+        Faults { delay_answer_ms: 300, ..Faults::default() },
+        Faults { error_fast: true, ..Faults::default() },
+        Faults { slow_factor: 50.0, ..Faults::default() },
+    ];
+    for round in 0..2 {
+        for (i, fault) in faults.iter().enumerate() {
+            fleet.target_faults(Some((round + i) % 5), *fault).await;
+            time::sleep(Duration::from_millis(250)).await;
+            fleet.target_faults(None, Faults::default()).await;
+        }
+    }
+    let tally = fleet.check(&crowd.finish().await).await;
+    assert!(tally.answered > 500, "{tally:?}");
+}
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/whole_path.rs
@@ -0,0 +1,41 @@
+//! A call from end to end: ask for directions, connect there, be answered by a target.
+
+use azuretally_api::{headers, record::Outcome};
+use azuretally_testsuite::{Call, Fleet};
+
+#[tokio::test]
+async fn directed_call_is_answered_by_a_target() {
+    let fleet = Fleet::builder().start().await;
+    let directions = fleet.directions().await;
+    assert_eq!(directions.service, "till");
+    assert!(directions.ttl_ms > 0);
+    for direction in &directions.entries {
+        let call = Call::get("/till/balance", format!("b-{}", direction.host));
+        let reply = fleet.caller.call(direction.address, &call).await.unwrap();
+        assert_eq!(reply.outcome(), Some(Outcome::Answered));
+        assert!(call.is_own_answer(&reply.body), "{reply:?}");
+        assert_eq!(reply.revision(), Some(1));
+        assert!(reply.header(headers::ENTRY).is_some());
+        assert_eq!(fleet.starts(call.run_key()).await, 1);
+    }
+}
+
+#[tokio::test]
+async fn what_cannot_be_taken_in_is_refused_as_not_run() {
+    let fleet = Fleet::builder().entries(1).start().await;
+    let entry = fleet.entries[0].calls;
+    let calls = [
+        Call::get("/nowhere", "a"),
+        Call::get("/till/nothing", "b"),
+        Call::post("/till/balance", "c", "x"),
+        // A sale without a key.
+        Call::post("/till/sale", "d", "x"),
+    ];
+    for call in calls {
+        let reply = fleet.caller.call(entry, &call).await.unwrap();
+        assert!(reply.status.is_client_error(), "{call:?}: {reply:?}");
+        assert_eq!(reply.outcome(), Some(Outcome::NotRun), "{call:?}: {reply:?}");
+        assert!(reply.header(headers::REASON).is_some());
+        assert_eq!(fleet.starts(call.run_key()).await, 0);
+    }
+}
