fix(calls): leave time for another try when a relay is lost

Cause: an idempotent call that was relayed to a peer over a connection that had gone silent waited there until its own deadline, so it ended unknown although another try was permitted. An attempt at a peer now has half of the remaining time, as an attempt at a target has, and the peer is told so.

Ruled out: the retry budget, which had tokens left in every failed run.

Red before: silence::silent_connections_between_entries_do_not_stop_calls, unknown with reason timeout, in 5 of 9 runs. Green after: 4 runs of 28 process tests in a row.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -254,6 +254,11 @@
     let started = app.context.clock.now();
     let remaining = inbound.deadline - started;
     let hop = open_hop(&app, trace, &way);
+    // An attempt that may be followed by another leaves time for it.
+    let limit = match inbound.is_idempotent() && inbound.is_replayable() {
+        true => (remaining / 2).max(ATTEMPT_MIN).min(remaining),
+        false => remaining,
+    };
     match way {
         Way::Target(target) => {
             let address = inbound.route.service.targets.load().address(&target);
@@ -261,18 +266,13 @@
                 (HeaderName::from_static(headers::TARGET_TIMEOUT_MS), millis(remaining)),
                 (HeaderName::from_static(headers::HOPS), HeaderValue::from_static("1")),
             ];
-            let limit = match inbound.is_idempotent() && inbound.is_replayable() {
-                true => (remaining / 2).max(ATTEMPT_MIN).min(remaining),
-                false => remaining,
-            };
             let result = exchange(&app, &inbound, address, fields, limit, hop).await;
             let elapsed = app.context.clock.now() - started;
             End::Target { target, elapsed, result }
         }
         Way::Peer(peer) => {
             let address = app.context.view().entries.get(&peer).map(|e| e.calls);
-            let fields = relay_fields(remaining);
-            let result = exchange(&app, &inbound, address, fields, remaining, hop).await;
+            let result = exchange(&app, &inbound, address, relay_fields(limit), limit, hop).await;
             End::Peer { peer, result }
         }
     }
