fix(calls): after a lost answer try again on a new connection

Cause: when connections went silent, the second try of an idempotent call could take another kept connection that had gone silent as well, and the call ended unknown (reason timeout, after 1.13 s of 1.5 s: two attempts of 0.75 s and 0.38 s). An attempt that follows one whose answer was lost now makes a connection of its own.

Ruled out: the retry budget; the call in question had its second attempt.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -85,7 +85,7 @@
         replayable: inbound.is_replayable(),
     };
     inbound.route.service.arrive(call, Arc::clone(&mailbox));
-    Run { app, inbound, id, mailbox, ending, handles: Vec::new() }.finish().await
+    Run { app, inbound, id, mailbox, ending, handles: Vec::new(), lost: false }.finish().await
 }
 
 /// How an attempt ended.
@@ -101,6 +101,8 @@
     mailbox: Arc<Mailbox>,
     ending: Ending,
     handles: Vec<(Arc<str>, AbortHandle)>,
+    /// Whether an attempt was written and its answer lost.
+    lost: bool,
 }
 
 impl Run<'_> {
@@ -117,7 +119,7 @@
                         let app = Arc::clone(self.app);
                         let inbound = Arc::clone(&self.inbound);
                         let trace = self.ending.trace();
-                        let attempt = attempt(app, inbound, Way::Target(target), trace);
+                        let attempt = attempt(app, inbound, Way::Target(target), self.trust(), trace);
                         attempts.push(Abortable::new(attempt, registration));
                     }
                     Step::Relay { peer } => {
@@ -126,7 +128,7 @@
                         let app = Arc::clone(self.app);
                         let inbound = Arc::clone(&self.inbound);
                         let trace = self.ending.trace();
-                        let attempt = attempt(app, inbound, Way::Peer(peer), trace);
+                        let attempt = attempt(app, inbound, Way::Peer(peer), self.trust(), trace);
                         attempts.push(Abortable::new(attempt, registration));
                     }
                     Step::Cancel { target } => self.cancel(&target),
@@ -163,6 +165,15 @@
         }
     }
 
+    /// Connections that will do for the next attempt. After a silent one no kept one is trusted.
+    fn trust(&self) -> Trust {
+        match (self.lost, self.inbound.is_idempotent()) {
+            (true, _) => Trust::New,
+            (false, true) => Trust::Any,
+            (false, false) => Trust::Fresh,
+        }
+    }
+
     fn cancel(&mut self, target: &str) {
         if let Some(at) = self.handles.iter().position(|(t, _)| **t == *target) {
             let (_, handle) = self.handles.swap_remove(at);
@@ -196,6 +207,7 @@
             }
             Err(Failure { kind, proof_not_run }) => {
                 self.ending.close(&target);
+                self.lost |= !proof_not_run;
                 service.handle(Event::Failed { call, target, kind, proof_not_run });
                 None
             }
@@ -233,6 +245,7 @@
             }
             // The peer may have run the call, so it may never be called not run from here on.
             Err(Failure { kind, proof_not_run }) => {
+                self.lost |= !proof_not_run;
                 service.handle(Event::Failed { call, target: peer, kind, proof_not_run });
                 None
             }
@@ -249,6 +262,7 @@
     app: Arc<App>,
     inbound: Arc<Inbound>,
     way: Way,
+    trust: Trust,
     trace: Option<SpanContext>,
 ) -> End {
     let started = app.context.clock.now();
@@ -266,13 +280,14 @@
                 (HeaderName::from_static(headers::TARGET_TIMEOUT_MS), millis(remaining)),
                 (HeaderName::from_static(headers::HOPS), HeaderValue::from_static("1")),
             ];
-            let result = exchange(&app, &inbound, address, fields, limit, hop).await;
+            let result = exchange(&app, &inbound, address, trust, fields, limit, hop).await;
             let elapsed = app.context.clock.now() - started;
             End::Target { target, elapsed, result }
         }
         Way::Peer(peer) => {
             let address = app.context.view().entries.get(&peer).map(|e| e.calls);
-            let result = exchange(&app, &inbound, address, relay_fields(limit), limit, hop).await;
+            let result =
+                exchange(&app, &inbound, address, trust, relay_fields(limit), limit, hop).await;
             End::Peer { peer, result }
         }
     }
@@ -282,6 +297,7 @@
     app: &App,
     inbound: &Inbound,
     address: Option<std::net::SocketAddr>,
+    trust: Trust,
     fields: [(HeaderName, HeaderValue); 2],
     limit: Duration,
     hop: Option<Hop>,
@@ -292,10 +308,6 @@
     if let (Some(tracing), Some(hop)) = (&app.context.tracing, &hop) {
         tracing.inject(hop, request.headers_mut());
     }
-    let trust = match inbound.is_idempotent() {
-        true => Trust::Any,
-        false => Trust::Fresh,
-    };
     Exchange { app, address, trust, deadline: inbound.deadline, limit }.run(request).await
 }
 
--- a/crates/entry/src/calls/pool.rs
+++ b/crates/entry/src/calls/pool.rs
@@ -24,6 +24,8 @@
     Any,
     /// It must be new or have answered a moment ago.
     Fresh,
+    /// It must be new.
+    New,
 }
 
 /// No connection could be made.
@@ -114,8 +116,11 @@
         let now = self.clock.now();
         let mut pool = self.idle.lock();
         let idle = pool.get_mut(&address)?;
-        let connection = idle.pop_if(|c| trust == Trust::Any || now - c.answered < FRESH)?;
-        Some(connection)
+        idle.pop_if(|c| match trust {
+            Trust::Any => true,
+            Trust::Fresh => now - c.answered < FRESH,
+            Trust::New => false,
+        })
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
