--- a/crates/testsuite/tests/testsuite/answers.rs
+++ b/crates/testsuite/tests/testsuite/answers.rs
@@ -2,10 +2,46 @@
 
 use azuretally_api::record::Outcome;
 use azuretally_standin::target::Faults;
-use azuretally_testsuite::{Call, CallError, Caller, Crowd, Fleet, Mix};
-use std::time::Duration;
+use azuretally_testsuite::{Call, CallError, Caller, Crowd, Fleet, Made, Mix};
+use std::time::{Duration, Instant};
 use tokio::{task::JoinSet, time};
 
+const CALLERS: usize = 300;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn hundreds_of_callers_at_once_get_their_own_answers() {
+    let fleet = Fleet::builder()
+        .targets(6)
+        .slots(8)
+        .service_ms(2.0)
+        .published(|p| p.urgent_ms = 15_000)
+        .start()
+        .await;
+    let directions = fleet.directions().await;
+    let mut calls = JoinSet::new();
+    for i in 0..CALLERS {
+        let to = directions.entries[i % directions.entries.len()].clone();
+        let caller = fleet.caller.clone();
+        // Bodies and answers of very different sizes, short and streamed.
+        let call = match i % 4 {
+            0 => Call::get("/till/balance", format!("b{i}")),
+            1 => Call::get("/till/balance", format!("l{i}")).answer_bytes(150_000 + 7 * i),
+            2 => {
+                Call::post("/till/reconcile", format!("r{i}"), format!("body {i} ").repeat(20 * i))
+            }
+            _ => Call::sale(format!("s{i}"), &to),
+        };
+        calls.spawn(async move {
+            let sent = Instant::now();
+            let result = caller.call(to.address, &call).await;
+            Made { call, sent, took: sent.elapsed(), result }
+        });
+    }
+    let made = calls.join_all().await;
+    let tally = fleet.check(&made).await;
+    assert_eq!(tally.answered, CALLERS, "{tally:?}");
+}
+
 #[tokio::test]
 async fn large_bodies_stream_both_ways() {
     let fleet = Fleet::builder().entries(1).start().await;
--- /dev/null
+++ b/crates/testsuite/tests/testsuite/at_most_once.rs
@@ -0,0 +1,244 @@
+//! A call that is not idempotent runs at most once, whatever happens.
+
+use azuretally_api::record::Outcome;
+use azuretally_standin::{proxy::Faults as LinkFaults, target::Faults};
+use azuretally_testsuite::{Call, Caller, Crowd, Fleet, LONG, Mix, Reply, eventually};
+use std::time::Duration;
+use tokio::{task::JoinSet, time};
+
+const PATIENCE: Duration = Duration::from_secs(4);
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn duplicates_at_once_at_all_entries_run_once() {
+    let fleet = Fleet::builder().start().await;
+    let directions = fleet.directions().await;
+    for round in 0..20 {
+        let to = &directions.entries[round % directions.entries.len()];
+        let call = Call::sale(format!("s{round}"), to);
+        let mut copies = JoinSet::new();
+        for entry in &fleet.entries {
+            for _ in 0..2 {
+                let (caller, call, at) = (Caller::default(), call.clone(), entry.calls);
+                copies.spawn(async move { caller.call(at, &call).await });
+            }
+        }
+        let replies: Vec<Reply> = copies.join_all().await.into_iter().flatten().collect();
+        assert_eq!(replies.len(), 6);
+        for reply in &replies {
+            assert!(reply.is_answered(), "{reply:?}");
+            assert!(call.is_own_answer(&reply.body), "{reply:?}");
+        }
+        assert_eq!(fleet.starts(call.run_key()).await, 1);
+    }
+}
+
+#[tokio::test]
+async fn retry_after_a_timeout_gets_the_first_answer() {
+    let fleet = Fleet::builder().start().await;
+    let to = fleet.direction().await;
+    let call = Call::sale("slow", &to).service_ms(600);
+    let impatient = call.clone().patience(Duration::from_millis(150));
+    fleet.caller.call(to.address, &impatient).await.unwrap_err();
+    for entry in &fleet.entries {
+        let reply = fleet.caller.call(entry.calls, &call).await.unwrap();
+        assert!(reply.is_answered(), "{reply:?}");
+        assert!(call.is_own_answer(&reply.body), "{reply:?}");
+    }
+    assert_eq!(fleet.starts(call.run_key()).await, 1);
+}
+
+/// The same key with another request is neither run nor answered with the first answer.
+#[tokio::test]
+async fn key_used_for_another_request_is_refused() {
+    let fleet = Fleet::builder().entries(1).start().await;
+    let to = fleet.direction().await;
+    let first = Call::sale("k", &to);
+    assert!(fleet.caller.call(to.address, &first).await.unwrap().is_answered());
+    let other = Call::sale("k", &to).service_ms(1);
+    let reply = fleet.caller.call(to.address, &other).await.unwrap();
+    assert!(reply.status.is_client_error(), "{reply:?}");
+    assert!(!reply.is_answered(), "{reply:?}");
+    assert_eq!(fleet.starts(first.run_key()).await, 1);
+}
+
+#[tokio::test]
+async fn target_that_answers_after_the_caller_gave_up_runs_once() {
+    let fleet = Fleet::builder().start().await;
+    let to = fleet.direction().await;
+    fleet.target_faults(None, Faults { delay_answer_ms: 900, ..Faults::default() }).await;
+    let call = Call::sale("late", &to).timeout(Duration::from_millis(300));
+    let reply = fleet.caller.call(to.address, &call).await.unwrap();
+    assert_eq!(reply.outcome(), Some(Outcome::Unknown), "{reply:?}");
+    fleet.target_faults(None, Faults::default()).await;
+    for _ in 0..3 {
+        for entry in &fleet.entries {
+            let reply = fleet.caller.call(entry.calls, &call).await.unwrap();
+            assert!(!reply.is_not_run(), "it ran: {reply:?}");
+        }
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    assert_eq!(fleet.starts(call.run_key()).await, 1);
+}
+
+/// An entry is frozen with sales in all stages, callers retry elsewhere, then it wakes up.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_wakes_up_late_runs_nothing_twice() {
+    let mut fleet = Fleet::builder().targets(2).service_ms(15.0).start().await;
+    let to = fleet.direction().await;
+    for round in 0..2 {
+        let mut first = JoinSet::new();
+        let mut calls = Vec::new();
+        for i in 0..30_u64 {
+            let call = Call::sale(format!("f{round}-{i}"), &to)
+                .timeout(Duration::from_millis(1_500))
+                .patience(PATIENCE);
+            calls.push(call.clone());
+            let (caller, at) = (Caller::default(), to.address);
+            first.spawn(async move {
+                time::sleep(Duration::from_millis(5 * i)).await;
+                caller.call(at, &call).await
+            });
+        }
+        time::sleep(Duration::from_millis(80)).await;
+        fleet.entry(&to.host).process().freeze();
+        let others: Vec<_> =
+            fleet.entries.iter().filter(|e| e.host != to.host).map(|e| e.calls).collect();
+        let mut again = JoinSet::new();
+        for (i, call) in calls.iter().enumerate() {
+            let (caller, call, at) = (Caller::default(), call.clone(), others[i % others.len()]);
+            again.spawn(async move { (call.clone(), caller.call(at, &call).await) });
+        }
+        let again = again.join_all().await;
+        fleet.entry(&to.host).process().thaw();
+        let first = first.join_all().await;
+        time::sleep(Duration::from_secs(2)).await;
+        let ledger = fleet.ledger().await;
+        let starts = |call: &Call| ledger.runs.get(call.run_key()).map_or(0, |r| r.starts);
+        for (call, result) in &again {
+            assert!(starts(call) <= 1, "{} runs of {call:?}", starts(call));
+            if result.as_ref().is_ok_and(Reply::is_not_run) {
+                assert_eq!(starts(call), 0, "{call:?}: {result:?}");
+            }
+        }
+        for (call, result) in calls.iter().zip(first) {
+            // A copy that was refused under the same key tells nothing of the other copy, so only
+            // the bound holds here.
+            assert!(starts(call) <= 1, "{call:?}: {result:?}");
+        }
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_killed_in_flight_leaves_no_second_run() {
+    let mut fleet = Fleet::builder().targets(2).service_ms(15.0).start().await;
+    let to = fleet.direction().await;
+    let mut first = JoinSet::new();
+    let mut calls = Vec::new();
+    for i in 0..20 {
+        let call = Call::sale(format!("k{i}"), &to)
+            .timeout(Duration::from_millis(1_500))
+            .patience(PATIENCE);
+        calls.push(call.clone());
+        let (caller, at) = (Caller::default(), to.address);
+        first.spawn(async move { caller.call(at, &call).await });
+    }
+    time::sleep(Duration::from_millis(60)).await;
+    fleet.entry(&to.host).kill();
+    first.join_all().await;
+    let number = fleet.entries.iter().position(|e| e.host == to.host).unwrap();
+    let others: Vec<_> =
+        fleet.entries.iter().filter(|e| e.host != to.host).map(|e| e.calls).collect();
+    for (i, call) in calls.iter().enumerate() {
+        let result = fleet.caller.call(others[i % others.len()], call).await;
+        let starts = fleet.starts(call.run_key()).await;
+        assert!(starts <= 1);
+        // The incarnation that could tell is gone.
+        assert_eq!(result.unwrap().outcome(), Some(Outcome::Unknown), "{call:?}");
+    }
+    // A new incarnation on the same address knows nothing of the old one's keys.
+    fleet.restart(number);
+    fleet.wait_for(&fleet.entries[number]).await;
+    for call in &calls {
+        for entry in &fleet.entries {
+            let reply = fleet.caller.call(entry.calls, call).await.unwrap();
+            assert_eq!(reply.outcome(), Some(Outcome::Unknown), "{call:?}: {reply:?}");
+        }
+        assert!(fleet.starts(call.run_key()).await <= 1);
+    }
+}
+
+/// The connection to the target goes silent under a sale: before its bytes arrive or after.
+#[tokio::test]
+async fn silent_connection_to_a_target_leaves_no_second_run() {
+    let fleet = Fleet::builder().entries(2).targets(2).links().start().await;
+    let to = fleet.direction().await;
+    let faults = [
+        LinkFaults { drop_backward: true, ..LinkFaults::default() },
+        LinkFaults { drop_forward: true, ..LinkFaults::default() },
+        LinkFaults { silence_open: true, ..LinkFaults::default() },
+        LinkFaults { cut: true, ..LinkFaults::default() },
+    ];
+    for (i, fault) in faults.into_iter().enumerate() {
+        let call = Call::sale(format!("s{i}"), &to).timeout(Duration::from_millis(400));
+        // Sound connections first, so that kept ones are at hand.
+        fleet.wait_until_serving().await;
+        fleet.target_links.iter().for_each(|l| l.set_faults(fault));
+        let reply = fleet.caller.call(to.address, &call).await.unwrap();
+        let starts = fleet.starts(call.run_key()).await;
+        assert!(starts <= 1);
+        if reply.is_not_run() {
+            assert_eq!(starts, 0, "{fault:?}: {reply:?}");
+        }
+        if reply.is_answered() {
+            assert_eq!(starts, 1, "{fault:?}: {reply:?}");
+        }
+        fleet.target_links.iter().for_each(|l| l.set_faults(LinkFaults::default()));
+        for entry in &fleet.entries {
+            let again = fleet.caller.call(entry.calls, &call).await.unwrap();
+            let starts = fleet.starts(call.run_key()).await;
+            assert!(starts <= 1, "{fault:?}: {again:?}");
+            if reply.outcome() == Some(Outcome::Unknown) && starts == 1 {
+                assert!(!again.is_not_run(), "{fault:?}: {again:?}");
+            }
+        }
+    }
+}
+
+/// All faults at once and twice over, under load.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn sales_run_at_most_once_through_a_storm_of_faults() {
+    let mut fleet = Fleet::builder().entries(4).targets(4).links().start().await;
+    let mix = Mix {
+        callers: 16,
+        pause: Duration::from_millis(4),
+        sale_every: 2,
+        timeout: Duration::from_millis(700),
+    };
+    let crowd = Crowd::start(&fleet, mix);
+    for round in 0..2 {
+        fleet.entries[round].process().freeze();
+        fleet.target_links[0]
+            .set_faults(LinkFaults { silence_open: true, ..LinkFaults::default() });
+        time::sleep(Duration::from_millis(400)).await;
+        fleet.target_faults(Some(1), Faults { hang: true, ..Faults::default() }).await;
+        fleet.entries[round + 1].kill();
+        time::sleep(Duration::from_millis(400)).await;
+        fleet.entries[round].process().thaw();
+        fleet.restart(round + 1);
+        fleet.target_links[2].set_faults(LinkFaults { cut: true, ..LinkFaults::default() });
+        time::sleep(Duration::from_millis(400)).await;
+        fleet.target_faults(None, Faults::default()).await;
+        fleet.target_links.iter().for_each(|l| l.set_faults(LinkFaults::default()));
+        time::sleep(Duration::from_millis(300)).await;
+    }
+    let made = crowd.finish().await;
+    let tally = fleet.check(&made).await;
+    assert!(tally.answered > 100, "{tally:?}");
+    eventually("the fleet serves again", LONG, async || {
+        let call = Call::get("/till/balance", "after");
+        fleet.call(&call).await.ok()?.is_answered().then_some(())
+    })
+    .await;
+    time::sleep(Duration::from_secs(1)).await;
+    assert_eq!(fleet.check(&made).await, tally);
+}
--- a/crates/testsuite/tests/testsuite/operators.rs
+++ b/crates/testsuite/tests/testsuite/operators.rs
@@ -42,7 +42,7 @@
     })
     .await;
     for i in 0..SALES {
-        let sale = Call::sale(format!("{}/sale-{i}", to.token), &to);
+        let sale = Call::sale(format!("sale-{i}"), &to);
         let reply = fleet.caller.call(to.address, &sale).await.unwrap();
         assert!(reply.is_answered(), "{:?}", reply.headers);
     }
--- a/crates/testsuite/tests/testsuite/whole_path.rs
+++ b/crates/testsuite/tests/testsuite/whole_path.rs
@@ -1,7 +1,7 @@
 //! A call from end to end: ask for directions, connect there, be answered by a target.
 
 use azuretally_api::{headers, record::Outcome};
-use azuretally_testsuite::{Call, Fleet};
+use azuretally_testsuite::{Call, Fleet, LONG, eventually};
 
 #[tokio::test]
 async fn directed_call_is_answered_by_a_target() {
@@ -20,6 +20,26 @@
     }
 }
 
+#[tokio::test]
+async fn every_entry_serves_every_operation() {
+    let fleet = Fleet::builder().start().await;
+    let directions = fleet.directions().await;
+    let to = &directions.entries[0];
+    for entry in &fleet.entries {
+        let calls = [
+            Call::get("/till/balance", format!("b-{}", entry.host)),
+            Call::post("/till/reconcile", format!("r-{}", entry.host), "list"),
+            Call::sale(format!("s-{}", entry.host), to),
+        ];
+        for call in calls {
+            let reply = fleet.caller.call(entry.calls, &call).await.unwrap();
+            assert!(reply.is_answered(), "{} {call:?}: {reply:?}", entry.host);
+            assert!(call.is_own_answer(&reply.body), "{reply:?}");
+            assert_eq!(fleet.starts(call.run_key()).await, 1);
+        }
+    }
+}
+
 #[tokio::test]
 async fn what_cannot_be_taken_in_is_refused_as_not_run() {
     let fleet = Fleet::builder().entries(1).start().await;
@@ -39,3 +59,28 @@
         assert_eq!(fleet.starts(call.run_key()).await, 0);
     }
 }
+
+#[tokio::test]
+async fn service_survives_the_death_of_an_entry() {
+    let mut fleet = Fleet::builder().start().await;
+    let to = fleet.direction().await;
+    fleet.entry(&to.host).kill();
+    let live: Vec<_> = fleet.entries.iter().filter(|e| e.host != to.host).collect();
+    // Callers learn of entries that serve them, and no longer of the dead one.
+    eventually("no live entry directs callers to the dead one", LONG, async || {
+        for entry in &live {
+            for _ in 0..20 {
+                let answer = fleet.caller.directions(entry.directions, "till").await.ok()?;
+                if answer.entries.is_empty() || answer.entries.iter().any(|e| e.host == to.host) {
+                    return None;
+                }
+            }
+        }
+        Some(())
+    })
+    .await;
+    let call = Call::get("/till/balance", "after");
+    let next = fleet.caller.directions(live[0].directions, "till").await.unwrap();
+    let reply = fleet.caller.call(next.entries[0].address, &call).await.unwrap();
+    assert!(reply.is_answered(), "{reply:?}");
+}
