feat(record): copy the record to a peer in another failure domain

Cause: a killed entry took its record along, unless a log stream had it. Change: an entry sends its new lines five times a second, at most 48 KiB each time, to one usable peer of another failure domain, over the peer's calls address with a MAC under the peer key; the peer keeps 50,000 lines for others and serves them at `GET /copies`. `explain` and the audit read copies too. Lines that left memory uncopied are counted. Ruled out: the administration API, which binds to loopback alone without a token; the peers' messages over nng, whose datagrams are sized for membership. Conclusion: a process test kills the entry that sold and explains the sale from the copy.

--- a/crates/api/src/admin.rs
+++ b/crates/api/src/admin.rs
@@ -90,6 +90,12 @@
     pub lost: u64,
     /// Lines that could not be written to the record file.
     pub unwritten: u64,
+    /// Sequence number up to which a peer in another failure domain has the lines.
+    #[serde(default)]
+    pub copied: u64,
+    /// Lines that left memory before they could be copied.
+    #[serde(default)]
+    pub uncopied: u64,
 }
 
 /// Part of the audit record.
@@ -101,6 +107,15 @@
     pub last: u64,
 }
 
+/// Copies of the lines of peers.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+pub struct CopyPage {
+    /// Lines in the order in which they came.
+    pub lines: Vec<RecordLine>,
+    /// Where the next page begins.
+    pub next: u64,
+}
+
 /// Answer to a request for the planned stop.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 pub struct StopAnswer {
--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -44,3 +44,7 @@
 pub const REPLAYED: &str = "x-azuretally-replayed";
 /// Path at which a caller asks what became of an idempotency key, and fences it.
 pub const FENCE_PATH: &str = "/-/fence";
+/// Path at which an entry takes copies of a peer's record lines.
+pub const COPIES_PATH: &str = "/-/copies";
+/// On copies of record lines: HMAC-SHA256 of the body under the peer key, in lower-case hex.
+pub const COPIES_MAC: &str = "x-azuretally-copies-mac";
--- a/crates/audit/src/sources.rs
+++ b/crates/audit/src/sources.rs
@@ -3,11 +3,11 @@
 use crate::AuditError;
 use ::http::{Method, StatusCode};
 use azuretally::util::http;
-use azuretally_api::admin::RecordPage;
+use azuretally_api::admin::{CopyPage, RecordPage};
 use azuretally_policy::record::{Place, Runs, Verifier};
 use error_stack::{Report, ResultExt};
 use indexmap::IndexMap;
-use serde::Deserialize;
+use serde::{Deserialize, de::DeserializeOwned};
 use std::{
     fs::{self, File},
     io::{BufRead, BufReader},
@@ -56,6 +56,10 @@
         verifier.begin();
         runtime.block_on(read_entry(verifier, *entry, token))?;
     }
+    for entry in entries {
+        verifier.begin();
+        runtime.block_on(read_copies(verifier, *entry, token))?;
+    }
     Ok(())
 }
 
@@ -67,7 +71,8 @@
     let source: Arc<str> = entry.to_string().into();
     let (mut after, mut number) = (0, 0);
     loop {
-        let page = read_page(entry, after, token).await?;
+        let path = format!("/records?after={after}&limit={PAGE_LINES}");
+        let page: RecordPage = read(entry, &path, token).await?;
         let Some(last) = page.lines.last() else { return Ok(()) };
         after = last.sequence;
         for line in &page.lines {
@@ -81,13 +86,39 @@
     }
 }
 
-async fn read_page(
+/// Copies that an entry keeps for its peers. Those of one peer need not be whole: it may have
+/// copied its other lines elsewhere.
+async fn read_copies(
+    verifier: &mut Verifier,
+    entry: SocketAddr,
+    token: Option<&str>,
+) -> Result<(), Report<AuditError>> {
+    let source: Arc<str> = format!("{entry}/copies").into();
+    let (mut after, mut number) = (0, 0);
+    loop {
+        let path = format!("/copies?after={after}&limit={PAGE_LINES}");
+        let page: CopyPage = read(entry, &path, token).await?;
+        if page.lines.is_empty() {
+            return Ok(());
+        }
+        after = page.next;
+        for line in &page.lines {
+            number += 1;
+            let text = serde_json::to_string(line).change_context(AuditError::Answer(entry))?;
+            verifier.take(Place::from((&source, number)), &text);
+        }
+    }
+}
+
+async fn read<T>(
     entry: SocketAddr,
-    after: u64,
+    path: &str,
     token: Option<&str>,
-) -> Result<RecordPage, Report<AuditError>> {
-    let path = format!("/records?after={after}&limit={PAGE_LINES}");
-    let answer = http::send(Method::GET, entry, &path, token).await;
+) -> Result<T, Report<AuditError>>
+where
+    T: DeserializeOwned,
+{
+    let answer = http::send(Method::GET, entry, path, token).await;
     let (status, body) = answer.change_context(AuditError::Ask(entry))?;
     if status != StatusCode::OK {
         return Err(Report::new(AuditError::Refused(entry, status.as_u16())));
--- a/crates/azuretally/src/ops/explain.rs
+++ b/crates/azuretally/src/ops/explain.rs
@@ -18,7 +18,13 @@
 pub fn explain(context: &Context, call: &str) -> Result<(), Report<CliError>> {
     let path = format!("/records/{}", text::path_segment(call));
     let (answers, _) = split(Entries::new(context)?.get::<RecordPage>(&path));
-    let lines: Vec<RecordLine> = answers.into_iter().flat_map(|(_, page)| page.lines).collect();
+    let mut lines: Vec<RecordLine> = Vec::new();
+    for line in answers.into_iter().flat_map(|(_, page)| page.lines) {
+        // An entry and the peer that keeps a copy tell the same line.
+        if !lines.contains(&line) {
+            lines.push(line);
+        }
+    }
     if lines.is_empty() {
         return Err(Report::new(CliError::NoCall(call.to_owned())));
     }
--- a/crates/entry/src/admin/operators.rs
+++ b/crates/entry/src/admin/operators.rs
@@ -4,8 +4,8 @@
     app::{Access, App},
     status,
 };
-use crate::StartError;
-use azuretally_api::admin::{EntryStatus, RecordPage, StopAnswer};
+use crate::{StartError, record::is_named};
+use azuretally_api::admin::{CopyPage, EntryStatus, RecordPage, StopAnswer};
 use dropshot::{
     ApiDescription, Body, HttpError, HttpResponseAccepted, HttpResponseOk, Path, Query,
     RequestContext, endpoint,
@@ -28,6 +28,7 @@
     api.register(post_stop).change_context(StartError::Api)?;
     api.register(get_records).change_context(StartError::Api)?;
     api.register(get_record).change_context(StartError::Api)?;
+    api.register(get_copies).change_context(StartError::Api)?;
     api.register(get_metrics).change_context(StartError::Api)?;
     Ok(api)
 }
@@ -35,7 +36,8 @@
 /// Where a page of the record begins.
 #[derive(Debug, Deserialize, JsonSchema)]
 struct PageQuery {
-    /// Lines above this sequence number are given. From the first kept line without it.
+    /// Lines above this sequence number, or of copies from this place on, are given. From the
+    /// first kept line without it.
     after: Option<u64>,
     /// Number of lines, 100 without it and at most 1000.
     limit: Option<usize>,
@@ -85,7 +87,20 @@
     Ok(HttpResponseOk(app.context.journal.page(query.after.unwrap_or(0), limit)))
 }
 
-/// Lines of one call
+/// Copies of the lines of peers that are kept here, page by page
+#[endpoint { method = GET, path = "/copies" }]
+async fn get_copies(
+    request: RequestContext<Arc<App>>,
+    query: Query<PageQuery>,
+) -> Result<HttpResponseOk<CopyPage>, HttpError> {
+    let app = request.context();
+    app.check(&request, Access::Read)?;
+    let query = query.into_inner();
+    let limit = query.limit.unwrap_or(PAGE_LINES);
+    Ok(HttpResponseOk(app.context.copies.page(query.after.unwrap_or(0), limit)))
+}
+
+/// Lines of one call, of this entry and copied from peers
 #[endpoint { method = GET, path = "/records/{call}" }]
 async fn get_record(
     request: RequestContext<Arc<App>>,
@@ -93,7 +108,10 @@
 ) -> Result<HttpResponseOk<RecordPage>, HttpError> {
     let app = request.context();
     app.check(&request, Access::Read)?;
-    Ok(HttpResponseOk(app.context.journal.find(&path.into_inner().call)))
+    let call = path.into_inner().call;
+    let mut page = app.context.journal.find(&call);
+    page.lines.extend(app.context.copies.find(|line| is_named(line, &call)));
+    Ok(HttpResponseOk(page))
 }
 
 /// Metrics in the OpenMetrics text form
--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -6,6 +6,7 @@
 
 mod app;
 mod body;
+mod copies;
 mod ending;
 mod exchange;
 mod feed;
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -3,6 +3,7 @@
 use super::{
     app::App,
     body::Answer,
+    copies,
     ending::Ending,
     exchange::{Arrived, Exchange, Failure, Received, request_from},
     inbound::{Inbound, InboundError},
@@ -35,6 +36,9 @@
     from: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<Answer>, Infallible> {
+    if request.uri().path() == headers::COPIES_PATH {
+        return Ok(copies::take(&app, request).await);
+    }
     if request.uri().path() == headers::FENCE_PATH {
         let reply = keyed::fence(&app, request.headers()).await.unwrap_or_else(refuse);
         return Ok(reply.finish(&app, app.context.view().revision));
--- a/crates/entry/src/context.rs
+++ b/crates/entry/src/context.rs
@@ -6,7 +6,7 @@
     control::Link,
     counts::Counts,
     metrics::Metrics,
-    record::{Journal, Sink},
+    record::{Copies, Journal, Sink},
     trace::Tracing,
     view::View,
 };
@@ -39,6 +39,8 @@
     pub metrics: Metrics,
     /// Lines of the audit record that are kept in memory.
     pub journal: Journal,
+    /// Copies of the lines of peers.
+    pub copies: Copies,
     /// Spans, when the local file names a file for them.
     pub tracing: Option<Tracing>,
     /// Asks for the planned stop: no new calls, finish those in flight.
@@ -68,6 +70,7 @@
             records: Sink::new(),
             metrics: Metrics::new(),
             journal: Journal::default(),
+            copies: Copies::default(),
             tracing,
             stop: CancellationToken::new(),
             end: CancellationToken::new(),
--- a/crates/entry/src/record/journal.rs
+++ b/crates/entry/src/record/journal.rs
@@ -23,6 +23,8 @@
     lines: VecDeque<Arc<RecordLine>>,
     lost: u64,
     unwritten: u64,
+    copied: u64,
+    uncopied: u64,
 }
 
 impl Journal {
@@ -45,6 +47,13 @@
         self.state.lock().unwritten += lines;
     }
 
+    /// A peer has all lines up to `last`, but for `missed` that had left memory before.
+    pub fn copied(&self, last: u64, missed: u64) {
+        let mut state = self.state.lock();
+        state.copied = last;
+        state.uncopied += missed;
+    }
+
     /// State of the record.
     pub fn status(&self) -> RecordStatus {
         let state = self.state.lock();
@@ -54,6 +63,8 @@
             kept_from: state.lines.front().map_or(0, |l| l.sequence),
             lost: state.lost,
             unwritten: state.unwritten,
+            copied: state.copied,
+            uncopied: state.uncopied,
         }
     }
 
@@ -70,17 +81,16 @@
     /// of its key after the token.
     pub fn find(&self, name: &str) -> RecordPage {
         let state = self.state.lock();
-        let sequence = name.parse().ok();
-        let is_named = |line: &RecordLine| match &line.entry {
-            RecordEntry::Call(call) => {
-                let key = call.key.as_deref();
-                let id = key.and_then(|k| k.split_once('/')).map(|(_, id)| id);
-                Some(line.sequence) == sequence || key == Some(name) || id == Some(name)
-            }
-            _ => false,
-        };
-        let found = state.lines.iter().filter(|l| is_named(l));
+        let found = state.lines.iter().filter(|l| is_named(l, name));
         let lines = found.take(PAGE_LINES_MAX).map(|l| (**l).clone()).collect();
         RecordPage { lines, last: state.lines.back().map_or(0, |l| l.sequence) }
     }
 }
+
+/// Whether the line is that of the call with this sequence number or idempotency key.
+pub(crate) fn is_named(line: &RecordLine, name: &str) -> bool {
+    let RecordEntry::Call(call) = &line.entry else { return false };
+    let key = call.key.as_deref();
+    let id = key.and_then(|k| k.split_once('/')).map(|(_, id)| id);
+    name.parse() == Ok(line.sequence) || key == Some(name) || id == Some(name)
+}
--- /dev/null
+++ b/crates/entry/tests/record_copies.rs
@@ -0,0 +1,63 @@
+//! Copies of a peer's lines: authenticated, in order, once, bounded.
+#![allow(clippy::unwrap_used)]
+
+use azuretally_api::record::{RecordEntry, RecordLine};
+use azuretally_entry::record::{Copies, CopiesError};
+use azuretally_policy::record::Chain;
+use hmac::{Hmac, KeyInit, Mac};
+use sha2::Sha256;
+
+const KEY: &[u8] = b"key of the peers";
+
+fn lines(host: &str, count: u64) -> Vec<RecordLine> {
+    let mut chain = Chain::new(host, "00ff");
+    (0..count).map(|calls| chain.append(RecordEntry::Lost { calls })).collect()
+}
+
+fn message(lines: &[RecordLine]) -> (Vec<u8>, String) {
+    let body = serde_json::to_vec(lines).unwrap();
+    let mut mac = Hmac::<Sha256>::new_from_slice(KEY).unwrap();
+    mac.update(b"copies\n");
+    mac.update(&body);
+    let mac = hex::encode(mac.finalize().into_bytes());
+    (body, mac)
+}
+
+#[test]
+fn a_message_without_the_peers_mac_is_refused() {
+    let copies = Copies::default();
+    let (body, mac) = message(&lines("entry-1", 3));
+    assert_eq!(copies.take(KEY, None, &body), Err(CopiesError::Forged));
+    assert_eq!(copies.take(KEY, Some(&mac[2..]), &body), Err(CopiesError::Forged));
+    assert_eq!(copies.take(b"another key", Some(&mac), &body), Err(CopiesError::Forged));
+    assert_eq!(copies.take(KEY, Some(&mac), &body[1..]), Err(CopiesError::Forged));
+    assert!(copies.is_empty());
+    assert_eq!(copies.take(KEY, Some(&mac), &body), Ok(()));
+    assert_eq!(copies.len(), 3);
+}
+
+#[test]
+fn lines_that_come_again_are_kept_once() {
+    let copies = Copies::default();
+    let all = lines("entry-1", 10);
+    for part in [&all[..4], &all[2..7], &all[..10]] {
+        let (body, mac) = message(part);
+        copies.take(KEY, Some(&mac), &body).unwrap();
+    }
+    assert_eq!(copies.page(0, 100).lines, all);
+}
+
+#[test]
+fn pages_follow_each_other_while_old_lines_go() {
+    let copies = Copies::default();
+    let all = lines("entry-1", 50_010);
+    for part in all.chunks(5_000) {
+        let (body, mac) = message(part);
+        copies.take(KEY, Some(&mac), &body).unwrap();
+    }
+    assert_eq!(copies.len(), 50_000);
+    let first = copies.page(0, 5);
+    assert_eq!((first.lines[0].sequence, first.next), (11, 15));
+    let second = copies.page(first.next, 5);
+    assert_eq!((second.lines[0].sequence, second.next), (16, 20));
+}
--- a/crates/testsuite/tests/testsuite/operators.rs
+++ b/crates/testsuite/tests/testsuite/operators.rs
@@ -116,3 +116,30 @@
     let unknown = azuretally(&fleet, &["drain", "entry-9"]).await;
     assert!(unknown.stderr.contains("no entry asked has the host name `entry-9`"));
 }
+
+#[tokio::test]
+async fn the_record_of_a_killed_entry_is_kept_by_a_peer() {
+    let mut fleet = Fleet::builder().start().await;
+    sell(&fleet).await;
+    let holder = eventually("the entry that sold has its lines copied", LONG, async || {
+        for entry in &fleet.entries {
+            let status = entry.status().await.ok()?;
+            let sales = status.calls.get("till.sale").map_or(0, |c| c.answered);
+            if sales == u64::from(SALES) && status.record.copied >= u64::from(SALES) + 2 {
+                return (status.record.copied == status.record.last).then_some(status.host);
+            }
+        }
+        None
+    })
+    .await;
+    let last = format!("sale-{}", SALES - 1);
+    let before = azuretally(&fleet, &["explain", &last]).await;
+    fleet.entry(&holder).kill();
+    let after = azuretally(&fleet, &["explain", &last]).await;
+    assert_eq!((after.code, &after.stdout), (Some(0), &before.stdout));
+    assert!(after.stdout.starts_with(&holder), "{}", after.stdout);
+    fleet.entries.retain(|e| e.host != holder);
+    let audit = run("azuretally-audit", &fleet, &[]).await;
+    assert_eq!(audit.code, Some(0), "{}{}", audit.stdout, audit.stderr);
+    assert!(audit.stdout.contains("lines of 3 incarnations"), "{}", audit.stdout);
+}
