--- a/crates/load/src/ops/trial.rs
+++ b/crates/load/src/ops/trial.rs
@@ -13,6 +13,7 @@
     experiment::{Experiment, Trigger, Variant},
     mix::Mix,
     proof::Proof,
+    schedule::DEFAULT_CALLERS,
     score::{Outcomes, Percentiles, Tally},
 };
 use azuretally_standin::target::{LedgerReport, Shift, ShiftOptions, Totals};
@@ -110,7 +111,7 @@
         ideal.close().await;
         outcomes?
     } else {
-        let callers = Arc::new(Callers::new(shape, 1, fleet.directions()));
+        let callers = Arc::new(Callers::new(shape, DEFAULT_CALLERS, fleet.directions()));
         callers.ask_all().await;
         let driven = drive::drive(Arc::clone(&callers), calls);
         let (outcomes, pulled) = tokio::join!(driven, pull(experiment, &fleet));
