--- a/crates/load/src/ops/demo.rs
+++ b/crates/load/src/ops/demo.rs
@@ -1,6 +1,11 @@
 //! The demonstration: a whole deployment from nothing, a mixed load and a verdict.
 
-use super::{callers::Callers, direct::Shape, drive, fleet::Fleet};
+use super::{
+    callers::Callers,
+    direct::Shape,
+    drive,
+    fleet::{Entry, Fleet},
+};
 use crate::core::{
     LoadError,
     deployment::{Deployment, TargetGroup},
@@ -80,6 +85,8 @@
 
     let ledgers = ledgers(&fleet).await?;
     let cpu = fleet.cpu_s();
+    let control = control_s(&fleet);
+    let begun = Instant::now();
     println!("load: {:.0} calls/s for {:.0} s", options.rate, options.length.as_secs_f64());
     let (outcomes, switch) = tokio::join!(
         drive::drive(Arc::clone(&callers), plan.draw(&mix)),
@@ -88,6 +95,7 @@
     let outcomes = outcomes?;
     let switch = switch?;
     let cpu = fleet.cpu_s() - cpu;
+    let control = share_of_core(&control, &control_s(&fleet), begun.elapsed());
     let statuses = fleet.statuses().await;
     let after = self::ledgers(&fleet).await?;
 
@@ -95,6 +103,8 @@
     print_measuring(&deployment, &ledgers, &after);
     let us = 1e6 * cpu / outcomes.sent.max(1) as f64;
     println!("entries: {us:.0} us of processor time per call");
+    let resident = fleet.entries.iter().map(|e| e.process.resident_mib()).fold(0.0, f64::max);
+    println!("entries: control {control} of a core each; at most {resident:.0} MiB resident");
     print_entries(&statuses);
     println!("switch to preset `{NEXT_PRESET}`: {switch}\n");
     callers.close().await;
@@ -126,6 +136,24 @@
     Ok(deployment)
 }
 
+/// Processor time of the control thread of every entry so far, in s.
+fn control_s(fleet: &Fleet) -> Vec<f64> {
+    let control = |e: &Entry| {
+        let threads = e.process.threads().into_iter().filter(|(name, _)| name == "control");
+        threads.map(|(_, cpu)| cpu).sum()
+    };
+    fleet.entries.iter().map(control).collect()
+}
+
+/// Mean and largest share of a core, in percent.
+fn share_of_core(before: &[f64], after: &[f64], elapsed: Duration) -> String {
+    let shares = before.iter().zip(after).map(|(b, a)| 100.0 * (a - b) / elapsed.as_secs_f64());
+    let shares: Vec<f64> = shares.collect();
+    let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+    let most = shares.iter().copied().fold(0.0, f64::max);
+    format!("{mean:.2}% (most {most:.2}%)")
+}
+
 async fn ledgers(fleet: &Fleet) -> Result<Vec<LedgerReport>, Report<LoadError>> {
     let mut ledgers = Vec::new();
     for g in 0..fleet.groups.len() {
