fix(load): a call that was never sent takes the token of the next address

Cause: the callers kept the first token of a call even when no connection to its entry could be made. Ruled out: a fault of the entries, which rightly cannot tell what a dead incarnation did.

Now the token stays with a call only once the call may have been written.

The throughput report sums the threads of an entry by name.

--- a/crates/load/src/ops/callers.rs
+++ b/crates/load/src/ops/callers.rs
@@ -110,12 +110,13 @@
         }
     }
 
-    /// Tries the directions in order. The first token stays with the call: with the same key and
-    /// token it runs at most once, wherever it arrives.
+    /// Tries the directions in order. Once the call may have been written, its token stays with
+    /// it: with the same key and token it runs at most once, wherever it arrives. Until then each
+    /// address is used with its own token, because nothing can have been run.
     async fn attempts(&self, call: &Due) -> Verdict {
         let operation = &self.shape.mix.operations[call.operation];
         let group = &self.groups[call.caller as usize % self.groups.len()];
-        let mut token = None;
+        let mut token: Option<String> = None;
         let mut was_sent = false;
         for i in 0..ATTEMPTS {
             let Some(directions) = self.directions(group, &operation.service).await else {
@@ -123,11 +124,14 @@
             };
             let entries = &directions.entries;
             let direction = &entries[i % entries.len()];
-            let token: &String = token.get_or_insert_with(|| direction.token.clone());
-            match self.attempt(group, call, direction, token).await {
+            let used = token.clone().unwrap_or_else(|| direction.token.clone());
+            match self.attempt(group, call, direction, &used).await {
                 Attempt::Told(verdict) => return verdict,
                 Attempt::NotSent => {}
-                Attempt::Broken => was_sent = true,
+                Attempt::Broken => {
+                    was_sent = true;
+                    token = Some(used);
+                }
             }
         }
         group.kept.lock().swap_remove(&operation.service);
--- a/crates/load/src/ops/throughput.rs
+++ b/crates/load/src/ops/throughput.rs
@@ -12,7 +12,7 @@
     util::table,
 };
 use error_stack::Report;
-use std::{sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// Settings: one service, one target that answers at once.
 const DOCUMENT: &str = include_str!("../../settings/throughput.toml");
@@ -71,8 +71,12 @@
     }
     println!("{}", table::lay_out(&HEAD, &rows));
     println!("entry: {:.0} MiB resident", fleet.entries[0].process.resident_mib());
+    let mut by_name: BTreeMap<String, f64> = BTreeMap::new();
     for (name, cpu) in fleet.entries[0].process.threads() {
-        println!("entry: thread `{name}` used {cpu:.2} s");
+        *by_name.entry(name).or_default() += cpu;
+    }
+    for (name, cpu) in by_name.iter().filter(|(_, cpu)| **cpu > 0.0) {
+        println!("entry: threads `{name}` used {cpu:.2} s");
     }
     Ok(())
 }
