--- a/crates/load/src/ops/callers.rs
+++ b/crates/load/src/ops/callers.rs
@@ -11,6 +11,7 @@
 use azuretally_api::{
     directions::{Direction, Directions},
     headers,
+    record::Outcome,
 };
 use bytes::Bytes;
 use http::{HeaderName, HeaderValue, Request, Response};
@@ -126,6 +127,14 @@
             let direction = &entries[i % entries.len()];
             let used = token.clone().unwrap_or_else(|| direction.token.clone());
             match self.attempt(group, call, direction, &used).await {
+                Attempt::Told(verdict) if verdict.outcome == Outcome::NotRun && was_sent => {
+                    // A key binds both attempts to one incarnation. Without one the refusal of
+                    // the second attempt says nothing of the first.
+                    if operation.idempotent {
+                        return Verdict::unknown("broken");
+                    }
+                    return verdict;
+                }
                 Attempt::Told(verdict) => return verdict,
                 Attempt::NotSent => {}
                 Attempt::Broken => {
--- a/crates/load/src/ops/experiment.rs
+++ b/crates/load/src/ops/experiment.rs
@@ -106,7 +106,10 @@
     text.push('\n');
     for trial in trials.iter().filter(|t| !t.is_sound) {
         let (name, load) = (&trial.variant, 100.0 * trial.load);
-        text.push_str(&format!("UNSOUND: {name} at {load:.0}% broke an invariant\n"));
+        text.push_str(&format!(
+            "UNSOUND: {name} at {load:.0}%: {} calls repeated, {} told as not run were run\n",
+            trial.repeated, trial.refused_run
+        ));
     }
     for trial in trials.iter().filter(|t| t.operations.len() > 1) {
         for (operation, tally) in &trial.operations {
--- a/crates/load/src/ops/trial.rs
+++ b/crates/load/src/ops/trial.rs
@@ -73,6 +73,10 @@
     pub first_share: f64,
     /// Processor time of all entries per call, in µs.
     pub entry_us: f64,
+    /// Calls that may not be repeated and were run more than once.
+    pub repeated: u64,
+    /// Calls told as not run that were run.
+    pub refused_run: u64,
     /// Whether every call has exactly one outcome, and none ran that was refused or twice.
     pub is_sound: bool,
     /// Course over time.
@@ -254,6 +258,8 @@
         top_share: after.targets.values().map(share).fold(0.0, f64::max),
         first_share: first.map_or(0.0, share),
         entry_us: 1e6 * cpu_s / sent,
+        repeated: proof.repeated,
+        refused_run: proof.refused_run,
         is_sound: outcomes.is_conserved(mix) && proof.repeated == 0 && proof.refused_run == 0,
         windows: windows(experiment, mix, outcomes),
     }
