fix(calls): answer a body that is too large, close connections that take in nothing

Cause: a request whose body exceeds the limit was refused on a connection with unread data, so the caller met a broken pipe in place of the refusal; and a caller or target that stopped reading held a connection for good. Ruled out: 100-continue, which few callers wait for; a timer in the body, which is not polled while the socket takes nothing. Change: a refused body is read, up to a bound in bytes and time, before the refusal goes out; TCP's user timeout closes connections whose other end takes in nothing for 10 s (callers) or 3 s (targets and peers). Conclusion: refusals reach the caller; the silence of a socket that takes nothing is not shown by a test yet.

--- a/crates/entry/src/calls.rs
+++ b/crates/entry/src/calls.rs
@@ -21,6 +21,7 @@
 mod router;
 mod server;
 mod service;
+mod socket;
 mod targets;
 
 pub use server::Server;
--- a/crates/entry/src/calls/inbound.rs
+++ b/crates/entry/src/calls/inbound.rs
@@ -2,7 +2,7 @@
 
 use super::{
     body::Payload,
-    limits::{BODY_BYTES, BODY_TIMEOUT, KEPT_BYTES, NAME_BYTES},
+    limits::{BODY_BYTES, BODY_TIMEOUT, DISCARDED_BYTES, KEPT_BYTES, NAME_BYTES},
     router::{Route, RouteError, Router},
     service::Admitted,
 };
@@ -225,7 +225,10 @@
 async fn read_content(body: Incoming) -> Result<Content, InboundError> {
     match body.size_hint().exact() {
         Some(0) => Ok(Content::Kept(Bytes::new())),
-        Some(n) if n > BODY_BYTES => Err(InboundError::TooLarge),
+        Some(n) if n > BODY_BYTES => {
+            discard(body).await;
+            Err(InboundError::TooLarge)
+        }
         Some(n) if n <= KEPT_BYTES => match timeout(BODY_TIMEOUT, body.collect()).await {
             Ok(Ok(whole)) => Ok(Content::Kept(whole.to_bytes())),
             _ => Err(InboundError::Body),
@@ -233,3 +236,20 @@
         _ => Ok(Content::Stream(Mutex::new(Some(body)))),
     }
 }
+
+/// Reads a refused body for a while, since an answer on a connection with unread data is lost to
+/// a caller that is still sending.
+async fn discard(mut body: Incoming) {
+    let mut left = DISCARDED_BYTES;
+    let reading = async {
+        while let Some(Ok(frame)) = body.frame().await {
+            let read = frame.data_ref().map_or(0, Bytes::len);
+            left = left.saturating_sub(read);
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // Whether all of it came makes no difference to the refusal.
+    let _ = timeout(BODY_TIMEOUT, reading).await;
+}
--- a/crates/entry/src/calls/limits.rs
+++ b/crates/entry/src/calls/limits.rs
@@ -10,6 +10,8 @@
 pub(super) const HEAD_FIELDS: usize = 96;
 /// Bytes of the body of a request.
 pub(super) const BODY_BYTES: u64 = 16 * 1024 * 1024;
+/// Bytes that are read of a body that is refused for its size.
+pub(super) const DISCARDED_BYTES: usize = 64 * 1024 * 1024;
 /// Bytes of a body that is kept whole, for a second try or a replay.
 pub(super) const KEPT_BYTES: u64 = 64 * 1024;
 /// Characters of an idempotency key or caller name.
@@ -20,6 +22,10 @@
 pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time for a new connection to a target or peer.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time after which a caller's connection that takes in nothing is closed.
+pub(super) const CALLER_SILENCE: Duration = Duration::from_secs(10);
+/// Time after which a connection to a target or peer that takes in nothing is closed.
+pub(super) const UPSTREAM_SILENCE: Duration = Duration::from_secs(3);
 /// Time since its last answer for which a connection is trusted with a call that may not be
 /// repeated.
 pub(super) const FRESH: Duration = Duration::from_secs(1);
--- a/crates/entry/src/calls/pool.rs
+++ b/crates/entry/src/calls/pool.rs
@@ -5,7 +5,8 @@
 
 use super::{
     body::Payload,
-    limits::{CONNECT_TIMEOUT, FRESH, IDLE},
+    limits::{CONNECT_TIMEOUT, FRESH, IDLE, UPSTREAM_SILENCE},
+    socket::prepare,
 };
 use crate::clock::Clock;
 use azuretally_policy::Timestamp;
@@ -125,7 +126,7 @@
 
     async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
         let stream = TcpStream::connect(address).await.map_err(|_| ConnectError)?;
-        stream.set_nodelay(true).map_err(|_| ConnectError)?;
+        prepare(&stream, UPSTREAM_SILENCE).map_err(|_| ConnectError)?;
         let (sender, driver) =
             http1::handshake(TokioIo::new(stream)).await.map_err(|_| ConnectError)?;
         self.tasks.spawn(async move {
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -4,11 +4,12 @@
     app::App,
     feed, handler,
     limits::{
-        CALLER_CONNECTIONS, HEAD_BYTES, HEAD_FIELDS, HEAD_TIMEOUT, HOUSE_INTERVAL, PAUSE_GAP,
-        STOP_LIMIT, STOP_NOTICE,
+        CALLER_CONNECTIONS, CALLER_SILENCE, HEAD_BYTES, HEAD_FIELDS, HEAD_TIMEOUT, HOUSE_INTERVAL,
+        PAUSE_GAP, STOP_LIMIT, STOP_NOTICE,
     },
     probe,
     service::ProbeOrder,
+    socket::prepare,
 };
 use crate::{StartError, context::Context};
 use azuretally_policy::dispatch::Event;
@@ -108,7 +109,7 @@
 ) -> impl Future<Output = ()> + use<> {
     let watcher = graceful.watcher();
     async move {
-        if stream.set_nodelay(true).is_err() {
+        if prepare(&stream, CALLER_SILENCE).is_err() {
             return;
         }
         let mut builder = auto::Builder::new(TokioExecutor::new());
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod at_most_once;
 mod conservation;
 mod leaving;
+mod limits;
 mod measuring;
 mod not_run;
 mod operators;
