test(record): audit the record of a crowd, measure what a line costs

Cause: order and priority were verified on made-up records alone, and the cost of a line was not known. Ruled out: nothing.

--- /dev/null
+++ b/crates/policy/examples/record_cost.rs
@@ -0,0 +1,46 @@
+//! Cost of the audit record for one call: bytes and processor time of its line.
+//!
+//! `cargo run --release -p azuretally-policy --example record_cost`
+
+use azuretally_api::record::{CallRecord, Outcome, RecordEntry};
+use azuretally_policy::record::Chain;
+use std::time::Instant;
+
+const LINES: u64 = 200_000;
+
+fn call(i: u64) -> CallRecord {
+    let at = i * 100 + 10_000_000_000;
+    CallRecord {
+        revision: 1_200,
+        service: "till".to_owned(),
+        operation: "sale".to_owned(),
+        class: "urgent".to_owned(),
+        caller: format!("kiosk-{}", i % 500),
+        key: Some(format!("entry-3.0011223344556677.{at}.{:032x}/sale-{i}", u128::from(i))),
+        arrival_us: at,
+        deadline_us: at + 500_000,
+        dispatch_us: Some(at + 80),
+        end_us: at + 6_300,
+        target: Some("till-11".to_owned()),
+        peer: None,
+        attempts: 1,
+        outcome: Outcome::Answered,
+        reason: None,
+    }
+}
+
+fn main() {
+    let calls: Vec<CallRecord> = (0..LINES).map(call).collect();
+    let mut chain = Chain::new("entry-3", "0011223344556677");
+    let start = Instant::now();
+    let lines: Vec<_> =
+        calls.into_iter().map(|c| chain.append(RecordEntry::Call(Box::new(c)))).collect();
+    let chained = start.elapsed();
+    let start = Instant::now();
+    let bytes: usize =
+        lines.iter().filter_map(|l| serde_json::to_vec(l).ok()).map(|l| l.len()).sum();
+    let written = start.elapsed();
+    println!("bytes of one line       {}", bytes as u64 / LINES);
+    println!("chaining, us a line     {:.2}", chained.as_secs_f64() * 1e6 / LINES as f64);
+    println!("writing as JSON, us     {:.2}", written.as_secs_f64() * 1e6 / LINES as f64);
+}
--- a/crates/testsuite/tests/testsuite/operators.rs
+++ b/crates/testsuite/tests/testsuite/operators.rs
@@ -143,3 +143,37 @@
     assert_eq!(audit.code, Some(0), "{}{}", audit.stdout, audit.stderr);
     assert!(audit.stdout.contains("lines of 3 incarnations"), "{}", audit.stdout);
 }
+
+/// Mixed calls at once, far more than there are slots, so that classes wait for each other.
+async fn crowd(fleet: &Fleet) {
+    const CALLS: usize = 240;
+    let to = fleet.direction().await;
+    let calls = (0..CALLS).map(|i| {
+        let path = if i % 2 == 0 { "/till/balance" } else { "/till/reconcile" };
+        let id = format!("crowd-{i}");
+        let call = if i % 2 == 0 { Call::get(path, id) } else { Call::post(path, id, "batch") };
+        let (caller, call) = (fleet.caller.clone(), call.caller(format!("kiosk-{}", i % 7)));
+        tokio::spawn(async move { caller.call(to.address, &call).await })
+    });
+    let calls: Vec<_> = calls.collect();
+    for call in calls {
+        call.await.unwrap().unwrap();
+    }
+}
+
+#[tokio::test]
+async fn the_record_of_a_crowd_keeps_the_order_of_the_preset() {
+    let fleet = Fleet::builder().targets(2).service_ms(15.0).start().await;
+    crowd(&fleet).await;
+    let counted = eventually("the record of the crowd", LONG, async || {
+        let json = azuretally(&fleet, &["status", "--json"]).await;
+        let states: Vec<EntryStatus> = serde_json::from_str(&json.stdout).ok()?;
+        let sum = |name: &str| -> u64 {
+            states.iter().filter_map(|s| s.calls.get(name)).map(|c| c.taken - c.in_flight).sum()
+        };
+        (sum("till.reconcile") >= 120 && sum("till.balance") >= 120).then_some(())
+    });
+    counted.await;
+    let audit = run("azuretally-audit", &fleet, &[]).await;
+    assert_eq!(audit.code, Some(0), "{}{}", audit.stdout, audit.stderr);
+}
