fix(admin): end the entry though connections stay open

Cause: at the end of the process the HTTP servers of control were closed one after the other, each for as long as any client kept a connection on which no whole request had come. A rolling replacement on a busy machine saw an entry that did not end within 10 s. Ruled out: the copy of the record, whose last step is bound to 1 s and a half. Conclusion: the end of an entry is bounded on this side.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -28,8 +28,7 @@
     let admin = server::start(&app, operators::api()?, listen.admin)?;
     let directions = server::start(&app, directions::api()?, listen.directions)?;
     context.end.cancelled().await;
-    server::close(admin).await;
-    server::close(directions).await;
+    tokio::join!(server::close(admin), server::close(directions));
     Ok(())
 }
 
--- a/crates/entry/tests/admin.rs
+++ b/crates/entry/tests/admin.rs
@@ -22,6 +22,7 @@
 struct Entry {
     child: Child,
     admin: SocketAddr,
+    directions: SocketAddr,
     folder: TempDir,
 }
 
@@ -50,7 +51,7 @@
             .arg(file("local.toml"))
             .spawn()
             .unwrap();
-        let entry = Self { child, admin: ports[2], folder };
+        let entry = Self { child, admin: ports[2], directions: ports[1], folder };
         let start = Instant::now();
         while TcpStream::connect(entry.admin).is_err() {
             assert!(start.elapsed() < START_TIMEOUT, "the entry does not start");
@@ -134,3 +135,17 @@
     assert_eq!((summary.incarnations, breaches), (1, vec![]));
     assert!(text.lines().last().unwrap().contains("\"kind\":\"end\""));
 }
+
+#[test]
+fn connections_that_stay_open_do_not_hold_up_the_end() {
+    let mut entry = Entry::start();
+    let mut silent: Vec<TcpStream> = (0..3)
+        .flat_map(|_| [entry.admin, entry.directions])
+        .map(|address| TcpStream::connect(address).unwrap())
+        .collect();
+    silent[0].write_all(b"GET /status HTTP/1.1\r\nhost: e\r\n").unwrap();
+    silent[1].write_all(b"GET /directions?service=till HTTP/1.1\r\nhost: e\r\n\r\n").unwrap();
+    silent[1].read_exact(&mut [0; 12]).unwrap();
+    assert_eq!(entry.request("POST", "/stop", Some("secret")).0, 202);
+    assert!(entry.wait().success());
+}
