fix(policy): a connection over which acknowledgements are lost is made anew

Cause: with all open connections between entries silent and the platform down, one entry of four stayed stale for good: its peers gave up only connections over which they themselves ping, not those that carry nothing but their acknowledgements. Change: a ping tells how many before it were not acknowledged; the receiver then gives up its own connection to the sender. Entries that do not serve leave themselves out of directions.

--- a/crates/entry/src/control/assemble.rs
+++ b/crates/entry/src/control/assemble.rs
@@ -77,7 +77,7 @@
             let service = ServiceView {
                 plan: Arc::clone(plan),
                 targets: targets.swap_remove(name).unwrap_or_default(),
-                directions: directions(name, &set, &usable, entries),
+                directions: directions(fleet, name, &set, &usable, entries),
                 set,
             };
             services.insert(Arc::clone(name), Arc::new(service));
@@ -149,7 +149,9 @@
 }
 
 /// Members of the set that are usable, then a few other usable entries, then the other members.
+/// This entry is left out while it does not serve, unless it knows no other.
 fn directions(
+    fleet: &Fleet,
     service: &str,
     set: &[PeerSlots],
     usable: &[&Arc<str>],
@@ -165,6 +167,9 @@
     let others = others.filter(|host| !set.iter().any(|m| m.host == ***host));
     order.extend(others.take(FALLBACK_ENTRIES).map(|host| Arc::clone(host)));
     order.extend(lost);
+    if fleet.state() != Lifecycle::Serving && order.len() > 1 {
+        order.retain(|host| *host != fleet.own().host);
+    }
     order
 }
 
--- a/crates/policy/src/fleet/gossip.rs
+++ b/crates/policy/src/fleet/gossip.rs
@@ -7,7 +7,8 @@
     envelope::{MessageError, open},
     member::{Member, Standing},
     message::{Accusation, Body, Header, News, Record, Sighting, Topic, Version},
-    node::Fleet,
+    monitor::MISSES_ALLOWED,
+    node::{Action, Fleet},
     rings,
 };
 use crate::Timestamp;
@@ -49,9 +50,10 @@
 
     fn take(&mut self, now: Timestamp, from: &Arc<str>, body: Body) {
         match body {
-            Body::Ping { probe, news } => {
+            Body::Ping { probe, missed, news } => {
                 let digest = news.digest;
                 self.take_news(now, from, news);
+                self.doubt(from, missed);
                 self.acknowledge(from, probe, digest);
                 self.compare(now, from, digest);
             }
@@ -133,6 +135,16 @@
         }
     }
 
+    /// The peer is heard, but does not hear: the connection to it may be silent.
+    fn doubt(&mut self, from: &Arc<str>, missed: u32) {
+        if missed == 0 || !missed.is_multiple_of(MISSES_ALLOWED) {
+            return;
+        }
+        if let Some(member) = self.members.get(from) {
+            self.out.push(Action::Redial(member.addresses().peers));
+        }
+    }
+
     fn acknowledge(&mut self, to: &Arc<str>, probe: u64, digest: u64) {
         let records = if digest == self.digest() { Vec::new() } else { vec![self.own.clone()] };
         let accusations = self.accusation(to).into_iter().collect();
--- a/crates/policy/src/fleet/heartbeat.rs
+++ b/crates/policy/src/fleet/heartbeat.rs
@@ -143,7 +143,7 @@
         let records = if ping.tell { vec![self.own.clone()] } else { Vec::new() };
         let accusations = self.accusation(host).into_iter().collect();
         let news = self.news_with(records, accusations, Vec::new());
-        self.send(host, &Body::Ping { probe: ping.number, news });
+        self.send(host, &Body::Ping { probe: ping.number, missed: ping.missed, news });
     }
 
     /// Finds out how much of the fleet is reached before a suspect entry is given up.
@@ -192,7 +192,7 @@
                 continue;
             }
             let news = self.news_with(vec![self.own.clone()], Vec::new(), Vec::new());
-            self.send_to(address, &unknown, &Body::Ping { probe: 0, news });
+            self.send_to(address, &unknown, &Body::Ping { probe: 0, missed: 0, news });
         }
     }
 
--- a/crates/policy/src/fleet/message.rs
+++ b/crates/policy/src/fleet/message.rs
@@ -150,6 +150,8 @@
     Ping {
         /// Number that the acknowledgement repeats.
         probe: u64,
+        /// Pings before this one that were not acknowledged, in a row.
+        missed: u32,
         /// News.
         news: News,
     },
--- a/crates/policy/tests/fleet/membership.rs
+++ b/crates/policy/tests/fleet/membership.rs
@@ -170,3 +170,19 @@
     world.faults = Faults::default();
     world.run_until(5_000, World::is_whole).expect("the fleet is not whole");
 }
+
+#[test]
+fn silent_connections_are_made_anew() {
+    for n in [4, 9, 16] {
+        let mut world = World::new(n, SEED);
+        world.run_until(3_000, World::is_whole).unwrap();
+        world.platform_up = false;
+        for a in 0..n {
+            world.silent.extend((0..n).map(|b| (a, b)));
+        }
+        world.run_ms(1_000);
+        world.run_until(10_000, World::is_whole).expect("connections stay silent");
+        world.run_ms(5_000);
+        assert!(world.is_whole());
+    }
+}
--- a/crates/policy/tests/fleet/world.rs
+++ b/crates/policy/tests/fleet/world.rs
@@ -40,6 +40,7 @@
     pub(crate) now: u64,
     pub(crate) nodes: Vec<Option<Node>>,
     pub(crate) cut: BTreeSet<(usize, usize)>,
+    pub(crate) silent: BTreeSet<(usize, usize)>,
     pub(crate) faults: Faults,
     pub(crate) platform_up: bool,
     pub(crate) platform_cut: BTreeSet<usize>,
@@ -122,6 +123,7 @@
             now: 0,
             nodes: Vec::new(),
             cut: BTreeSet::new(),
+            silent: BTreeSet::new(),
             faults: Faults::default(),
             platform_up: true,
             platform_cut: BTreeSet::new(),
@@ -304,13 +306,19 @@
                     n.sent_messages += 1;
                     self.transmit(node, usize::from(to.port()) - 10_000, bytes);
                 }
-                Action::Redial(_) => n.redials += 1,
+                Action::Redial(to) => {
+                    n.redials += 1;
+                    self.silent.remove(&(node, usize::from(to.port()) - 10_000));
+                }
             }
         }
     }
 
     fn transmit(&mut self, from: usize, to: usize, bytes: Vec<u8>) {
-        if to >= self.nodes.len() || self.cut.contains(&(from, to)) || self.chance(self.faults.loss)
+        if to >= self.nodes.len()
+            || self.cut.contains(&(from, to))
+            || self.silent.contains(&(from, to))
+            || self.chance(self.faults.loss)
         {
             return;
         }
--- a/crates/testsuite/tests/testsuite/control.rs
+++ b/crates/testsuite/tests/testsuite/control.rs
@@ -171,7 +171,7 @@
         Some(())
     })
     .await;
-    let call = Call::get("/till/balance", "after the stop");
+    let call = Call::get("/till/balance", "after-the-stop");
     assert!(fleet.caller.call(asked_calls(&fleet, &host), &call).await.unwrap().is_answered());
 }
 
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod at_most_once;
 mod conservation;
+mod control;
 mod leaving;
 mod limits;
 mod measuring;
