test(control): a drain that one entry sees holds at all without the platform

Cause: no process test showed that sightings of draining targets travel between entries. Change: a test with hardly any probes, so that the other entries cannot see the drain themselves. Red first: with the telling switched off and the wait for the sighting left out, 2 new calls at the leaving target; green with it. With the ordinary probe budget it is green either way.

--- a/crates/testsuite/tests/testsuite/control.rs
+++ b/crates/testsuite/tests/testsuite/control.rs
@@ -1,6 +1,8 @@
 //! Settings, membership and leaving targets between real entries.
 
-use azuretally_standin::{platform::Faults as PlatformFaults, proxy::Faults as LinkFaults};
+use azuretally_standin::{
+    platform::Faults as PlatformFaults, proxy::Faults as LinkFaults, target::Faults as TargetFaults,
+};
 use azuretally_testsuite::{Call, Fleet, LONG, eventually};
 use std::time::{Duration, Instant};
 
@@ -106,7 +108,7 @@
     let fleet = Fleet::builder().entries(4).links().start().await;
     whole(&fleet).await;
     let cut = LinkFaults { cut: true, ..LinkFaults::default() };
-    fleet.platform_links[3].set_faults(cut.clone());
+    fleet.platform_links[3].set_faults(cut);
     fleet.peer_links[3].set_faults(cut);
     eventually("entry-3 is stale", Duration::from_secs(6), async || {
         (fleet.entries[3].status().await.ok()?.state == "stale").then_some(())
@@ -178,3 +180,34 @@
 fn asked_calls(fleet: &Fleet, except: &str) -> std::net::SocketAddr {
     fleet.entries.iter().find(|e| e.host != except).unwrap().calls
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drain_of_a_target_seen_by_one_entry_holds_at_all_without_the_platform() {
+    // Hardly any probes, so that the other entries cannot see the drain themselves.
+    let builder = Fleet::builder().entries(4).targets(3).published(|p| p.probe_budget = 0.01);
+    let mut fleet = builder.start().await;
+    whole(&fleet).await;
+    fleet.platform_faults(PlatformFaults { down: true, ..Default::default() }).await;
+    fleet.target_faults(Some(1), TargetFaults { drain: true, ..Default::default() }).await;
+    let first = fleet.entries[0].calls;
+    let limit = Instant::now() + LONG;
+    loop {
+        let call = Call::get("/till/balance", "before");
+        let _ = fleet.caller.call(first, &call).await;
+        let mut logs = fleet.entries.iter_mut().map(|e| e.process().log());
+        if logs.any(|l| l.contains("target till-1 is leaving")) {
+            break;
+        }
+        assert!(Instant::now() < limit, "no entry sees the drain");
+    }
+    tokio::time::sleep(IN_FORCE).await;
+    let before = fleet.ledger().await.targets["till-1"].calls;
+    for round in 0..10 {
+        for entry in &fleet.entries {
+            let call = Call::get("/till/balance", format!("after-{round}-{}", entry.host));
+            assert!(fleet.caller.call(entry.calls, &call).await.unwrap().is_answered());
+        }
+    }
+    let after = fleet.ledger().await.targets["till-1"].calls;
+    assert_eq!(after, before, "the leaving target got new calls");
+}
