--- a/crates/entry/src/admin/operators.rs
+++ b/crates/entry/src/admin/operators.rs
@@ -119,6 +119,7 @@
 async fn get_metrics(request: RequestContext<Arc<App>>) -> Result<Response<Body>, HttpError> {
     let app = request.context();
     app.check(&request, Access::Read)?;
+    app.context.metrics.observe_control(&app.context.control.traffic);
     let text = app.context.metrics.encode(&status::status(&app.context));
     let text = text.map_err(|e| HttpError::for_internal_error(e.to_string()))?;
     let answer = Response::builder().header(CONTENT_TYPE, METRICS_TYPE).body(text.into());
--- a/crates/entry/src/control/link.rs
+++ b/crates/entry/src/control/link.rs
@@ -116,6 +116,23 @@
 }
 
 impl Traffic {
+    /// All counters with their names.
+    pub fn snapshot(&self) -> [(&'static str, u64); 10] {
+        let read = |counter: &AtomicU64| counter.load(Ordering::Relaxed);
+        [
+            ("sent_messages", read(&self.sent_messages)),
+            ("sent_bytes", read(&self.sent_bytes)),
+            ("unsent_messages", read(&self.unsent_messages)),
+            ("taken_messages", read(&self.taken_messages)),
+            ("taken_bytes", read(&self.taken_bytes)),
+            ("dropped_messages", read(&self.dropped_messages)),
+            ("redials", read(&self.redials)),
+            ("platform_calls", read(&self.platform_calls)),
+            ("platform_failures", read(&self.platform_failures)),
+            ("thread_us", read(&self.thread_us)),
+        ]
+    }
+
     pub(super) fn add(counter: &AtomicU64, n: usize) {
         counter.fetch_add(n as u64, Ordering::Relaxed);
     }
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -3,6 +3,7 @@
 //! Calls are counted from the record on the control thread, which costs the request path nothing;
 //! the other values are read when the metrics are asked for.
 
+use crate::control::Traffic;
 use azuretally_api::{admin::EntryStatus, record::CallRecord};
 use parking_lot::Mutex;
 use prometheus_client::{
@@ -36,6 +37,11 @@
     operation: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CounterLabels {
+    counter: &'static str,
+}
+
 /// All metrics of one entry.
 pub struct Metrics {
     registry: Mutex<Registry>,
@@ -50,6 +56,7 @@
     probes: Real,
     lines: Gauge,
     lost: Gauge,
+    control: Family<CounterLabels, Gauge>,
 }
 
 impl Metrics {
@@ -68,6 +75,7 @@
             probes: Real::default(),
             lines: Gauge::default(),
             lost: Gauge::default(),
+            control: Family::default(),
         };
         metrics.register();
         metrics
@@ -100,6 +108,13 @@
         Ok(text)
     }
 
+    /// Takes over what control spent so far.
+    pub fn observe_control(&self, traffic: &Traffic) {
+        for (counter, value) in traffic.snapshot() {
+            self.control.get_or_create(&CounterLabels { counter }).set(signed(value));
+        }
+    }
+
     fn set(&self, status: &EntryStatus) {
         self.revision.set(signed(status.revision));
         self.waiting.set(signed(status.oldest_waiting_ms));
@@ -127,6 +142,7 @@
         r.register("peers", "Peers believed alive", self.peers.clone());
         r.register("probe_target_ms", "Target time spent on probes", self.probes.clone());
         r.register("record_lines", "Lines of the audit record", self.lines.clone());
+        r.register("control", "What control spent so far", self.control.clone());
         r.register("record_lost_calls", "Calls without a line", self.lost.clone());
     }
 }
--- /dev/null
+++ b/crates/testsuite/examples/fleet_cost.rs
@@ -0,0 +1,189 @@
+//! Measures what control costs an idle entry in fleets of several sizes.
+//!
+//! `cargo run -p azuretally-testsuite --example fleet_cost -- SECONDS SIZE...` starts the stand-in
+//! platform and SIZE entries on loopback, lets them settle, and reports means over SECONDS: bytes
+//! and messages each entry sent to peers (without framing), its calls to the platform, processor
+//! time of the control thread and of nng's threads, resident memory and threads.
+
+#![allow(clippy::unwrap_used, clippy::expect_used)]
+
+use azuretally_testsuite::{Network, PublishedText, ServiceText};
+use std::{
+    collections::BTreeMap,
+    env, fs,
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+const SETTLE: Duration = Duration::from_secs(6);
+const TICKS_PER_S: f64 = 100.0;
+
+struct Running(Vec<Child>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        for child in &mut self.0 {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Sample {
+    counters: BTreeMap<String, f64>,
+    control_ticks: f64,
+    nng_ticks: f64,
+}
+
+fn main() {
+    let mut args = env::args().skip(1).map(|a| a.parse::<u64>().expect("a number"));
+    let seconds = args.next().expect("SECONDS SIZE...");
+    println!("entries  B/s out  msg/s out  B/s in  platform/s  control %  nng %  MB  threads");
+    for size in args {
+        measure(u8::try_from(size).expect("at most 64"), Duration::from_secs(seconds));
+    }
+}
+
+fn measure(size: u8, period: Duration) {
+    let network = Network::take();
+    let folder = tempfile::tempdir().unwrap();
+    let mut running = Running(Vec::new());
+    let platform = network.address(2, 7_000);
+    write_platform(folder.path(), &network, size);
+    let listen = ["--listen".to_owned(), platform.to_string()];
+    let files = ["--settings", "published.toml", "--hosts", "hosts.json"].map(str::to_owned);
+    running.0.push(spawn(
+        folder.path(),
+        "azuretally-standin-platform",
+        &[&listen[..], &files[..]].concat(),
+    ));
+    thread::sleep(Duration::from_millis(300));
+    for n in 0..size {
+        let file = format!("entry-{n}.toml");
+        fs::write(folder.path().join(&file), local(&network, n, platform)).unwrap();
+        running.0.push(spawn(folder.path(), "azuretally-entry", &["--settings".to_owned(), file]));
+    }
+    thread::sleep(SETTLE);
+    let samples = |running: &Running| -> Vec<Sample> {
+        (0..size).map(|n| sample(&network, n, running.0[usize::from(n) + 1].id())).collect()
+    };
+    let start = Instant::now();
+    let before = samples(&running);
+    thread::sleep(period);
+    let after = samples(&running);
+    let elapsed = start.elapsed().as_secs_f64();
+    report(size, elapsed, &before, &after, &running);
+}
+
+fn report(size: u8, elapsed: f64, before: &[Sample], after: &[Sample], running: &Running) {
+    let mean = |value: &dyn Fn(&Sample) -> f64| {
+        let sum: f64 = before.iter().zip(after).map(|(b, a)| value(a) - value(b)).sum();
+        sum / f64::from(size) / elapsed
+    };
+    let counter = |name: &'static str| mean(&|s| s.counters.get(name).copied().unwrap_or(f64::NAN));
+    let (memory, threads) = memory(running.0[1].id());
+    println!(
+        "{size:7}  {:7.0}  {:9.1}  {:6.0}  {:10.2}  {:9.2}  {:5.2}  {:2.0}  {threads:7}",
+        counter("sent_bytes"),
+        counter("sent_messages"),
+        counter("taken_bytes"),
+        counter("platform_calls"),
+        mean(&|s| s.control_ticks) / TICKS_PER_S * 100.0,
+        mean(&|s| s.nng_ticks) / TICKS_PER_S * 100.0,
+        memory / 1_024.0,
+    );
+}
+
+fn sample(network: &Network, n: u8, pid: u32) -> Sample {
+    let mut sample = Sample::default();
+    for line in get(network.address(10 + n, 8_082), "/metrics").lines() {
+        let Some(rest) = line.strip_prefix("azuretally_control{counter=\"") else { continue };
+        let (name, value) = rest.split_once("\"} ").unwrap();
+        sample.counters.insert(name.to_owned(), value.parse().unwrap());
+    }
+    for task in fs::read_dir(format!("/proc/{pid}/task")).unwrap().flatten() {
+        let Ok(stat) = fs::read_to_string(task.path().join("stat")) else { continue };
+        let (head, tail) = stat.rsplit_once(") ").unwrap();
+        let fields: Vec<&str> = tail.split(' ').collect();
+        let ticks = fields[11].parse::<f64>().unwrap() + fields[12].parse::<f64>().unwrap();
+        match head.split_once('(').unwrap().1 {
+            "control" => sample.control_ticks += ticks,
+            name if name.starts_with("nng") => sample.nng_ticks += ticks,
+            _ => {}
+        }
+    }
+    sample
+}
+
+fn memory(pid: u32) -> (f64, u32) {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+    let field = |name: &str| -> f64 {
+        let line = status.lines().find(|l| l.starts_with(name)).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    };
+    (field("VmRSS:"), field("Threads:") as u32)
+}
+
+fn get(address: SocketAddr, path: &str) -> String {
+    let mut stream = TcpStream::connect(address).expect("the entry listens");
+    write!(stream, "GET {path} HTTP/1.1\r\nhost: entry\r\nconnection: close\r\n\r\n").unwrap();
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+fn spawn(folder: &Path, program: &str, args: &[String]) -> Child {
+    let examples = env::current_exe().unwrap();
+    let program: PathBuf = examples.parent().unwrap().parent().unwrap().join(program);
+    let mut command = Command::new(program);
+    command.args(args).current_dir(folder).stdin(Stdio::null());
+    command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("the binary is built")
+}
+
+fn write_platform(folder: &Path, network: &Network, size: u8) {
+    let service =
+        |name: &str| ServiceText { name: name.to_owned(), slots: 2, entry_set: 4, queue: 1_024 };
+    let published = PublishedText {
+        entries: size.into(),
+        preset: "ordinary".to_owned(),
+        probe_budget: 20.0,
+        services: vec![service("till"), service("reporting")],
+        urgent_ms: 2_000,
+    };
+    fs::write(folder.join("published.toml"), published.text()).unwrap();
+    fs::write(folder.join("peer.key"), "key of the measurement").unwrap();
+    let hosts: Vec<String> = (0..size)
+        .map(|n| {
+            let at = |port| network.address(10 + n, port);
+            format!(
+                r#"{{"host":"entry-{n}","failure_domain":"domain-{}","state":"live","role":"entry","calls":"{}","directions":"{}","admin":"{}","peers":"{}"}}"#,
+                n % 3,
+                at(8_080),
+                at(8_081),
+                at(8_082),
+                at(8_083)
+            )
+        })
+        .collect();
+    let list = format!(r#"{{"revision":1,"hosts":[{}]}}"#, hosts.join(","));
+    fs::write(folder.join("hosts.json"), list).unwrap();
+}
+
+fn local(network: &Network, n: u8, platform: SocketAddr) -> String {
+    let at = |port| network.address(10 + n, port);
+    format!(
+        "host = \"entry-{n}\"\nfailure_domain = \"domain-{}\"\nplatform = [\"{platform}\"]\n\
+         peer_key_file = \"peer.key\"\nlog_level = \"warn\"\ncall_threads = 1\n[listen]\n\
+         calls = \"{}\"\ndirections = \"{}\"\nadmin = \"{}\"\npeers = \"{}\"\n",
+        n % 3,
+        at(8_080),
+        at(8_081),
+        at(8_082),
+        at(8_083)
+    )
+}
