--- a/crates/entry/src/control/shell.rs
+++ b/crates/entry/src/control/shell.rs
@@ -11,7 +11,7 @@
 use azuretally_api::platform::{HOSTS_PATH, SETTINGS_PATH};
 use azuretally_policy::{
     Timestamp,
-    fleet::{Action, Change, Fleet, Lifecycle, Pacer, Topic},
+    fleet::{Action, Change, Fleet, Lifecycle, Pacer, Topic, token_pause},
 };
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -27,8 +27,6 @@
 const PAUSE_GAP: Duration = Duration::from_millis(500);
 /// Least time between two views.
 const PUBLISH_PAUSE: Duration = Duration::from_millis(10);
-/// Time between two tokens that peers hand out.
-const TOKEN_PAUSE: Duration = Duration::from_secs(120);
 /// How long a watch waits at the platform.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 /// Time after which an entry that need not watch looks again whether it has to.
@@ -133,7 +131,8 @@
         for (service, free) in self.context.control.free_counts() {
             fleet.set_free(&service, free);
         }
-        if self.minted.get().is_none_or(|at| now.since(at) >= TOKEN_PAUSE) {
+        let pause = token_pause(fleet.members().iter().count());
+        if self.minted.get().is_none_or(|at| now.since(at) >= pause) {
             self.minted.set(Some(now));
             fleet.set_token(self.context.mint_token());
         }
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -35,7 +35,7 @@
 };
 pub use monitor::{MISSES_ALLOWED, Monitor, Ping};
 pub use node::{Action, Fleet, FleetBuilder};
-pub use pacer::{FLEET_CALLS_PER_S, Pacer};
+pub use pacer::{FLEET_CALLS_PER_S, Pacer, token_pause};
 pub use placement::{Candidate, place};
 pub use rings::{RINGS, predecessors, successors};
 pub use roll_call::{CALL_LIMIT, SAMPLE};
--- a/crates/policy/src/fleet/pacer.rs
+++ b/crates/policy/src/fleet/pacer.rs
@@ -14,6 +14,18 @@
 /// its readers.
 pub const FLEET_CALLS_PER_S: f64 = 200.0;
 
+/// Time between two tokens of an entry in a small fleet.
+const TOKEN_PAUSE: Duration = Duration::from_secs(120);
+/// The same in a large fleet: half of the time for which a token may be used.
+const LONGEST_TOKEN_PAUSE: Duration = Duration::from_secs(300);
+const TOKEN_PAUSE_PER_MEMBER: Duration = Duration::from_millis(470);
+
+/// Time between two tokens of an entry. It grows with the fleet, since each token goes to everybody.
+pub fn token_pause(members: usize) -> Duration {
+    let members = u32::try_from(members).unwrap_or(u32::MAX);
+    TOKEN_PAUSE_PER_MEMBER.saturating_mul(members).clamp(TOKEN_PAUSE, LONGEST_TOKEN_PAUSE)
+}
+
 const FIRST_BACKOFF: Duration = Duration::from_millis(200);
 const LAST_BACKOFF: Duration = Duration::from_secs(5);
 const BURST_CALLS: f64 = 4.0;
--- a/crates/policy/tests/fleet/slots.rs
+++ b/crates/policy/tests/fleet/slots.rs
@@ -6,7 +6,10 @@
 };
 use azuretally_policy::{
     Timestamp,
-    fleet::{FLEET_CALLS_PER_S, Pacer, SLOT_BYTES_PER_S, SLOTS_HOLD, ServiceLoad, Sizer, Slots},
+    fleet::{
+        FLEET_CALLS_PER_S, Pacer, SLOT_BYTES_PER_S, SLOTS_HOLD, ServiceLoad, Sizer, Slots,
+        token_pause,
+    },
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -119,3 +122,13 @@
         assert_eq!(world.fleet(n).sets().services["till"], after, "at entry-{n}");
     }
 }
+
+#[test]
+fn tokens_are_renewed_in_time_and_within_their_bytes() {
+    for members in [0, 16, 200, 1_000] {
+        let pause = token_pause(members);
+        assert!(pause * 2 <= azuretally_policy::idempotency::TOKEN_LIFE);
+        let sent = 3.0 * members as f64 * 240.0 / pause.as_secs_f64();
+        assert!(sent < 2_500.0, "{sent} B/s for {members} entries");
+    }
+}
