--- /dev/null
+++ b/crates/entry/tests/directions.rs
@@ -0,0 +1,102 @@
+//! Directions to callers.
+
+#![allow(clippy::unwrap_used)]
+
+use azuretally_entry::{
+    control::directions,
+    view::{EntryView, ServiceView, View},
+};
+use azuretally_policy::dispatch::{PeerSlots, ServicePlan};
+use azuretally_settings::Published;
+use indexmap::IndexMap;
+use std::sync::Arc;
+
+const SETTINGS: &str = r#"
+deployment = "test"
+entries = 16
+preset = "ordinary"
+[measuring]
+target_ms_per_s = 5.0
+probe_cost_ms = 6.0
+[services.till]
+path = "/till"
+slots = 2
+connections = 240
+entry_set = 4
+[services.till.operations.sale]
+method = "POST"
+path = "/sale"
+idempotent = false
+worth = 5.0
+[presets.ordinary]
+classes = [{ name = "urgent", operations = ["till.sale"], timeout_ms = 100 }]
+"#;
+
+fn name(n: usize) -> Arc<str> {
+    Arc::from(format!("entry-{n}"))
+}
+
+/// A view of 8 entries in 3 failure domains; the set has the first 5, of which `lost` is not usable.
+fn view(lost: Option<usize>) -> View {
+    let published = Published::parse("settings", SETTINGS).unwrap();
+    let plan = Arc::new(ServicePlan::new(&published, 1, "till", "entry-0").unwrap());
+    let entry = |n: usize| EntryView {
+        failure_domain: Arc::from(format!("domain-{}", n % 3)),
+        calls: ([127, 0, 0, 1], 8_000 + n as u16).into(),
+        token: format!("token-{n}"),
+        usable: Some(n) != lost,
+    };
+    let entries = (0..8).map(|n| (name(n), entry(n))).collect();
+    let set = (0..5).map(|n| PeerSlots { host: name(n), free: 0 }).collect();
+    let mut order: Vec<usize> = (0..7).collect();
+    order.sort_by_key(|n| Some(*n) == lost);
+    let directions = order.into_iter().map(name).collect();
+    let service = ServiceView { plan, targets: IndexMap::new(), set, directions };
+    let services = IndexMap::from([(Arc::from("till"), Arc::new(service))]);
+    View { services, entries, ..View::default() }
+}
+
+fn firsts(view: &View, tickets: u64) -> IndexMap<String, u64> {
+    let mut counts = IndexMap::new();
+    for ticket in 0..tickets {
+        let answer = directions(view, "till", ticket).unwrap();
+        *counts.entry(answer.entries[0].host.clone()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn members_of_the_set_come_first_in_equal_shares() {
+    let counts = firsts(&view(None), 1_003);
+    assert_eq!(counts.len(), 5);
+    let (most, least) = (counts.values().max().unwrap(), counts.values().min().unwrap());
+    assert!(most - least <= 1, "{counts:?}");
+}
+
+#[test]
+fn member_that_is_lost_comes_last_and_its_share_is_spread() {
+    let counts = firsts(&view(Some(2)), 1_000);
+    assert_eq!(counts.len(), 4);
+    assert!(counts.values().all(|n| *n == 250), "{counts:?}");
+    let answer = directions(&view(Some(2)), "till", 7).unwrap();
+    assert_eq!(answer.entries.last().unwrap().host, "entry-2");
+}
+
+#[test]
+fn second_address_is_in_another_failure_domain_and_differs_among_callers() {
+    let view = view(None);
+    let mut seconds = IndexMap::<_, IndexMap<_, u64>>::new();
+    for ticket in 0..1_000 {
+        let answer = directions(&view, "till", ticket).unwrap();
+        let [first, second] = [&answer.entries[0], &answer.entries[1]];
+        assert_ne!(first.failure_domain, second.failure_domain);
+        let seconds = seconds.entry(first.host.clone()).or_default();
+        *seconds.entry(second.host.clone()).or_default() += 1;
+    }
+    assert!(seconds.values().all(|s| s.len() >= 2), "{seconds:?}");
+}
+
+#[test]
+fn unknown_service_has_no_directions() {
+    assert!(directions(&view(None), "none", 0).is_none());
+}
