fix(policy): an entry that came back is reachable again

Cause: a member that did not answer a roll call kept that mark until this entry itself heard it, but an entry pings only its successors on the rings. An entry that was restarted, frozen or cut off was left out of the directions and of the peers shown by others for good. Change: the marks go when nobody is suspect any more. Red first: with the world of the tests asking also whether members are reachable, 9 of 42 tests of the fleet failed (killed entry, pause, partition, seeds, chaos and others); 42 pass after.

--- a/crates/policy/src/fleet/heartbeat.rs
+++ b/crates/policy/src/fleet/heartbeat.rs
@@ -156,7 +156,10 @@
                 }
             }
         }
-        let Some(since) = self.members.last_suspicion() else { return };
+        let Some(since) = self.members.last_suspicion() else {
+            self.changed |= self.members.clear_silence();
+            return;
+        };
         if !self.roll_call.is_due(now, since) {
             return;
         }
--- a/crates/policy/src/fleet/membership.rs
+++ b/crates/policy/src/fleet/membership.rs
@@ -211,6 +211,13 @@
         suspect.map(|m| m.since).max()
     }
 
+    /// Nobody is suspect any more, so the answers of the last roll call are out of date. True when
+    /// that changes anything.
+    pub(super) fn clear_silence(&mut self) -> bool {
+        let silent = self.members.values_mut().filter(|m| m.silent);
+        silent.map(|m| m.silent = false).count() > 0
+    }
+
     /// Host names on the rings, this entry included, in order.
     pub fn ring(&self) -> Vec<Arc<str>> {
         let monitored = self.members.iter().filter(|(_, m)| m.is_monitored());
--- a/crates/policy/tests/fleet/world.rs
+++ b/crates/policy/tests/fleet/world.rs
@@ -349,7 +349,7 @@
             self.fleet(*a).state() == Lifecycle::Serving
                 && up.iter().filter(|b| *b != a).all(|b| {
                     let member = self.fleet(*a).members().get(&name(*b));
-                    member.is_some_and(|m| m.standing == Standing::Alive && m.is_usable())
+                    member.is_some_and(|m| m.is_reachable() && m.is_usable())
                 })
         })
     }
