--- a/crates/entry/src/calls/exchange.rs
+++ b/crates/entry/src/calls/exchange.rs
@@ -4,7 +4,7 @@
     app::App,
     body::Payload,
     inbound::Inbound,
-    limits::KEPT_BYTES,
+    limits::{CONNECT_TIMEOUT, KEPT_BYTES, PAUSE_GAP},
     pool::{Connection, Trust},
 };
 use azuretally_policy::{Timestamp, dispatch::FailureKind};
@@ -91,7 +91,7 @@
     pub(super) async fn run(&self, request: Request<Payload>) -> Result<Received, Failure> {
         let started = self.app.context.clock.now();
         let written = AtomicBool::new(false);
-        match timeout(self.limit, self.send(request, &written)).await {
+        match timeout(self.limit, self.send(request, started, &written)).await {
             Ok(result) => result,
             Err(_) if !written.load(Ordering::Relaxed) => {
                 Err(Failure::proven(FailureKind::Timeout))
@@ -106,6 +106,7 @@
     async fn send(
         &self,
         mut request: Request<Payload>,
+        started: Timestamp,
         written: &AtomicBool,
     ) -> Result<Received, Failure> {
         for _ in 0..MAX_STALE {
@@ -115,7 +116,7 @@
                 .take(self.address, self.trust)
                 .await
                 .map_err(|_| Failure::proven(FailureKind::Connect))?;
-            if self.app.context.clock.now() >= self.deadline {
+            if self.is_outdated(started) {
                 self.app.pool.keep(connection);
                 return Err(Failure::proven(FailureKind::Timeout));
             }
@@ -132,6 +133,13 @@
         Err(Failure::proven(FailureKind::Connect))
     }
 
+    /// Whether the decision to send is too old to be acted upon: the deadline has passed, or the
+    /// process was paused since.
+    fn is_outdated(&self, started: Timestamp) -> bool {
+        let now = self.app.context.clock.now();
+        now >= self.deadline || now - started > CONNECT_TIMEOUT + PAUSE_GAP
+    }
+
     async fn receive(
         &self,
         response: Response<Incoming>,
