--- /dev/null
+++ b/crates/policy/examples/dispatch_cost.rs
@@ -0,0 +1,129 @@
+//! Cost of one dispatcher event, with a full house of targets and waiting calls.
+//!
+//! `cargo run --release -p azuretally-policy --example dispatch_cost`
+
+use azuretally_policy::{
+    Timestamp,
+    dispatch::{
+        Action, Call, CallId, ClassPlan, Dispatcher, Event, LoadReport, OperationPlan, PeerSlots,
+        ServicePlan, TargetPlan,
+    },
+};
+use azuretally_settings::Choice;
+use std::{
+    collections::VecDeque,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+const EVENTS: u32 = 200_000;
+const SERVICE: Duration = Duration::from_millis(10);
+
+fn plan(choice: Choice) -> ServicePlan {
+    let class = |name: &str, floor| ClassPlan {
+        name: name.into(),
+        timeout: Duration::from_secs(10),
+        floor,
+        still: Some(Duration::from_millis(500)),
+    };
+    let operation = |name: &str, class| OperationPlan {
+        name: name.into(),
+        class,
+        idempotent: true,
+        worth: 1.0,
+    };
+    ServicePlan {
+        revision: 1,
+        service: "till".into(),
+        host: "entry-0".into(),
+        choice,
+        queue: 20_000,
+        connections: 240,
+        retry_ratio: 0.1,
+        hedge_ratio: 0.05,
+        probe_share: 0.001,
+        probe_cost: Duration::from_millis(6),
+        classes: vec![class("urgent", 0.0), class("patient", 0.05)],
+        operations: vec![operation("check", 0), operation("pull", 1)],
+    }
+}
+
+/// Mean time of one event and of one look at the next wake-up, in ns.
+fn measure(choice: Choice, targets: usize, waiting: u64) -> (f64, f64) {
+    let mut dispatcher = Dispatcher::new(Arc::new(plan(choice)), 1);
+    let mut actions = Vec::with_capacity(64);
+    let mut now = Timestamp::from_millis(1_000);
+    let list = (0..targets).map(|n| TargetPlan {
+        name: format!("target-{n}").into(),
+        failure_domain: "domain".into(),
+        slots: 2,
+        leaving: false,
+    });
+    dispatcher.handle(now, Event::Targets(list.collect()), &mut actions);
+    let peers = vec![PeerSlots { host: "entry-0".into(), free: 0 }];
+    dispatcher.handle(now, Event::Peers(peers), &mut actions);
+    let callers: Vec<Arc<str>> = (0..200).map(|n| format!("caller-{n}").into()).collect();
+    let mut running: VecDeque<(CallId, Arc<str>)> = VecDeque::new();
+    let mut next = 0;
+    let step = SERVICE / (targets as u32 * 2) / 2;
+    let (mut spent, mut asked) = (Duration::ZERO, Duration::ZERO);
+    for event in 0..EVENTS {
+        now = now + step;
+        let arrive = running.is_empty()
+            || dispatcher.waiting() < waiting as usize
+            || (event % 2 == 0 && dispatcher.waiting() <= waiting as usize);
+        let event = if arrive {
+            next += 1;
+            Event::Arrive(Call {
+                id: CallId(next),
+                caller: Arc::clone(&callers[(next * 7 % 200) as usize]),
+                operation: (next % 4 == 0).into(),
+                deadline: now + Duration::from_secs(3_600),
+                relayable: true,
+                replayable: true,
+            })
+        } else {
+            let Some((call, target)) = running.pop_front() else { continue };
+            let report = Some(LoadReport { busy: 1, draining: false });
+            Event::Answered { call, target, ok: true, elapsed: SERVICE, report }
+        };
+        actions.clear();
+        let start = Instant::now();
+        dispatcher.handle(now, event, &mut actions);
+        spent += start.elapsed();
+        let start = Instant::now();
+        std::hint::black_box(dispatcher.next_wakeup());
+        asked += start.elapsed();
+        for action in actions.drain(..) {
+            if let Action::Dispatch { call, target, .. } = action {
+                running.push_back((call, target));
+            }
+        }
+    }
+    let mean = |time: Duration| time.as_nanos() as f64 / f64::from(EVENTS);
+    (mean(spent), mean(asked))
+}
+
+fn main() {
+    let clock = {
+        let start = Instant::now();
+        let mut sum = Duration::ZERO;
+        for _ in 0..EVENTS {
+            sum += Instant::now().elapsed();
+        }
+        std::hint::black_box(start.elapsed());
+        sum.as_nanos() as f64 / f64::from(EVENTS)
+    };
+    println!("clock: {clock:.0} ns a reading, taken off below");
+    let sizes = [(17, 0), (17, 100), (17, 10_000), (200, 0), (200, 10_000)];
+    let late = sizes.map(|(targets, waiting)| (Choice::OwnedShared, targets, waiting));
+    let early = [(Choice::LeastInFlight, 17, 0), (Choice::PowerOfTwo, 17, 0)];
+    for (choice, targets, waiting) in late.into_iter().chain(early) {
+        let (event, wakeup) = measure(choice, targets, waiting);
+        let (event, wakeup) = (event - clock, wakeup - clock);
+        println!(
+            "{choice:?}: {targets} targets, {waiting} waiting: {event:.0} ns an event, \
+             {wakeup:.0} ns a wake-up time"
+        );
+    }
+}
--- a/crates/policy/src/dispatch/breaker.rs
+++ b/crates/policy/src/dispatch/breaker.rs
@@ -19,7 +19,7 @@
 /// First pause.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
 /// Doublings of the pause.
-const MAX_DOUBLINGS: u32 = 5;
+const MAX_DOUBLINGS: u32 = 1;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
--- a/crates/policy/src/dispatch/calls.rs
+++ b/crates/policy/src/dispatch/calls.rs
@@ -38,6 +38,8 @@
     pub(super) class: usize,
     /// Whether it may run more than once.
     pub(super) idempotent: bool,
+    /// After this it is too late to start it.
+    pub(super) latest: Timestamp,
     /// Order of arrival.
     pub(super) seq: u64,
     /// Flow of its caller in the queue of its class.
@@ -62,6 +64,7 @@
     /// A call that has just arrived.
     pub(super) fn new(call: Call, class: usize, idempotent: bool, seq: u64) -> Self {
         Self {
+            latest: call.deadline,
             call,
             class,
             idempotent,
--- a/crates/policy/src/dispatch/choose.rs
+++ b/crates/policy/src/dispatch/choose.rs
@@ -35,6 +35,8 @@
     pub(super) memory_us: f64,
     /// Number of waiting calls, this one included.
     pub(super) waiting: usize,
+    /// Whether the expected wait is of use to the caller of the choice.
+    pub(super) asks_wait: bool,
 }
 
 impl View<'_> {
--- a/crates/policy/src/dispatch/choose/baselines.rs
+++ b/crates/policy/src/dispatch/choose/baselines.rs
@@ -101,7 +101,7 @@
     {
         let key = |t: &Target| {
             let load = t.in_flight.max(t.report.map_or(0, |r| r.busy));
-            if load < t.plan.slots {
+            if load < t.limit.calls(view.now) {
                 (0, t.speed.slowness(view.now, view.memory_us))
             } else {
                 (1, f64::from(load))
@@ -131,8 +131,8 @@
         R: Rng,
     {
         let is_busy = |t: &Target| {
-            let reported = t.report.is_none_or(|r| r.busy >= t.plan.slots);
-            reported || t.in_flight >= t.plan.slots
+            let limit = t.limit.calls(view.now);
+            t.in_flight >= limit || t.report.is_none_or(|r| r.busy >= limit)
         };
         pick(lowest(candidates(view).map(|(i, t)| (i, is_busy(t))), random))
     }
@@ -140,7 +140,8 @@
 
 /// Targets that may get the call.
 fn candidates<'a>(view: &'a View<'_>) -> impl Iterator<Item = (usize, &'a Target)> {
-    let may = |t: &Target| (t.is_usable() || t.is_trial_due(view.now)) && !view.was_tried(t);
+    let open = |t: &Target| t.is_usable() && t.limit.paused_until() <= view.now;
+    let may = move |t: &Target| (open(t) || t.is_trial_due(view.now)) && !view.was_tried(t);
     view.targets.values().enumerate().filter(move |(_, t)| may(t))
 }
 
--- a/crates/policy/src/dispatch/choose/owned.rs
+++ b/crates/policy/src/dispatch/choose/owned.rs
@@ -12,6 +12,8 @@
 
 /// Slowness below which a slot is always taken.
 const FAST_ENOUGH: f64 = 1.3;
+/// How many times faster a slot has to be to be waited for.
+const WORTH_WAITING: f64 = 1.7;
 /// Slots whose slowness is within this ratio of the best are taken at random.
 const SPREAD: f64 = 1.1;
 /// Part of the expected service time after which a waiting call looks again.
@@ -90,7 +92,7 @@
 
 /// Slowness of the target; one that the call has tried already comes after all others.
 fn slowness_for(view: &View<'_>, target: &Target) -> f64 {
-    let slowness = target.speed.slowness(view.now, view.memory_us);
+    let slowness = target.speed.slowness_of_next(view.now, view.memory_us);
     if view.was_tried(target) { slowness * 16.0 } else { slowness }
 }
 
@@ -110,7 +112,7 @@
             continue;
         }
         let speed = target.speed.slowness(view.now, view.memory_us);
-        if speed * 1.5 < slowness {
+        if speed * WORTH_WAITING < slowness {
             let busy = f64::from(target.in_flight.min(target.own));
             rate += busy / speed;
             slots += busy;
@@ -121,6 +123,9 @@
 
 /// All slots are taken.
 fn wait_for_any(view: &View<'_>) -> Pick {
+    if !view.asks_wait {
+        return Pick::Wait { expected_us: f64::INFINITY, again: first_resumption(view) };
+    }
     let all = faster_slots(view, f64::INFINITY);
     if all.rate == 0.0 {
         return Pick::Wait { expected_us: f64::INFINITY, again: first_resumption(view) };
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -119,10 +119,10 @@
 
     /// When [`Event::Tick`] is due next, if ever.
     pub fn next_wakeup(&self) -> Option<Timestamp> {
-        let deadline = self.queue.earliest_deadline().map(|(at, _)| at);
+        let expiry = self.queue.earliest_expiry().map(|(at, _)| at);
         let backoff = self.backoffs.first().map(|(at, _)| *at);
         let hedge = self.hedge_times.first().map(|(at, _)| *at);
-        let all = [deadline, backoff, hedge, self.look_again, self.probe_at];
+        let all = [expiry, backoff, hedge, self.look_again, self.probe_at];
         all.into_iter().flatten().min()
     }
 
--- a/crates/policy/src/dispatch/dispatcher/admission.rs
+++ b/crates/policy/src/dispatch/dispatcher/admission.rs
@@ -11,6 +11,10 @@
 };
 use std::{sync::Arc, time::Duration};
 
+/// Mean service times that the longest usual run is taken for before enough was seen.
+const LONGEST_RUN: f64 = 3.0;
+/// Part of the time left, as a divisor, that is kept free at most for the run of a waiting call.
+const LATEST_PART: u32 = 4;
 /// Time to come back when no target is known.
 const NO_TARGET_RETRY: Duration = Duration::from_secs(1);
 /// Bounds of the time to come back.
@@ -60,6 +64,12 @@
         true
     }
 
+    /// Longest usual run of an operation in µs, once enough of them were seen.
+    fn longest_run(&self, operation: usize) -> Option<f64> {
+        let longest = self.times.get(operation)?.longest_us()?;
+        Some(longest as f64)
+    }
+
     /// Class and idempotence of an operation; an unknown one is served last and never repeated.
     pub(super) fn operation(&self, index: usize) -> (usize, bool) {
         let last = self.queue.classes() - 1;
@@ -82,7 +92,11 @@
     fn enqueue(&mut self, now: Timestamp, id: CallId) {
         let Some(entry) = self.calls.get(&id) else { return };
         let cost = self.expected_us(entry.call.operation).max(1.0) as u64;
+        let longest = self.longest_run(entry.call.operation);
         let Some(entry) = self.calls.get_mut(&id) else { return };
+        let left = entry.call.deadline.since(now);
+        let run = longest.map_or(Duration::ZERO, micros).min(left / LATEST_PART);
+        entry.latest = entry.call.deadline - run;
         entry.place = Place::Waiting;
         self.queue.push(now, entry, cost);
     }
@@ -109,8 +123,14 @@
             return None;
         }
         let expected = self.expected_us(call.operation);
-        let wait = self.queue.work_before(class, &call.caller) / f64::from(capacity);
-        let late = wait + expected - left.as_micros() as f64;
+        let slots = f64::from(capacity) * self.queue.share_of(class);
+        let wait = self.queue.work_before(class, &call.caller) / slots;
+        // A call that has to wait starts only if its longest usual run fits in as well, so that few
+        // are cut off half-way.
+        let left = left.as_micros() as f64;
+        let run = self.longest_run(call.operation).unwrap_or(expected * LONGEST_RUN);
+        let run = run.min(left / 2.0).max(expected);
+        let late = wait + run - left;
         (late > 0.0).then(|| (RefusalReason::Deadline, micros(late)))
     }
 
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -17,6 +17,8 @@
 const MAX_TRIES: u32 = 32;
 /// Failed attempts of one call after which it is given up.
 const MAX_FAILURES: usize = 3;
+/// Expected service times after which a timeout counts as a failure of the target.
+const OVERDUE: f64 = 4.0;
 /// Longest mean time between two attempts.
 const MAX_BACKOFF: Duration = Duration::from_millis(100);
 /// Doublings of the time between two attempts.
@@ -100,7 +102,12 @@
             return;
         }
         let Some(attempt) = self.end_attempt(now, id, target) else { return };
-        self.note_failure(now, target);
+        if kind != FailureKind::Timeout || self.is_overdue(now, &attempt) {
+            self.note_failure(now, target);
+        }
+        if kind == FailureKind::Timeout {
+            self.learn_cut_off(now, id, &attempt);
+        }
         let Some(entry) = self.calls.get_mut(&id) else { return };
         if !proof_not_run {
             entry.maybe_run = Some(unknown);
@@ -313,6 +320,17 @@
         }
     }
 
+    /// Takes in that an attempt was cut off.
+    fn learn_cut_off(&mut self, now: Timestamp, id: CallId, attempt: &Attempt) {
+        let most = attempt.expected * OVERDUE;
+        let us = (now.since(attempt.started).as_micros() as f64).min(most) as u64;
+        let operation = self.calls.get(&id).map_or(usize::MAX, |e| e.call.operation);
+        if let Some(times) = self.times.get_mut(operation) {
+            times.record_cut_off(us);
+        }
+        self.all_times.record_cut_off(us);
+    }
+
     fn hear(&mut self, now: Timestamp, target: &str, report: Option<LoadReport>) {
         if let Some(state) = self.targets.get_mut(target) {
             state.heard = now;
@@ -330,6 +348,13 @@
         }
     }
 
+    /// Whether an attempt ran so long that its timeout tells of the target rather than of the time
+    /// that the call had left. ("Cascading Failure": a check that measures load takes capacity away
+    /// when there is least of it.)
+    fn is_overdue(&self, now: Timestamp, attempt: &Attempt) -> bool {
+        now.since(attempt.started).as_micros() as f64 >= attempt.expected * OVERDUE
+    }
+
     /// Frees the slot of an attempt that has ended.
     fn end_attempt(&mut self, now: Timestamp, id: CallId, target: &str) -> Option<Attempt> {
         let attempt = self.calls.get_mut(&id)?.take_attempt(target)?;
--- a/crates/policy/src/dispatch/dispatcher/start.rs
+++ b/crates/policy/src/dispatch/dispatcher/start.rs
@@ -14,6 +14,12 @@
 
 /// Slowness up to which a free slot is offered to peers.
 pub(super) const SHARED_SLOWNESS: f64 = 1.5;
+/// Mean service times after which a call at a slow target may be hedged.
+const HEDGE_FROM_SLOW: f64 = 1.0;
+/// Slowness of a target from which its calls are hedged early.
+const HEDGE_SLOWNESS: f64 = 2.0;
+/// Mean service times after which a call is looked at again.
+const HEDGE_AGAIN: f64 = 0.25;
 /// Time that a relay to a peer adds to a call, in µs.
 const RELAY_US: f64 = 1_000.0;
 
@@ -28,7 +34,11 @@
     /// Starts waiting calls in order until the next one has to wait.
     pub(super) fn start_calls(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         self.look_again = None;
-        while let Some(id) = self.next_call(now) {
+        if self.queue.len() == 0 {
+            return;
+        }
+        let slots: u32 = self.targets.values().map(|t| t.usual_capacity()).sum();
+        while let Some(id) = self.queue.next(now, f64::from(slots)) {
             match self.route(now, id) {
                 Route::Target(index) => self.start_at_target(now, id, index, actions),
                 Route::Peer(peer) => self.start_at_peer(id, peer, actions),
@@ -43,14 +53,6 @@
         }
     }
 
-    fn next_call(&mut self, now: Timestamp) -> Option<CallId> {
-        if self.queue.len() == 0 {
-            return None;
-        }
-        let slots: u32 = self.targets.values().map(|t| t.usual_capacity()).sum();
-        self.queue.next(now, f64::from(slots))
-    }
-
     fn route(&mut self, now: Timestamp, id: CallId) -> Route {
         let Some(entry) = self.calls.get(&id) else { return Route::Wait(None) };
         let relayable = entry.call.relayable && entry.maybe_run.is_none();
@@ -60,6 +62,7 @@
         {
             return Route::Peer(peer);
         }
+        let may_share = relayable && self.shares_slots();
         let view = View {
             now,
             targets: &self.targets,
@@ -68,15 +71,15 @@
             expected_us: self.expected_us(entry.call.operation),
             memory_us: self.memory_us(),
             waiting: self.queue.len(),
+            asks_wait: may_share,
         };
         let elsewhere_us = view.expected_us + RELAY_US;
         let pick = self.chooser.choose(&view, &mut self.random);
         let expected_us = match pick {
             Pick::Target { expected_us, .. } | Pick::Wait { expected_us, .. } => expected_us,
         };
-        if relayable
+        if may_share
             && expected_us > elsewhere_us
-            && self.shares_slots()
             && let Some(peer) = self.peers.with_free(now, &mut self.random)
         {
             return Route::Peer(peer);
@@ -153,15 +156,18 @@
         actions.push(Action::Dispatch { call: id, target, attempt: entry.tries });
     }
 
-    /// Notes when a hedge of the call is due, if it may have one.
+    /// Notes when a hedge of the call is looked at first, if it may have one.
     fn arm_hedge(&mut self, now: Timestamp, id: CallId) {
-        let Some(entry) = self.calls.get_mut(&id) else { return };
+        let Some(entry) = self.calls.get(&id) else { return };
         if self.plan.hedge_ratio <= 0.0 || !entry.idempotent || !entry.call.replayable {
             return;
         }
-        let times = self.times.get(entry.call.operation);
-        let Some(us) = times.and_then(|t| t.quantile_us()) else { return };
-        let at = now + Duration::from_micros(us);
+        let expected = self.expected_us(entry.call.operation);
+        self.look_at_hedge(id, now + micros(expected * HEDGE_FROM_SLOW));
+    }
+
+    fn look_at_hedge(&mut self, id: CallId, at: Timestamp) {
+        let Some(entry) = self.calls.get_mut(&id) else { return };
         if at < entry.call.deadline {
             entry.hedge_at = Some(at);
             self.hedge_times.insert((at, id));
@@ -180,14 +186,26 @@
             if entry.attempts.len() != 1 || entry.call.deadline <= now {
                 continue;
             }
-            if let Some(index) = self.hedge_target(now, id)
-                && self.hedges.take()
-            {
-                self.send(now, id, index, actions);
+            let target = self.hedge_target(now, id);
+            match target.filter(|_| self.is_hedge_due(now, id) && self.hedges.take()) {
+                Some(index) => self.send(now, id, index, actions),
+                None => self.look_at_hedge(id, now + micros(self.mean_us() * HEDGE_AGAIN)),
             }
         }
     }
 
+    /// Whether the running attempt of a call takes so long that a second one is worth its cost:
+    /// it is at a slow target, or among the longest as far as the budget goes.
+    fn is_hedge_due(&self, now: Timestamp, id: CallId) -> bool {
+        let Some(entry) = self.calls.get(&id) else { return false };
+        let Some(attempt) = entry.attempts.first() else { return false };
+        let Some(target) = self.targets.get(&attempt.target) else { return false };
+        let age = now.since(attempt.started).as_micros() as u64;
+        let quantile = self.times.get(entry.call.operation).and_then(|t| t.quantile_us());
+        let is_slow = target.speed.slowness(now, self.memory_us()) >= HEDGE_SLOWNESS;
+        is_slow || quantile.is_some_and(|us| age >= us)
+    }
+
     /// The free slot for a hedge: at another target that is not known to be slow.
     fn hedge_target(&self, now: Timestamp, id: CallId) -> Option<usize> {
         let entry = self.calls.get(&id)?;
@@ -201,3 +219,7 @@
         (best.1 <= SHARED_SLOWNESS).then_some(best.0)
     }
 }
+
+fn micros(us: f64) -> Duration {
+    Duration::from_micros(us.clamp(1.0, 1e12) as u64)
+}
--- a/crates/policy/src/dispatch/dispatcher/timers.rs
+++ b/crates/policy/src/dispatch/dispatcher/timers.rs
@@ -14,10 +14,10 @@
 const SILENCE: Duration = Duration::from_secs(5);
 
 impl Dispatcher {
-    /// Gives up the waiting calls whose deadline has passed.
+    /// Gives up the waiting calls that can no longer end before their deadline.
     pub(super) fn expire(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
-        while let Some((deadline, id)) = self.queue.earliest_deadline() {
-            if deadline > now {
+        while let Some((latest, id)) = self.queue.earliest_expiry() {
+            if latest > now {
                 return;
             }
             if let Some(entry) = self.calls.get(&id) {
--- a/crates/policy/src/dispatch/limit.rs
+++ b/crates/policy/src/dispatch/limit.rs
@@ -9,7 +9,7 @@
 /// Answers per slot that raise the limit by one.
 const ANSWERS_PER_STEP: f64 = 4.0;
 /// Time between two steps of a cold target.
-const WARMUP_STEP: Duration = Duration::from_millis(500);
+const WARMUP_STEP: Duration = Duration::from_millis(250);
 /// First pause after a refusal at the lowest limit.
 const FIRST_PAUSE: Duration = Duration::from_millis(1);
 /// Longest pause after refusals.
@@ -49,7 +49,7 @@
 
     /// A call was answered by a target of `slots` slots.
     pub(super) fn answered(&mut self, now: Timestamp, slots: u32) {
-        self.refusals = 0;
+        self.refusals = self.refusals.saturating_sub(1);
         let full = f64::from(slots.max(1));
         match self.warm_at {
             Some(at) if now < at => {}
--- a/crates/policy/src/dispatch/queue.rs
+++ b/crates/policy/src/dispatch/queue.rs
@@ -15,6 +15,8 @@
 
 /// Part of the `still` bound after which a class comes first.
 const STILL_PART: f64 = 0.7;
+/// Least share of the slots reckoned with.
+const MIN_SHARE: f64 = 0.01;
 /// Calls of mean cost that a floor may save up.
 const FLOOR_BURST: f64 = 4.0;
 
@@ -37,7 +39,7 @@
 #[derive(Debug)]
 pub(super) struct Queue {
     classes: Vec<ClassQueue>,
-    deadlines: BTreeSet<(Timestamp, CallId)>,
+    expiries: BTreeSet<(Timestamp, CallId)>,
     limit: usize,
     len: usize,
 }
@@ -50,7 +52,7 @@
         if classes.is_empty() {
             classes.push(ClassQueue::new(&none));
         }
-        Self { classes, deadlines: BTreeSet::new(), limit: plan.queue.max(1), len: 0 }
+        Self { classes, expiries: BTreeSet::new(), limit: plan.queue.max(1), len: 0 }
     }
 
     /// Number of classes, at least one.
@@ -68,9 +70,9 @@
         self.len >= self.limit
     }
 
-    /// Earliest deadline of a waiting call.
-    pub(super) fn earliest_deadline(&self) -> Option<(Timestamp, CallId)> {
-        self.deadlines.first().copied()
+    /// The waiting call that is too late to start first, and when that is.
+    pub(super) fn earliest_expiry(&self) -> Option<(Timestamp, CallId)> {
+        self.expiries.first().copied()
     }
 
     /// Adds a call that is expected to take `cost` µs.
@@ -83,7 +85,7 @@
         entry.cost = cost;
         entry.flow = class.fair.push(&entry.call.caller, entry.seq, entry.call.id);
         class.work += cost;
-        self.deadlines.insert((entry.call.deadline, entry.call.id));
+        self.expiries.insert((entry.latest, entry.call.id));
         self.len += 1;
     }
 
@@ -139,6 +141,14 @@
         above as f64 + own.mean_cost() * ahead as f64
     }
 
+    /// Share of the slots that `class` gets while the floors of other waiting classes hold.
+    pub(super) fn share_of(&self, class: usize) -> f64 {
+        let others =
+            self.classes.iter().enumerate().filter(|(i, c)| *i != class && c.fair.len() > 0);
+        let floors: f64 = others.map(|(_, c)| c.floor).sum();
+        (1.0 - floors).max(self.classes[class].floor).max(MIN_SHARE)
+    }
+
     /// The call to evict so that a call of `class` by `caller` may wait, if any should go.
     ///
     /// Lower classes go first, down to the part of the queue that their floor keeps for them;
@@ -164,7 +174,7 @@
     fn forget(&mut self, entry: &Entry) {
         let class = &mut self.classes[entry.class];
         class.work = class.work.saturating_sub(entry.cost);
-        self.deadlines.remove(&(entry.call.deadline, entry.call.id));
+        self.expiries.remove(&(entry.latest, entry.call.id));
         self.len = self.len.saturating_sub(1);
     }
 }
--- a/crates/policy/src/dispatch/service_time.rs
+++ b/crates/policy/src/dispatch/service_time.rs
@@ -10,18 +10,23 @@
 const QUANTILE_SAMPLES: u64 = 64;
 /// Longest service time that is told apart, in µs.
 const MAX_US: u64 = 60_000_000;
+/// Quantile that counts as the longest usual time.
+const LONGEST: f64 = 0.99;
 /// Samples below which no quantile is known.
 const MIN_SAMPLES: u64 = 100;
 
 /// Recent service times of one operation.
 #[derive(Debug)]
 pub(super) struct ServiceTime {
-    mean_us: f64,
+    /// Time of all attempts, completed or not, in µs.
+    sum_us: f64,
+    /// Attempts that completed.
     samples: f64,
     recent: Option<Histogram<u32>>,
     previous: Option<Histogram<u32>>,
     quantile: f64,
-    cached_us: Option<u64>,
+    quantile_us: Option<u64>,
+    longest_us: Option<u64>,
     since_cached: u64,
 }
 
@@ -29,42 +34,57 @@
     /// No samples yet; `quantile` is the one that [`Self::quantile_us`] gives.
     pub(super) fn new(quantile: f64) -> Self {
         Self {
-            mean_us: 0.0,
+            sum_us: 0.0,
             samples: 0.0,
             recent: None,
             previous: None,
             quantile,
-            cached_us: None,
+            quantile_us: None,
+            longest_us: None,
             since_cached: 0,
         }
     }
 
     /// Takes in one service time.
     pub(super) fn record(&mut self, us: u64) {
-        self.samples = (self.samples + 1.0).min(MEAN_SAMPLES);
-        self.mean_us += (us as f64 - self.mean_us) / self.samples;
-        if self.quantile >= 1.0 {
-            return;
+        self.sum_us += us as f64;
+        self.samples += 1.0;
+        if self.samples > MEAN_SAMPLES {
+            self.sum_us *= MEAN_SAMPLES / self.samples;
+            self.samples = MEAN_SAMPLES;
         }
         self.record_histogram(us);
     }
 
+    /// Takes in an attempt that was cut off after `us`. Without these the mean would fall as calls
+    /// are cut off, since only the short ones complete.
+    pub(super) fn record_cut_off(&mut self, us: u64) {
+        if self.samples > 0.0 {
+            self.sum_us += us as f64;
+        }
+    }
+
     /// The same samples with another quantile.
     pub(super) fn with_quantile(&mut self, quantile: f64) -> Self {
         let mut times = std::mem::replace(self, Self::new(quantile));
         times.quantile = quantile;
-        times.cached_us = times.current_quantile();
+        times.cache_quantiles();
         times
     }
 
     /// Mean in µs, or nothing without samples.
     pub(super) fn mean_us(&self) -> Option<f64> {
-        (self.samples > 0.0).then_some(self.mean_us)
+        (self.samples > 0.0).then(|| self.sum_us / self.samples)
     }
 
     /// The quantile in µs, or nothing with too few samples.
     pub(super) fn quantile_us(&self) -> Option<u64> {
-        self.cached_us
+        self.quantile_us
+    }
+
+    /// Time that 99 of 100 attempts stay below in µs, or nothing with too few samples.
+    pub(super) fn longest_us(&self) -> Option<u64> {
+        self.longest_us
     }
 
     fn record_histogram(&mut self, us: u64) {
@@ -79,13 +99,14 @@
         }
         if self.since_cached >= QUANTILE_SAMPLES {
             self.since_cached = 0;
-            self.cached_us = self.current_quantile();
+            self.cache_quantiles();
         }
     }
 
-    fn current_quantile(&self) -> Option<u64> {
+    fn cache_quantiles(&mut self) {
         let enough = |h: &&Histogram<u32>| h.len() >= MIN_SAMPLES;
-        let source = self.previous.as_ref().or(self.recent.as_ref()).filter(enough)?;
-        Some(source.value_at_quantile(self.quantile))
+        let source = self.previous.as_ref().or(self.recent.as_ref()).filter(enough);
+        self.quantile_us = source.map(|h| h.value_at_quantile(self.quantile));
+        self.longest_us = source.map(|h| h.value_at_quantile(LONGEST));
     }
 }
--- a/crates/policy/src/dispatch/speed.rs
+++ b/crates/policy/src/dispatch/speed.rs
@@ -9,14 +9,17 @@
 use std::time::Duration;
 
 /// Mean service times after which exposure and completions have decayed to 1/e.
-const MEMORY_SERVICES: f64 = 12.0;
+const MEMORY_SERVICES: f64 = 8.0;
 /// Bounds of the memory.
 const MIN_MEMORY: Duration = Duration::from_millis(30);
 const MAX_MEMORY: Duration = Duration::from_secs(2);
 /// Completions beyond which older ones count less.
 const MAX_COMPLETIONS: f64 = 6.0;
 /// Weight of the prior, in completions of mean length.
-const PRIOR: f64 = 1.0;
+const PRIOR: f64 = 2.0;
+/// Exposure assumed for each call in flight when a further one is to start, so that a target about
+/// which little is known gets one call before it gets two.
+const CAUTION: f64 = 1.0;
 /// Exposure charged for an answer that tells of a fault.
 const FAULT_EXPOSURE: f64 = 4.0;
 
@@ -75,6 +78,13 @@
         (exposure + PRIOR) / (completions + PRIOR)
     }
 
+    /// Slowness to reckon with for one more call.
+    pub(super) fn slowness_of_next(&self, now: Timestamp, memory_us: f64) -> f64 {
+        let (exposure, completions) = self.decayed(now, memory_us);
+        let caution = CAUTION * f64::from(self.in_flight);
+        (exposure + caution + PRIOR) / (completions + PRIOR)
+    }
+
     /// Forgets everything but the calls in flight.
     pub(super) fn forget(&mut self, now: Timestamp) {
         self.exposure = 0.0;
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -43,6 +43,14 @@
     }
 }
 
+impl Sub<Duration> for Timestamp {
+    type Output = Self;
+
+    fn sub(self, d: Duration) -> Self {
+        Self(self.0.saturating_sub(u64::try_from(d.as_micros()).unwrap_or(u64::MAX)))
+    }
+}
+
 impl Sub for Timestamp {
     type Output = Duration;
 
