fix(calls): close connections that come back to the pool after a planned stop began

Cause: a planned stop closed the idle connections to targets and peers once and then waited for the tasks that drive all connections. One that was in use at that moment (a probe, a call whose caller had left) came back to the pool afterwards and stayed open until it had been idle for 30 s, so the stop lasted that long. The pool now closes what comes back.

Ruled out: callers' connections (one or two were left in good stops as well) and the control thread (the log ended before it was told to end).

The tests' entries log at info, so that a failure shows the last decisions.

--- a/crates/entry/src/calls/pool.rs
+++ b/crates/entry/src/calls/pool.rs
@@ -14,7 +14,11 @@
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use std::{fmt, net::SocketAddr};
+use std::{
+    fmt,
+    net::SocketAddr,
+    sync::atomic::{AtomicBool, Ordering},
+};
 use tokio::{net::TcpStream, time::timeout};
 use tokio_util::task::TaskTracker;
 
@@ -53,12 +57,14 @@
     clock: Clock,
     tasks: TaskTracker,
     idle: Mutex<IndexMap<SocketAddr, Vec<Connection>>>,
+    /// Set by the planned stop: connections are closed when they come back.
+    closed: AtomicBool,
 }
 
 impl Pool {
     /// An empty pool whose connections are driven by tasks of `tasks`.
     pub(super) fn new(clock: Clock, tasks: TaskTracker) -> Self {
-        Self { clock, tasks, idle: Mutex::default() }
+        Self { clock, tasks, idle: Mutex::default(), closed: AtomicBool::new(false) }
     }
 
     /// An idle connection, or a new one.
@@ -88,7 +94,10 @@
             return;
         }
         connection.answered = self.clock.now();
-        self.idle.lock().entry(connection.address).or_default().push(connection);
+        let mut idle = self.idle.lock();
+        if !self.closed.load(Ordering::Relaxed) {
+            idle.entry(connection.address).or_default().push(connection);
+        }
     }
 
     /// Closes idle connections to `address` that have not answered since `since`, because another
@@ -108,9 +117,11 @@
         });
     }
 
-    /// Closes every idle connection.
-    pub(super) fn clear(&self) {
-        self.idle.lock().clear();
+    /// Closes every idle connection, and each one in use when it comes back.
+    pub(super) fn close(&self) {
+        let mut idle = self.idle.lock();
+        self.closed.store(true, Ordering::Relaxed);
+        idle.clear();
     }
 
     fn take_idle(&self, address: SocketAddr, trust: Trust) -> Option<Connection> {
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -130,7 +130,8 @@
 
 async fn finish(app: &App, graceful: GracefulShutdown) {
     graceful.shutdown().await;
-    app.pool.clear();
+    log::info!("calls: connections of callers ended");
+    app.pool.close();
     app.tasks.close();
     app.tasks.wait().await;
 }
--- a/crates/testsuite/src/entry.rs
+++ b/crates/testsuite/src/entry.rs
@@ -118,7 +118,7 @@
         let seeds: Vec<_> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\nplatform = [\"{}\"]\nseeds = [{}]\n\
-             peer_key_file = \"{}\"\nlog_level = \"debug\"\ncall_threads = 2\n\n\
+             peer_key_file = \"{}\"\nlog_level = \"info\"\ncall_threads = 2\n\n\
              [listen]\ncalls = \"{}\"\ndirections = \"{}\"\nadmin = \"{}\"\npeers = \"{}\"\n",
             self.host,
             self.failure_domain,
