fix(policy): start a retry beside a lost attempt instead of giving it up

Cause: giving the first attempt up after 30 mean service times turned slow answers on a busy machine into lost ones; with the retry budget used up the call then ended unknown (seen after 220 ms of 1,500 ms allowed). Ruled out: a longer wait, which brings back the loss of half the deadline; retries without budget. Change: the dispatcher starts a retry, from the retry budget, at another target beside an attempt without an answer for 30 mean service times (at least 100 ms); without budget or slot the attempt simply goes on. The second attempt takes only a new connection or one that answered meanwhile. Conclusion: a slow answer is waited for, a silent connection costs little.

--- a/crates/entry/src/calls/attempt.rs
+++ b/crates/entry/src/calls/attempt.rs
@@ -43,8 +43,6 @@
     pub(super) way: Way,
     /// Connections that will do.
     pub(super) trust: Trust,
-    /// Whether to give up early when the operation is known to be quick.
-    pub(super) hurry: bool,
     /// Span of the call.
     pub(super) trace: Option<SpanContext>,
 }
@@ -61,7 +59,7 @@
                     (HeaderName::from_static(headers::TARGET_TIMEOUT_MS), millis(remaining)),
                     (HeaderName::from_static(headers::HOPS), HeaderValue::from_static("1")),
                 ];
-                let limit = self.limit(remaining);
+                let limit = self.half(remaining);
                 let result = self.exchange(address, fields, limit).await;
                 let elapsed = self.app.context.clock.now() - started;
                 End::Target { target: Arc::clone(target), elapsed, result }
@@ -75,18 +73,6 @@
         }
     }
 
-    /// Time for an attempt at a target. The first one is given up early when the operation is
-    /// known to be quick, since its connection may have gone silent; a call that is slow by nature
-    /// gets the time on its next attempt.
-    fn limit(&self, remaining: Duration) -> Duration {
-        let half = self.half(remaining);
-        if !self.hurry || half == remaining {
-            return half;
-        }
-        let patience = self.inbound.route.service.patience(self.inbound.admitted.operation);
-        patience.map_or(half, |p| p.clamp(ATTEMPT_MIN.min(half), half))
-    }
-
     /// Half of the time when another attempt may follow, all of it otherwise.
     fn half(&self, remaining: Duration) -> Duration {
         match self.inbound.is_idempotent() && self.inbound.is_replayable() {
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -15,7 +15,10 @@
     reply::Reply,
 };
 use azuretally_api::{headers, record::Outcome};
-use azuretally_policy::dispatch::{Call, CallId, Event, FailureKind, LoadReport, TargetRefusal};
+use azuretally_policy::{
+    Timestamp,
+    dispatch::{Call, CallId, Event, FailureKind, LoadReport, TargetRefusal},
+};
 use futures_util::{
     StreamExt,
     future::{AbortHandle, Abortable, Aborted},
@@ -80,7 +83,10 @@
         replayable: inbound.is_replayable(),
     };
     inbound.route.service.arrive(call, Arc::clone(&mailbox));
-    Run { app, inbound, id, mailbox, ending, handles: Vec::new(), lost: false }.finish().await
+    let began = inbound.arrival;
+    Run { app, inbound, id, mailbox, ending, handles: Vec::new(), began, lost: false }
+        .finish()
+        .await
 }
 
 struct Run<'a> {
@@ -90,6 +96,8 @@
     mailbox: Arc<Mailbox>,
     ending: Ending,
     handles: Vec<(Arc<str>, AbortHandle)>,
+    /// When the oldest open attempt began.
+    began: Timestamp,
     /// Whether an attempt was written and its answer lost.
     lost: bool,
 }
@@ -103,6 +111,9 @@
                 step = mailbox.next() => match step {
                     Step::Dispatch { target, .. } => {
                         self.ending.dispatch(&target);
+                        if self.handles.is_empty() {
+                            self.began = self.app.context.clock.now();
+                        }
                         let (handle, registration) = AbortHandle::new_pair();
                         self.handles.push((Arc::clone(&target), handle));
                         let attempt = self.attempt(Way::Target(target));
@@ -154,13 +165,16 @@
             inbound: Arc::clone(&self.inbound),
             way,
             trust: self.trust(),
-            hurry: !self.lost,
             trace: self.ending.trace(),
         }
     }
 
-    /// Connections that will do for the next attempt. After a silent one no kept one is trusted.
+    /// Connections that will do for the next attempt. After a silent one no kept one is trusted,
+    /// and beside one that is silent so far only those that answered meanwhile.
     fn trust(&self) -> Trust {
+        if self.handles.len() > 1 {
+            return Trust::Since(self.began);
+        }
         match (self.lost, self.inbound.is_idempotent()) {
             (true, _) => Trust::New,
             (false, true) => Trust::Any,
--- a/crates/entry/src/calls/pool.rs
+++ b/crates/entry/src/calls/pool.rs
@@ -29,6 +29,8 @@
     Any,
     /// It must be new or have answered a moment ago.
     Fresh,
+    /// It must be new or have answered since this time.
+    Since(Timestamp),
     /// It must be new.
     New,
 }
@@ -131,6 +133,7 @@
         idle.pop_if(|c| match trust {
             Trust::Any => true,
             Trust::Fresh => now - c.answered < FRESH,
+            Trust::Since(time) => c.answered >= time,
             Trust::New => false,
         })
     }
--- a/crates/entry/src/calls/service.rs
+++ b/crates/entry/src/calls/service.rs
@@ -19,7 +19,6 @@
         Arc,
         atomic::{AtomicU32, Ordering},
     },
-    time::Duration,
 };
 use tokio::sync::{Notify, mpsc};
 
@@ -115,11 +114,6 @@
         self.decide(state, Event::Arrive(call));
     }
 
-    /// How long one attempt of an operation may take before it is given up for another one.
-    pub(super) fn patience(&self, operation: usize) -> Option<Duration> {
-        self.state.lock().dispatcher.patience(operation)
-    }
-
     /// Forgets the mailbox of a call that has ended.
     pub(super) fn leave(&self, call: CallId) {
         self.state.lock().waiters.swap_remove(&call);
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -28,8 +28,6 @@
 /// Further attempts after refusals allowed per first try. A refusal costs a target next to nothing,
 /// and the target that refused is paused, so this is wider than the budget of retries.
 const REDIRECTS_PER_TRY: f64 = 2.0;
-/// Mean service times after which an attempt is given up for another one.
-const PATIENCE_MEANS: f64 = 30.0;
 /// Service time assumed before any was seen, in µs.
 const UNKNOWN_SERVICE_US: f64 = 1_000.0;
 
@@ -136,13 +134,6 @@
         free.saturating_sub(u32::try_from(self.queue.len()).unwrap_or(u32::MAX))
     }
 
-    /// How long one attempt of an operation may take before it is given up for another one, or
-    /// nothing while its service time is unknown.
-    pub fn patience(&self, operation: usize) -> Option<Duration> {
-        let mean_us = self.times.get(operation)?.mean_us()?;
-        Some(Duration::from_secs_f64(mean_us * PATIENCE_MEANS / 1e6))
-    }
-
     /// Number of calls that wait for a slot.
     pub fn waiting(&self) -> usize {
         self.queue.len()
--- a/crates/policy/src/dispatch/dispatcher/start.rs
+++ b/crates/policy/src/dispatch/dispatcher/start.rs
@@ -14,6 +14,10 @@
 
 /// Slowness up to which a free slot is offered to peers.
 pub(super) const SHARED_SLOWNESS: f64 = 1.5;
+/// Mean service times without an answer after which an attempt counts as lost.
+const RESCUE_MEANS: f64 = 30.0;
+/// Shortest time without an answer after which an attempt counts as lost.
+const RESCUE_MIN: Duration = Duration::from_millis(100);
 /// Mean service times after which a call at a slow target may be hedged.
 const HEDGE_FROM_SLOW: f64 = 1.0;
 /// Slowness of a target from which its calls are hedged early.
@@ -159,11 +163,20 @@
     /// Notes when a hedge of the call is looked at first, if it may have one.
     fn arm_hedge(&mut self, now: Timestamp, id: CallId) {
         let Some(entry) = self.calls.get(&id) else { return };
-        if self.plan.hedge_ratio <= 0.0 || !entry.idempotent || !entry.call.replayable {
+        if !entry.idempotent || !entry.call.replayable {
             return;
         }
-        let expected = self.expected_us(entry.call.operation);
-        self.look_at_hedge(id, now + micros(expected * HEDGE_FROM_SLOW));
+        let first = match self.plan.hedge_ratio > 0.0 {
+            true => micros(self.expected_us(entry.call.operation) * HEDGE_FROM_SLOW),
+            false => self.rescue_after(entry.call.operation),
+        };
+        self.look_at_hedge(id, now + first);
+    }
+
+    /// Time without an answer after which an attempt counts as lost, as on a connection that went
+    /// silent, and a retry may start beside it.
+    fn rescue_after(&self, operation: usize) -> Duration {
+        micros(self.expected_us(operation) * RESCUE_MEANS).max(RESCUE_MIN)
     }
 
     fn look_at_hedge(&mut self, id: CallId, at: Timestamp) {
@@ -187,13 +200,27 @@
                 continue;
             }
             let target = self.hedge_target(now, id);
-            match target.filter(|_| self.is_hedge_due(now, id) && self.hedges.take()) {
+            match target.filter(|_| self.may_start_beside(now, id)) {
                 Some(index) => self.send(now, id, index, actions),
                 None => self.look_at_hedge(id, now + micros(self.mean_us() * HEDGE_AGAIN)),
             }
         }
     }
 
+    /// Takes a hedge, or for a lost attempt a retry, from its budget when it is due.
+    fn may_start_beside(&mut self, now: Timestamp, id: CallId) -> bool {
+        if self.is_hedge_due(now, id) && self.hedges.take() {
+            return true;
+        }
+        self.is_rescue_due(now, id) && self.retries.take()
+    }
+
+    fn is_rescue_due(&self, now: Timestamp, id: CallId) -> bool {
+        let Some(entry) = self.calls.get(&id) else { return false };
+        let Some(attempt) = entry.attempts.first() else { return false };
+        now.since(attempt.started) >= self.rescue_after(entry.call.operation)
+    }
+
     /// Whether the running attempt of a call takes so long that a second one is worth its cost:
     /// it is at a slow target, or among the longest as far as the budget goes.
     fn is_hedge_due(&self, now: Timestamp, id: CallId) -> bool {
