fix(policy): do not charge a caller for a target's silence

Cause: fair order charges a caller with the slot time that its calls took. A call caught on a silent connection was charged with all of the silence (750 ms for a call of 5 ms), so its second try waited behind every other caller's calls until its deadline and ended unknown. Ruled out: the retry budget, a relay that is not repeated, and connections kept in the pool: a trace of the calls that ended unknown showed one attempt, its loss at half the time allowed, and no further start. Change: a run without an answer is charged no more than was expected. What a peer could not tell of a relayed call may be tried again here.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -240,8 +240,12 @@
     ) -> Option<(Outcome, Received)> {
         let call = self.id;
         let service = Arc::clone(&self.inbound.route.service);
+        // Only idempotent calls are relayed: what a peer could not tell may be tried again here.
         let broken = Failure { kind: FailureKind::Broken, proof_not_run: false };
-        let result = result.and_then(|r| outcome_of(&r).map(|o| (o, r)).ok_or(broken));
+        let result = result.and_then(|r| match outcome_of(&r) {
+            Some(Outcome::Unknown) | None => Err(broken),
+            Some(outcome) => Ok((outcome, r)),
+        });
         match result {
             Ok((Outcome::NotRun, _)) => {
                 service.handle(Event::PeerRefused { call, peer });
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -115,7 +115,7 @@
         if !entry.attempts.is_empty() {
             return;
         }
-        self.finish(now, id, attempt.started);
+        self.finish_lost(now, id, attempt.started);
         self.try_again(now, id, attempt, proof_not_run, actions);
     }
 
@@ -390,6 +390,14 @@
         self.queue.finish(entry, now.since(started).as_micros() as u64);
     }
 
+    /// Ends a run that brought no answer. Its caller is charged no more than was expected, since
+    /// the silence is the target's.
+    fn finish_lost(&mut self, now: Timestamp, id: CallId, started: Timestamp) {
+        let Some(entry) = self.calls.get(&id) else { return };
+        let actual = now.since(started).as_micros() as u64;
+        self.queue.finish(entry, actual.min(entry.cost));
+    }
+
     fn has_attempts(&self, id: CallId) -> bool {
         self.calls.get(&id).is_some_and(|e: &Entry| !e.attempts.is_empty())
     }
--- a/crates/policy/tests/dispatch/order.rs
+++ b/crates/policy/tests/dispatch/order.rs
@@ -213,3 +213,34 @@
         panic!("{actions:?}");
     };
 }
+
+/// A caller whose attempt was lost at a silent target is not charged for the target's silence.
+#[test]
+fn caller_of_a_lost_attempt_is_not_put_behind_all_others() {
+    let mut bench = Bench::new(Choice::Owned, 1, 2);
+    let mut next = 100;
+    let mut running: Vec<u64> = Vec::new();
+    let first = call(1, "unlucky", CHECK, bench.now + ms(1_500));
+    assert_eq!(dispatched(&bench.on(Event::Arrive(first))), [1]);
+    for _ in 0..140 {
+        bench.now = bench.now + ms(5);
+        if let Some(done) = running.pop() {
+            running.extend(dispatched(&bench.answer(done, 0)));
+        }
+        for _ in 0..2 {
+            let other = call(next, &format!("c{}", next % 8), CHECK, bench.now + ms(1_500));
+            running.extend(dispatched(&bench.on(Event::Arrive(other))));
+            next += 1;
+        }
+    }
+    running.extend(dispatched(&bench.fail(1, FailureKind::Timeout, false)));
+    for _ in 0..40 {
+        bench.now = bench.now + ms(5);
+        let Some(done) = running.pop() else { break };
+        running.extend(dispatched(&bench.answer(done, 0)));
+        if running.contains(&1) {
+            return;
+        }
+    }
+    panic!("the call did not start again while 40 others did");
+}
