feat(policy): probe a target before a call is sent, hold calls while only slow machines are free

Cause: a run takes as long as the machine is slow at its start (times fall into two groups, a factor of five apart), and a report is too old to tell when the next call starts.

Ruled out: queues at targets (reports showed waiting calls on few answers); too few targets.

Change: a call that may find a better place has up to three free targets probed first. Calls are held while only slow machines are free and their objective still allows it.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -7,6 +7,7 @@
 mod exchange;
 mod inbound;
 mod pool;
+mod probe;
 mod server;
 mod task;
 mod ticket;
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -9,15 +9,14 @@
     dialect::{Dialect, Outbound, Publication, Standing, TargetHead},
     gateway::Gateway,
 };
-use azuretally_policy::balance::{Attempt, Failure, LoadReport, Start, Verdict};
-use bytes::Bytes;
-use http::{
-    HeaderMap, HeaderName, Response,
-    header::{CONNECTION, CONTENT_ENCODING},
-    response,
+use azuretally_policy::{
+    Timestamp,
+    balance::{Attempt, Failure, LoadReport, Start, Verdict},
 };
+use bytes::Bytes;
+use http::{Response, header::CONTENT_ENCODING, response};
 use hyper::body::Incoming;
-use std::{rc::Rc, time::Duration};
+use std::rc::Rc;
 use tokio::time::timeout;
 
 /// Answers up to this size are read whole before any of it is passed on, so that an answer that is
@@ -26,8 +25,6 @@
 /// Idle connections tried that turn out to be closed.
 const STALE: usize = 3;
 
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
-
 /// Body of an answer.
 #[derive(Debug)]
 pub(super) enum Arrived {
@@ -59,6 +56,8 @@
     pub(super) received: Option<Received>,
     /// Whether the target is in the failure domain of this gateway.
     pub(super) near: bool,
+    /// When it began.
+    pub(super) started: Timestamp,
 }
 
 /// Makes the attempt that `start` orders.
@@ -72,7 +71,8 @@
     Adapter: Dialect + Publication,
 {
     let attempt = Attempt { call: inbound.number, target: start.target.clone() };
-    let limit = start.until.since(gateway.clock.now());
+    let started = gateway.clock.now();
+    let limit = start.until.since(started);
     let mut sent = false;
     let exchange = exchange(&gateway, &pool, &inbound, &start, &mut sent);
     let result = match timeout(limit, exchange).await {
@@ -94,11 +94,11 @@
                 Standing::Foreign => Verdict::Failed { failure: Failure::Broken, sent: true },
             };
             let received = (head.standing == Standing::Ran).then_some(received);
-            Ended { attempt, verdict, report: head.report, received, near }
+            Ended { attempt, verdict, report: head.report, received, near, started }
         }
         Err(failure) => {
             let verdict = Verdict::Failed { failure, sent };
-            Ended { attempt, verdict, report: None, received: None, near }
+            Ended { attempt, verdict, report: None, received: None, near, started }
         }
     }
 }
@@ -157,9 +157,7 @@
     }
     let body = match read(body, WHOLE_BYTES).await {
         Ok(Part::Whole(bytes)) => {
-            if !is_closing(&head.headers) {
-                pool.keep(connection, idle_time(&head.headers));
-            }
+            pool.keep_after(connection, &head.headers);
             Arrived::Whole(bytes)
         }
         Ok(Part::Begun(first, rest)) => Arrived::Coming(first, rest, connection),
@@ -167,15 +165,3 @@
     };
     Ok((said, Received { head, body }))
 }
-
-fn is_closing(fields: &HeaderMap) -> bool {
-    let values = fields.get_all(CONNECTION).into_iter().filter_map(|v| v.to_str().ok());
-    values.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("close"))
-}
-
-/// Idle time that the target promises for the connection.
-fn idle_time(fields: &HeaderMap) -> Option<Duration> {
-    let value = fields.get(KEEP_ALIVE)?.to_str().ok()?;
-    let seconds = value.split(',').find_map(|v| v.trim().strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/gateway/src/calls/pool.rs
+++ b/crates/gateway/src/calls/pool.rs
@@ -3,6 +3,7 @@
 use super::body::Payload;
 use crate::{clock::Clock, socket::prepare};
 use azuretally_policy::Timestamp;
+use http::{HeaderMap, HeaderName, header::CONNECTION};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -27,6 +28,8 @@
 /// Connections kept to one target.
 const KEPT: usize = 8;
 
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// No connection could be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct ConnectError;
@@ -101,7 +104,7 @@
     }
 
     /// Keeps a connection whose last exchange is over. `idle` is what the target said.
-    pub(super) fn keep(&self, connection: Connection, idle: Option<Duration>) {
+    fn keep(&self, connection: Connection, idle: Option<Duration>) {
         let since = self.clock.now();
         let until = since + idle.unwrap_or(UNTOLD_IDLE).mul_f64(USABLE_PART);
         let mut all = self.idle.borrow_mut();
@@ -111,6 +114,13 @@
         }
     }
 
+    /// Keeps a connection after an answer with the head fields `fields`, unless it is closing.
+    pub(super) fn keep_after(&self, connection: Connection, fields: &HeaderMap) {
+        if !is_closing(fields) {
+            self.keep(connection, idle_time(fields));
+        }
+    }
+
     /// Closes connections that must not be used any more.
     pub(super) fn sweep(&self) {
         let now = self.clock.now();
@@ -120,3 +130,15 @@
         });
     }
 }
+
+fn is_closing(fields: &HeaderMap) -> bool {
+    let values = fields.get_all(CONNECTION).into_iter().filter_map(|v| v.to_str().ok());
+    values.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("close"))
+}
+
+/// Idle time that the target promises for the connection.
+fn idle_time(fields: &HeaderMap) -> Option<Duration> {
+    let value = fields.get(KEEP_ALIVE)?.to_str().ok()?;
+    let seconds = value.split(',').find_map(|v| v.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/gateway/src/calls/probe.rs
@@ -0,0 +1,87 @@
+//! Asks targets for their load when the balancer orders it.
+
+use super::{
+    body::Payload,
+    pool::{Connection, Pool},
+};
+use crate::{
+    dialect::{Dialect, Publication},
+    gateway::Gateway,
+};
+use azuretally_policy::balance::{LoadReport, Probe};
+use bytes::Bytes;
+use http::{Request, header::HOST};
+use http_body_util::{BodyExt, Either, Full};
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::{sync::mpsc, task::JoinSet, time::timeout};
+
+/// Time in which a probe is of use.
+const LIMIT: Duration = Duration::from_millis(80);
+
+/// Sends the probes that are ordered until the task is dropped.
+pub(super) async fn run<Adapter>(
+    gateway: Rc<Gateway<Adapter>>,
+    pool: Rc<Pool>,
+    mut orders: mpsc::UnboundedReceiver<Probe>,
+) where
+    Adapter: Dialect + Publication,
+{
+    let mut probes = JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(probe) = orders.recv() => {
+                probes.spawn_local(send(Rc::clone(&gateway), Rc::clone(&pool), probe));
+            }
+            Some(_) = probes.join_next() => {}
+            else => return,
+        }
+    }
+}
+
+async fn send<Adapter>(gateway: Rc<Gateway<Adapter>>, pool: Rc<Pool>, probe: Probe)
+where
+    Adapter: Dialect + Publication,
+{
+    let report = match timeout(LIMIT, exchange(&gateway, &pool, &probe)).await {
+        Ok(report) => report,
+        Err(_) => None,
+    };
+    let kind = if report.is_some() { "probe" } else { "probe-failed" };
+    gateway.metrics.attempt(&probe.service, kind);
+    if report.is_none() {
+        log::info!("calls: probe of target={} brought no report", probe.target);
+    }
+    let now = gateway.clock.now();
+    gateway.balancer.borrow_mut().probed(now, &probe, report);
+    gateway.pump();
+}
+
+async fn exchange<Adapter>(
+    gateway: &Gateway<Adapter>,
+    pool: &Pool,
+    probe: &Probe,
+) -> Option<LoadReport>
+where
+    Adapter: Dialect + Publication,
+{
+    let path = {
+        let table = gateway.routes()?;
+        Arc::clone(&table.published().services.get(&probe.service)?.probe_path)
+    };
+    let mut connection: Connection = match pool.take(probe.address, false) {
+        Some(connection) => connection,
+        None => {
+            gateway.metrics.connections.inc();
+            pool.connect(probe.address).await.ok()?
+        }
+    };
+    let body: Payload = Either::Left(Full::new(Bytes::new()));
+    let request = Request::get(&*path).header(HOST, probe.address.to_string()).body(body).ok()?;
+    let response = connection.sender.send_request(request).await.ok()?;
+    let (head, body) = response.into_parts();
+    body.collect().await.ok()?;
+    pool.keep_after(connection, &head.headers);
+    let told = gateway.adapter.probe_head(&head);
+    let same = told.target.is_none_or(|name| name == probe.target);
+    told.report.filter(|_| same)
+}
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -1,12 +1,13 @@
 //! Listens for callers, and carries out the planned stop.
 
-use super::{pool::Pool, task::handle};
+use super::{pool::Pool, probe, task::handle};
 use crate::{
     StartError,
     dialect::{Dialect, Publication},
     gateway::Gateway,
     socket::prepare,
 };
+use azuretally_policy::balance::Probe;
 use error_stack::{Report, ResultExt};
 use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::{
@@ -16,6 +17,7 @@
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
+    sync::mpsc,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 
@@ -49,6 +51,7 @@
     gateway: Rc<Gateway<Adapter>>,
     pool: Rc<Pool>,
     listener: TcpListener,
+    orders: mpsc::UnboundedReceiver<Probe>,
 }
 
 impl<Adapter> Server<Adapter>
@@ -60,21 +63,28 @@
     /// # Errors
     ///
     /// [`StartError::Bind`] when the address cannot be used.
-    pub async fn bind(gateway: Rc<Gateway<Adapter>>) -> Result<Self, Report<StartError>> {
+    pub async fn bind(
+        gateway: Rc<Gateway<Adapter>>,
+        orders: mpsc::UnboundedReceiver<Probe>,
+    ) -> Result<Self, Report<StartError>> {
         let address = gateway.settings().listen.calls;
         let listener =
             TcpListener::bind(address).await.change_context(StartError::Bind(address))?;
         let pool = Rc::new(Pool::new(gateway.clock));
-        Ok(Self { gateway, pool, listener })
+        Ok(Self { gateway, pool, listener, orders })
     }
 
     /// Serves until the planned stop has finished every call in flight.
-    pub async fn run(self) {
+    pub async fn run(mut self) {
         let gateway = Rc::clone(&self.gateway);
+        let (_, none) = mpsc::unbounded_channel();
+        let orders = std::mem::replace(&mut self.orders, none);
+        let prober = probe::run(Rc::clone(&gateway), Rc::clone(&self.pool), orders);
         let house = keep_house(Rc::clone(&gateway), Rc::clone(&self.pool));
         tokio::select! {
             () = self.accept() => {}
             () = house => {}
+            () = prober => {}
         }
         gateway.end.cancel();
     }
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -13,7 +13,7 @@
 };
 use azuretally_policy::{
     Timestamp,
-    balance::{Ending, GiveUp, Order, Start, Verdict},
+    balance::{Ending, GiveUp, Hedge, Order, Start},
 };
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use http::{Request, Response};
@@ -93,6 +93,7 @@
         let now = self.gateway.clock.now();
         let mut order = self.gateway.balancer.borrow_mut().arrive(now, self.inbound.call());
         loop {
+            self.gateway.order_probes();
             match order {
                 Order::Start(start) => self.start(start),
                 Order::Wait if self.attempts.is_empty() => {
@@ -130,10 +131,15 @@
                 () = async { match hedge_in { Some(d) => sleep(d).await, None => pending().await } } => {
                     self.hedge_at = None;
                     let now = self.gateway.clock.now();
-                    let start = self.gateway.balancer.borrow_mut().hedge(now, self.inbound.number);
-                    if let Some(start) = start {
-                        self.gateway.metrics.attempt(&self.inbound.service, "hedge");
-                        return Order::Start(start);
+                    let hedge = self.gateway.balancer.borrow_mut().hedge(now, self.inbound.number);
+                    self.gateway.order_probes();
+                    match hedge {
+                        Hedge::Start(start) => {
+                            self.gateway.metrics.attempt(&self.inbound.service, "hedge");
+                            return Order::Start(start);
+                        }
+                        Hedge::Later(at) => self.hedge_at = Some(at),
+                        Hedge::Never => {}
                     }
                 }
                 () = deadline => {
@@ -169,14 +175,13 @@
 
     fn ended(&mut self, ended: Ended) -> Order {
         let now = self.gateway.clock.now();
-        let Ended { attempt, verdict, report, received, near } = ended;
-        if !matches!(verdict, Verdict::Answered { ok: true, .. }) {
-            log::info!(
-                "calls: attempt id={} target={} verdict={verdict:?} report={report:?}",
-                self.inbound.id(),
-                attempt.target,
-            );
-        }
+        let Ended { attempt, verdict, report, received, near, started } = ended;
+        log::info!(
+            "calls: attempt id={} target={} verdict={verdict:?} report={report:?} ms={}",
+            self.inbound.id(),
+            attempt.target,
+            now.since(started).as_millis(),
+        );
         if let Some(received) = received {
             if let Arrived::Whole(bytes) = &received.body
                 && !near
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -18,6 +18,7 @@
 use tokio::{
     runtime,
     signal::unix::{SignalKind, signal},
+    sync::mpsc,
     task::LocalSet,
     time::sleep,
 };
@@ -67,10 +68,11 @@
     Adapter: Dialect + Publication,
 {
     let listen = settings.listen;
-    let gateway = Rc::new(Gateway::new(adapter, settings));
+    let (probes, orders) = mpsc::unbounded_channel();
+    let gateway = Rc::new(Gateway::new(adapter, settings, probes));
     let heartbeats = Heartbeats::bind(listen.heartbeats).await?;
     let answers = Answers::bind(&listen).await?;
-    let server = calls::Server::bind(Rc::clone(&gateway)).await?;
+    let server = calls::Server::bind(Rc::clone(&gateway), orders).await?;
     let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Runtime)?;
     let mut interrupt = signal(SignalKind::interrupt()).change_context(StartError::Runtime)?;
     let mut hangup = signal(SignalKind::hangup()).change_context(StartError::Runtime)?;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -49,6 +49,15 @@
     pub report: Option<LoadReport>,
 }
 
+/// What the answer to a probe says.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ProbeHead {
+    /// Name of the target that answered, where it says so.
+    pub target: Option<Arc<str>>,
+    /// Load that it reports.
+    pub report: Option<LoadReport>,
+}
+
 /// How a call ends that gets no answer of a target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failing {
@@ -143,6 +152,9 @@
     /// Reads the head of a target's answer to the call `id`.
     fn target_head(&self, head: &response::Parts, id: Option<&str>) -> TargetHead;
 
+    /// Reads the head of the answer to a probe.
+    fn probe_head(&self, head: &response::Parts) -> ProbeHead;
+
     /// Removes the fields of a target's answer that callers need not see.
     fn trim(&self, fields: &mut HeaderMap);
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,7 @@
     settings::Settings,
 };
 use azuretally_policy::balance::{
-    Balancer, Beat, Catalog, Limits, Order, Phase, Roster, RosterBuilder, RouteTable, Source, Split,
+    Balancer, Beat, Catalog, Limits, Order, Phase, Probe, Roster, RosterBuilder, RouteTable, Source, Split,
 };
 use indexmap::IndexMap;
 use std::{
@@ -16,13 +16,17 @@
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 /// Part of the fleet's budget of second tries that the gateways share out; the rest covers
 /// gateways that started anew and callers that moved between gateways.
 const BUDGET_PART: f64 = 0.8;
 
+/// Part of the probes that a target may get which the gateways that callers are directed to share
+/// out; the rest covers the others.
+const PROBE_PART: f64 = 0.8;
+
 /// Shared by all tasks of one gateway, all on one thread. Borrows never last over a wait.
 #[derive(Debug)]
 pub struct Gateway<Adapter> {
@@ -54,6 +58,7 @@
     pub queued: Notify,
     routes: RefCell<Option<Rc<RouteTable>>>,
     waiting: RefCell<IndexMap<u64, oneshot::Sender<Order>>>,
+    probes: mpsc::UnboundedSender<Probe>,
     next_call: Cell<u64>,
 }
 
@@ -62,11 +67,17 @@
     Adapter: Dialect + Publication,
 {
     /// A gateway that knows nothing yet.
-    pub fn new(adapter: Adapter, settings: Settings) -> Self {
+    ///
+    /// Probes that the balancer orders go to `probes`.
+    pub fn new(
+        adapter: Adapter,
+        settings: Settings,
+        probes: mpsc::UnboundedSender<Probe>,
+    ) -> Self {
         let clock = Clock::start();
         let now = clock.now();
         let domain = Arc::clone(&settings.failure_domain);
-        let balancer = Balancer::new(domain, limits(&settings, 1), rand::random());
+        let balancer = Balancer::new(domain, limits(&settings, 1, 1), rand::random());
         let roster = roster(&settings).build(now);
         Self {
             adapter,
@@ -83,6 +94,7 @@
             queued: Notify::new(),
             routes: RefCell::default(),
             waiting: RefCell::default(),
+            probes,
             next_call: Cell::new(1),
             settings: RefCell::new(Rc::new(settings)),
         }
@@ -114,7 +126,8 @@
     /// Takes this gateway's part of the fleet's budget, by the number of gateways that live.
     pub fn share_budget(&self) {
         let living = self.roster.borrow().living();
-        let limits = limits(&self.settings(), living);
+        let deciders = self.roster.borrow().deciders();
+        let limits = limits(&self.settings(), living, deciders);
         self.balancer.borrow_mut().set_limits(limits);
     }
 
@@ -198,16 +211,26 @@
                 let _ = waiter.send(order);
             }
         }
+        self.order_probes();
+    }
+
+    /// Passes on the probes that the balancer ordered.
+    pub fn order_probes(&self) {
+        for probe in self.balancer.borrow_mut().take_probes() {
+            // The prober ends after the last call.
+            let _ = self.probes.send(probe);
+        }
     }
 }
 
-fn limits(settings: &Settings, living: usize) -> Limits {
+fn limits(settings: &Settings, living: usize, deciders: usize) -> Limits {
     let retries = &settings.retries;
     Limits {
         retry_ratio: retries.ratio * BUDGET_PART,
         retry_slack: retries.slack * BUDGET_PART / living.max(1) as f64,
         retry_window: Duration::from_millis(retries.window_ms),
         crossing: settings.crossing_cost_per_kb,
+        probe_rate: settings.probes_per_s * PROBE_PART / deciders.max(1) as f64,
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -115,6 +115,9 @@
     /// Planned stop.
     #[serde(default)]
     pub stop: StopSettings,
+    /// Probes that one target may get in a second from all gateways together.
+    #[serde(default = "default_probes")]
+    pub probes_per_s: f64,
     /// Part of a call's worth that 1 kB to another failure domain costs.
     #[serde(default = "default_crossing")]
     pub crossing_cost_per_kb: f64,
@@ -133,6 +136,10 @@
     0.05
 }
 
+fn default_probes() -> f64 {
+    10.0
+}
+
 fn default_read_ms() -> u64 {
     800
 }
@@ -194,6 +201,7 @@
             ("retries.slack", self.retries.slack.is_finite() && self.retries.slack >= 0.0),
             ("retries.window_ms", self.retries.window_ms > 0),
             ("crossing_cost_per_kb", self.crossing_cost_per_kb.is_finite()),
+            ("probes_per_s", self.probes_per_s.is_finite() && self.probes_per_s >= 0.0),
             ("read_ms", self.read_ms > 0),
         ];
         match ranges.into_iter().find(|(_, sound)| !sound) {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -13,7 +13,8 @@
 mod split;
 
 pub use balancer::{
-    Attempt, Balancer, Call, Ending, Failure, GiveUp, Limits, Order, Report, Start, Verdict,
+    Attempt, Balancer, Call, Ending, Failure, GiveUp, Hedge, Limits, Order, Probe, Report, Start,
+    Verdict,
 };
 pub use budget::WindowBudget;
 pub use catalog::{Catalog, Change, Listed, Record, Snapshot, Source};
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -10,7 +10,7 @@
     catalog::{Catalog, Listed},
     load::LoadReport,
     routes::Route,
-    service::{Place, Running, Service, Target, Wish},
+    service::{Choice, Place, Running, Service, Target, Wish},
 };
 use crate::Timestamp;
 use indexmap::IndexMap;
@@ -32,6 +32,10 @@
 const HEDGE_RESERVE: f64 = 2.0;
 /// Age of an attempt, in expected times, at which a second one beside it is considered.
 const HEDGE_AGE: f64 = 1.3;
+/// Pause before a second attempt is considered again.
+const HEDGE_PAUSE: Duration = Duration::from_millis(15);
+/// Calls that may be held for a better place before others are looked at no more.
+const HELD: usize = 8;
 /// Expected times that must be left for the second attempt.
 const HEDGE_ROOM: f64 = 1.1;
 /// Attempts that may fail without having been sent before a call is given up.
@@ -50,6 +54,30 @@
     pub retry_window: Duration,
     /// Part of a call's worth that 1 kB to another failure domain costs.
     pub crossing: f64,
+    /// Probes that one target may get from this gateway in a second.
+    pub probe_rate: f64,
+}
+
+/// Order to ask a target for its load.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Probe {
+    /// Service of the target.
+    pub service: Arc<str>,
+    /// Name of the target.
+    pub target: Arc<str>,
+    /// Where it is.
+    pub address: SocketAddr,
+}
+
+/// What becomes of a second attempt beside the first one.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Hedge {
+    /// Start it.
+    Start(Start),
+    /// Look again at this time.
+    Later(Timestamp),
+    /// There will be none.
+    Never,
 }
 
 /// A call as it arrived.
@@ -221,6 +249,7 @@
     budgets: IndexMap<Arc<str>, WindowBudget>,
     calls: IndexMap<u64, Entry>,
     queues: IndexMap<Arc<str>, Vec<u64>>,
+    probes: Vec<Probe>,
     random: Pcg64Mcg,
 }
 
@@ -234,6 +263,7 @@
             budgets: IndexMap::new(),
             calls: IndexMap::new(),
             queues: IndexMap::new(),
+            probes: Vec::new(),
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -311,22 +341,54 @@
     }
 
     /// The time to consider a second attempt beside the first one has come.
-    pub fn hedge(&mut self, now: Timestamp, id: u64) -> Option<Start> {
-        let entry = self.calls.get(&id)?;
-        if entry.running != 1 || !entry.call.route.idempotent || !entry.call.replayable {
-            return None;
+    pub fn hedge(&mut self, now: Timestamp, id: u64) -> Hedge {
+        let Some(entry) = self.calls.get(&id) else { return Hedge::Never };
+        let route = &entry.call.route;
+        if entry.running != 1 || !route.idempotent || !entry.call.replayable {
+            return Hedge::Never;
         }
-        let service = self.services.get(&entry.call.service)?;
+        let Some(service) = self.services.get(&entry.call.service) else { return Hedge::Never };
         let idle = self.queues.get(&entry.call.service).is_none_or(Vec::is_empty);
-        if entry.sent >= entry.call.route.attempts || !idle || service.usage() > HEDGE_USAGE {
-            return None;
+        if entry.sent >= route.attempts || !idle || service.usage() > HEDGE_USAGE {
+            return Hedge::Never;
         }
-        let place = self.choose(now, entry, true)?;
-        let budget = self.budgets.get_mut(&entry.call.service)?;
-        if !budget.take(now, HEDGE_RESERVE) {
-            return None;
+        let room = Duration::from_secs_f64(service.base(route) * HEDGE_ROOM);
+        if now + room > entry.call.objective {
+            return Hedge::Never;
+        }
+        let name = Arc::clone(&entry.call.service);
+        match self.choose(now, id, true) {
+            Choice::Take(place) => {
+                let budget = self.budgets.get_mut(&name);
+                if !budget.is_some_and(|b| b.take(now, HEDGE_RESERVE)) {
+                    return Hedge::Never;
+                }
+                self.start(now, id, &place).map_or(Hedge::Never, Hedge::Start)
+            }
+            Choice::Probe(_) | Choice::Hold | Choice::Full => Hedge::Later(now + HEDGE_PAUSE),
+        }
+    }
+
+    /// Probes that have to be sent now.
+    pub fn take_probes(&mut self) -> Vec<Probe> {
+        std::mem::take(&mut self.probes)
+    }
+
+    /// A probe was answered, or was not answered in time.
+    pub fn probed(&mut self, now: Timestamp, probe: &Probe, report: Option<LoadReport>) {
+        let Some(service) = self.services.get_mut(&probe.service) else { return };
+        if let Some(pace) = report.and_then(|r| r.pace) {
+            service.learn_pace(pace);
+        }
+        let Some(target) = service.targets.get_mut(&probe.target) else { return };
+        target.probed = None;
+        match report {
+            Some(report) => {
+                let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
+                target.load.report(now, report, own);
+            }
+            None => target.failed(now, true),
         }
-        self.start(now, id, &place)
     }
 
     /// The deadline of the call has come.
@@ -387,6 +449,7 @@
         let mut ids = queue.clone();
         ids.sort_by_key(|id| self.rank(now, *id));
         let mut full = false;
+        let mut held = 0;
         for id in ids {
             if self.is_hopeless(now, id) {
                 self.leave_queue(&service, id);
@@ -394,19 +457,19 @@
                 orders.push((id, order));
                 continue;
             }
-            if full {
+            if full || held >= HELD {
                 continue;
             }
-            let place = self.calls.get(&id).and_then(|entry| self.choose(now, entry, false));
-            match place {
-                Some(place) => {
+            match self.choose(now, id, false) {
+                Choice::Take(place) => {
                     self.leave_queue(&service, id);
                     if let Some(start) = self.start(now, id, &place) {
                         orders.push((id, Order::Start(start)));
                     }
                 }
+                Choice::Probe(_) | Choice::Hold => held += 1,
                 // A call that has been somewhere may find no place where others do.
-                None => full = self.calls.get(&id).is_some_and(|e| e.tried.is_empty()),
+                Choice::Full => full = self.calls.get(&id).is_some_and(|e| e.tried.is_empty()),
             }
         }
     }
@@ -440,7 +503,7 @@
             let own = self.rank(now, id);
             queue.iter().any(|other| self.rank(now, *other) < own)
         });
-        if !ahead && let Some(place) = self.choose(now, entry, false) {
+        if !ahead && let Choice::Take(place) = self.choose(now, id, false) {
             return self.start(now, id, &place).map_or(Order::Wait, Order::Start);
         }
         if waiting >= QUEUE {
@@ -469,9 +532,11 @@
         ahead / service.capacity().max(0.1) + service.usual(&entry.call.route)
     }
 
-    fn choose(&self, now: Timestamp, entry: &Entry, picky: bool) -> Option<Place> {
-        let service = self.services.get(&entry.call.service)?;
-        service.choose(&Wish {
+    /// Looks for a place, and orders the probes that are needed to find one.
+    fn choose(&mut self, now: Timestamp, id: u64, picky: bool) -> Choice {
+        let Some(entry) = self.calls.get(&id) else { return Choice::Full };
+        let Some(service) = self.services.get_mut(&entry.call.service) else { return Choice::Full };
+        let choice = service.choose(&Wish {
             now,
             route: &entry.call.route,
             objective: entry.call.objective,
@@ -479,7 +544,20 @@
             tried: &entry.tried,
             crossing: self.limits.crossing,
             picky,
-        })
+            probe_rate: self.limits.probe_rate,
+        });
+        if let Choice::Probe(indices) = &choice {
+            for index in indices {
+                let Some((_, target)) = service.targets.get_index_mut(*index) else { continue };
+                target.probe(now, self.limits.probe_rate);
+                self.probes.push(Probe {
+                    service: Arc::clone(&entry.call.service),
+                    target: Arc::clone(&target.name),
+                    address: target.address,
+                });
+            }
+        }
+        choice
     }
 
     fn start(&mut self, now: Timestamp, id: u64, place: &Place) -> Option<Start> {
@@ -493,6 +571,7 @@
             expected: place.expected,
             crowded: place.crowded,
             scale: place.scale,
+            known: place.is_known(),
         });
         entry.tried.push(Arc::clone(&target.name));
         entry.running += 1;
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -1,14 +1,13 @@
 //! Belief about the load and speed of one target.
 //!
 //! Every report is old when it arrives, so each figure is worth less the older it is: the pace of a
-//! shared machine drifts back to its mean, the calls of others come to an end.
+//! shared machine is believed for a moment only, the calls of others come to an end.
 
 use crate::Timestamp;
 use std::time::Duration;
 
-/// Time in which a reported pace loses two thirds of what it tells; machines change theirs several
-/// times a second.
-const PACE_MEMORY: Duration = Duration::from_millis(150);
+/// Time for which a reported pace is believed; machines change theirs several times a second.
+const PACE_MEMORY: Duration = Duration::from_millis(40);
 /// Time in which the calls of others that a report showed have mostly ended.
 const OTHERS_MEMORY: Duration = Duration::from_millis(300);
 /// Time in which failures and slow answers are mostly forgotten.
@@ -110,10 +109,10 @@
         self.heard.map_or(0.0, |h| h.others * decay(now.since(h.at), OTHERS_MEMORY))
     }
 
-    /// Expected pace, where `mean` is that of all machines.
-    pub(super) fn pace(&self, now: Timestamp, mean: f64) -> f64 {
-        let heard = self.heard.and_then(|h| Some((h.report.pace?, h.at)));
-        heard.map_or(mean, |(pace, at)| mean + (pace - mean) * decay(now.since(at), PACE_MEMORY))
+    /// Pace that was reported a moment ago.
+    pub(super) fn pace(&self, now: Timestamp) -> Option<f64> {
+        let heard = self.heard.filter(|h| now.since(h.at) <= PACE_MEMORY)?;
+        heard.report.pace
     }
 
     /// Expected time over usual time by what was seen of answers, at least 1.
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -223,6 +223,11 @@
         1 + self.peers.values().filter(|p| p.alive).count()
     }
 
+    /// Number of gateways to which callers are directed, this gateway's failure domain included.
+    pub fn deciders(&self) -> usize {
+        self.first_of_all().len().max(1) * self.directed
+    }
+
     /// Lines for the log on what changed since the last call.
     pub fn take_journal(&mut self) -> Vec<String> {
         std::mem::take(&mut self.journal)
--- a/crates/policy/src/balance/routes.rs
+++ b/crates/policy/src/balance/routes.rs
@@ -41,6 +41,8 @@
 pub struct ServiceRule {
     /// Connections that one target accepts from all callers together.
     pub connections: u32,
+    /// Path at which a target tells its load.
+    pub probe_path: Arc<str>,
 }
 
 /// What callers may send, and how long they may take.
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -9,8 +9,10 @@
 const UNKNOWN_TIME: f64 = 0.4;
 /// Weight of one more answer in the mean time of a route.
 const NEW_TIME: f64 = 0.05;
-/// Weight of one more report in the mean pace.
+/// Weight of one more report in the figures on pace.
 const NEW_PACE: f64 = 0.02;
+/// Pace above which a machine counts as slow.
+const SLOW_PACE: f64 = 2.0;
 /// Part of a target's slots from which it counts as crowded.
 const CROWDED: f64 = 0.8;
 /// How much longer calls take at a crowded target before that was measured.
@@ -20,13 +22,23 @@
 /// How much longer calls take at a target that warms up.
 const COLD_TIME: f64 = 2.0;
 /// Steepness of the chance of an answer in time around the objective.
-const STEEPNESS: f64 = 3.0;
+const STEEPNESS: f64 = 6.0;
 /// Calls of others that may be at a target that still counts as having a free slot.
 const OTHERS_ALLOWED: f64 = 0.5;
 /// Shortest and longest time for which a target gets no calls after a failure.
 const PAUSE: (Duration, Duration) = (Duration::from_millis(300), Duration::from_secs(4));
 /// Broken exchanges in a row after which a target is paused.
 const BROKEN_IN_A_ROW: u32 = 2;
+/// Chance of an answer in time from which a place is taken without waiting for a better one.
+const GOOD_CHANCE: f64 = 0.5;
+/// Gain in utility for which the pace of a target is asked for.
+const PROBE_GAIN: f64 = 0.02;
+/// Targets that are probed for one call at a time.
+const PROBED: usize = 3;
+/// Time for which a probe under way keeps others from being sent.
+const PROBE_TIME: Duration = Duration::from_millis(100);
+/// Time that a call needs beside its run.
+const OVERHEAD: Duration = Duration::from_millis(15);
 /// Bytes that an exchange has beyond its bodies.
 const HEAD_BYTES: f64 = 500.0;
 
@@ -39,8 +51,10 @@
     pub(super) expected: f64,
     /// Whether the target was crowded when it began.
     pub(super) crowded: bool,
-    /// Time that it would take at an idle, warm target of the usual pace, over its expected time.
+    /// Expected time over the time at an idle, warm target of the usual pace.
     pub(super) scale: f64,
+    /// Whether the pace was known when it began.
+    pub(super) known: bool,
 }
 
 /// One target.
@@ -58,6 +72,10 @@
     pub(super) paused_until: Timestamp,
     /// The address has changed hands; no calls until the record changes.
     pub(super) moved: bool,
+    /// When a probe was sent whose answer is awaited.
+    pub(super) probed: Option<Timestamp>,
+    /// Probes that may be sent, and when that was counted.
+    pub(super) allowance: (f64, Timestamp),
 }
 
 impl Target {
@@ -75,9 +93,28 @@
             load: Load::default(),
             paused_until: now,
             moved: false,
+            probed: None,
+            allowance: (1.0, now),
         }
     }
 
+    /// Whether a probe may be sent now, at most `rate` a second.
+    fn may_probe(&self, now: Timestamp, rate: f64) -> bool {
+        let idle = self.probed.is_none_or(|at| now.since(at) > PROBE_TIME);
+        idle && self.allowed(now, rate) >= 1.0
+    }
+
+    fn allowed(&self, now: Timestamp, rate: f64) -> f64 {
+        let (saved, at) = self.allowance;
+        (saved + now.since(at).as_secs_f64() * rate).min(rate.max(1.0))
+    }
+
+    /// Counts a probe that is sent now.
+    pub(super) fn probe(&mut self, now: Timestamp, rate: f64) {
+        self.allowance = (self.allowed(now, rate) - 1.0, now);
+        self.probed = Some(now);
+    }
+
     fn update(&mut self, listed: &Listed) {
         let record = &listed.record;
         self.slots = record.slots.max(1);
@@ -139,6 +176,21 @@
     pub(super) crossing: f64,
     /// Whether only a good place will do.
     pub(super) picky: bool,
+    /// Probes that each target may get in a second.
+    pub(super) probe_rate: f64,
+}
+
+/// What comes of the search for a place.
+#[derive(Clone, Debug)]
+pub(super) enum Choice {
+    /// Start there.
+    Take(Place),
+    /// Ask these targets for their load first.
+    Probe(Vec<usize>),
+    /// All free places are bad now and may be better in a moment.
+    Hold,
+    /// No place is free.
+    Full,
 }
 
 /// A place for a call.
@@ -149,8 +201,47 @@
     pub(super) crowded: bool,
     pub(super) scale: f64,
     pub(super) near: bool,
+    /// Whether the pace is known.
+    known: bool,
     /// Chance of an answer in time.
-    pub(super) chance: f64,
+    chance: f64,
+}
+
+impl Place {
+    /// Whether the pace was known when the place was chosen.
+    pub(super) fn is_known(&self) -> bool {
+        self.known
+    }
+}
+
+/// A place with its utility, and the utility that it may turn out to have.
+#[derive(Clone, Copy, Debug)]
+struct Rated {
+    place: Place,
+    utility: f64,
+    hope: f64,
+}
+
+/// What is known of the paces of all machines of a service.
+#[derive(Clone, Copy, Debug)]
+struct Paces {
+    /// Whether targets tell their pace at all.
+    told: bool,
+    /// Part of the reports that told of a slow machine.
+    slow_part: f64,
+    /// Mean pace of the slow ones and of the others.
+    slow: f64,
+    usual: f64,
+}
+
+impl Paces {
+    fn learn(&mut self, pace: f64) {
+        self.told = true;
+        let slow = pace > SLOW_PACE;
+        self.slow_part += (f64::from(u8::from(slow)) - self.slow_part) * NEW_PACE;
+        let mean = if slow { &mut self.slow } else { &mut self.usual };
+        *mean += (pace.clamp(0.1, 20.0) - *mean) * NEW_PACE;
+    }
 }
 
 /// Targets of one service.
@@ -158,7 +249,7 @@
 pub(super) struct Service {
     pub(super) targets: IndexMap<Arc<str>, Target>,
     times: IndexMap<Arc<str>, Times>,
-    pace: f64,
+    paces: Paces,
     /// Mean of observed over expected time at targets that are crowded and at those that are not.
     crowding: (f64, f64),
 }
@@ -168,7 +259,7 @@
         Self {
             targets: IndexMap::new(),
             times: IndexMap::new(),
-            pace: 1.0,
+            paces: Paces { told: false, slow_part: 0.2, slow: 4.0, usual: 1.0 },
             crowding: (CROWDED_TIME, 1.0),
         }
     }
@@ -207,13 +298,14 @@
 
     /// Expected seconds of a call of `route` at a target as they mostly are.
     pub(super) fn usual(&self, route: &Route) -> f64 {
-        self.base(route) * self.crowding.0
+        self.base(route) * (1.0 + self.crowding.0) / 2.0
     }
 
     /// Seconds of work that the targets do in one second.
     pub(super) fn capacity(&self) -> f64 {
         let usable = self.targets.values().filter(|t| t.is_usable());
-        usable.map(|t| f64::from(t.slots) / self.crowding.0).sum()
+        let slots: f64 = usable.map(|t| f64::from(t.slots) / self.crowding.0).sum();
+        slots * (1.0 - self.paces.slow_part)
     }
 
     /// Whether any target may be used.
@@ -229,27 +321,81 @@
         if slots == 0 { 1.0 } else { used as f64 / f64::from(slots) }
     }
 
-    /// The best free place, if any.
-    pub(super) fn choose(&self, wish: &Wish<'_>) -> Option<Place> {
+    /// The best free place, or what has to happen before one can be taken.
+    pub(super) fn choose(&self, wish: &Wish<'_>) -> Choice {
+        let rated = self.rate(wish);
+        let best = |known: bool| {
+            let places = rated.iter().filter(|r| r.place.known || !known);
+            places.max_by(|a, b| a.utility.total_cmp(&b.utility)).copied()
+        };
+        let Some(any) = best(false) else { return Choice::Full };
+        let known = best(true);
+        let sure = known.map_or(f64::NEG_INFINITY, |k| k.utility);
+        let probes = self.probes(wish, &rated, sure);
+        if !probes.is_empty() {
+            return Choice::Probe(probes);
+        }
+        let awaited = rated.iter().any(|r| !r.place.known && self.is_awaited(wish.now, r));
+        let taken = if any.utility > sure && !awaited { Some(any) } else { known };
+        let Some(taken) = taken else { return Choice::Hold };
+        if wish.picky && taken.place.chance < GOOD_CHANCE {
+            return Choice::Hold;
+        }
+        match self.is_worth_waiting(wish, &taken.place) {
+            true => Choice::Hold,
+            false => Choice::Take(taken.place),
+        }
+    }
+
+    fn rate(&self, wish: &Wish<'_>) -> Vec<Rated> {
         let all_paused = self.targets.values().all(|t| !t.is_usable() || t.is_paused(wish.now));
         let near = || self.targets.values().filter(|t| t.near && t.is_usable());
         let lonely = near().all(|t| t.is_paused(wish.now));
-        let mut best: Option<(f64, Place)> = None;
+        let mut rated = Vec::new();
         for (index, target) in self.targets.values().enumerate() {
             let shunned = target.is_paused(wish.now) && !all_paused;
             if !target.is_usable() || shunned || wish.tried.contains(&target.name) {
                 continue;
             }
-            let Some(place) = self.place(index, target, wish, lonely) else { continue };
-            let utility = self.utility(&place, target, wish);
-            if wish.picky && utility <= 0.0 {
-                continue;
-            }
-            if best.as_ref().is_none_or(|(b, _)| utility > *b) {
-                best = Some((utility, place));
+            if let Some(place) = self.place(index, target, wish, lonely) {
+                rated.push(self.rated(place, target, wish));
             }
         }
-        best.map(|(_, place)| place)
+        rated
+    }
+
+    /// Targets worth a probe: those that may turn out to be better than what is known.
+    fn probes(&self, wish: &Wish<'_>, rated: &[Rated], sure: f64) -> Vec<usize> {
+        if !self.paces.told {
+            return Vec::new();
+        }
+        let mut hopeful: Vec<&Rated> = rated
+            .iter()
+            .filter(|r| !r.place.known && r.hope > sure + PROBE_GAIN)
+            .filter(|r| self.targets[r.place.index].may_probe(wish.now, wish.probe_rate))
+            .collect();
+        hopeful.sort_by(|a, b| b.hope.total_cmp(&a.hope));
+        hopeful.iter().take(PROBED).map(|r| r.place.index).collect()
+    }
+
+    /// Whether a probe of the target is under way.
+    fn is_awaited(&self, now: Timestamp, rated: &Rated) -> bool {
+        let target = &self.targets[rated.place.index];
+        target.probed.is_some_and(|at| now.since(at) <= PROBE_TIME)
+    }
+
+    /// Whether a better place may show up in time: one at a machine of the usual pace.
+    fn is_worth_waiting(&self, wish: &Wish<'_>, place: &Place) -> bool {
+        if !self.paces.told || place.chance >= GOOD_CHANCE {
+            return false;
+        }
+        let run = Duration::from_secs_f64(self.usual(wish.route)) + OVERHEAD;
+        if wish.now + run <= wish.objective {
+            return true;
+        }
+        // A late call at a slow machine takes the time of several others.
+        let slow = place.scale > SLOW_PACE;
+        slow && wish.now + run * 2 <= wish.deadline
     }
 
     fn place(
@@ -269,17 +415,22 @@
             return None;
         }
         let crowded = (own + others + 1.0) / slots > CROWDED;
-        let pace = target.load.pace(now, self.pace) / self.pace;
+        let told = target.load.pace(now);
+        let pace = told.unwrap_or(self.paces.usual) / self.paces.usual;
         let crowding = if crowded { self.crowding.0 / self.crowding.1 } else { 1.0 };
         let cold = if now < target.warm_at { COLD_TIME } else { 1.0 };
         let scale = pace * crowding.clamp(CROWDED_RANGE.0, CROWDED_RANGE.1) * cold;
         let slowness = target.load.slowness(now).max(target.overdue(now));
         let expected = self.base(wish.route) * scale * slowness;
-        let chance = chance(expected, wish.objective.since(now));
-        Some(Place { index, expected, crowded, scale, near: target.near, chance })
+        let left = wish.objective.since(now);
+        let known = told.is_some() || !self.paces.told;
+        let part = if known { 0.0 } else { self.paces.slow_part };
+        let slow = expected * self.paces.slow / self.paces.usual;
+        let chance = part * chance(slow, left) + (1.0 - part) * chance(expected, left);
+        Some(Place { index, expected, crowded, scale, near: target.near, known, chance })
     }
 
-    fn utility(&self, place: &Place, target: &Target, wish: &Wish<'_>) -> f64 {
+    fn rated(&self, place: Place, target: &Target, wish: &Wish<'_>) -> Rated {
         let reliability = target.load.reliability(wish.now);
         // A call that cannot be made again goes to the surest target.
         let sure = if wish.route.idempotent { reliability } else { reliability * reliability };
@@ -287,12 +438,21 @@
         let bytes = self.times.get(&wish.route.name).map_or(2.0 * HEAD_BYTES, |t| t.bytes);
         let crossing = if place.near { 0.0 } else { wish.crossing * bytes / 1_000.0 };
         // Among places that are alike the faster one is taken, also where all are too late.
-        sure * (place.chance + late) - crossing - 0.001 * place.expected
+        let cost = crossing + 0.001 * place.expected;
+        let hope = chance(place.expected, wish.objective.since(wish.now));
+        Rated {
+            place,
+            utility: sure * (place.chance + late) - cost,
+            hope: sure * (hope + late) - cost,
+        }
     }
 
     /// Learns from an answer.
     pub(super) fn learn(&mut self, now: Timestamp, route: &Route, running: &Running, bytes: usize) {
         let seconds = now.since(running.since).as_secs_f64();
+        if !running.known {
+            return;
+        }
         let sample = seconds / running.scale.max(0.1);
         let base = self.base(route);
         let old = self.times.get(&route.name).copied().unwrap_or(Times { base, bytes: 0.0 });
@@ -309,9 +469,9 @@
         *mean += (ratio - *mean) * NEW_TIME;
     }
 
-    /// Takes a reported pace into the mean.
+    /// Takes a reported pace into the figures.
     pub(super) fn learn_pace(&mut self, pace: f64) {
-        self.pace += (pace.clamp(0.1, 20.0) - self.pace) * NEW_PACE;
+        self.paces.learn(pace);
     }
 }
 
