fix(policy): a failed answer of a target counts as run

Cause: a 500 of a target led to a second attempt of a call that must not run twice; only exchanges that broke off were taken as a possible run.

Ruled out: connections used twice, 421 handling.

Change: such an answer marks the call as run. Tests: at_most_once, red before (an ordered second attempt; a refusal said not run after a 500), green after.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -322,6 +322,7 @@
         match ending.verdict {
             Verdict::Answered { ok: true, .. } => return Order::Deliver,
             Verdict::Answered { ok: false, .. } => {
+                entry.doubtful = true;
                 if entry.running > 0 {
                     return Order::Wait;
                 }
--- /dev/null
+++ b/crates/policy/tests/balance/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the gateway's decisions.
+
+mod at_most_once;
+mod fixture;
