fix(gateway): keep orders for calls that do not wait yet, never give an attempt up for silence

Test: gateway/tests/orders, red before. Tests: balance/silence. Cause 3: callers refused by shedding targets were told to come back after 100 ms and more while targets were free; now after about 40 ms.

Ruled out: deadlines of targets; the planned stop itself.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -72,7 +72,7 @@
 {
     let attempt = Attempt { call: inbound.number, target: start.target.clone() };
     let started = gateway.clock.now();
-    let limit = start.until.since(started);
+    let limit = inbound.deadline.since(started);
     let mut sent = false;
     let exchange = exchange(&gateway, &pool, &inbound, &start, &mut sent);
     let result = match timeout(limit, exchange).await {
--- a/crates/gateway/src/calls/pool.rs
+++ b/crates/gateway/src/calls/pool.rs
@@ -90,10 +90,8 @@
         let stream = timeout(CONNECT, TcpStream::connect(address)).await;
         let stream = stream.map_err(|_| ConnectError)?.map_err(|_| ConnectError)?;
         prepare(&stream, SILENCE).map_err(|_| ConnectError)?;
-        let handshake = http1::Builder::new()
-            .max_buf_size(BUFFER_BYTES)
-            .handshake(TokioIo::new(stream))
-            .await;
+        let handshake =
+            http1::Builder::new().max_buf_size(BUFFER_BYTES).handshake(TokioIo::new(stream)).await;
         let (sender, connection) = handshake.map_err(|_| ConnectError)?;
         let driver = spawn_local(async move {
             if let Err(e) = connection.await {
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -42,10 +42,8 @@
 where
     Adapter: Dialect + Publication,
 {
-    let report = match timeout(LIMIT, exchange(&gateway, &pool, &probe)).await {
-        Ok(report) => report,
-        Err(_) => None,
-    };
+    // No answer in time is no report.
+    let report = timeout(LIMIT, exchange(&gateway, &pool, &probe)).await.unwrap_or_default();
     let kind = if report.is_some() { "probe" } else { "probe-failed" };
     gateway.metrics.attempt(&probe.service, kind);
     if report.is_none() {
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -39,7 +39,7 @@
 /// for a while.
 const NOTICE: f64 = 0.45;
 /// Time before the kill at which the process ends in any case.
-const MARGIN: Duration = Duration::from_millis(250);
+const MARGIN: Duration = Duration::from_millis(500);
 /// Time between two looks at waiting calls.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time between two looks at idle connections.
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -143,8 +143,7 @@
                     }
                 }
                 () = deadline => {
-                    let now = self.gateway.clock.now();
-                    return self.gateway.balancer.borrow_mut().expire(now, self.inbound.number);
+                    return self.gateway.balancer.borrow_mut().expire(self.inbound.number);
                 }
             }
         }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -101,12 +101,16 @@
 where
     Adapter: Dialect,
 {
-    let text = fs::read_to_string(path)
-        .change_context_lazy(|| StartError::ReadFile(path.to_owned()))?;
+    let text =
+        fs::read_to_string(path).change_context_lazy(|| StartError::ReadFile(path.to_owned()))?;
     parse(path, &text, adapter)
 }
 
-fn parse<Adapter>(path: &Path, text: &str, adapter: &Adapter) -> Result<Settings, Report<StartError>>
+fn parse<Adapter>(
+    path: &Path,
+    text: &str,
+    adapter: &Adapter,
+) -> Result<Settings, Report<StartError>>
 where
     Adapter: Dialect,
 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -7,7 +7,8 @@
     settings::Settings,
 };
 use azuretally_policy::balance::{
-    Balancer, Beat, Catalog, Limits, Order, Phase, Probe, Roster, RosterBuilder, RouteTable, Source, Split,
+    Balancer, Beat, Catalog, Limits, Order, Phase, Probe, Roster, RosterBuilder, RouteTable,
+    Source, Split,
 };
 use indexmap::IndexMap;
 use std::{
@@ -58,6 +59,8 @@
     pub queued: Notify,
     routes: RefCell<Option<Rc<RouteTable>>>,
     waiting: RefCell<IndexMap<u64, oneshot::Sender<Order>>>,
+    /// Orders for calls whose tasks have not begun to wait for them yet.
+    early: RefCell<IndexMap<u64, Order>>,
     probes: mpsc::UnboundedSender<Probe>,
     next_call: Cell<u64>,
 }
@@ -69,11 +72,7 @@
     /// A gateway that knows nothing yet.
     ///
     /// Probes that the balancer orders go to `probes`.
-    pub fn new(
-        adapter: Adapter,
-        settings: Settings,
-        probes: mpsc::UnboundedSender<Probe>,
-    ) -> Self {
+    pub fn new(adapter: Adapter, settings: Settings, probes: mpsc::UnboundedSender<Probe>) -> Self {
         let clock = Clock::start();
         let now = clock.now();
         let domain = Arc::clone(&settings.failure_domain);
@@ -94,6 +93,7 @@
             queued: Notify::new(),
             routes: RefCell::default(),
             waiting: RefCell::default(),
+            early: RefCell::default(),
             probes,
             next_call: Cell::new(1),
             settings: RefCell::new(Rc::new(settings)),
@@ -189,6 +189,10 @@
     /// Waits for the next order for the call `id`.
     pub fn await_order(&self, id: u64) -> oneshot::Receiver<Order> {
         let (sender, receiver) = oneshot::channel();
+        if let Some(order) = self.early.borrow_mut().swap_remove(&id) {
+            drop(sender.send(order));
+            return receiver;
+        }
         self.waiting.borrow_mut().insert(id, sender);
         self.queued.notify_one();
         receiver
@@ -197,6 +201,7 @@
     /// Forgets a call whose task has ended.
     pub fn forget(&self, id: u64) {
         self.waiting.borrow_mut().swap_remove(&id);
+        self.early.borrow_mut().swap_remove(&id);
         self.balancer.borrow_mut().forget(id);
         self.pump();
     }
@@ -206,9 +211,12 @@
         let orders = self.balancer.borrow_mut().advance(self.clock.now());
         for (id, order) in orders {
             let waiter = self.waiting.borrow_mut().swap_remove(&id);
-            // A call whose task has ended is forgotten by the task itself.
-            if let Some(waiter) = waiter {
-                let _ = waiter.send(order);
+            match waiter {
+                // A call whose task has ended is forgotten by the task itself.
+                Some(waiter) => drop(waiter.send(order)),
+                None => {
+                    self.early.borrow_mut().insert(id, order);
+                }
             }
         }
         self.order_probes();
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -5,9 +5,7 @@
 use http::{Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::{
-    body::Incoming,
-    client::conn::http1 as client,
-    server::conn::http1 as server,
+    body::Incoming, client::conn::http1 as client, server::conn::http1 as server,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -91,7 +91,8 @@
         let thread = thread::Builder::new().name("journal".to_owned()).spawn(move || {
             while let Some((mut lines, lost)) = next_batch(&shared) {
                 if lost > 0 {
-                    lines.extend_from_slice(format!("WARN journal: lost lines={lost}\n").as_bytes());
+                    lines
+                        .extend_from_slice(format!("WARN journal: lost lines={lost}\n").as_bytes());
                 }
                 // There is nobody left to tell of a failed write.
                 let _ = out.write_all(&lines).and_then(|()| out.flush());
--- /dev/null
+++ b/crates/gateway/tests/orders.rs
@@ -0,0 +1,59 @@
+//! Orders of the balancer reach the tasks of their calls.
+
+mod stub;
+
+use azuretally_gateway::gateway::Gateway;
+use azuretally_policy::balance::{
+    Attempt, Call, Change, Ending, LoadReport, Order, Route, Share, Source, Verdict,
+};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::mpsc;
+
+fn call(gateway: &Gateway<stub::Stub>, id: u64) -> Call {
+    let now = gateway.clock.now();
+    let route = Route {
+        name: Arc::from("check"),
+        host: Arc::from("host"),
+        prefix: Arc::from("/check/"),
+        idempotent: true,
+        timeout: Duration::from_secs(5),
+        objective: Duration::from_secs(2),
+        priority: 1,
+        attempts: 2,
+        shares: vec![Share { service: Arc::from("service"), weight: 1 }],
+    };
+    Call {
+        id,
+        service: Arc::from("service"),
+        objective: now + route.objective,
+        deadline: now + route.timeout,
+        replayable: true,
+        route: Arc::new(route),
+    }
+}
+
+#[test]
+fn order_given_before_the_call_waits_for_it_is_kept() {
+    let (probes, _orders) = mpsc::unbounded_channel();
+    let gateway = Gateway::new(stub::Stub, stub::settings(), probes);
+    let now = gateway.clock.now();
+    let changes = vec![Change::Target(stub::target(1, 1))];
+    gateway.catalog.borrow_mut().apply(now, 1, changes, Source::Platform);
+    gateway.adopt(Source::Platform);
+
+    let first = gateway.balancer.borrow_mut().arrive(now, call(&gateway, 1));
+    let Order::Start(start) = first else { panic!("the only slot is free") };
+    let second = gateway.balancer.borrow_mut().arrive(now, call(&gateway, 2));
+    assert_eq!(second, Order::Wait);
+
+    let ending = Ending {
+        attempt: Attempt { call: 1, target: start.target },
+        verdict: Verdict::Answered { ok: true, bytes: 1 },
+        report: Some(LoadReport { running: 0, waiting: 0, slots: 1, pace: None }),
+    };
+    gateway.balancer.borrow_mut().ended(now, &ending);
+    gateway.pump();
+    let mut owed = gateway.await_order(2);
+    let order = owed.try_recv();
+    assert!(matches!(order, Ok(Order::Start(_))), "the order was lost: {order:?}");
+}
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -23,7 +23,10 @@
 /// Calls that may wait for one service.
 const QUEUE: usize = 512;
 /// Range of times after which callers are asked to come back.
-const COME_BACK: (f64, f64) = (0.1, 2.0);
+const COME_BACK: (f64, f64) = (0.02, 2.0);
+/// Seconds after which a caller may come back whose call was refused by targets while others are
+/// free.
+const REFUSED: f64 = 0.04;
 /// Time after which a caller may come back when no target is known.
 const NO_TARGET: Duration = Duration::from_millis(500);
 /// Part of the own slots in use above which no second try is started beside a first one.
@@ -40,8 +43,9 @@
 const HEDGE_ROOM: f64 = 1.1;
 /// Attempts that may fail without having been sent before a call is given up.
 const UNSENT: u32 = 4;
-/// Expected times after which an attempt that may be repeated is given up.
-const ATTEMPT_TIMES: f64 = 4.0;
+/// Age of an attempt, in expected times, at which a second one is made although it will be late: the
+/// target may never answer.
+const RESCUE_AGE: f64 = 2.5;
 
 /// Limits that come from local settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -117,8 +121,6 @@
     pub number: u32,
     /// When a second attempt beside this one is to be considered.
     pub hedge_at: Option<Timestamp>,
-    /// When the attempt is to be given up.
-    pub until: Timestamp,
     /// Expected time in ms, for the log.
     pub expected_ms: u64,
     /// Whether the target is in the failure domain of this gateway.
@@ -236,6 +238,8 @@
     /// Attempts of which something was sent.
     sent: u32,
     unsent: u32,
+    /// When a second attempt is made however late it will be.
+    rescue_at: Timestamp,
     /// Whether a target may have run it.
     doubtful: bool,
 }
@@ -306,6 +310,7 @@
             waiting: false,
             sent: 0,
             unsent: 0,
+            rescue_at: Timestamp::MAX,
             doubtful: false,
         };
         self.calls.insert(id, entry);
@@ -338,7 +343,7 @@
         if entry.running > 0 {
             return Order::Wait;
         }
-        self.again(now, id).unwrap_or_else(|| self.lost(now, id))
+        self.again(now, id).unwrap_or_else(|| self.lost(id))
     }
 
     /// The time to consider a second attempt beside the first one has come.
@@ -350,19 +355,22 @@
         }
         let Some(service) = self.services.get(&entry.call.service) else { return Hedge::Never };
         let idle = self.queues.get(&entry.call.service).is_none_or(Vec::is_empty);
-        if entry.sent >= route.attempts || !idle || service.usage() > HEDGE_USAGE {
-            return Hedge::Never;
-        }
         let room = Duration::from_secs_f64(service.base(route) * HEDGE_ROOM);
-        if now + room > entry.call.objective {
+        if entry.sent >= route.attempts || now + room > entry.call.deadline {
             return Hedge::Never;
         }
+        let rescue = now >= entry.rescue_at;
+        let early = now + room <= entry.call.objective;
+        if !rescue && (!early || !idle || service.usage() > HEDGE_USAGE) {
+            return Hedge::Later(entry.rescue_at);
+        }
         let name = Arc::clone(&entry.call.service);
-        match self.choose(now, id, true) {
+        match self.choose(now, id, !rescue) {
             Choice::Take(place) => {
                 let budget = self.budgets.get_mut(&name);
-                if !budget.is_some_and(|b| b.take(now, HEDGE_RESERVE)) {
-                    return Hedge::Never;
+                let reserve = if rescue { 0.0 } else { HEDGE_RESERVE };
+                if !budget.is_some_and(|b| b.take(now, reserve)) {
+                    return Hedge::Later(now + HEDGE_PAUSE * 4);
                 }
                 self.start(now, id, &place).map_or(Hedge::Never, Hedge::Start)
             }
@@ -393,17 +401,19 @@
     }
 
     /// The deadline of the call has come.
-    pub fn expire(&mut self, now: Timestamp, id: u64) -> Order {
+    pub fn expire(&mut self, id: u64) -> Order {
         if let Some(entry) = self.calls.get_mut(&id) {
             entry.doubtful |= entry.running > 0;
         }
-        self.give_up(now, id, GiveUp::Deadline)
+        self.give_up(id, GiveUp::Deadline)
     }
 
     /// The call is over, or its caller is gone: its attempts have been cancelled.
     pub fn forget(&mut self, id: u64) {
         let Some(entry) = self.calls.swap_remove(&id) else { return };
-        if entry.waiting && let Some(queue) = self.queues.get_mut(&entry.call.service) {
+        if entry.waiting
+            && let Some(queue) = self.queues.get_mut(&entry.call.service)
+        {
             queue.retain(|waiting| *waiting != id);
         }
         if let Some(service) = self.services.get_mut(&entry.call.service) {
@@ -415,7 +425,9 @@
 
     /// Gives an attempt's slot back while the call goes on elsewhere.
     pub fn cancel(&mut self, attempt: &Attempt) {
-        if self.release(attempt).is_some() && let Some(entry) = self.calls.get_mut(&attempt.call) {
+        if self.release(attempt).is_some()
+            && let Some(entry) = self.calls.get_mut(&attempt.call)
+        {
             entry.running = entry.running.saturating_sub(1);
         }
     }
@@ -454,7 +466,7 @@
         for id in ids {
             if self.is_hopeless(now, id) {
                 self.leave_queue(&service, id);
-                let order = self.lost_in_queue(now, id);
+                let order = self.lost_in_queue(id);
                 orders.push((id, order));
                 continue;
             }
@@ -497,7 +509,7 @@
         let Some(entry) = self.calls.get(&id) else { return Order::Wait };
         let name = Arc::clone(&entry.call.service);
         if !self.services.get(&name).is_some_and(Service::has_usable) {
-            return self.give_up(now, id, GiveUp::NoTarget);
+            return self.give_up(id, GiveUp::NoTarget);
         }
         let waiting = self.queues.get(&name).map_or(0, Vec::len);
         let ahead = self.queues.get(&name).is_some_and(|queue| {
@@ -508,11 +520,11 @@
             return self.start(now, id, &place).map_or(Order::Wait, Order::Start);
         }
         if waiting >= QUEUE {
-            return self.give_up(now, id, GiveUp::QueueFull);
+            return self.give_up(id, GiveUp::QueueFull);
         }
         let left = self.calls.get(&id).map_or(Duration::ZERO, |e| e.call.deadline.since(now));
         if self.expected_wait(now, id) > left.as_secs_f64() * WAIT_PART {
-            return self.give_up(now, id, GiveUp::Deadline);
+            return self.give_up(id, GiveUp::Deadline);
         }
         self.queues.entry(name).or_default().push(id);
         if let Some(entry) = self.calls.get_mut(&id) {
@@ -581,15 +593,16 @@
             && entry.call.replayable
             && entry.sent < entry.call.route.attempts;
         let seconds = |s: f64| Duration::from_secs_f64(s.clamp(0.0, 3_600.0));
-        let hedge_at = now + seconds(base * HEDGE_AGE);
+        let early = now + seconds(base * HEDGE_AGE);
         let last = entry.call.objective - seconds(base * HEDGE_ROOM);
-        let until = now + seconds(place.expected.max(base) * ATTEMPT_TIMES);
+        let rescue = now + seconds(place.expected.max(base) * RESCUE_AGE);
+        entry.rescue_at = rescue;
+        let hedge_at = if early <= last { early } else { rescue };
         Some(Start {
             target: Arc::clone(&target.name),
             address: target.address,
             number: entry.sent + entry.unsent,
-            hedge_at: (repeatable && hedge_at <= last).then_some(hedge_at),
-            until: if repeatable { until.min(entry.call.deadline) } else { entry.call.deadline },
+            hedge_at: repeatable.then_some(hedge_at),
             expected_ms: (place.expected * 1_000.0) as u64,
             near: place.near,
         })
@@ -618,22 +631,23 @@
         Some(order)
     }
 
-    fn lost(&mut self, now: Timestamp, id: u64) -> Order {
+    fn lost(&mut self, id: u64) -> Order {
         let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
-        self.give_up(now, id, if doubtful { GiveUp::Lost } else { GiveUp::Refused })
+        self.give_up(id, if doubtful { GiveUp::Lost } else { GiveUp::Refused })
     }
 
-    fn lost_in_queue(&mut self, now: Timestamp, id: u64) -> Order {
+    fn lost_in_queue(&mut self, id: u64) -> Order {
         let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
-        self.give_up(now, id, if doubtful { GiveUp::Lost } else { GiveUp::Deadline })
+        self.give_up(id, if doubtful { GiveUp::Lost } else { GiveUp::Deadline })
     }
 
-    fn give_up(&mut self, now: Timestamp, id: u64, reason: GiveUp) -> Order {
+    fn give_up(&mut self, id: u64, reason: GiveUp) -> Order {
         let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
         let retry_after = match reason {
             GiveUp::NoTarget => self.jittered(NO_TARGET.as_secs_f64()),
+            GiveUp::Refused if self.is_idle(id) => self.jittered(REFUSED),
             _ => {
-                let drained = self.drained(now, id);
+                let drained = self.drained(id);
                 self.jittered(drained)
             }
         };
@@ -641,8 +655,14 @@
         Order::GiveUp { reason, not_run: !doubtful, retry_after }
     }
 
+    /// Whether no call waits for the service of call `id`.
+    fn is_idle(&self, id: u64) -> bool {
+        let Some(entry) = self.calls.get(&id) else { return true };
+        self.queues.get(&entry.call.service).is_none_or(Vec::is_empty)
+    }
+
     /// Seconds until the calls that wait now have been served.
-    fn drained(&self, _now: Timestamp, id: u64) -> f64 {
+    fn drained(&self, id: u64) -> f64 {
         let Some(entry) = self.calls.get(&id) else { return COME_BACK.0 };
         let Some(service) = self.services.get(&entry.call.service) else { return COME_BACK.0 };
         let queue = self.queues.get(&entry.call.service).map_or(&[][..], Vec::as_slice);
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -245,10 +245,7 @@
                 let known = self.known_to(&beat);
                 self.hear(now, beat);
                 let own = Message::Beat(self.next_beat());
-                vec![
-                    Outgoing { to, message: Message::Known(known) },
-                    Outgoing { to, message: own },
-                ]
+                vec![Outgoing { to, message: Message::Known(known) }, Outgoing { to, message: own }]
             }
             Message::Known(hosts) => {
                 self.introduced.retain(|host| *host != from);
@@ -471,7 +468,7 @@
     /// The first living gateway of each other failure domain, ready or not, and one dead one of
     /// each domain that has none.
     fn first_of_others(&self) -> Vec<IpAddr> {
-        let mut firsts: IndexMap<&Arc<str>, (bool, (bool, u32, u64), IpAddr)> = IndexMap::new();
+        let mut firsts: IndexMap<&Arc<str>, (bool, Order, IpAddr)> = IndexMap::new();
         for peer in self.peers.values().filter(|p| p.beat.domain != self.own.domain) {
             let usable = peer.alive && peer.beat.phase != Phase::Leaving;
             let candidate = (!usable, order(&peer.beat), peer.beat.calls.ip());
@@ -490,16 +487,21 @@
     /// Number of living gateways of the own domain that come before this one, ready or not.
     fn rank_in_domain(&self) -> usize {
         let own = order(&self.own);
-        let before = |p: &&Peer| {
-            p.alive && p.beat.phase != Phase::Leaving && order(&p.beat) < own
-        };
+        let before = |p: &&Peer| p.alive && p.beat.phase != Phase::Leaving && order(&p.beat) < own;
         let leaving = self.own.phase == Phase::Leaving;
-        if leaving { self.near().filter(|p| p.alive).count() } else { self.near().filter(before).count() }
+        if leaving {
+            self.near().filter(|p| p.alive).count()
+        } else {
+            self.near().filter(before).count()
+        }
     }
 }
 
+/// Whether a gateway started a moment ago, its lack of power, and a hash of its name.
+type Order = (bool, u32, u64);
+
 /// Order of gateways: settled ones first, then the strong ones, then by a hash of the name.
-fn order(beat: &Beat) -> (bool, u32, u64) {
+fn order(beat: &Beat) -> Order {
     let mut hash = Xxh3Default::new();
     hash.write(beat.host.as_bytes());
     (!beat.settled, u32::MAX - beat.power, hash.finish())
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -398,13 +398,7 @@
         slow && wish.now + run * 2 <= wish.deadline
     }
 
-    fn place(
-        &self,
-        index: usize,
-        target: &Target,
-        wish: &Wish<'_>,
-        lonely: bool,
-    ) -> Option<Place> {
+    fn place(&self, index: usize, target: &Target, wish: &Wish<'_>, lonely: bool) -> Option<Place> {
         let now = wish.now;
         let own = target.running.len() as f64;
         let others = target.load.others(now);
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -2,3 +2,4 @@
 
 mod at_most_once;
 mod fixture;
+mod silence;
