--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -120,6 +120,7 @@
     Adapter: Dialect + Publication,
 {
     let lines = gateway.roster.borrow_mut().take_journal();
+    gateway.share_budget();
     if lines.is_empty() {
         return;
     }
@@ -128,7 +129,6 @@
     }
     let living = gateway.roster.borrow().living();
     gateway.metrics.living.set(i64::try_from(living).unwrap_or(i64::MAX));
-    gateway.share_budget();
     gateway.changed.notify_waiters();
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,9 +20,13 @@
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-/// Part of the fleet's budget of second tries that the gateways share out; the rest covers
-/// gateways that started anew and callers that moved between gateways.
-const BUDGET_PART: f64 = 0.8;
+/// Part of the second tries per call that a gateway allows itself of the calls that it takes.
+const RATIO_PART: f64 = 0.95;
+/// Part of the slack of the fleet that the gateways share out to which callers are directed. A window
+/// may see two sets of them, when all start anew.
+const SLACK_PART: f64 = 0.45;
+/// Part of the slack that the other gateways share out.
+const OTHERS_SLACK: f64 = 0.08;
 
 /// Part of the probes that a target may get which the gateways that callers are directed to share
 /// out; the rest covers the others.
@@ -76,7 +80,11 @@
         let clock = Clock::start();
         let now = clock.now();
         let domain = Arc::clone(&settings.failure_domain);
-        let balancer = Balancer::new(domain, limits(&settings, 1, 1), rand::random());
+        let balancer = Balancer::new(
+            domain,
+            limits(&settings, &Share { slack: 0.0, deciders: 1 }),
+            rand::random(),
+        );
         let roster = roster(&settings).build(now);
         Self {
             adapter,
@@ -125,9 +133,18 @@
 
     /// Takes this gateway's part of the fleet's budget, by the number of gateways that live.
     pub fn share_budget(&self) {
-        let living = self.roster.borrow().living();
-        let deciders = self.roster.borrow().deciders();
-        let limits = limits(&self.settings(), living, deciders);
+        let share = {
+            let roster = self.roster.borrow();
+            let living = roster.living();
+            match roster.is_directed() {
+                true => Share {
+                    slack: SLACK_PART / roster.deciders() as f64,
+                    deciders: roster.deciders(),
+                },
+                false => Share { slack: OTHERS_SLACK / living as f64, deciders: roster.deciders() },
+            }
+        };
+        let limits = limits(&self.settings(), &share);
         self.balancer.borrow_mut().set_limits(limits);
     }
 
@@ -231,14 +248,23 @@
     }
 }
 
-fn limits(settings: &Settings, living: usize, deciders: usize) -> Limits {
+/// This gateway's share of what the fleet may spend.
+#[derive(Clone, Copy, Debug)]
+struct Share {
+    /// Part of the slack for second tries.
+    slack: f64,
+    /// Gateways that share out the probes.
+    deciders: usize,
+}
+
+fn limits(settings: &Settings, share: &Share) -> Limits {
     let retries = &settings.retries;
     Limits {
-        retry_ratio: retries.ratio * BUDGET_PART,
-        retry_slack: retries.slack * BUDGET_PART / living.max(1) as f64,
+        retry_ratio: retries.ratio * RATIO_PART,
+        retry_slack: retries.slack * share.slack,
         retry_window: Duration::from_millis(retries.window_ms),
         crossing: settings.crossing_cost_per_kb,
-        probe_rate: settings.probes_per_s * PROBE_PART / deciders.max(1) as f64,
+        probe_rate: settings.probes_per_s * PROBE_PART / share.deciders as f64,
     }
 }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -133,7 +133,7 @@
 }
 
 fn default_crossing() -> f64 {
-    0.05
+    0.07
 }
 
 fn default_probes() -> f64 {
@@ -141,7 +141,7 @@
 }
 
 fn default_read_ms() -> u64 {
-    800
+    1_000
 }
 
 fn default_level() -> String {
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -40,7 +40,7 @@
 const LONELY_GREETING: Duration = Duration::from_secs(2);
 /// Age of the belief at which the next reader in order takes over, and how much later each
 /// further one does.
-const TAKEOVER: (Duration, Duration) = (Duration::from_millis(400), Duration::from_millis(300));
+const TAKEOVER: (Duration, Duration) = (Duration::from_millis(1_450), Duration::from_millis(250));
 /// Gateways told in one answer to a greeting.
 const TOLD: usize = 48;
 
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -40,6 +40,10 @@
 const PROBE_GAIN: f64 = 0.02;
 /// Targets that are probed for one call at a time.
 const PROBED: usize = 3;
+/// The same for targets in other failure domains.
+const FAR_PROBED: usize = 2;
+/// Bytes of a probe and its answer.
+const PROBE_BYTES: f64 = 250.0;
 /// Time for which a probe under way keeps others from being sent.
 const PROBE_TIME: Duration = Duration::from_millis(100);
 /// Time that a call needs beside its run.
@@ -392,13 +396,19 @@
         if !self.paces.told {
             return Vec::new();
         }
+        let far = wish.crossing * PROBE_BYTES / 1_000.0;
+        let worth = |r: &Rated| r.hope - if r.place.near { 0.0 } else { far };
         let mut hopeful: Vec<&Rated> = rated
             .iter()
-            .filter(|r| !r.place.known && r.hope > sure + PROBE_GAIN)
+            .filter(|r| !r.place.known && worth(r) > sure + PROBE_GAIN)
             .filter(|r| self.targets[r.place.index].may_probe(wish.now, wish.probe_rate))
             .collect();
-        hopeful.sort_by(|a, b| b.hope.total_cmp(&a.hope));
-        hopeful.iter().take(PROBED).map(|r| r.place.index).collect()
+        hopeful.sort_by(|a, b| worth(b).total_cmp(&worth(a)));
+        // Near targets are asked first; far ones only when no near one may do.
+        let near = hopeful.first().is_some_and(|r| r.place.near);
+        let most = if near { PROBED } else { FAR_PROBED };
+        let chosen = hopeful.iter().filter(|r| r.place.near == near).take(most);
+        chosen.map(|r| r.place.index).collect()
     }
 
     /// Whether a probe of the target is under way.
