feat(gateway): the project's own dialect; tests of routes, catalog and roster

The gateway speaks the project's own headers in azuretally-gateway, so that stand-ins and process tests need no platform. First gateways of a failure domain tell the others which gateways are first elsewhere.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -40,6 +40,13 @@
 pub const TARGET_TIMEOUT_MS: &str = "x-target-timeout-ms";
 /// On refusals: when the caller may come back, in whole ms, beside `Retry-After` in seconds.
 pub const RETRY_AFTER_MS: &str = "x-azuretally-retry-after-ms";
+/// Number that the caller gives to a call; targets repeat it on their answers.
+pub const CALL: &str = "x-azuretally-call";
+/// Towards a target: name of the target for which the call is meant. Any other refuses it with 421.
+pub const TARGET: &str = "x-target";
+/// On a target's answer: calls running, calls waiting, slots and, where it is told, the pace of its
+/// machine in percent, separated by commas.
+pub const TARGET_LOAD: &str = "x-target-load";
 /// Set to `1` on an answer that was kept from the first call with the same key.
 pub const REPLAYED: &str = "x-azuretally-replayed";
 /// Path at which a caller asks what became of an idempotency key, and fences it.
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -99,6 +99,15 @@
     pub failure_domain: Arc<str>,
 }
 
+/// Reads a load report: calls running, calls waiting, slots and, where it is told, the pace of the
+/// machine in percent, separated by commas.
+pub fn load_report(text: &str) -> Option<LoadReport> {
+    let mut figures = text.split(',').map(|f| f.trim().parse::<u32>().ok());
+    let (running, waiting, slots) = (figures.next()??, figures.next()??, figures.next()??);
+    let pace = figures.next().flatten().map(|percent| f64::from(percent) / 100.0);
+    Some(LoadReport { running, waiting, slots, pace })
+}
+
 /// One answer of the platform.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -282,6 +282,7 @@
         revision: 0,
         age_ms: None,
         reader: false,
+        elsewhere: Vec::new(),
     };
     RosterBuilder::new(own)
         .seeds(settings.seed_hosts())
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod http;
 pub mod journal;
 pub mod metrics;
+pub mod plain;
+pub mod program;
 pub mod settings;
 pub mod socket;
 
--- /dev/null
+++ b/crates/gateway/src/program.rs
@@ -0,0 +1,63 @@
+//! What the programs that run a gateway have in common: their command line.
+
+use crate::{
+    StartError, daemon,
+    dialect::{Dialect, Publication},
+};
+use error_stack::Report;
+use std::{env, ffi::OsString, path::PathBuf, process::ExitCode};
+
+/// Runs a gateway with the settings file that the command line names, or else the variable
+/// `variable`.
+pub fn main<Adapter>(program: &str, variable: &'static str, adapter: Adapter) -> ExitCode
+where
+    Adapter: Dialect + Publication,
+{
+    let usage = format!("Usage: {program} [--settings FILE]");
+    let path = match parse() {
+        Ok(Some(path)) => path,
+        Ok(None) => {
+            println!("{usage}");
+            return ExitCode::SUCCESS;
+        }
+        Err(e) => {
+            eprintln!("error: {e}\n{usage}");
+            return ExitCode::from(2);
+        }
+    };
+    match run(path, variable, adapter) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("error: {report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run<Adapter>(
+    path: OsString,
+    variable: &'static str,
+    adapter: Adapter,
+) -> Result<(), Report<StartError>>
+where
+    Adapter: Dialect + Publication,
+{
+    let path = if path.is_empty() { env::var_os(variable) } else { Some(path) };
+    let path = path.ok_or_else(|| Report::new(StartError::NoSettings(variable)))?;
+    daemon::run(PathBuf::from(path), adapter)
+}
+
+/// The settings file of the command line, empty where it names none; nothing for `--help`.
+fn parse() -> Result<Option<OsString>, lexopt::Error> {
+    use lexopt::prelude::{Long, Short};
+    let mut parser = lexopt::Parser::from_env();
+    let mut path = OsString::new();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Long("settings") => path = parser.value()?,
+            Long("help") | Short('h') => return Ok(None),
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(Some(path))
+}
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -59,7 +59,8 @@
 }
 
 /// One change that the platform reports.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Change {
     /// Settings were published.
     Published(Published),
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -34,7 +34,7 @@
     Duration::from_millis(250),
     Duration::from_millis(500),
     Duration::from_secs(1),
-    Duration::from_secs(20),
+    Duration::from_secs(60),
 ];
 /// Pause while no other gateway is known.
 const LONELY_GREETING: Duration = Duration::from_secs(2);
@@ -81,6 +81,8 @@
     pub age_ms: Option<u32>,
     /// Whether it reads the platform itself.
     pub reader: bool,
+    /// First gateways of the other failure domains, told within a failure domain by its own first.
+    pub elsewhere: Vec<(Arc<str>, SocketAddr)>,
 }
 
 /// A datagram between gateways.
@@ -225,7 +227,7 @@
 
     /// Number of gateways to which callers are directed, this gateway's failure domain included.
     pub fn deciders(&self) -> usize {
-        self.first_of_all().len().max(1) * self.directed
+        (1 + self.elsewhere().len()) * self.directed
     }
 
     /// Lines for the log on what changed since the last call.
@@ -237,8 +239,15 @@
     pub fn receive(&mut self, now: Timestamp, from: IpAddr, message: Message) -> Vec<Outgoing> {
         match message {
             Message::Beat(beat) => {
+                let far = beat.domain != self.own.domain;
                 self.hear(now, beat);
-                Vec::new()
+                match self.first_near() {
+                    // The sender takes this gateway for the first one of its failure domain.
+                    Some(first) if far => {
+                        vec![Outgoing { to: from, message: Message::Known(vec![first]) }]
+                    }
+                    _ => Vec::new(),
+                }
             }
             Message::Greeting(beat) => {
                 let to = beat.calls.ip();
@@ -275,11 +284,18 @@
         if now >= self.next_greeting {
             self.greet(now, &mut outgoing);
         }
+        if !self.introduced.is_empty() {
+            let introduced = std::mem::take(&mut self.introduced);
+            self.send(introduced.into_iter(), &mut outgoing);
+        }
         if now >= self.next_near {
             self.next_near = now + self.near_interval();
             let hosts: Vec<IpAddr> = self.near().map(|p| p.beat.calls.ip()).collect();
-            let introduced = std::mem::take(&mut self.introduced);
-            self.send(hosts.into_iter().chain(introduced), &mut outgoing);
+            if self.is_first() {
+                self.own.elsewhere = self.heard_elsewhere();
+            }
+            self.send(hosts.into_iter(), &mut outgoing);
+            self.own.elsewhere = Vec::new();
         }
         if now >= self.next_far {
             self.next_far = now + FAR_BEAT;
@@ -292,6 +308,9 @@
 
     /// When [`Self::tick`] is due next.
     pub fn next_tick(&self) -> Timestamp {
+        if !self.introduced.is_empty() {
+            return Timestamp::default();
+        }
         self.next_near.min(self.next_far).min(self.next_greeting)
     }
 
@@ -299,10 +318,15 @@
     pub fn directions(&self, domain: &str) -> Directions {
         let mut ranked = self.ranked(domain);
         ranked.truncate(self.directed);
-        if ranked.is_empty() {
-            ranked = self.first_of_all();
+        let mut addresses: Vec<SocketAddr> = ranked.into_iter().map(|b| b.calls).collect();
+        let elsewhere = self.elsewhere();
+        if addresses.is_empty() {
+            addresses.extend(elsewhere.iter().filter(|(d, _)| **d == *domain).map(|(_, a)| *a));
+        }
+        if addresses.is_empty() {
+            addresses.extend(self.ranked(&self.own.domain).first().map(|b| b.calls));
+            addresses.extend(elsewhere.iter().map(|(_, address)| *address));
         }
-        let addresses = ranked.into_iter().map(|b| b.calls).collect();
         Directions { addresses, lifetime: self.lifetime }
     }
 
@@ -394,10 +418,9 @@
     }
 
     fn introduce(&mut self, host: IpAddr) {
-        let known = self.peers.values().any(|p| p.beat.calls.ip() == host);
+        let known = self.peers.values().any(|p| p.alive && p.beat.calls.ip() == host);
         if host != self.own.calls.ip() && !known && !self.introduced.contains(&host) {
             self.introduced.push(host);
-            self.next_near = Timestamp::default();
         }
     }
 
@@ -457,12 +480,23 @@
         usable
     }
 
-    fn first_of_all(&self) -> Vec<&Beat> {
-        let mut domains: Vec<&Arc<str>> = self.peers.values().map(|p| &p.beat.domain).collect();
-        domains.push(&self.own.domain);
+    /// First ready gateways of the other failure domains: as heard by the first gateway of the own
+    /// one.
+    fn elsewhere(&self) -> Vec<(Arc<str>, SocketAddr)> {
+        let near = self.near().filter(|p| p.alive && p.beat.phase != Phase::Leaving);
+        match near.min_by_key(|p| order(&p.beat)) {
+            Some(first) if !self.is_first() => first.beat.elsewhere.clone(),
+            _ => self.heard_elsewhere(),
+        }
+    }
+
+    fn heard_elsewhere(&self) -> Vec<(Arc<str>, SocketAddr)> {
+        let far = self.peers.values().map(|p| &p.beat.domain).filter(|d| **d != self.own.domain);
+        let mut domains: Vec<&Arc<str>> = far.collect();
         domains.sort();
         domains.dedup();
-        domains.into_iter().filter_map(|d| self.ranked(d).first().copied()).collect()
+        let first = |d: &Arc<str>| Some((Arc::clone(d), self.ranked(d).first()?.calls));
+        domains.into_iter().filter_map(first).collect()
     }
 
     /// The first living gateway of each other failure domain, ready or not, and one dead one of
@@ -480,6 +514,13 @@
         firsts.into_values().map(|(_, _, ip)| ip).collect()
     }
 
+    /// The first gateway of the own failure domain, nothing when it is this one.
+    fn first_near(&self) -> Option<IpAddr> {
+        let near = self.near().filter(|p| p.alive && p.beat.phase != Phase::Leaving);
+        let first = near.min_by_key(|p| order(&p.beat))?;
+        (!self.is_first()).then(|| first.beat.calls.ip())
+    }
+
     fn is_first(&self) -> bool {
         self.rank_in_domain() == 0
     }
--- /dev/null
+++ b/crates/policy/tests/balance/catalog.rs
@@ -0,0 +1,122 @@
+//! Belief of settings and targets: it never goes back, whoever brings it, and what vanished in an
+//! outage may come back.
+
+use crate::fixture::{World, ms, record, route, started};
+use arbtest::arbtest;
+use azuretally_policy::balance::{
+    CallerLimits, Catalog, Change, Order, Published, Record, Snapshot, Source,
+};
+use indexmap::IndexMap;
+use std::{sync::Arc, time::Duration};
+
+fn published(version: u64) -> Published {
+    Published {
+        version,
+        routes: Vec::new(),
+        services: IndexMap::new(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_000_000,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+fn names(catalog: &Catalog) -> Vec<Arc<str>> {
+    catalog.targets().map(|l| Arc::clone(&l.record.name)).collect()
+}
+
+#[test]
+fn settings_never_go_back_whoever_brings_them() {
+    arbtest(|u| {
+        let mut catalog = Catalog::default();
+        let mut highest = 0;
+        for step in 0..40_u64 {
+            let version = u.int_in_range(1..=20)?;
+            let revision = u.int_in_range(1..=60)?;
+            let now = ms(step * 300);
+            if u.arbitrary()? {
+                let changes = vec![Change::Published(published(version))];
+                catalog.apply(now, revision, changes, Source::Platform);
+            } else {
+                let snapshot =
+                    Snapshot { revision, published: Some(published(version)), targets: Vec::new() };
+                let age = Duration::from_millis(u.int_in_range(0..=5_000)?);
+                catalog.replace(now, snapshot, Source::Peer(age));
+            }
+            let version = catalog.published().map_or(0, |p| p.version);
+            assert!(version >= highest, "version {version} after {highest}");
+            highest = version;
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn signs_of_life_alone_are_no_news() {
+    let mut catalog = Catalog::default();
+    assert!(catalog.apply(ms(0), 1, vec![Change::Target(record(1, "a"))], Source::Platform));
+    assert!(!catalog.apply(ms(500), 2, vec![Change::Target(record(1, "a"))], Source::Platform));
+    assert_eq!((catalog.revision(), catalog.essential()), (2, 1));
+    let leaving = Record { leaving: true, ..record(1, "a") };
+    assert!(catalog.apply(ms(900), 3, vec![Change::Target(leaving)], Source::Platform));
+    assert_eq!(catalog.essential(), 3);
+}
+
+#[test]
+fn target_that_vanishes_while_the_platform_is_sound_is_gone_at_once() {
+    let mut catalog = Catalog::default();
+    catalog.apply(ms(0), 1, vec![Change::Target(record(1, "a"))], Source::Platform);
+    catalog.apply(ms(1_000), 2, vec![Change::Gone(record(1, "a").name)], Source::Platform);
+    assert!(names(&catalog).is_empty());
+}
+
+#[test]
+fn target_that_vanished_in_an_outage_is_kept_until_it_could_be_back() {
+    let mut catalog = Catalog::default();
+    catalog.apply(ms(0), 1, vec![Change::Target(record(1, "a"))], Source::Platform);
+    catalog.apply(ms(5_000), 2, vec![Change::Gone(record(1, "a").name)], Source::Platform);
+    assert_eq!(names(&catalog).len(), 1, "it may have lapsed only because of the outage");
+    catalog.tick(ms(6_900));
+    assert_eq!(names(&catalog).len(), 1);
+    assert!(catalog.tick(ms(7_400)));
+    assert!(names(&catalog).is_empty(), "it did not come back");
+}
+
+#[test]
+fn target_that_was_leaving_before_an_outage_is_not_kept() {
+    let mut catalog = Catalog::default();
+    let leaving = Record { leaving: true, ..record(1, "a") };
+    catalog.apply(ms(0), 1, vec![Change::Target(leaving)], Source::Platform);
+    catalog.apply(ms(5_000), 2, vec![Change::Gone(record(1, "a").name)], Source::Platform);
+    assert!(names(&catalog).is_empty());
+}
+
+#[test]
+fn leaving_target_gets_no_call_from_the_moment_it_is_known() {
+    let mut world = World::new(2, 0);
+    let leaving = Record { leaving: true, ..record(0, "a") };
+    world.list(ms(100), vec![Change::Target(leaving)]);
+    for call in 0..2 {
+        let (_, order) = world.arrive(ms(101 + call), &route("check", true));
+        assert_eq!(&*started(order).target, "target-1");
+    }
+    let (_, order) = world.arrive(ms(110), &route("check", true));
+    assert_eq!(order, Order::Wait, "the leaving target is not used though it is free");
+}
+
+#[test]
+fn new_process_of_a_name_starts_with_a_clean_record() {
+    let mut world = World::new(1, 0);
+    let (id, order) = world.arrive(ms(0), &route("sale", false));
+    let start = started(order);
+    let moved = azuretally_policy::balance::Verdict::Moved;
+    world.end(ms(1), id, &start.target, moved, None);
+    let (_, order) = world.arrive(ms(10), &route("sale", false));
+    assert!(matches!(order, Order::GiveUp { not_run: true, .. }), "the address changed hands");
+    let reborn = Record { started: Some(2), ..record(0, "a") };
+    world.list(ms(20), vec![Change::Target(reborn)]);
+    let (_, order) = world.arrive(ms(30), &route("sale", false));
+    started(order);
+}
--- /dev/null
+++ b/crates/policy/tests/balance/roster.rs
@@ -0,0 +1,208 @@
+//! Gateways that find each other, directions, and who reads the platform.
+
+use crate::fixture::ms;
+use arbtest::arbtest;
+use azuretally_policy::{
+    Timestamp,
+    balance::{Beat, Phase, Roster, RosterBuilder},
+};
+use indexmap::IndexMap;
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+fn ip(number: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, 0, number))
+}
+
+/// Gateways on a network that may lose and cut.
+struct Fleet {
+    rosters: IndexMap<IpAddr, Roster>,
+    cut: Vec<IpAddr>,
+    now: u64,
+    sent: u64,
+}
+
+impl Fleet {
+    fn new(size: u8, domains: u8) -> Self {
+        let seeds = vec![ip(1), ip(2), ip(3)];
+        let rosters = (1..=size).map(|number| (ip(number), roster(number, domains, &seeds, 1)));
+        Self { rosters: rosters.collect(), cut: Vec::new(), now: 0, sent: 0 }
+    }
+
+    fn now(&self) -> Timestamp {
+        ms(self.now)
+    }
+
+    fn run(&mut self, millis: u64) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 25;
+            let now = self.now();
+            let mut mail = Vec::new();
+            for (from, roster) in &mut self.rosters {
+                mail.extend(roster.tick(now).into_iter().map(|o| (*from, o)));
+            }
+            while let Some((from, outgoing)) = mail.pop() {
+                self.sent += 1;
+                if self.cut.contains(&from) || self.cut.contains(&outgoing.to) {
+                    continue;
+                }
+                let Some(receiver) = self.rosters.get_mut(&outgoing.to) else { continue };
+                let replies = receiver.receive(now, from, outgoing.message);
+                mail.extend(replies.into_iter().map(|o| (outgoing.to, o)));
+            }
+        }
+    }
+
+    fn directed(&self, at: u8, domain: &str) -> Vec<IpAddr> {
+        let directions = self.rosters[&ip(at)].directions(domain);
+        directions.addresses.iter().map(SocketAddr::ip).collect()
+    }
+
+    fn readers(&self) -> usize {
+        let fresh = Some(Duration::from_millis(900));
+        self.rosters.iter().filter(|(ip, r)| !self.cut.contains(ip) && r.is_reader(fresh)).count()
+    }
+}
+
+fn roster(number: u8, domains: u8, seeds: &[IpAddr], process: u64) -> Roster {
+    let own = Beat {
+        host: Arc::from(format!("gateway-{number}")),
+        domain: Arc::from(format!("domain-{}", number % domains)),
+        process,
+        sequence: 0,
+        calls: SocketAddr::new(ip(number), 80),
+        power: 200,
+        phase: Phase::Starting,
+        settled: false,
+        revision: 0,
+        age_ms: None,
+        reader: false,
+        elsewhere: Vec::new(),
+    };
+    let mut roster = RosterBuilder::new(own).seeds(seeds.to_vec()).build(ms(0));
+    roster.set_own(Phase::Ready, 1, Some(Duration::ZERO), false);
+    roster
+}
+
+#[test]
+fn all_of_a_domain_find_each_other_and_name_the_same_gateway() {
+    let mut fleet = Fleet::new(16, 3);
+    fleet.run(5_000);
+    for domain in ["domain-0", "domain-1", "domain-2"] {
+        let first = fleet.directed(1, domain);
+        assert_eq!(first.len(), 1);
+        let own: Vec<u8> = (1..=16).filter(|n| format!("domain-{}", n % 3) == domain).collect();
+        for number in own {
+            assert_eq!(fleet.directed(number, domain), first, "at gateway {number}");
+        }
+    }
+    assert_eq!(fleet.readers(), 3, "one reader in each failure domain");
+}
+
+#[test]
+fn fleet_forms_though_two_seeds_are_dead() {
+    let mut fleet = Fleet::new(12, 3);
+    fleet.cut = vec![ip(1), ip(2)];
+    fleet.run(6_000);
+    let first = fleet.directed(6, "domain-0");
+    assert_eq!(fleet.directed(12, "domain-0"), first);
+    assert_eq!(fleet.directed(9, "domain-0"), first);
+}
+
+#[test]
+fn dead_gateway_is_replaced_in_directions_and_as_reader() {
+    let mut fleet = Fleet::new(12, 3);
+    fleet.run(5_000);
+    let first = fleet.directed(4, "domain-1")[0];
+    fleet.cut = vec![first];
+    fleet.run(2_500);
+    let survivor = (1..=12).find(|n| n % 3 == 1 && ip(*n) != first).expect("others of the domain");
+    let second = fleet.directed(survivor, "domain-1");
+    assert!(!second.is_empty() && second[0] != first, "{second:?} after {first}");
+    assert_eq!(fleet.readers(), 3);
+}
+
+#[test]
+fn broken_connection_takes_a_gateway_out_at_once_and_a_new_process_brings_it_back() {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.run(5_000);
+    let first = fleet.directed(1, "domain-0")[0];
+    let number = (1..=6).find(|n| ip(*n) == first).expect("known");
+    let other = if number == 1 { 2 } else { 1 };
+    let now = fleet.now();
+    let host = format!("gateway-{number}");
+    fleet.cut = vec![first];
+    fleet.rosters[&ip(other)].lost(now, &host);
+    assert_ne!(fleet.directed(other, "domain-0")[0], first);
+    fleet.cut.clear();
+    fleet.rosters.insert(first, roster(number, 1, &[ip(1), ip(2), ip(3)], 2));
+    fleet.run(4_500);
+    assert_eq!(fleet.directed(other, "domain-0"), [first], "it is as good as before");
+}
+
+#[test]
+fn leaving_gateway_is_out_of_directions_with_its_first_word() {
+    let mut fleet = Fleet::new(6, 1);
+    fleet.run(5_000);
+    let first = fleet.directed(1, "domain-0")[0];
+    fleet.rosters[&first].set_own(Phase::Leaving, 1, None, false);
+    fleet.run(25);
+    for number in 1..=6 {
+        assert_ne!(fleet.directed(number, "domain-0")[0], first, "at gateway {number}");
+    }
+}
+
+#[test]
+fn callers_of_a_domain_without_gateways_go_to_the_others() {
+    let mut fleet = Fleet::new(9, 3);
+    fleet.run(5_000);
+    fleet.cut = (1..=9).filter(|n| n % 3 == 0).map(ip).collect();
+    fleet.run(8_000);
+    let elsewhere = fleet.directed(1, "domain-0");
+    assert!(!elsewhere.is_empty());
+    assert!(elsewhere.iter().all(|ip| !fleet.cut.contains(ip)), "{elsewhere:?}");
+}
+
+#[test]
+fn cost_of_one_gateway_does_not_grow_with_the_fleet() {
+    let cost = |size: u8| {
+        let mut fleet = Fleet::new(size, 3);
+        fleet.run(8_000);
+        fleet.sent = 0;
+        fleet.run(20_000);
+        fleet.sent as f64 / f64::from(size) / 20.0
+    };
+    let (small, large) = (cost(16), cost(96));
+    assert!(large < 41.0 && small < 41.0, "messages a second: {small} and {large}");
+}
+
+#[test]
+fn any_cuts_heal() {
+    arbtest(|u| {
+        let mut fleet = Fleet::new(9, 3);
+        fleet.run(4_000);
+        for _ in 0..4 {
+            let count = u.int_in_range(0..=5)?;
+            fleet.cut.clear();
+            for _ in 0..count {
+                fleet.cut.push(ip(u.int_in_range(1..=9)?));
+            }
+            fleet.run(u.int_in_range(200..=6_000)?);
+        }
+        fleet.cut.clear();
+        fleet.run(8_000);
+        for domain in ["domain-0", "domain-1", "domain-2"] {
+            let first = fleet.directed(1, domain);
+            for number in (1..=9).filter(|n| format!("domain-{}", n % 3) == domain) {
+                assert_eq!(fleet.directed(number, domain), first);
+            }
+        }
+        assert_eq!(fleet.readers(), 3);
+        Ok(())
+    })
+    .budget_ms(1_500);
+}
--- /dev/null
+++ b/crates/policy/tests/balance/routes.rs
@@ -0,0 +1,133 @@
+//! Routes, exact shares, and the budget of second tries.
+
+use crate::fixture::{ms, route};
+use arbtest::arbtest;
+use azuretally_policy::balance::{
+    CallerLimits, Published, Route, RouteError, RouteTable, ServiceRule, Share, Split, WindowBudget,
+};
+use indexmap::IndexMap;
+use std::{sync::Arc, time::Duration};
+
+fn published(routes: Vec<Route>) -> Published {
+    let rule = ServiceRule { connections: 10, probe_path: Arc::from("/health") };
+    Published {
+        version: 1,
+        routes,
+        services: IndexMap::from([
+            (Arc::from("service"), rule.clone()),
+            (Arc::from("other"), rule),
+        ]),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_000_000,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+fn with_prefix(name: &str, prefix: &str) -> Route {
+    Route { prefix: Arc::from(prefix), ..Route::clone(&route(name, true)) }
+}
+
+fn share(service: &str, weight: u32) -> Share {
+    Share { service: Arc::from(service), weight }
+}
+
+#[test]
+fn longest_prefix_of_the_host_wins() {
+    let routes = vec![with_prefix("short", "/a/"), with_prefix("long", "/a/b/")];
+    let table = RouteTable::new(published(routes)).expect("sound routes");
+    let name = |host, path| table.find(host, path).map(|r| Arc::clone(&r.name));
+    assert_eq!(name("host", "/a/b/c").as_deref(), Some("long"));
+    assert_eq!(name("host", "/a/bc/d").as_deref(), Some("short"));
+    assert_eq!(name("host", "/a/").as_deref(), Some("short"));
+    assert_eq!(name("host", "/a"), None);
+    assert_eq!(name("host", "/b/a/b/"), None);
+    assert_eq!(name("elsewhere", "/a/b/c"), None);
+}
+
+#[test]
+fn unusable_routes_are_refused_with_their_name() {
+    let no_service = Route { shares: vec![share("nowhere", 1)], ..with_prefix("r", "/a/") };
+    let no_weight = Route { shares: vec![share("service", 0)], ..with_prefix("r", "/a/") };
+    let cases = [
+        (vec![with_prefix("r", "a/")], RouteError::Prefix(Arc::from("r"))),
+        (vec![no_service], RouteError::Service(Arc::from("r"), Arc::from("nowhere"))),
+        (vec![no_weight], RouteError::NoShare(Arc::from("r"))),
+        (
+            vec![with_prefix("r", "/a/"), with_prefix("s", "/a/")],
+            RouteError::Same(Arc::from("r"), Arc::from("s")),
+        ),
+    ];
+    for (routes, expected) in cases {
+        assert_eq!(RouteTable::new(published(routes)).expect_err("unusable"), expected);
+    }
+}
+
+#[test]
+fn shares_are_exact_in_every_stretch_of_calls() {
+    arbtest(|u| {
+        let weights =
+            [u.int_in_range(0..=100)?, u.int_in_range(1..=100)?, u.int_in_range(0..=100)?];
+        let shares = vec![
+            share("service", weights[0]),
+            share("other", weights[1]),
+            share("third", weights[2]),
+        ];
+        let route = Route { shares: shares.clone(), ..with_prefix("r", "/a/") };
+        let mut split = Split::default();
+        let calls: Vec<Arc<str>> = (0..400).map(|_| split.next(&route)).collect();
+        let total: u32 = weights.iter().sum();
+        let from = u.int_in_range(0..=300)?;
+        let stretch = &calls[from..from + 100];
+        for share in &shares {
+            let got = stretch.iter().filter(|s| **s == share.service).count() as f64;
+            let due = 100.0 * f64::from(share.weight) / f64::from(total);
+            assert!((got - due).abs() <= 3.0, "{weights:?}: {got} of {due}");
+        }
+        Ok(())
+    });
+}
+
+#[test]
+fn changed_weights_hold_from_the_next_call_on() {
+    let mut split = Split::default();
+    let first =
+        Route { shares: vec![share("service", 1), share("other", 1)], ..with_prefix("r", "/a/") };
+    let second = Route { shares: vec![share("service", 0), share("other", 1)], ..first.clone() };
+    split.next(&first);
+    for _ in 0..10 {
+        assert_eq!(&*split.next(&second), "other");
+    }
+}
+
+#[test]
+fn second_tries_stay_within_ratio_and_slack_in_every_window() {
+    arbtest(|u| {
+        let window = Duration::from_secs(10);
+        let mut budget = WindowBudget::new(0.2, 5.0, window);
+        let mut first: Vec<u64> = Vec::new();
+        let mut second: Vec<u64> = Vec::new();
+        let mut now = 0;
+        for _ in 0..400 {
+            now += u.int_in_range(0..=150)?;
+            if u.ratio(1, 2)? {
+                budget.first(ms(now));
+                first.push(now);
+            } else if budget.take(ms(now), 0.0) {
+                second.push(now);
+            }
+        }
+        for end in &second {
+            let start = end.saturating_sub(10_000);
+            let within =
+                |times: &[u64], from| times.iter().filter(|t| **t >= from && **t <= *end).count();
+            // First tries are counted in buckets, of which the oldest reaches back half a second more.
+            let firsts = within(&first, start.saturating_sub(500)) as f64;
+            let seconds = within(&second, start) as f64;
+            assert!(seconds <= firsts * 0.2 + 5.0, "{seconds} second tries for {firsts} calls");
+        }
+        Ok(())
+    });
+}
