feat(policy): second tries that are short go to the most urgent calls

Ruled out: more attempts for a call (the route's number binds); retrying sooner (returns after 40 ms).

Change: 12 in 100 of the budget are kept for the most urgent rank of a service. Test: overload::second_tries_that_are_short_go_to_the_most_urgent_calls.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -33,6 +33,8 @@
 const HEDGE_USAGE: f64 = 0.6;
 /// Second tries that hedges leave to retries.
 const HEDGE_RESERVE: f64 = 2.0;
+/// Part of the budget of second tries that is kept for the most urgent calls of a service.
+const URGENT_RESERVE: f64 = 0.12;
 /// Age of an attempt, in expected times, at which a second one beside it is considered.
 const HEDGE_AGE: f64 = 1.3;
 /// Pause before a second attempt is considered again.
@@ -251,6 +253,8 @@
     limits: Limits,
     services: IndexMap<Arc<str>, Service>,
     budgets: IndexMap<Arc<str>, WindowBudget>,
+    /// Most urgent rank of the calls that each service got.
+    urgent: IndexMap<Arc<str>, u32>,
     calls: IndexMap<u64, Entry>,
     queues: IndexMap<Arc<str>, Vec<u64>>,
     probes: Vec<Probe>,
@@ -265,6 +269,7 @@
             limits,
             services: IndexMap::new(),
             budgets: IndexMap::new(),
+            urgent: IndexMap::new(),
             calls: IndexMap::new(),
             queues: IndexMap::new(),
             probes: Vec::new(),
@@ -302,6 +307,9 @@
             WindowBudget::new(limits.retry_ratio, limits.retry_slack, limits.retry_window)
         });
         budget.first(now);
+        let rank = call.route.priority;
+        let urgent = self.urgent.entry(Arc::clone(&call.service)).or_insert(rank);
+        *urgent = rank.min(*urgent);
         let id = call.id;
         let entry = Entry {
             call,
@@ -626,7 +634,10 @@
         // What never reached a target needs no budget.
         if sent {
             let service = Arc::clone(&entry.call.service);
-            if !self.budgets.get_mut(&service)?.take(now, 0.0) {
+            let urgent = self.urgent.get(&service).is_none_or(|rank| route.priority <= *rank);
+            let budget = self.budgets.get_mut(&service)?;
+            let reserve = if urgent { 0.0 } else { budget.total(now) * URGENT_RESERVE };
+            if !budget.take(now, reserve) {
                 return None;
             }
         }
--- a/crates/policy/src/balance/budget.rs
+++ b/crates/policy/src/balance/budget.rs
@@ -48,10 +48,16 @@
 
     /// Second tries that are left now.
     pub fn left(&mut self, now: Timestamp) -> f64 {
+        let total = self.total(now);
+        let second: u32 = self.buckets.iter().map(|b| b.second).sum();
+        total - f64::from(second)
+    }
+
+    /// Second tries that the window allows, those that were made included.
+    pub fn total(&mut self, now: Timestamp) -> f64 {
         self.bucket(now);
         let first: u32 = self.buckets.iter().map(|b| b.first).sum();
-        let second: u32 = self.buckets.iter().map(|b| b.second).sum();
-        f64::from(first) * self.ratio + self.slack - f64::from(second)
+        f64::from(first) * self.ratio + self.slack
     }
 
     /// Takes one second try if more than `reserve` would be left.
--- a/crates/policy/tests/balance/overload.rs
+++ b/crates/policy/tests/balance/overload.rs
@@ -119,3 +119,28 @@
         world.balancer.forget(id);
     }
 }
+
+/// Targets shed half of the calls: there are fewer second tries than calls that need one.
+#[test]
+fn second_tries_that_are_short_go_to_the_most_urgent_calls() {
+    let mut world = World::new(4, 0);
+    let check = route("check", true);
+    let sale = std::sync::Arc::new(azuretally_policy::balance::Route {
+        priority: 0,
+        ..azuretally_policy::balance::Route::clone(&route("sale", false))
+    });
+    let mut again = [0, 0];
+    for n in 0..600 {
+        let at = 10 + n * 20;
+        let (kind, route) = if n % 5 == 0 { (1, &sale) } else { (0, &check) };
+        let (id, order) = world.arrive(ms(at), route);
+        if let Order::Start(start) = order {
+            let verdict = azuretally_policy::balance::Verdict::Refused;
+            let order = world.end(ms(at + 1), id, &start.target, verdict, None);
+            again[kind] += usize::from(matches!(order, Order::Start(_)));
+        }
+        world.balancer.forget(id);
+    }
+    assert!(again[1] >= 108, "{} of 120 urgent calls were tried again", again[1]);
+    assert!(again[0] > 0, "the others use what is left");
+}
