feat(cli): trace and outcomes read the logs of gateways

trace ID LOG... tells the life of one call over any number of logs in order of time, with what its gateways came to believe of its targets meanwhile; outcomes LOG... counts how calls ended, by cause.

--- a/crates/azuretally/src/commands.rs
+++ b/crates/azuretally/src/commands.rs
@@ -7,6 +7,7 @@
 mod metrics;
 mod preset;
 mod status;
+mod trace;
 mod watch;
 
 use crate::core::{CliError, Context, print_error};
@@ -50,6 +51,8 @@
         "explain" => explain::exec(context, parser),
         "metrics" => metrics::exec(context, parser),
         "preset" => preset::exec(context, parser),
+        "outcomes" => trace::outcomes(context, parser),
+        "trace" => trace::exec(context, parser),
         "status" => status::exec(context, parser),
         "watch" => watch::exec(context, parser),
         "help" => help::print(),
--- a/crates/azuretally/src/commands/help.rs
+++ b/crates/azuretally/src/commands/help.rs
@@ -18,6 +18,8 @@
   drain HOST                         Ask the entry on a host for the planned stop
   explain CALL                       Tell what became of a call, by idempotency key or sequence
                                      number
+  trace ID LOG...                    Tell the life of one call from the logs of gateways
+  outcomes [--late-ms N] LOG...      Count how calls ended, by cause, from the logs of gateways
   metrics                            Print the metrics of each entry
   help                               Print this
 
--- a/crates/azuretally/tests/testsuite/main.rs
+++ b/crates/azuretally/tests/testsuite/main.rs
@@ -3,3 +3,4 @@
 mod check;
 mod preset;
 mod support;
+mod trace;
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -19,7 +19,9 @@
 const PAUSE_MS: u64 = 900;
 /// Range of the time that a fault lasts, in ms.
 const LASTS_MS: (u64, u64) = (150, 3_000);
-/// Targets of the main service that are left alone.
+/// Targets that misbehave in the same way at a time.
+const MOST_DISTURBED: usize = 5;
+/// Targets of the main service that stay.
 const LEAST_TARGETS: usize = 4;
 
 /// Begins faults until `end`; returns when all of them are over.
@@ -30,7 +32,7 @@
         let lasts = Duration::from_millis(random.random_range(LASTS_MS.0..=LASTS_MS.1));
         let number = random.random_range(0..world.gateways.len());
         let world = Arc::clone(world);
-        match random.random_range(0..10) {
+        match random.random_range(0..12) {
             0 => drop(under_way.spawn(kill(world, number, lasts / 3))),
             1 => drop(under_way.spawn(planned_stop(world, number))),
             2 => drop(under_way.spawn(freeze(world, number, lasts))),
@@ -43,7 +45,7 @@
                 let mode = pick(&mut random, &[Mode::Busy, Mode::Silent, Mode::Slow, Mode::Reset]);
                 drop(under_way.spawn(disturb_platform(world, mode, lasts)));
             }
-            6 | 7 => {
+            6..=9 => {
                 let manners = [
                     Manner::Shed,
                     Manner::Slow,
@@ -54,10 +56,13 @@
                     Manner::Fail,
                 ];
                 let manner = pick(&mut random, &manners);
-                let draw = random.random_range(0..1_000);
-                drop(under_way.spawn(disturb_target(world, draw, manner, lasts)));
+                for _ in 0..random.random_range(1..=MOST_DISTURBED) {
+                    let draw = random.random_range(0..1_000);
+                    let world = Arc::clone(&world);
+                    drop(under_way.spawn(disturb_target(world, draw, manner, lasts)));
+                }
             }
-            8 => {
+            10 => {
                 let (draw, announced) = (random.random_range(0..1_000), random.random());
                 drop(under_way.spawn(replace_target(world, draw, announced)));
             }
