--- a/crates/gateway/src/journal.rs
+++ b/crates/gateway/src/journal.rs
@@ -16,6 +16,8 @@
 
 /// Bytes of lines that wait to be written.
 const BUFFER_BYTES: usize = 256 * 1_024;
+/// Bytes that a pipe takes in at once or not at all (`PIPE_BUF`).
+const PIECE_BYTES: usize = 4_096;
 /// Time for which lines are gathered, so that few writes are made.
 const GATHER: Duration = Duration::from_millis(250);
 
@@ -95,7 +97,8 @@
                         .extend_from_slice(format!("WARN journal: lost lines={lost}\n").as_bytes());
                 }
                 // There is nobody left to tell of a failed write.
-                let _ = out.write_all(&lines).and_then(|()| out.flush());
+                let _ = pieces(&lines).try_for_each(|piece| out.write_all(piece));
+                let _ = out.flush();
             }
         })?;
         Ok(Self { sink: sink.clone(), thread })
@@ -116,6 +119,22 @@
     }
 }
 
+/// Whole lines in pieces that a pipe takes in one go, so that lines of several writers do not mix.
+fn pieces(mut lines: &[u8]) -> impl Iterator<Item = &[u8]> {
+    std::iter::from_fn(move || {
+        if lines.is_empty() {
+            return None;
+        }
+        let limit = lines.len().min(PIECE_BYTES);
+        let last = lines[..limit].iter().rposition(|b| *b == b'\n');
+        // A line that is longer than a piece goes out alone.
+        let end = last.or_else(|| lines.iter().position(|b| *b == b'\n'));
+        let (piece, rest) = lines.split_at(end.map_or(lines.len(), |at| at + 1));
+        lines = rest;
+        Some(piece)
+    })
+}
+
 fn next_batch(shared: &Shared) -> Option<(Vec<u8>, u64)> {
     let mut buffer = shared.buffer.lock();
     while buffer.lines.is_empty() {
