feat(gateway): weak hosts share a failure domain; nothing is sent that was decided before a pause

Directions name as many gateways of a failure domain as together have 150 thousandths of a core or 30 Mbit/s, so a domain that lost its strong hosts is not carried by one of 10 Mbit/s. A process that was paused between choosing a target and writing the call does not send it.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -16,12 +16,15 @@
 use bytes::Bytes;
 use http::{Response, header::CONTENT_ENCODING, response};
 use hyper::body::Incoming;
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use tokio::time::timeout;
 
 /// Answers up to this size are read whole before any of it is passed on, so that an answer that is
 /// cut short can be replaced by one from another target.
 const WHOLE_BYTES: usize = 128 * 1_024;
+/// Age of a decision to send from which it is not acted upon: the time to make a connection and a
+/// little more.
+const OLDEST: Duration = Duration::from_millis(500);
 /// Idle connections tried that turn out to be closed.
 const STALE: usize = 3;
 
@@ -116,6 +119,7 @@
     let timeout = inbound.deadline.since(gateway.clock.now());
     let outbound = Outbound { target: start.target.clone(), timeout };
     let adapter = &gateway.adapter;
+    let decided = gateway.clock.now();
     let mut request = inbound.request(adapter, &outbound).ok_or(Failure::Broken)?;
     for _ in 0..STALE {
         let idle = pool.take(start.address, !inbound.route.idempotent);
@@ -126,6 +130,11 @@
                 pool.connect(start.address).await.map_err(|_| Failure::Connect)?
             }
         };
+        // A process that was paused acts on nothing that it decided before.
+        let now = gateway.clock.now();
+        if now >= inbound.deadline || now.since(decided) > OLDEST {
+            return Err(Failure::Connect);
+        }
         *sent = true;
         match connection.sender.try_send_request(request).await {
             Ok(response) => return receive(adapter, pool, inbound, response, connection).await,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -276,7 +276,7 @@
         process: u64::try_from(since.as_millis()).unwrap_or(u64::MAX),
         sequence: 0,
         calls: settings.listen.calls,
-        power: (settings.size.cores * 1_000.0) as u32,
+        power: settings.size.power(),
         phase: Phase::Starting,
         settled: false,
         revision: 0,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,6 +11,9 @@
     time::Duration,
 };
 
+/// Thousandths of a core that count as much as 1 Mbit/s of the link.
+const POWER_PER_MBPS: f64 = 5.0;
+
 /// Addresses that a gateway listens on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -39,6 +42,17 @@
     pub memory_mb: u64,
     /// File descriptors.
     pub descriptors: u64,
+    /// Width of the link in Mbit/s.
+    #[serde(default = "default_link")]
+    pub link_mbps: f64,
+}
+
+impl Size {
+    /// What the host can carry beside others, in thousandths of a core. A narrow link counts as the
+    /// part of a core that its bytes take.
+    pub fn power(&self) -> u32 {
+        (self.cores * 1_000.0).min(self.link_mbps * POWER_PER_MBPS).max(1.0) as u32
+    }
 }
 
 /// Directions for callers.
@@ -132,6 +146,10 @@
     pub adapter: Vec<String>,
 }
 
+fn default_link() -> f64 {
+    1_000.0
+}
+
 fn default_crossing() -> f64 {
     0.07
 }
@@ -196,6 +214,7 @@
         let ranges = [
             ("host", !self.host.is_empty()),
             ("size.cores", self.size.cores.is_finite() && self.size.cores > 0.0),
+            ("size.link_mbps", self.size.link_mbps.is_finite() && self.size.link_mbps > 0.0),
             ("directions.gateways", self.directions.gateways > 0),
             ("retries.ratio", self.retries.ratio.is_finite() && self.retries.ratio >= 0.0),
             ("retries.slack", self.retries.slack.is_finite() && self.retries.slack >= 0.0),
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -2,14 +2,14 @@
 
 mod stub;
 
-use azuretally_gateway::gateway::Gateway;
+use azuretally_gateway::{gateway::Gateway, plain::Plain};
 use azuretally_policy::balance::{
     Attempt, Call, Change, Ending, LoadReport, Order, Route, Share, Source, Verdict,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::sync::mpsc;
 
-fn call(gateway: &Gateway<stub::Stub>, id: u64) -> Call {
+fn call(gateway: &Gateway<Plain>, id: u64) -> Call {
     let now = gateway.clock.now();
     let route = Route {
         name: Arc::from("check"),
@@ -35,7 +35,7 @@
 #[test]
 fn order_given_before_the_call_waits_for_it_is_kept() {
     let (probes, _orders) = mpsc::unbounded_channel();
-    let gateway = Gateway::new(stub::Stub, stub::settings(), probes);
+    let gateway = Gateway::new(Plain, stub::settings(), probes);
     let now = gateway.clock.now();
     let changes = vec![Change::Target(stub::target(1, 1))];
     gateway.catalog.borrow_mut().apply(now, 1, changes, Source::Platform);
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -1,75 +1,9 @@
-//! An adapter and settings for tests that need no platform.
+//! Settings and targets for tests that need no platform.
 
-use azuretally_gateway::{
-    dialect::{
-        CallHead, Dialect, DirectionsQuery, Failing, News, Outbound, ProbeHead, Publication,
-        ReadError, Standing, TargetHead,
-    },
-    settings::Settings,
-};
-use azuretally_policy::balance::{Directions, Record};
-use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, request, response};
+use azuretally_gateway::settings::Settings;
+use azuretally_policy::balance::Record;
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
-/// An adapter that says the least.
-#[derive(Debug)]
-pub(crate) struct Stub;
-
-impl Dialect for Stub {
-    fn tune(&self, _settings: &mut Settings) {}
-
-    fn call(&self, _head: &request::Parts) -> CallHead {
-        CallHead::default()
-    }
-
-    fn address(&self, _fields: &mut HeaderMap, _outbound: &Outbound) {}
-
-    fn target_head(&self, _head: &response::Parts, _id: Option<&str>) -> TargetHead {
-        TargetHead { standing: Standing::Ran, report: None }
-    }
-
-    fn probe_head(&self, _head: &response::Parts) -> ProbeHead {
-        ProbeHead::default()
-    }
-
-    fn trim(&self, _fields: &mut HeaderMap) {}
-
-    fn failing(&self, _failing: Failing, _id: Option<&str>) -> Response<Bytes> {
-        Response::new(Bytes::new())
-    }
-
-    fn directions_query(&self, _request: &Request<()>) -> Option<DirectionsQuery> {
-        None
-    }
-
-    fn directions(&self, _directions: &Directions) -> Response<Bytes> {
-        Response::new(Bytes::new())
-    }
-
-    fn is_readiness_query(&self, _request: &Request<()>) -> bool {
-        false
-    }
-}
-
-impl Publication for Stub {
-    fn list_path(&self, _after: Option<&str>) -> String {
-        "/list".to_owned()
-    }
-
-    fn read_list(&self, _status: StatusCode, _body: &[u8]) -> Result<News, ReadError> {
-        Ok(News::default())
-    }
-
-    fn changes_path(&self, _revision: u64, _wait: Duration) -> String {
-        "/changes".to_owned()
-    }
-
-    fn read_changes(&self, _status: StatusCode, _body: &[u8]) -> Result<News, ReadError> {
-        Ok(News::default())
-    }
-}
-
 /// Settings of a gateway that is never bound to its addresses.
 pub(crate) fn settings() -> Settings {
     let text = r#"
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -41,6 +41,9 @@
 /// Age of the belief at which the next reader in order takes over, and how much later each
 /// further one does.
 const TAKEOVER: (Duration, Duration) = (Duration::from_millis(1_450), Duration::from_millis(250));
+/// Power that the gateways which callers of one failure domain are directed to have together, where
+/// there are enough of them: 150 thousandths of a core, or 30 Mbit/s.
+const ENOUGH_POWER: u32 = 150;
 /// Gateways told in one answer to a greeting.
 const TOLD: usize = 48;
 
@@ -69,7 +72,7 @@
     pub sequence: u64,
     /// Where it takes calls.
     pub calls: SocketAddr,
-    /// Share of a core that it has, in thousandths.
+    /// What its host can carry: thousandths of a core, less where its link is narrow.
     pub power: u32,
     /// Phase.
     pub phase: Phase,
@@ -227,7 +230,8 @@
 
     /// Number of gateways to which callers are directed, this gateway's failure domain included.
     pub fn deciders(&self) -> usize {
-        (1 + self.elsewhere().len()) * self.directed
+        let near = self.needed(&self.ranked(&self.own.domain)).max(1);
+        (1 + self.elsewhere().len()) * near
     }
 
     /// Lines for the log on what changed since the last call.
@@ -316,9 +320,10 @@
 
     /// Where callers of `domain` go: to its first gateways, or to those of others if it has none.
     pub fn directions(&self, domain: &str) -> Directions {
-        let mut ranked = self.ranked(domain);
-        ranked.truncate(self.directed);
-        let mut addresses: Vec<SocketAddr> = ranked.into_iter().map(|b| b.calls).collect();
+        let ranked = self.ranked(domain);
+        let count = self.needed(&ranked);
+        let mut addresses: Vec<SocketAddr> =
+            ranked.into_iter().take(count).map(|b| b.calls).collect();
         let elsewhere = self.elsewhere();
         if addresses.is_empty() {
             addresses.extend(elsewhere.iter().filter(|(d, _)| **d == *domain).map(|(_, a)| *a));
@@ -374,6 +379,17 @@
         Some((Arc::clone(&first.host), first.calls.ip()))
     }
 
+    /// How many of `ranked` callers are directed to: as many as are set, and more where these are
+    /// weak.
+    fn needed(&self, ranked: &[&Beat]) -> usize {
+        let mut power = 0;
+        let enough = ranked.iter().position(|b| {
+            power += b.power;
+            power >= ENOUGH_POWER
+        });
+        enough.map_or(ranked.len(), |last| (last + 1).max(self.directed)).min(ranked.len())
+    }
+
     fn near_interval(&self) -> Duration {
         let near = self.near().filter(|p| p.alive).count();
         NEAR_BEAT.max(NEAR_BEAT_EACH * u32::try_from(near).unwrap_or(u32::MAX))
--- a/crates/policy/tests/balance/roster.rs
+++ b/crates/policy/tests/balance/roster.rs
@@ -69,13 +69,17 @@
 }
 
 fn roster(number: u8, domains: u8, seeds: &[IpAddr], process: u64) -> Roster {
+    roster_of(number, domains, seeds, process, 200)
+}
+
+fn roster_of(number: u8, domains: u8, seeds: &[IpAddr], process: u64, power: u32) -> Roster {
     let own = Beat {
         host: Arc::from(format!("gateway-{number}")),
         domain: Arc::from(format!("domain-{}", number % domains)),
         process,
         sequence: 0,
         calls: SocketAddr::new(ip(number), 80),
-        power: 200,
+        power,
         phase: Phase::Starting,
         settled: false,
         revision: 0,
@@ -156,6 +160,22 @@
     }
 }
 
+#[test]
+fn callers_are_directed_to_several_gateways_where_these_are_weak() {
+    let mut fleet = Fleet::new(8, 1);
+    let seeds = [ip(1), ip(2), ip(3)];
+    for number in 1..=8 {
+        let power = if number <= 2 { 500 } else { 50 };
+        fleet.rosters.insert(ip(number), roster_of(number, 1, &seeds, 1, power));
+    }
+    fleet.run(5_000);
+    let strong = fleet.directed(5, "domain-0");
+    assert!(strong.len() == 1 && [ip(1), ip(2)].contains(&strong[0]), "{strong:?}");
+    fleet.cut = vec![ip(1), ip(2)];
+    fleet.run(2_500);
+    assert_eq!(fleet.directed(5, "domain-0").len(), 3);
+}
+
 #[test]
 fn callers_of_a_domain_without_gateways_go_to_the_others() {
     let mut fleet = Fleet::new(9, 3);
