--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -39,7 +39,7 @@
 /// Gain in utility for which the pace of a target is asked for.
 const PROBE_GAIN: f64 = 0.02;
 /// Targets that are probed for one call at a time.
-const PROBED: usize = 3;
+const PROBED: usize = 2;
 /// The same for targets in other failure domains.
 const FAR_PROBED: usize = 2;
 /// Bytes of a probe and its answer.
