--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -1,4 +1,5 @@
 //! The request path against targets and callers that speak raw bytes.
+#![allow(clippy::expect_used)]
 
 mod stub;
 
