fix(gateway): one timer for a call's deadline; peers that are not heard by design are no news

Now the call's own timer decides, and a target that had three times the expected time is noted as silent. Test: calls::call_without_an_answer_is_timed_out_at_its_deadline.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -17,7 +17,6 @@
 use http::{Response, header::CONTENT_ENCODING, response};
 use hyper::body::Incoming;
 use std::{rc::Rc, time::Duration};
-use tokio::time::timeout;
 
 /// Answers up to this size are read whole before any of it is passed on, so that an answer that is
 /// cut short can be replaced by one from another target.
@@ -75,13 +74,9 @@
 {
     let attempt = Attempt { call: inbound.number, target: start.target.clone() };
     let started = gateway.clock.now();
-    let limit = inbound.deadline.since(started);
     let mut sent = false;
-    let exchange = exchange(&gateway, &pool, &inbound, &start, &mut sent);
-    let result = match timeout(limit, exchange).await {
-        Ok(result) => result,
-        Err(_) => Err(Failure::Timeout),
-    };
+    // The task of the call ends the exchange at the deadline.
+    let result = exchange(&gateway, &pool, &inbound, &start, &mut sent).await;
     let near = start.near;
     match result {
         Ok((head, received)) => {
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -143,7 +143,8 @@
                     }
                 }
                 () = deadline => {
-                    return self.gateway.balancer.borrow_mut().expire(self.inbound.number);
+                    let now = self.gateway.clock.now();
+                    return self.gateway.balancer.borrow_mut().expire(now, self.inbound.number);
                 }
             }
         }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -153,6 +153,23 @@
     .await;
 }
 
+#[tokio::test]
+async fn call_without_an_answer_is_timed_out_at_its_deadline() {
+    on_local(async {
+        let (listener, address) = target().await;
+        let (_gateway, calls) = start(&[address]).await;
+        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+        caller.write_all(get("/sale/1", "a").as_bytes()).await.expect("sent");
+        let sent = Instant::now();
+        let (_stream, _) = listener.accept().await.expect("a call");
+        let text = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(text.starts_with("HTTP/1.1 504"), "{text}");
+        let late = sent.elapsed().saturating_sub(Duration::from_secs(2));
+        assert!(late < Duration::from_millis(250), "{late:?} after the deadline");
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn target_stops_working_when_the_caller_leaves() {
     on_local(async {
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -37,6 +37,8 @@
 const URGENT_RESERVE: f64 = 0.12;
 /// Age of an attempt, in expected times, at which a second one beside it is considered.
 const HEDGE_AGE: f64 = 1.3;
+/// Age of an attempt, in expected times, from which its target is taken for silent.
+const SILENT_AGE: f64 = 3.0;
 /// Pause before a second attempt is considered again.
 const HEDGE_PAUSE: Duration = Duration::from_millis(4);
 /// The same once the second attempt will be late in any case, or while there is no budget for it.
@@ -186,8 +188,6 @@
     Connect,
     /// The exchange broke off or was not understood.
     Broken,
-    /// No answer came in time.
-    Timeout,
 }
 
 /// What a target said or did.
@@ -414,13 +414,28 @@
     }
 
     /// The deadline of the call has come.
-    pub fn expire(&mut self, id: u64) -> Order {
+    pub fn expire(&mut self, now: Timestamp, id: u64) -> Order {
         if let Some(entry) = self.calls.get_mut(&id) {
             entry.doubtful |= entry.running > 0;
         }
+        self.blame_silent(now, id);
         self.give_up(id, GiveUp::Deadline)
     }
 
+    /// Notes a failure of the targets that had far more time than the call should take there.
+    fn blame_silent(&mut self, now: Timestamp, id: u64) {
+        let Some(entry) = self.calls.get(&id) else { return };
+        let Some(service) = self.services.get_mut(&entry.call.service) else { return };
+        for target in service.targets.values_mut() {
+            let age = |r: &Running| now.since(r.since).as_secs_f64();
+            let silent =
+                target.running.iter().any(|r| r.call == id && age(r) > r.expected * SILENT_AGE);
+            if silent {
+                target.failed(now, false);
+            }
+        }
+    }
+
     /// The call is over, or its caller is gone: its attempts have been cancelled.
     pub fn forget(&mut self, id: u64) {
         let Some(entry) = self.calls.swap_remove(&id) else { return };
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -448,7 +448,9 @@
         self.introduced.retain(|ip| *ip != beat.calls.ip());
         let near = beat.domain == self.own.domain;
         let Some(peer) = self.peers.get_mut(&host) else {
-            self.journal.push(format!("peer {host} domain={} found", beat.domain));
+            if near {
+                self.journal.push(format!("peer {host} domain={} found", beat.domain));
+            }
             self.peers.insert(host, Peer { beat, heard: now, lost: None, alive: true });
             if near {
                 self.next_near = Timestamp::default();
@@ -475,12 +477,19 @@
     fn bury(&mut self, now: Timestamp) {
         let near = self.near_interval() * MISSED;
         let domain = Arc::clone(&self.own.domain);
+        let firsts: Vec<SocketAddr> = match self.is_first() {
+            true => self.heard_elsewhere().into_iter().map(|(_, calls)| calls).collect(),
+            false => Vec::new(),
+        };
         for (host, peer) in &mut self.peers {
             let limit = if peer.beat.domain == domain { near } else { FAR_BEAT * MISSED };
             if peer.alive && now.since(peer.heard) > limit {
                 peer.alive = false;
-                let silence = now.since(peer.heard);
-                self.journal.push(format!("peer {host} was silent for {silence:?}; dead"));
+                // Only the first gateway of another failure domain goes on being heard.
+                if peer.beat.domain == domain || firsts.contains(&peer.beat.calls) {
+                    let silence = now.since(peer.heard);
+                    self.journal.push(format!("peer {host} was silent for {silence:?}; dead"));
+                }
             }
         }
         self.peers.retain(|_, p| p.alive || now.since(p.heard) < REMEMBERED);
--- a/crates/policy/tests/balance/at_most_once.rs
+++ b/crates/policy/tests/balance/at_most_once.rs
@@ -98,7 +98,7 @@
                 call.take(&order);
             } else if let Some(call) = calls.iter_mut().find(|c| !c.over) {
                 call.may_have_run |= !call.under_way.is_empty();
-                let order = world.balancer.expire(call.id);
+                let order = world.balancer.expire(ms(now), call.id);
                 call.take(&order);
             }
             for probe in world.balancer.take_probes() {
--- a/crates/policy/tests/balance/silence.rs
+++ b/crates/policy/tests/balance/silence.rs
@@ -34,7 +34,7 @@
     let mut world = World::new(1, 0);
     let (id, order) = world.arrive(ms(0), &route("check", true));
     started(order);
-    let order = world.balancer.expire(id);
+    let order = world.balancer.expire(ms(1_000), id);
     assert!(matches!(order, Order::GiveUp { not_run: false, .. }), "{order:?}");
 }
 
