feat(policy): second tries that are short go to calls that came back

A call that is refused for the first time can come back; one that came back is lost.

Change: of the budget, a quarter is kept for calls that are the most urgent or came back, an eighth for those that are both. A call came back when its caller allows less time than callers of the route do at first.

--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -128,6 +128,7 @@
             service: Arc::clone(&self.service),
             objective: self.arrival + self.route.objective,
             deadline: self.deadline,
+            patience: self.head.timeout,
             replayable: matches!(self.content, Content::Kept(_)),
         }
     }
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -33,8 +33,12 @@
 const HEDGE_USAGE: f64 = 0.6;
 /// Second tries that hedges leave to retries.
 const HEDGE_RESERVE: f64 = 2.0;
-/// Part of the budget of second tries that is kept for the most urgent calls of a service.
-const URGENT_RESERVE: f64 = 0.12;
+/// Part of the budget of second tries that is kept for calls that are the most urgent of a service or
+/// came back, and for those that are both. A call that is refused for the first time can come back.
+const RESERVES: [f64; 3] = [0.25, 0.12, 0.0];
+/// Time by which a caller's time has to be shorter than usual for the call to count as one that came
+/// back.
+const RETURN_GAP: Duration = Duration::from_millis(5);
 /// Age of an attempt, in expected times, at which a second one beside it is considered.
 const HEDGE_AGE: f64 = 1.3;
 /// Age of an attempt, in expected times, from which its target is taken for silent.
@@ -103,6 +107,8 @@
     pub objective: Timestamp,
     /// Until when an answer is of use.
     pub deadline: Timestamp,
+    /// Time that the caller allows, where it says so.
+    pub patience: Option<Duration>,
     /// Whether its body is at hand for a second try.
     pub replayable: bool,
 }
@@ -236,6 +242,8 @@
 #[derive(Clone, Debug)]
 struct Entry {
     call: Call,
+    /// Whether the caller seems to have been refused before.
+    returned: bool,
     tried: Vec<Arc<str>>,
     running: u32,
     waiting: bool,
@@ -257,6 +265,8 @@
     budgets: IndexMap<Arc<str>, WindowBudget>,
     /// Most urgent rank of the calls that each service got.
     urgent: IndexMap<Arc<str>, u32>,
+    /// Longest time that callers of each route allowed.
+    patience: IndexMap<Arc<str>, Duration>,
     calls: IndexMap<u64, Entry>,
     queues: IndexMap<Arc<str>, Vec<u64>>,
     probes: Vec<Probe>,
@@ -272,6 +282,7 @@
             services: IndexMap::new(),
             budgets: IndexMap::new(),
             urgent: IndexMap::new(),
+            patience: IndexMap::new(),
             calls: IndexMap::new(),
             queues: IndexMap::new(),
             probes: Vec::new(),
@@ -313,7 +324,9 @@
         let urgent = self.urgent.entry(Arc::clone(&call.service)).or_insert(rank);
         *urgent = rank.min(*urgent);
         let id = call.id;
+        let returned = self.has_returned(&call);
         let entry = Entry {
+            returned,
             call,
             tried: Vec::new(),
             running: 0,
@@ -327,6 +340,14 @@
         self.place(now, id)
     }
 
+    /// Whether the caller allows less time than callers of the route do at first.
+    fn has_returned(&mut self, call: &Call) -> bool {
+        let Some(patience) = call.patience else { return false };
+        let longest = self.patience.entry(Arc::clone(&call.route.name)).or_insert(patience);
+        *longest = patience.max(*longest);
+        patience + RETURN_GAP < *longest
+    }
+
     /// An attempt ended.
     pub fn ended(&mut self, now: Timestamp, ending: &Ending) -> Order {
         let id = ending.attempt.call;
@@ -654,8 +675,9 @@
         if sent {
             let service = Arc::clone(&entry.call.service);
             let urgent = self.urgent.get(&service).is_none_or(|rank| route.priority <= *rank);
+            let claims = usize::from(urgent) + usize::from(entry.returned);
             let budget = self.budgets.get_mut(&service)?;
-            let reserve = if urgent { 0.0 } else { budget.total(now) * URGENT_RESERVE };
+            let reserve = budget.total(now) * RESERVES[claims];
             if !budget.take(now, reserve) {
                 return None;
             }
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -86,6 +86,16 @@
 
     /// A call of `route` arrives.
     pub(crate) fn arrive(&mut self, now: Timestamp, route: &Arc<Route>) -> (u64, Order) {
+        self.arrive_with(now, route, Duration::from_secs(2))
+    }
+
+    /// A call of `route` arrives whose caller waits for `patience`.
+    pub(crate) fn arrive_with(
+        &mut self,
+        now: Timestamp,
+        route: &Arc<Route>,
+        patience: Duration,
+    ) -> (u64, Order) {
         self.calls += 1;
         let call = Call {
             id: self.calls,
@@ -93,6 +103,7 @@
             service: Arc::clone(&route.shares[0].service),
             objective: now + route.objective,
             deadline: now + route.timeout,
+            patience: Some(patience),
             replayable: true,
         };
         (self.calls, self.balancer.arrive(now, call))
--- a/crates/policy/tests/balance/overload.rs
+++ b/crates/policy/tests/balance/overload.rs
@@ -142,3 +142,26 @@
     assert!(again[1] >= 108, "{} of 120 urgent calls were tried again", again[1]);
     assert!(again[0] > 0, "the others use what is left");
 }
+
+/// Targets shed half of the calls: a call that is refused for the first time can come back, one that
+/// came back cannot.
+#[test]
+fn second_tries_that_are_short_go_to_calls_that_came_back() {
+    let mut world = World::new(4, 0);
+    let check = route("check", true);
+    let mut again = [0, 0];
+    for n in 0..600 {
+        let at = 10 + n * 20;
+        let (kind, patience) = if n % 5 == 0 { (1, 1_900) } else { (0, 2_000) };
+        let patience = std::time::Duration::from_millis(patience);
+        let (id, order) = world.arrive_with(ms(at), &check, patience);
+        if let Order::Start(start) = order {
+            let verdict = azuretally_policy::balance::Verdict::Refused;
+            let order = world.end(ms(at + 1), id, &start.target, verdict, None);
+            again[kind] += usize::from(matches!(order, Order::Start(_)));
+        }
+        world.balancer.forget(id);
+    }
+    assert!(again[1] >= 108, "{} of 120 calls that came back were tried again", again[1]);
+    assert!(again[0] > 0, "the others use what is left");
+}
