perf(policy): what a large fleet multiplies

Every gateway repeated each piece of news to all of its failure domain; lists of targets were compared name by name; each call looked at all targets of its service; one gateway took all callers of a domain.

Change: news is told at once by those who read it alone; names are compared by hash; a call looks at 96 near and 48 far targets; callers are directed to one gateway for each 300 calls that the targets of the domain run at a time.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -157,11 +157,20 @@
         }
         self.adopt_routes();
         self.balancer.borrow_mut().set_targets(now, &self.catalog.borrow());
+        self.roster.borrow_mut().set_slots(self.near_slots());
         self.refresh_roster();
         self.pump();
         self.changed.notify_waiters();
     }
 
+    /// Calls that the targets of the own failure domain run at a time.
+    fn near_slots(&self) -> u32 {
+        let settings = self.settings();
+        let catalog = self.catalog.borrow();
+        let near = catalog.targets().filter(|l| l.record.failure_domain == settings.failure_domain);
+        near.map(|l| l.record.slots).sum()
+    }
+
     fn adopt_routes(&self) {
         let published = self.catalog.borrow().published().cloned();
         let Some(published) = published else { return };
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -43,6 +43,8 @@
 const HEDGE_AGE: f64 = 1.3;
 /// Age of an attempt, in expected times, from which its target is taken for silent.
 const SILENT_AGE: f64 = 3.0;
+/// Spreads the beginnings of the searches of calls one after the other; a prime.
+const SPREAD: usize = 7_919;
 /// Pause before a second attempt is considered again.
 const HEDGE_PAUSE: Duration = Duration::from_millis(4);
 /// The same once the second attempt will be late in any case, or while there is no budget for it.
@@ -609,6 +611,7 @@
             picky,
             crowd: waiting > usize::from(entry.waiting),
             probe_rate: self.limits.probe_rate,
+            offset: (id as usize).wrapping_mul(SPREAD) % service.targets.len().max(1),
         });
         if let Choice::Probe(indices) = &choice {
             for index in indices {
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -7,7 +7,7 @@
 
 use super::routes::Published;
 use crate::Timestamp;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::{mem, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -188,13 +188,9 @@
         }
         let before = self.essential;
         self.revision = snapshot.revision;
-        let listed: Vec<&Record> = snapshot.targets.iter().collect();
-        let missing: Vec<Arc<str>> = self
-            .targets
-            .keys()
-            .filter(|name| !listed.iter().any(|r| r.name == **name))
-            .cloned()
-            .collect();
+        let listed: IndexSet<&Arc<str>> = snapshot.targets.iter().map(|r| &r.name).collect();
+        let missing: Vec<Arc<str>> =
+            self.targets.keys().filter(|name| !listed.contains(name)).cloned().collect();
         for name in missing {
             self.miss(now, &name);
         }
@@ -305,7 +301,7 @@
             }
             return;
         }
-        self.targets.shift_remove(name);
+        self.targets.swap_remove(name);
         self.journal.push(format!("target {name} is gone"));
         self.essential = self.revision;
     }
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -44,6 +44,8 @@
 /// Power that the gateways which callers of one failure domain are directed to have together, where
 /// there are enough of them: 150 thousandths of a core, or 30 Mbit/s.
 const ENOUGH_POWER: u32 = 150;
+/// Calls that run at a time for which one gateway is enough.
+const SLOTS_EACH: u32 = 300;
 /// Gateways told in one answer to a greeting.
 const TOLD: usize = 48;
 
@@ -173,6 +175,7 @@
             next_far: now,
             next_greeting: now,
             greetings: 0,
+            slots: 0,
             journal: Vec::new(),
         }
     }
@@ -193,14 +196,17 @@
     next_far: Timestamp,
     next_greeting: Timestamp,
     greetings: usize,
+    /// Calls that the targets of the own failure domain run at a time.
+    slots: u32,
     journal: Vec<String>,
 }
 
 impl Roster {
     /// Tells what has changed about this gateway.
     pub fn set_own(&mut self, phase: Phase, revision: u64, age: Option<Duration>, reader: bool) {
-        // A change of phase or news is told at once.
-        if self.own.phase != phase || self.own.revision != revision {
+        // A change of phase is told at once, and news by those who read it: the others would only
+        // repeat to all what all have heard.
+        if self.own.phase != phase || (reader && self.own.revision != revision) {
             self.next_near = Timestamp::default();
         }
         self.own.phase = phase;
@@ -209,6 +215,11 @@
         self.own.reader = reader;
     }
 
+    /// Tells how many calls the targets of the own failure domain run at a time.
+    pub fn set_slots(&mut self, slots: u32) {
+        self.slots = slots;
+    }
+
     /// Replaces the seeds.
     pub fn set_seeds(&mut self, seeds: Vec<IpAddr>) {
         if self.seeds != seeds {
@@ -382,12 +393,13 @@
     /// How many of `ranked` callers are directed to: as many as are set, and more where these are
     /// weak.
     fn needed(&self, ranked: &[&Beat]) -> usize {
+        let least = self.directed.max((self.slots / SLOTS_EACH) as usize);
         let mut power = 0;
         let enough = ranked.iter().position(|b| {
             power += b.power;
             power >= ENOUGH_POWER
         });
-        enough.map_or(ranked.len(), |last| (last + 1).max(self.directed)).min(ranked.len())
+        enough.map_or(ranked.len(), |last| (last + 1).max(least)).min(ranked.len())
     }
 
     fn near_interval(&self) -> Duration {
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -2,7 +2,7 @@
 
 use super::{catalog::Listed, load::Load, routes::Route};
 use crate::Timestamp;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// Service time assumed before the first answer, as a part of the latency objective.
@@ -42,6 +42,9 @@
 const PROBED: usize = 2;
 /// The same for targets in other failure domains.
 const FAR_PROBED: usize = 2;
+/// Targets that are looked at for one call, near and far; in large services a sample does.
+const NEAR_LOOKS: usize = 96;
+const FAR_LOOKS: usize = 48;
 /// Bytes of a probe and its answer.
 const PROBE_BYTES: f64 = 250.0;
 /// Time for which a probe under way keeps others from being sent.
@@ -201,6 +204,8 @@
     pub(super) crowd: bool,
     /// Probes that each target may get in a second.
     pub(super) probe_rate: f64,
+    /// Where among the targets the search begins.
+    pub(super) offset: usize,
 }
 
 /// What comes of the search for a place.
@@ -291,7 +296,8 @@
 impl Service {
     /// Takes over which targets there are. Returns the calls that were at processes which ended.
     pub(super) fn set_targets(&mut self, now: Timestamp, listed: &[&Listed], domain: &str) {
-        let is_listed = |name: &Arc<str>| listed.iter().any(|l| l.record.name == *name);
+        let names: IndexSet<&Arc<str>> = listed.iter().map(|l| &l.record.name).collect();
+        let is_listed = |name: &Arc<str>| names.contains(name);
         for target in self.targets.values_mut() {
             if !is_listed(&target.name) {
                 target.leaving = true;
@@ -379,7 +385,16 @@
         let near = || self.targets.values().filter(|t| t.near && t.is_usable());
         let lonely = near().all(|t| t.is_paused(wish.now));
         let mut rated = Vec::new();
-        for (index, target) in self.targets.values().enumerate() {
+        let mut looked = (0, 0);
+        let count = self.targets.len();
+        for step in 0..count {
+            let index = (wish.offset + step) % count;
+            let target = &self.targets[index];
+            let seen = if target.near { &mut looked.0 } else { &mut looked.1 };
+            *seen += 1;
+            if *seen > if target.near { NEAR_LOOKS } else { FAR_LOOKS } {
+                continue;
+            }
             let shunned = target.is_paused(wish.now) && !all_paused;
             if !target.is_usable() || shunned || wish.tried.contains(&target.name) {
                 continue;
--- a/crates/policy/tests/balance/roster.rs
+++ b/crates/policy/tests/balance/roster.rs
@@ -226,3 +226,30 @@
     })
     .budget_ms(1_500);
 }
+
+#[test]
+fn more_gateways_share_a_domain_of_many_targets() {
+    let mut fleet = Fleet::new(8, 1);
+    fleet.run(5_000);
+    assert_eq!(fleet.directed(5, "domain-0").len(), 1);
+    fleet.rosters[&ip(5)].set_slots(2_000);
+    assert_eq!(fleet.directed(5, "domain-0").len(), 6);
+}
+
+/// News that each gateway repeated to all others would cost the square of their number.
+#[test]
+fn news_is_told_by_its_reader_alone() {
+    let mut fleet = Fleet::new(32, 1);
+    fleet.run(6_000);
+    fleet.sent = 0;
+    while fleet.sent < 31 * 32 {
+        fleet.run(25);
+    }
+    // All have told their heartbeats just now.
+    fleet.sent = 0;
+    for (number, roster) in fleet.rosters.values_mut().enumerate() {
+        roster.set_own(Phase::Ready, 2, Some(Duration::ZERO), number == 0);
+    }
+    fleet.run(50);
+    assert!((1..=31).contains(&fleet.sent), "{} messages", fleet.sent);
+}
