perf(gateway): gateways tell each other changes in place of everything

Change: a gateway that knows everything up to a revision is told what changed since; one that lags behind 4,096 vanished targets, or knows nothing, is told all. Test: catalog::changes_lead_to_the_same_belief_as_the_whole_picture (arbitrary histories).

--- a/crates/gateway/src/control/answers.rs
+++ b/crates/gateway/src/control/answers.rs
@@ -14,8 +14,10 @@
 use std::{future::pending, net::SocketAddr, rc::Rc, sync::Arc};
 use tokio::net::TcpListener;
 
-/// Path at which a gateway tells another one all that it knows.
-pub(super) const SNAPSHOT_PATH: &str = "/snapshot";
+/// Path at which a gateway tells another one what it knows beyond a revision, `?after=REV`.
+pub(super) const NEWS_PATH: &str = "/news";
+/// Begins the query of such a question.
+pub(super) const AFTER: &str = "after=";
 /// Path whose answer never comes: the end of the connection tells of the end of the process.
 pub(super) const LIFE_PATH: &str = "/life";
 
@@ -125,13 +127,15 @@
 {
     match request.uri().path() {
         LIFE_PATH => pending().await,
-        SNAPSHOT_PATH => {
+        NEWS_PATH => {
             let now = gateway.clock.now();
-            let (age, snapshot) = {
+            let query = request.uri().query().unwrap_or_default();
+            let after = query.strip_prefix(AFTER).and_then(|a| a.parse().ok()).unwrap_or(0);
+            let (age, told) = {
                 let catalog = gateway.catalog.borrow();
-                (catalog.age(now), catalog.snapshot())
+                (catalog.age(now), catalog.told_since(after))
             };
-            match postcard::to_allocvec(&(age, snapshot)) {
+            match postcard::to_allocvec(&(age, told)) {
                 Ok(bytes) => {
                     let mut response = Response::new(Bytes::from(bytes));
                     let kind = http::HeaderValue::from_static("application/octet-stream");
@@ -139,7 +143,7 @@
                     response
                 }
                 Err(e) => {
-                    log::error!("control: snapshot cannot be encoded: {e}");
+                    log::error!("control: news cannot be encoded: {e}");
                     plain(StatusCode::INTERNAL_SERVER_ERROR)
                 }
             }
--- a/crates/gateway/src/control/news.rs
+++ b/crates/gateway/src/control/news.rs
@@ -1,12 +1,12 @@
 //! Fetches news from a peer that knows more than this gateway.
 
-use super::answers::SNAPSHOT_PATH;
+use super::answers::{AFTER, NEWS_PATH};
 use crate::{
     dialect::{Dialect, Publication},
     gateway::Gateway,
     http::{Link, LinkError},
 };
-use azuretally_policy::balance::{Snapshot, Source};
+use azuretally_policy::balance::{Source, Told};
 use std::{
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -55,18 +55,20 @@
 where
     Adapter: Dialect + Publication,
 {
-    let (status, body) = Link::new(address).get(SNAPSHOT_PATH, LIMIT).await?;
+    let known = gateway.catalog.borrow().revision();
+    let path = format!("{NEWS_PATH}?{AFTER}{known}");
+    let (status, body) = Link::new(address).get(&path, LIMIT).await?;
     if !status.is_success() {
         return Err(LinkError::Broken);
     }
-    let told: (Option<Duration>, Snapshot) =
+    let told: (Option<Duration>, Told) =
         postcard::from_bytes(&body).map_err(|_| LinkError::Broken)?;
-    let (Some(age), snapshot) = told else { return Err(LinkError::Broken) };
+    let (Some(age), told) = told else { return Err(LinkError::Broken) };
     let now = gateway.clock.now();
     let source = Source::Peer(age);
-    let revision = snapshot.revision;
-    let changed = gateway.catalog.borrow_mut().replace(now, snapshot, source);
-    log::debug!("control: news from {address} revision={revision} changed={changed}");
+    let changed = gateway.catalog.borrow_mut().take(now, told, source);
+    let revision = gateway.catalog.borrow().revision();
+    log::debug!("control: news from {address} after={known} revision={revision} changed={changed}");
     if changed {
         gateway.adopt(source);
     } else {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -17,7 +17,7 @@
     Verdict,
 };
 pub use budget::WindowBudget;
-pub use catalog::{Catalog, Change, Listed, Record, Snapshot, Source};
+pub use catalog::{Catalog, Change, Listed, Record, Snapshot, Source, Told};
 pub use load::LoadReport;
 pub use roster::{Beat, Directions, Message, Outgoing, Phase, Roster, RosterBuilder};
 pub use routes::{CallerLimits, Published, Route, RouteError, RouteTable, ServiceRule, Share};
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -9,11 +9,13 @@
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
-use std::{mem, net::SocketAddr, sync::Arc, time::Duration};
+use std::{collections::VecDeque, mem, net::SocketAddr, sync::Arc, time::Duration};
 
 /// Silence of the platform after which records that are missing may have lapsed without reason.
 /// Two signs of life of a target, which come every 1.5 s.
 const OUTAGE: Duration = Duration::from_secs(3);
+/// Vanished targets that are remembered for peers that lag behind.
+const VANISHED: usize = 4_096;
 /// Time that targets have to appear again after such a silence: two seconds and the time of a read.
 const RETURN: Duration = Duration::from_millis(2_300);
 
@@ -54,6 +56,8 @@
     pub record: Arc<Record>,
     /// When it was read here.
     pub read: Timestamp,
+    /// Revision with which it came.
+    pub revision: u64,
     /// Set while the record is missing and may come back.
     pub missing_since: Option<Timestamp>,
 }
@@ -81,6 +85,20 @@
     pub targets: Vec<Record>,
 }
 
+/// What one gateway tells another one that knows everything up to some revision.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Told {
+    /// All that is known.
+    Whole(Snapshot),
+    /// What changed since.
+    Changes {
+        /// Revision of the platform up to which it holds.
+        revision: u64,
+        /// The changes.
+        changes: Vec<Change>,
+    },
+}
+
 /// Where a belief came from.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
@@ -97,7 +115,13 @@
     /// Revision of the last change that matters to others, signs of life aside.
     essential: u64,
     published: Option<Arc<Published>>,
+    /// Revision with which the settings came.
+    published_at: u64,
     targets: IndexMap<Arc<str>, Listed>,
+    /// Targets that vanished, with the revision of the news, the last one at the end.
+    vanished: VecDeque<(u64, Arc<str>)>,
+    /// Revision up to which vanished targets are not remembered.
+    forgotten: u64,
     /// When the belief was true, by the last answer of the platform.
     fresh: Option<Timestamp>,
     /// Until when missing records are kept.
@@ -236,6 +260,43 @@
         }
     }
 
+    /// What a gateway has to be told that knows everything up to `revision`.
+    pub fn told_since(&self, revision: u64) -> Told {
+        if revision == 0 || revision < self.forgotten {
+            return Told::Whole(self.snapshot());
+        }
+        let mut changes = Vec::new();
+        if let Some(published) = &self.published
+            && self.published_at > revision
+        {
+            changes.push(Change::Published(published.as_ref().clone()));
+        }
+        let present =
+            |name: &Arc<str>| self.targets.get(name).is_some_and(|l| l.missing_since.is_none());
+        let vanished = self.vanished.iter().filter(|(at, name)| *at > revision && !present(name));
+        changes.extend(vanished.map(|(_, name)| Change::Gone(Arc::clone(name))));
+        let listed = self.targets.values().filter(|l| l.revision > revision);
+        let listed = listed.filter(|l| l.missing_since.is_none());
+        changes.extend(listed.map(|l| Change::Target(Record::clone(&l.record))));
+        Told::Changes { revision: self.revision, changes }
+    }
+
+    /// Takes in what a peer told. Returns whether anything beyond signs of life changed.
+    pub fn take(&mut self, now: Timestamp, told: Told, source: Source) -> bool {
+        match told {
+            Told::Whole(snapshot) => self.replace(now, snapshot, source),
+            Told::Changes { revision, changes } => self.apply(now, revision, changes, source),
+        }
+    }
+
+    fn vanish(&mut self, name: &Arc<str>) {
+        self.vanished.push_back((self.revision, Arc::clone(name)));
+        if self.vanished.len() > VANISHED {
+            let oldest = self.vanished.pop_front();
+            self.forgotten = oldest.map_or(self.forgotten, |(at, _)| at);
+        }
+    }
+
     fn refresh(&mut self, now: Timestamp, source: Source) {
         let true_at = match source {
             Source::Platform => now,
@@ -266,6 +327,7 @@
             published.routes.len()
         ));
         self.published = Some(Arc::new(published));
+        self.published_at = self.revision;
         self.essential = self.revision;
     }
 
@@ -287,12 +349,21 @@
             known.is_some(),
         ));
         let name = Arc::clone(&record.name);
-        let listed = Listed { record: Arc::new(record), read: now, missing_since: None };
+        let listed = Listed {
+            record: Arc::new(record),
+            read: now,
+            revision: self.revision,
+            missing_since: None,
+        };
         self.targets.insert(name, listed);
         self.essential = self.revision;
     }
 
-    fn miss(&mut self, now: Timestamp, name: &str) {
+    fn miss(&mut self, now: Timestamp, name: &Arc<str>) {
+        if !self.targets.contains_key(name) {
+            return;
+        }
+        self.vanish(name);
         let Some(listed) = self.targets.get_mut(name) else { return };
         if now < self.lenient_until && !listed.record.leaving {
             if listed.missing_since.is_none() {
--- a/crates/policy/tests/balance/catalog.rs
+++ b/crates/policy/tests/balance/catalog.rs
@@ -120,3 +120,36 @@
     let (_, order) = world.arrive(ms(30), &route("sale", false));
     started(order);
 }
+
+/// A gateway that follows a peer by changes believes the same as one that is told everything.
+#[test]
+fn changes_lead_to_the_same_belief_as_the_whole_picture() {
+    arbtest(|u| {
+        let mut reader = Catalog::default();
+        let mut follower = Catalog::default();
+        let mut told_at = 0;
+        for step in 1..60_u64 {
+            let now = ms(step * 200);
+            let number = u.int_in_range(0..=6)?;
+            let change = match u.int_in_range(0..=3)? {
+                0 => Change::Gone(record(number, "a").name),
+                1 => Change::Target(Record { leaving: true, ..record(number, "a") }),
+                2 => Change::Published(published(step)),
+                _ => Change::Target(record(number, "a")),
+            };
+            reader.apply(now, step * 10, vec![change], Source::Platform);
+            if u.ratio(1, 3)? {
+                let told = reader.told_since(told_at);
+                follower.take(now, told, Source::Peer(Duration::ZERO));
+                told_at = follower.revision();
+                let sorted = |catalog: &Catalog| {
+                    let mut snapshot = catalog.snapshot();
+                    snapshot.targets.sort_by(|a, b| a.name.cmp(&b.name));
+                    snapshot
+                };
+                assert_eq!(sorted(&follower), sorted(&reader));
+            }
+        }
+        Ok(())
+    });
+}
