refactor(policy): split the balancer, targets and messages of the roster

Calls and orders are in call.rs, further attempts in balancer/tries.rs, what attempts tell in balancer/learning.rs, one target in target.rs, what gateways say in beat.rs. Items moved only; two methods that nothing called are gone (cancel, budget_left).

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -4,21 +4,25 @@
 //! target reports on its answers counts for as much as what this gateway has sent there itself.
 
 mod balancer;
+mod beat;
 mod budget;
+mod call;
 mod catalog;
 mod load;
 mod roster;
 mod routes;
 mod service;
 mod split;
+mod target;
 
-pub use balancer::{
-    Attempt, Balancer, Call, Ending, Failure, GiveUp, Hedge, Limits, Order, Probe, Report, Start,
-    Verdict,
-};
+pub use balancer::Balancer;
+pub use beat::{Beat, Directions, Message, Outgoing, Phase};
 pub use budget::WindowBudget;
+pub use call::{
+    Attempt, Call, Ending, Failure, GiveUp, Hedge, Limits, Order, Probe, Report, Start, Verdict,
+};
 pub use catalog::{Catalog, Change, Listed, Record, Snapshot, Source, Told};
 pub use load::LoadReport;
-pub use roster::{Beat, Directions, Message, Outgoing, Phase, Roster, RosterBuilder};
+pub use roster::{Roster, RosterBuilder};
 pub use routes::{CallerLimits, Published, Route, RouteError, RouteTable, ServiceRule, Share};
 pub use split::Split;
