test(cli): keep the fixture of trace in the repository

Its name ended in .log, which .gitignore leaves out: the tests passed here and would have failed in a fresh clone. Found by comparing the folder with what git tracks.

--- a/crates/azuretally/tests/testsuite/trace.rs
+++ b/crates/azuretally/tests/testsuite/trace.rs
@@ -4,7 +4,7 @@
 
 #[test]
 fn life_of_a_call_is_told_with_what_was_believed() {
-    let run = azuretally(&["trace", "call-1", "gateway-1.log"]);
+    let run = azuretally(&["trace", "call-1", "gateway-1.txt"]);
     assert_eq!(run.code, Some(0), "{}", run.stderr);
     let lines: Vec<&str> = run.stdout.lines().collect();
     assert_eq!(lines.len(), 3, "{}", run.stdout);
@@ -16,14 +16,14 @@
 
 #[test]
 fn call_that_no_log_names_is_an_error() {
-    let run = azuretally(&["trace", "call-9", "gateway-1.log"]);
+    let run = azuretally(&["trace", "call-9", "gateway-1.txt"]);
     assert_ne!(run.code, Some(0));
     assert!(run.stderr.contains("call-9"), "{}", run.stderr);
 }
 
 #[test]
 fn outcomes_are_grouped_by_cause() {
-    let run = azuretally(&["outcomes", "gateway-1.log"]);
+    let run = azuretally(&["outcomes", "gateway-1.txt"]);
     assert_eq!(run.code, Some(0), "{}", run.stderr);
     for words in [
         ["1", "not-run", "refused", "check", "call-1"],
@@ -34,7 +34,7 @@
         let found = run.stdout.lines().any(|l| l.split_whitespace().eq(words));
         assert!(found, "{words:?} in\n{}", run.stdout);
     }
-    let run = azuretally(&["--json", "outcomes", "--late-ms", "2000", "gateway-1.log"]);
+    let run = azuretally(&["--json", "outcomes", "--late-ms", "2000", "gateway-1.txt"]);
     assert!(run.stdout.contains(r#""calls":2"#), "{}", run.stdout);
 }
 
