test(soak): the moving route has targets for its callers

Trace: all 1,424 refusals were of the moving route, reason deadline, whose service had one target of 2 slots (100 calls/s) for some 230 calls/s; the main service answered everything. A true overload of the soak's own world, so the world got one such target for each 24 callers; the usual size (24 callers) is as before, and no bound changed.

--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -29,6 +29,8 @@
 /// Versions of the settings in one run.
 pub(crate) const VERSIONS: u64 = 16;
 const MAIN: &str = "main";
+/// Callers whose calls of the moving route one target carries at half of its slots.
+const CALLERS_EACH: usize = 24;
 const DOMAINS: usize = 3;
 const GRACE_MS: u64 = 3_000;
 
@@ -101,7 +103,10 @@
             world.add_target(MAIN).await;
         }
         for version in 1..=VERSIONS {
-            world.add_target(&format!("{MOVING}{version}")).await;
+            // One target carries the calls of the moving route of so many callers.
+            for _ in 0..options.callers.div_ceil(CALLERS_EACH) {
+                world.add_target(&format!("{MOVING}{version}")).await;
+            }
         }
         world.publish_next();
         for number in 0..world.gateways.len() {
