fix(policy): a gateway that started later tells everything to one that knows an earlier revision

A gateway that had just started by a list without the target had no record that it vanished; a peer that knew an earlier revision asked it for changes, took its revision over and kept the target.

Ruled out: a lost read of the store (settings of the same news arrived), the outage's grace (no such line).

Change: what vanished before a gateway's first picture counts as forgotten, so an earlier revision is told everything. Test: catalog::gateway_that_started_later_does_not_hide..., red before, green after.

--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -211,6 +211,10 @@
             return false;
         }
         let before = self.essential;
+        if self.revision == 0 {
+            // What vanished before the first picture is not known here.
+            self.forgotten = snapshot.revision;
+        }
         self.revision = snapshot.revision;
         let listed: IndexSet<&Arc<str>> = snapshot.targets.iter().map(|r| &r.name).collect();
         let missing: Vec<Arc<str>> =
--- a/crates/policy/tests/balance/catalog.rs
+++ b/crates/policy/tests/balance/catalog.rs
@@ -153,3 +153,15 @@
         Ok(())
     });
 }
+
+/// A gateway that started a moment ago does not know what vanished before its first read, and has to
+/// tell everything to one that knows an earlier revision.
+#[test]
+fn gateway_that_started_later_does_not_hide_what_vanished_before() {
+    let mut follower = Catalog::default();
+    follower.apply(ms(0), 193, vec![Change::Target(record(1, "a"))], Source::Platform);
+    let mut started = Catalog::default();
+    started.relist(ms(0), 208, vec![Change::Target(record(2, "a"))], Source::Platform);
+    follower.take(ms(100), started.told_since(193), Source::Peer(Duration::ZERO));
+    assert_eq!(names(&follower), [record(2, "a").name]);
+}
