fix(policy): ask targets for their load until one has answered

Cause: after a restart of all gateways the first calls went to targets blindly. Probes were only sent once a target had told its pace on an answer, so for the first 0.4 s some 100 gateways, each alone, put their calls on slow machines and on top of one another's (queues of 3 to 7 calls at targets of 3 slots). Ruled out: slow starts (ready 10 ms after the process starts). Change: whether targets tell their pace is unknown until one has answered, and unknown counts as told. A probe now says whether it was answered without a report, which is no failure of the target. Tests: first_calls_after_a_start_ask_targets_for_their_load (red before), targets_that_tell_no_load_are_not_asked_again, and one of the gateway. Scripted targets of other tests are declared to tell no load.

--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -8,7 +8,7 @@
     dialect::{Dialect, Publication},
     gateway::Gateway,
 };
-use azuretally_policy::balance::{LoadReport, Probe};
+use azuretally_policy::balance::{Probe, ProbeResult};
 use bytes::Bytes;
 use http::{Request, header::HOST};
 use http_body_util::{BodyExt, Either, Full};
@@ -42,15 +42,15 @@
 where
     Adapter: Dialect + Publication,
 {
-    // No answer in time is no report.
-    let report = timeout(LIMIT, exchange(&gateway, &pool, &probe)).await.unwrap_or_default();
-    let kind = if report.is_some() { "probe" } else { "probe-failed" };
-    gateway.metrics.attempt(&probe.service, kind);
-    if report.is_none() {
-        log::info!("calls: probe of target={} brought no report", probe.target);
+    let result = timeout(LIMIT, exchange(&gateway, &pool, &probe)).await.unwrap_or_default();
+    let result = result.unwrap_or(ProbeResult::NoAnswer);
+    let answered = result != ProbeResult::NoAnswer;
+    gateway.metrics.attempt(&probe.service, if answered { "probe" } else { "probe-failed" });
+    if !answered {
+        log::info!("calls: probe of target={} was not answered", probe.target);
     }
     let now = gateway.clock.now();
-    gateway.balancer.borrow_mut().probed(now, &probe, report);
+    gateway.balancer.borrow_mut().probed(now, &probe, result);
     gateway.pump();
 }
 
@@ -58,7 +58,7 @@
     gateway: &Gateway<Adapter>,
     pool: &Pool,
     probe: &Probe,
-) -> Option<LoadReport>
+) -> Option<ProbeResult>
 where
     Adapter: Dialect + Publication,
 {
@@ -81,5 +81,9 @@
     pool.keep_after(connection, &head.headers);
     let told = gateway.adapter.probe_head(&head);
     let same = told.target.is_none_or(|name| name == probe.target);
-    told.report.filter(|_| same)
+    match told.report {
+        _ if !same => None,
+        Some(report) => Some(ProbeResult::Report(report)),
+        None => head.status.is_success().then_some(ProbeResult::NoReport),
+    }
 }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -54,8 +54,15 @@
     }
 }
 
-/// A gateway that knows `targets`, and the address for calls.
+/// The same as [`start_fresh`], but the targets are known to tell no load, so none is asked.
 async fn start(targets: &[SocketAddr]) -> (Rc<Gateway<Plain>>, SocketAddr) {
+    let (gateway, calls) = start_fresh(targets).await;
+    stub::set_untold(&gateway);
+    (gateway, calls)
+}
+
+/// A gateway that knows `targets`, none of which has answered yet, and the address for calls.
+async fn start_fresh(targets: &[SocketAddr]) -> (Rc<Gateway<Plain>>, SocketAddr) {
     // The port is free a moment later, which is good enough on loopback.
     let probe = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let calls = probe.local_addr().expect("bound");
@@ -116,6 +123,27 @@
     LocalSet::new().run_until(test).await;
 }
 
+#[tokio::test]
+async fn first_call_is_sent_once_its_target_has_told_its_load() {
+    on_local(async {
+        let (listener, address) = target().await;
+        let (_gateway, calls) = start_fresh(&[address]).await;
+        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+        caller.write_all(get("/check/1", "a").as_bytes()).await.expect("sent");
+        let (mut stream, _) = listener.accept().await.expect("a probe");
+        let probe = read_until(&mut stream, "\r\n\r\n").await;
+        assert!(probe.starts_with("GET /load "), "{probe}");
+        let load = "HTTP/1.1 200 OK\r\nx-target-load: 0,0,1,100\r\n\
+                    content-length: 0\r\n\r\n";
+        stream.write_all(load.as_bytes()).await.expect("answered");
+        let call = read_until(&mut stream, "\r\n\r\n").await;
+        assert!(call.starts_with("GET /check/1 "), "{call}");
+        stream.write_all(answer("a", "done").as_bytes()).await.expect("answered");
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn answer_without_a_length_is_whole_when_its_connection_closes() {
     on_local(async {
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -41,6 +41,7 @@
     let changes = vec![Change::Target(stub::target(1, 1))];
     gateway.catalog.borrow_mut().apply(now, 1, changes, Source::Platform);
     gateway.adopt(Source::Platform);
+    stub::set_untold(&gateway);
 
     let first = gateway.balancer.borrow_mut().arrive(now, call(&gateway, 1));
     let Order::Start(start) = first else { panic!("the only slot is free") };
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -1,7 +1,7 @@
 //! Settings and targets for tests that need no platform.
 
-use azuretally_gateway::settings::Settings;
-use azuretally_policy::balance::Record;
+use azuretally_gateway::{gateway::Gateway, plain::Plain, settings::Settings};
+use azuretally_policy::balance::{Probe, ProbeResult, Record};
 use std::{net::SocketAddr, path::Path, sync::Arc, time::Duration};
 
 /// Settings of a gateway that is never bound to its addresses.
@@ -38,3 +38,11 @@
         warmup: Duration::ZERO,
     }
 }
+
+/// Tells the gateway that the targets of its service tell no load, so that none is asked for it.
+pub(crate) fn set_untold(gateway: &Gateway<Plain>) {
+    let Record { service, name, address, .. } = target(0, 1);
+    let probe = Probe { service, target: name, address };
+    let now = gateway.clock.now();
+    gateway.balancer.borrow_mut().probed(now, &probe, ProbeResult::NoReport);
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -19,7 +19,8 @@
 pub use beat::{Beat, Directions, Message, Outgoing, Phase};
 pub use budget::WindowBudget;
 pub use call::{
-    Attempt, Call, Ending, Failure, GiveUp, Hedge, Limits, Order, Probe, Report, Start, Verdict,
+    Attempt, Call, Ending, Failure, GiveUp, Hedge, Limits, Order, Probe, ProbeResult, Report,
+    Start, Verdict,
 };
 pub use catalog::{Catalog, Change, Listed, Record, Snapshot, Source, Told};
 pub use load::LoadReport;
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -2,8 +2,7 @@
 
 use super::{
     super::{
-        call::{Ending, Failure, Probe, Verdict},
-        load::LoadReport,
+        call::{Ending, Failure, Probe, ProbeResult, Verdict},
         target::{Running, Target},
     },
     Balancer,
@@ -15,21 +14,24 @@
 const SILENT_AGE: f64 = 3.0;
 
 impl Balancer {
-    /// A probe was answered, or was not answered in time.
-    pub fn probed(&mut self, now: Timestamp, probe: &Probe, report: Option<LoadReport>) {
+    /// A probe ended.
+    pub fn probed(&mut self, now: Timestamp, probe: &Probe, result: ProbeResult) {
         let Some(service) = self.services.get_mut(&probe.service) else { return };
-        if let Some(pace) = report.and_then(|r| r.pace) {
-            service.learn_pace(pace);
+        match result {
+            ProbeResult::Report(report) => service.learn_pace(report.pace),
+            ProbeResult::NoReport => service.learn_pace(None),
+            ProbeResult::NoAnswer => {}
         }
         let Some(target) = service.targets.get_mut(&probe.target) else { return };
         target.probed = None;
-        match report {
-            Some(report) => {
+        match result {
+            ProbeResult::Report(report) => {
                 let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
                 target.load.report(now, report, own);
                 target.unanswered = 0;
             }
-            None => target.unanswered(now),
+            ProbeResult::NoReport => target.unanswered = 0,
+            ProbeResult::NoAnswer => target.unanswered(now),
         }
     }
 
@@ -55,8 +57,10 @@
         if let (Verdict::Answered { ok: true, bytes }, Some(running)) = (ending.verdict, running) {
             service.learn(now, &route, &running, bytes);
         }
-        if let Some(pace) = ending.report.and_then(|r| r.pace) {
-            service.learn_pace(pace);
+        if let Some(report) = ending.report {
+            service.learn_pace(report.pace);
+        } else if matches!(ending.verdict, Verdict::Answered { ok: true, .. }) {
+            service.learn_pace(None);
         }
         let base = service.base(&route);
         let Some(target) = service.targets.get_mut(&ending.attempt.target) else { return };
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -30,6 +30,17 @@
     pub address: SocketAddr,
 }
 
+/// How a probe ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum ProbeResult {
+    /// The target told its load.
+    Report(LoadReport),
+    /// The target answered and told nothing of its load.
+    NoReport,
+    /// No answer of the target came in time.
+    NoAnswer,
+}
+
 /// What becomes of a second attempt beside the first one.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Hedge {
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -122,11 +122,19 @@
     hope: f64,
 }
 
+/// Whether the targets of a service tell their pace.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Telling {
+    /// No target has answered yet.
+    Unknown,
+    Told,
+    Untold,
+}
+
 /// What is known of the paces of all machines of a service.
 #[derive(Clone, Copy, Debug)]
 struct Paces {
-    /// Whether targets tell their pace at all.
-    told: bool,
+    telling: Telling,
     /// Part of the reports that told of a slow machine.
     slow_part: f64,
     /// Mean pace of the slow ones and of the others.
@@ -135,8 +143,20 @@
 }
 
 impl Paces {
-    fn learn(&mut self, pace: f64) {
-        self.told = true;
+    /// Whether it is worth asking a target for its pace: until one has answered, too, since the
+    /// first calls after a start would otherwise go to slow or full targets.
+    fn may_be_told(&self) -> bool {
+        self.telling != Telling::Untold
+    }
+
+    fn learn(&mut self, pace: Option<f64>) {
+        let Some(pace) = pace else {
+            if self.telling == Telling::Unknown {
+                self.telling = Telling::Untold;
+            }
+            return;
+        };
+        self.telling = Telling::Told;
         let slow = pace > SLOW_PACE;
         self.slow_part += (f64::from(u8::from(slow)) - self.slow_part) * NEW_PACE;
         let mean = if slow { &mut self.slow } else { &mut self.usual };
@@ -159,7 +179,7 @@
         Self {
             targets: IndexMap::new(),
             times: IndexMap::new(),
-            paces: Paces { told: false, slow_part: 0.2, slow: 4.0, usual: 1.0 },
+            paces: Paces { telling: Telling::Unknown, slow_part: 0.2, slow: 4.0, usual: 1.0 },
             crowding: (CROWDED_TIME, 1.0),
         }
     }
@@ -280,7 +300,7 @@
 
     /// Targets worth a probe: those that may turn out to be better than what is known.
     fn probes(&self, wish: &Wish<'_>, rated: &[Rated], sure: f64) -> Vec<usize> {
-        if !self.paces.told {
+        if !self.paces.may_be_told() {
             return Vec::new();
         }
         let far = wish.crossing * PROBE_BYTES / 1_000.0;
@@ -306,7 +326,7 @@
 
     /// Whether a better place may show up in time: one at a machine of the usual pace.
     fn is_worth_waiting(&self, wish: &Wish<'_>, place: &Place) -> bool {
-        if !self.paces.told || place.chance >= GOOD_CHANCE {
+        if !self.paces.may_be_told() || place.chance >= GOOD_CHANCE {
             return false;
         }
         let run = Duration::from_secs_f64(self.usual(wish.route)) + OVERHEAD;
@@ -340,7 +360,7 @@
         let slowness = target.load.slowness(now).max(target.overdue(now));
         let expected = self.base(wish.route) * scale * slowness;
         let left = wish.objective.since(now);
-        let known = told.is_some() || !self.paces.told;
+        let known = told.is_some() || !self.paces.may_be_told();
         let part = if known { 0.0 } else { self.paces.slow_part };
         let slow = expected * self.paces.slow / self.paces.usual;
         let chance = part * chance(slow, left) + (1.0 - part) * chance(expected, left);
@@ -386,8 +406,8 @@
         *mean += (ratio - *mean) * NEW_TIME;
     }
 
-    /// Takes a reported pace into the figures.
-    pub(super) fn learn_pace(&mut self, pace: f64) {
+    /// Takes the pace that an answer told, or that it told none, into the figures.
+    pub(super) fn learn_pace(&mut self, pace: Option<f64>) {
         self.paces.learn(pace);
     }
 }
--- a/crates/policy/tests/balance/at_most_once.rs
+++ b/crates/policy/tests/balance/at_most_once.rs
@@ -3,7 +3,7 @@
 
 use crate::fixture::{World, idle, ms, route, started};
 use arbtest::arbtest;
-use azuretally_policy::balance::{Failure, Order, Start, Verdict};
+use azuretally_policy::balance::{Failure, Order, ProbeResult, Start, Verdict};
 use std::sync::Arc;
 
 #[test]
@@ -60,7 +60,9 @@
 #[test]
 fn any_history_runs_a_call_at_most_once_and_refuses_truly() {
     arbtest(|u| {
-        let mut world = World::new(u.int_in_range(1..=4)?, u.int_in_range(0..=3)?);
+        let (near, far) = (u.int_in_range(1..=4)?, u.int_in_range(0..=3)?);
+        let mut world =
+            if u.arbitrary()? { World::new(near, far) } else { World::fresh(near, far) };
         let routes = [route("sale", false), route("check", true)];
         let mut calls: Vec<Tracked> = Vec::new();
         let mut now = 0;
@@ -102,8 +104,12 @@
                 call.take(&order);
             }
             for probe in world.balancer.take_probes() {
-                let report = u.ratio(4, 5)?.then(|| idle(if now % 3 == 0 { 5.0 } else { 1.0 }));
-                world.balancer.probed(ms(now), &probe, report);
+                let result = match u.int_in_range(0..=9)? {
+                    0 => ProbeResult::NoAnswer,
+                    1 => ProbeResult::NoReport,
+                    _ => ProbeResult::Report(idle(if now % 3 == 0 { 5.0 } else { 1.0 })),
+                };
+                world.balancer.probed(ms(now), &probe, result);
             }
             for (id, order) in world.balancer.advance(ms(now)) {
                 if let Some(call) = calls.iter_mut().find(|c| c.id == id) {
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -3,8 +3,8 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Attempt, Balancer, Call, Catalog, Change, Ending, Limits, LoadReport, Order, Record, Route,
-        Share, Source, Start, Verdict,
+        Attempt, Balancer, Call, Catalog, Change, Ending, Limits, LoadReport, Order, Probe,
+        ProbeResult, Record, Route, Share, Source, Start, Verdict,
     },
 };
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -63,8 +63,17 @@
 }
 
 impl World {
-    /// `near` targets in the own failure domain, `far` ones in another.
+    /// The same as [`Self::fresh`], but the targets are known to tell no pace.
     pub(crate) fn new(near: u8, far: u8) -> Self {
+        let mut world = Self::fresh(near, far);
+        let Record { service, name, address, .. } = record(0, NEAR);
+        let probe = Probe { service, target: name, address };
+        world.balancer.probed(ms(0), &probe, ProbeResult::NoReport);
+        world
+    }
+
+    /// `near` targets in the own failure domain, `far` ones in another. None has answered yet.
+    pub(crate) fn fresh(near: u8, far: u8) -> Self {
         let mut world = Self {
             balancer: Balancer::new(Arc::from(NEAR), limits(), 1),
             catalog: Catalog::default(),
--- a/crates/policy/tests/balance/overload.rs
+++ b/crates/policy/tests/balance/overload.rs
@@ -2,29 +2,60 @@
 //! backlog after an outage.
 
 use crate::fixture::{World, idle, ms, route, started};
-use azuretally_policy::balance::{LoadReport, Order};
+use azuretally_policy::balance::{LoadReport, Order, ProbeResult};
 
 /// Answers every probe that is ordered with `pace`.
 fn answer_probes(world: &mut World, at: u64, pace: f64) -> usize {
     let probes = world.balancer.take_probes();
     for probe in &probes {
-        world.balancer.probed(ms(at), probe, Some(idle(pace)));
+        world.balancer.probed(ms(at), probe, ProbeResult::Report(idle(pace)));
     }
     probes.len()
 }
 
 /// A world whose targets are known to tell their pace.
 fn telling(near: u8, far: u8) -> World {
-    let mut world = World::new(near, far);
+    let mut world = World::fresh(near, far);
     let check = route("check", true);
-    let (id, order) = world.arrive(ms(0), &check);
-    let start = started(order);
+    let (id, _) = world.arrive(ms(0), &check);
+    answer_probes(&mut world, 0, 1.0);
+    let orders = world.balancer.advance(ms(0));
+    let [(_, Order::Start(start))] = orders.as_slice() else { panic!("{orders:?}") };
     let verdict = azuretally_policy::balance::Verdict::Answered { ok: true, bytes: 100 };
     world.end(ms(160), id, &start.target, verdict, Some(idle(1.0)));
     world.balancer.forget(id);
     world
 }
 
+/// Restart of all gateways under load: the first calls do not go blindly to slow or full targets.
+#[test]
+fn first_calls_after_a_start_ask_targets_for_their_load() {
+    let mut world = World::fresh(4, 0);
+    let (id, order) = world.arrive(ms(0), &route("check", true));
+    assert_eq!(order, Order::Wait);
+    let probes = world.balancer.take_probes();
+    let [slow, usual] = probes.as_slice() else { panic!("{probes:?}") };
+    world.balancer.probed(ms(1), slow, ProbeResult::Report(idle(5.0)));
+    world.balancer.probed(ms(1), usual, ProbeResult::Report(idle(1.0)));
+    let orders = world.balancer.advance(ms(1));
+    let [(first, Order::Start(start))] = orders.as_slice() else { panic!("{orders:?}") };
+    assert_eq!((*first, &start.target), (id, &usual.target));
+}
+
+/// A service whose targets tell nothing: only until the first one has answered are they asked.
+#[test]
+fn targets_that_tell_no_load_are_not_asked_again() {
+    let mut world = World::fresh(4, 0);
+    let check = route("check", true);
+    world.arrive(ms(0), &check);
+    for probe in world.balancer.take_probes() {
+        world.balancer.probed(ms(1), &probe, ProbeResult::NoReport);
+    }
+    assert!(matches!(world.balancer.advance(ms(1)).as_slice(), [(_, Order::Start(_))]));
+    started(world.arrive(ms(10), &check).1);
+    assert_eq!(world.balancer.take_probes(), []);
+}
+
 /// Moving slowness: a quarter of the machines is five times slower at any moment.
 #[test]
 fn call_waits_while_all_free_machines_are_slow_and_starts_on_the_first_usual_one() {
@@ -92,7 +123,7 @@
     for at in [1_000, 1_150] {
         world.balancer.advance(ms(at));
         for probe in world.balancer.take_probes() {
-            world.balancer.probed(ms(at + 80), &probe, None);
+            world.balancer.probed(ms(at + 80), &probe, ProbeResult::NoAnswer);
         }
     }
     let mut probed = 0;
--- a/crates/policy/tests/balance/silence.rs
+++ b/crates/policy/tests/balance/silence.rs
@@ -2,7 +2,7 @@
 //! while nothing better has come.
 
 use crate::fixture::{World, idle, ms, route, started};
-use azuretally_policy::balance::{Hedge, Order, Verdict};
+use azuretally_policy::balance::{Hedge, Order, ProbeResult, Verdict};
 
 #[test]
 fn silent_attempt_gets_a_second_one_beside_it() {
@@ -52,7 +52,7 @@
     let (id, _) = world.arrive(ms(1_000), &check);
     let probes = world.balancer.take_probes();
     for probe in &probes {
-        world.balancer.probed(ms(1_000), probe, Some(idle(1.0)));
+        world.balancer.probed(ms(1_000), probe, ProbeResult::Report(idle(1.0)));
     }
     let orders = world.balancer.advance(ms(1_000));
     let [(_, Order::Start(first))] = orders.as_slice() else { panic!("{orders:?}") };
@@ -64,7 +64,7 @@
             Hedge::Never => panic!("no second attempt at {at:?}"),
         }
         for probe in world.balancer.take_probes() {
-            world.balancer.probed(at, &probe, Some(idle(1.0)));
+            world.balancer.probed(at, &probe, ProbeResult::Report(idle(1.0)));
         }
     }
     assert!(at <= ms(1_224), "the second attempt came only at {at:?}");
