test(soak): hold the logs of gateways against what callers saw

Cause: nothing showed that each call of a run with faults has exactly one line on its outcome, and that the line says what the caller was told. Change: after a run the soak reads the logs of all gateways. A call that ran or was answered has exactly one outcome; answered, not run and unknown agree with the caller. Excused are calls whose gateway was killed before it must have written, up to the longest freeze earlier, and those of the last second.

--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -102,6 +102,7 @@
 async fn kill(world: Arc<World>, number: usize, down: Duration) {
     let Some(mut child) = world.gateways[number].child.lock().take() else { return };
     world.ledger.fault(number);
+    world.ledger.killed(number);
     child.thaw();
     child.kill();
     sleep(down).await;
@@ -132,8 +133,11 @@
         world.ledger.stop(number, false);
         return;
     };
-    child.thaw();
-    child.kill();
+    if child.is_running() {
+        world.ledger.killed(number);
+        child.thaw();
+        child.kill();
+    }
     // Callers notice the end of their connections a moment later.
     sleep(Duration::from_millis(200)).await;
     world.ledger.stop(number, false);
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -17,6 +17,9 @@
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const BUDGET_RATIO: f64 = 0.2;
 pub(crate) const BUDGET_SLACK: f64 = 60.0;
+/// Time before a kill whose log lines may not have been written: the process may have been frozen
+/// for the longest time that a fault lasts, and gathers lines for a moment.
+const UNWRITTEN: Duration = Duration::from_secs(4);
 /// Violations that are kept with their texts.
 const KEPT: usize = 20;
 
@@ -42,7 +45,28 @@
     idempotent: bool,
     gateway: usize,
     runs: u32,
-    seen: Option<Seen>,
+    ended: Option<(Instant, Seen)>,
+    /// Whether its gateway was killed before it must have written what became of the call.
+    unwritten: bool,
+}
+
+impl Call {
+    fn seen(&self) -> Option<Seen> {
+        self.ended.map(|(_, seen)| seen)
+    }
+}
+
+/// A call that ended for its caller.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedCall {
+    pub(crate) id: u64,
+    pub(crate) seen: Seen,
+    /// Times that targets ran it.
+    pub(crate) runs: u32,
+    /// Time since its end.
+    pub(crate) age: Duration,
+    /// Whether its gateway was killed before it must have written what became of the call.
+    pub(crate) unwritten: bool,
 }
 
 #[derive(Debug, Default)]
@@ -74,7 +98,7 @@
 impl Ledger {
     /// A caller is about to send a call to gateway `gateway`.
     pub(crate) fn sending(&self, id: u64, gateway: usize, idempotent: bool) {
-        let call = Call { idempotent, gateway, runs: 0, seen: None };
+        let call = Call { idempotent, gateway, runs: 0, ended: None, unwritten: false };
         self.books.lock().calls.insert(id, call);
     }
 
@@ -89,7 +113,7 @@
         };
         call.runs += 1;
         let (runs, idempotent, seen, gateway) =
-            (call.runs, call.idempotent, call.seen, call.gateway);
+            (call.runs, call.idempotent, call.seen(), call.gateway);
         if runs > 1 && !idempotent {
             books.break_promise(format!("twice: call {id} ran {runs} times, now at {target}"));
         }
@@ -129,7 +153,7 @@
             books.recent.pop_front();
         }
         let Some(call) = books.calls.get_mut(&id) else { return };
-        call.seen = Some(seen);
+        call.ended = Some((now, seen));
         let (runs, gateway) = (call.runs, call.gateway);
         if seen == Seen::NotRun && runs > 0 {
             books.break_promise(format!("refused: call {id} ran and was said not to have run"));
@@ -185,6 +209,26 @@
         self.books.lock().faulted.insert(gateway, Instant::now());
     }
 
+    /// A gateway is killed, so what it has not written is lost.
+    pub(crate) fn killed(&self, gateway: usize) {
+        let mut books = self.books.lock();
+        let now = Instant::now();
+        for call in books.calls.values_mut().filter(|c| c.gateway == gateway) {
+            call.unwritten |= call.ended.is_none_or(|(at, _)| now - at < UNWRITTEN);
+        }
+    }
+
+    /// Calls that ended for their callers.
+    pub(crate) fn ended_calls(&self) -> Vec<EndedCall> {
+        let books = self.books.lock();
+        let ended = |(id, call): (&u64, &Call)| {
+            let (at, seen) = call.ended?;
+            let (runs, unwritten) = (call.runs, call.unwritten);
+            Some(EndedCall { id: *id, seen, runs, age: at.elapsed(), unwritten })
+        };
+        books.calls.iter().filter_map(ended).collect()
+    }
+
     /// A planned stop begins, or is over.
     pub(crate) fn stop(&self, gateway: usize, begins: bool) {
         let mut books = self.books.lock();
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod callers;
 mod faults;
 mod ledger;
+mod lines;
 mod platform;
 mod run;
 mod targets;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
                        [--targets N] [--callers N] [--network N] [--logs DIR]
 
 Runs seeds N, N + 1, ... and prints a line for each. Exits with 1 when a promise was broken.
+--logs keeps the logs of each seed in DIR/seed-N, in place of those of an earlier run of the seed.
 --network selects the loopback addresses 127.N.0.0/16, so that two soaks do not meet.";
 
 struct Plan {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,6 @@
 //! One run of the soak.
 
-use crate::{callers, faults, world::World};
+use crate::{callers, faults, lines, world::World};
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -35,7 +35,7 @@
     pub callers: usize,
     /// Second byte of the loopback addresses of the run.
     pub network: u8,
-    /// Where logs and settings go; a temporary folder when absent.
+    /// Where logs and settings go, in a folder for each seed; a temporary one when absent.
     pub folder: Option<PathBuf>,
 }
 
@@ -69,6 +69,10 @@
 pub async fn run(options: &Options) -> Outcome {
     let temporary = tempfile::tempdir().expect("a temporary folder");
     let folder = options.folder.clone().unwrap_or_else(|| temporary.path().to_owned());
+    let folder = folder.join(format!("seed-{}", options.seed));
+    if folder.exists() {
+        std::fs::remove_dir_all(&folder).expect("logs of an earlier run of the seed are removed");
+    }
     std::fs::create_dir_all(&folder).expect("a folder for logs");
     let world = World::start(options, &folder).await;
     sleep(START).await;
@@ -90,6 +94,7 @@
             world.ledger.violation(format!("exit: gateway {number} ended by itself"));
         }
     }
+    lines::check(&world);
     world.close().await;
     let (violations, counts) = world.ledger.close();
     Outcome { violations, counts, recovered }
