fix(policy): tell calls that come back by where they come from

Cause: a call counted as one that came back when its caller allowed 5 ms less than callers of the route did at most. Ruled out: the budget was not used up (1,523 second tries in the 8.5 s in which all targets shed, 1,598 allowed). Such a call keeps the objective of the first one. While targets refuse, first calls leave the second tries that returns will need. A call refused at random while targets are free may come back at once (5 ms instead of 40). The line of a sent call names the caller. Test replaced: second_tries_that_are_short_go_to_calls_that_came_back marked returns by a shorter time; it now brings them from the address that was refused, with the same bound.

--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -17,7 +17,7 @@
 use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use std::{cell::RefCell, sync::Arc, time::Duration};
+use std::{cell::RefCell, net::IpAddr, sync::Arc, time::Duration};
 use tokio::time::timeout;
 
 /// Bodies up to this size are kept for a second try.
@@ -44,6 +44,8 @@
     pub(super) number: u64,
     /// What its head says.
     pub(super) head: CallHead,
+    /// Where it came from.
+    pub(super) caller: IpAddr,
     /// Route that it took.
     pub(super) route: Arc<Route>,
     /// Service that takes it.
@@ -77,6 +79,7 @@
     /// [`Rejected`] when it cannot be served. Nothing of it was run.
     pub(super) async fn read<Adapter>(
         gateway: &Gateway<Adapter>,
+        caller: IpAddr,
         request: Request<Incoming>,
     ) -> Result<Self, Rejected>
     where
@@ -109,6 +112,7 @@
             number: gateway.next_call(),
             service: gateway.split.borrow_mut().next(&route),
             version: table.published().version,
+            caller,
             arrival,
             deadline: arrival + patience,
             method: parts.method,
@@ -128,7 +132,7 @@
             service: Arc::clone(&self.service),
             objective: self.arrival + self.route.objective,
             deadline: self.deadline,
-            patience: self.head.timeout,
+            caller: self.caller,
             replayable: matches!(self.content, Content::Kept(_)),
         }
     }
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -147,7 +147,9 @@
         let service = {
             let gateway = Rc::clone(gateway);
             let pool = Rc::clone(&self.pool);
-            service_fn(move |request| handle(Rc::clone(&gateway), Rc::clone(&pool), request))
+            service_fn(move |request| {
+                handle(Rc::clone(&gateway), Rc::clone(&pool), from.ip(), request)
+            })
         };
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -19,19 +19,20 @@
 use http::{Request, Response};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use std::{convert::Infallible, future::pending, rc::Rc};
+use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc};
 use tokio::{sync::oneshot, time::sleep};
 
 /// Answers one call.
 pub(super) async fn handle<Adapter>(
     gateway: Rc<Gateway<Adapter>>,
     pool: Rc<Pool>,
+    caller: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<Answer>, Infallible>
 where
     Adapter: Dialect + Publication,
 {
-    match Inbound::read(&gateway, request).await {
+    match Inbound::read(&gateway, caller, request).await {
         Ok(inbound) => Ok(Task::new(gateway, pool, inbound).run().await),
         Err(rejected) => Ok(reject(&gateway, &rejected)),
     }
@@ -155,7 +156,7 @@
         let now = self.gateway.clock.now();
         log::info!(
             "calls: sent id={} target={} near={} attempt={} waited_ms={} expected_ms={} left_ms={} \
-             belief_ms={}",
+             caller={} belief_ms={}",
             inbound.id(),
             start.target,
             start.near,
@@ -163,6 +164,7 @@
             now.since(inbound.arrival).as_millis(),
             start.expected_ms,
             inbound.deadline.since(now).as_millis(),
+            inbound.caller,
             self.gateway.catalog.borrow().age(now).unwrap_or_default().as_millis(),
         );
         let kind = if start.number == 1 { "first" } else { "further" };
--- a/crates/gateway/tests/orders.rs
+++ b/crates/gateway/tests/orders.rs
@@ -27,7 +27,7 @@
         service: Arc::from("service"),
         objective: now + route.objective,
         deadline: now + route.timeout,
-        patience: None,
+        caller: std::net::Ipv4Addr::LOCALHOST.into(),
         replayable: true,
         route: Arc::new(route),
     }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod call;
 mod catalog;
 mod load;
+mod returning;
 mod roster;
 mod routes;
 mod service;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -12,6 +12,7 @@
     budget::WindowBudget,
     call::{Attempt, Call, Ending, GiveUp, Limits, Order, Probe, Report, Start, Verdict},
     catalog::{Catalog, Listed},
+    returning::Returning,
     service::{Choice, Place, Service, Wish},
     target::Running,
 };
@@ -39,7 +40,7 @@
 #[derive(Clone, Debug)]
 struct Entry {
     call: Call,
-    /// Whether the caller seems to have been refused before.
+    /// Whether the caller was refused a moment ago.
     returned: bool,
     tried: Vec<Arc<str>>,
     running: u32,
@@ -62,8 +63,8 @@
     budgets: IndexMap<Arc<str>, WindowBudget>,
     /// Most urgent rank of the calls that each service got.
     urgent: IndexMap<Arc<str>, u32>,
-    /// Longest time that callers of each route allowed.
-    patience: IndexMap<Arc<str>, Duration>,
+    /// Calls of each service that were refused, and how many come back.
+    returning: IndexMap<Arc<str>, Returning>,
     calls: IndexMap<u64, Entry>,
     queues: IndexMap<Arc<str>, Vec<u64>>,
     probes: Vec<Probe>,
@@ -79,7 +80,7 @@
             services: IndexMap::new(),
             budgets: IndexMap::new(),
             urgent: IndexMap::new(),
-            patience: IndexMap::new(),
+            returning: IndexMap::new(),
             calls: IndexMap::new(),
             queues: IndexMap::new(),
             probes: Vec::new(),
@@ -111,7 +112,7 @@
     }
 
     /// A call arrived.
-    pub fn arrive(&mut self, now: Timestamp, call: Call) -> Order {
+    pub fn arrive(&mut self, now: Timestamp, mut call: Call) -> Order {
         let limits = self.limits;
         let budget = self.budgets.entry(Arc::clone(&call.service)).or_insert_with(|| {
             WindowBudget::new(limits.retry_ratio, limits.retry_slack, limits.retry_window)
@@ -121,9 +122,12 @@
         let urgent = self.urgent.entry(Arc::clone(&call.service)).or_insert(rank);
         *urgent = rank.min(*urgent);
         let id = call.id;
-        let returned = self.has_returned(&call);
+        let returning = self.returning.entry(Arc::clone(&call.service)).or_default();
+        let before = returning.arrived(now, &call.origin());
+        // For the caller the time has run since its first call.
+        call.objective = before.map_or(call.objective, |before| before.min(call.objective));
         let entry = Entry {
-            returned,
+            returned: before.is_some(),
             call,
             tried: Vec::new(),
             running: 0,
@@ -163,7 +167,7 @@
         if entry.running > 0 {
             return Order::Wait;
         }
-        self.again(now, id).unwrap_or_else(|| self.lost(id))
+        self.again(now, id).unwrap_or_else(|| self.lost(now, id))
     }
 
     /// Probes that have to be sent now.
@@ -177,7 +181,7 @@
             entry.doubtful |= entry.running > 0;
         }
         self.blame_silent(now, id);
-        self.give_up(id, GiveUp::Deadline)
+        self.give_up(now, id, GiveUp::Deadline)
     }
 
     /// The call is over, or its caller is gone: its attempts have been cancelled.
@@ -224,7 +228,7 @@
         for id in ids {
             if self.is_hopeless(now, id) {
                 self.leave_queue(&service, id);
-                let order = self.lost_in_queue(id);
+                let order = self.lost_in_queue(now, id);
                 orders.push((id, order));
                 continue;
             }
@@ -267,7 +271,7 @@
         let Some(entry) = self.calls.get(&id) else { return Order::Wait };
         let name = Arc::clone(&entry.call.service);
         if !self.services.get(&name).is_some_and(Service::has_usable) {
-            return self.give_up(id, GiveUp::NoTarget);
+            return self.give_up(now, id, GiveUp::NoTarget);
         }
         let waiting = self.queues.get(&name).map_or(0, Vec::len);
         let ahead = self.queues.get(&name).is_some_and(|queue| {
@@ -278,11 +282,11 @@
             return self.start(now, id, &place).map_or(Order::Wait, Order::Start);
         }
         if waiting >= QUEUE {
-            return self.give_up(id, GiveUp::QueueFull);
+            return self.give_up(now, id, GiveUp::QueueFull);
         }
         let left = self.calls.get(&id).map_or(Duration::ZERO, |e| e.call.deadline.since(now));
         if self.expected_wait(now, id) > left.as_secs_f64() * WAIT_PART {
-            return self.give_up(id, GiveUp::Deadline);
+            return self.give_up(now, id, GiveUp::Deadline);
         }
         self.queues.entry(name).or_default().push(id);
         if let Some(entry) = self.calls.get_mut(&id) {
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -62,6 +62,7 @@
         } else if matches!(ending.verdict, Verdict::Answered { ok: true, .. }) {
             service.learn_pace(None);
         }
+        service.learn_refusal(ending.verdict == Verdict::Refused);
         let base = service.base(&route);
         let Some(target) = service.targets.get_mut(&ending.attempt.target) else { return };
         learn_target(now, target, ending, running, base);
--- a/crates/policy/src/balance/balancer/tries.rs
+++ b/crates/policy/src/balance/balancer/tries.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        call::{Call, GiveUp, Hedge, Order},
+        call::{GiveUp, Hedge, Order},
         service::Choice,
     },
     Balancer,
@@ -12,10 +12,10 @@
 use std::{sync::Arc, time::Duration};
 
 /// Range of times after which callers are asked to come back.
-const COME_BACK: (f64, f64) = (0.02, 2.0);
+const COME_BACK: (f64, f64) = (0.005, 2.0);
 /// Seconds after which a caller may come back whose call was refused by targets while others are
 /// free.
-const REFUSED: f64 = 0.04;
+const REFUSED: f64 = 0.005;
 /// Time after which a caller may come back when no target is known.
 const NO_TARGET: Duration = Duration::from_millis(500);
 /// Part of the own slots in use above which no second try is started beside a first one.
@@ -33,10 +33,6 @@
 /// Part of the budget of second tries that is kept for calls that are the most urgent of a service or
 /// came back, and for those that are both. A call that is refused for the first time can come back.
 const RESERVES: [f64; 3] = [0.25, 0.12, 0.0];
-/// Time by which a caller's time has to be shorter than usual for the call to count as one that came
-/// back.
-const RETURN_GAP: Duration = Duration::from_millis(5);
-
 impl Balancer {
     /// The time to consider a second attempt beside the first one has come.
     pub fn hedge(&mut self, now: Timestamp, id: u64) -> Hedge {
@@ -89,8 +85,13 @@
             let service = Arc::clone(&entry.call.service);
             let urgent = self.urgent.get(&service).is_none_or(|rank| route.priority <= *rank);
             let claims = usize::from(urgent) + usize::from(entry.returned);
+            let refused = self.services.get(&service)?.refused_part();
             let budget = self.budgets.get_mut(&service)?;
-            let reserve = budget.total(now) * RESERVES[claims];
+            let mut reserve = budget.total(now) * RESERVES[claims];
+            if !entry.returned {
+                let returning = self.returning.entry(service).or_default();
+                reserve = reserve.max(returning.needs(refused, budget.firsts(now)));
+            }
             if !budget.take(now, reserve) {
                 return None;
             }
@@ -99,17 +100,17 @@
         Some(order)
     }
 
-    pub(super) fn lost(&mut self, id: u64) -> Order {
+    pub(super) fn lost(&mut self, now: Timestamp, id: u64) -> Order {
         let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
-        self.give_up(id, if doubtful { GiveUp::Lost } else { GiveUp::Refused })
+        self.give_up(now, id, if doubtful { GiveUp::Lost } else { GiveUp::Refused })
     }
 
-    pub(super) fn lost_in_queue(&mut self, id: u64) -> Order {
+    pub(super) fn lost_in_queue(&mut self, now: Timestamp, id: u64) -> Order {
         let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
-        self.give_up(id, if doubtful { GiveUp::Lost } else { GiveUp::Deadline })
+        self.give_up(now, id, if doubtful { GiveUp::Lost } else { GiveUp::Deadline })
     }
 
-    pub(super) fn give_up(&mut self, id: u64, reason: GiveUp) -> Order {
+    pub(super) fn give_up(&mut self, now: Timestamp, id: u64, reason: GiveUp) -> Order {
         let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
         let retry_after = match reason {
             GiveUp::NoTarget => self.jittered(NO_TARGET.as_secs_f64()),
@@ -119,6 +120,10 @@
                 self.jittered(drained)
             }
         };
+        if !doubtful && let Some(entry) = self.calls.get(&id).filter(|e| !e.returned) {
+            let returning = self.returning.entry(Arc::clone(&entry.call.service)).or_default();
+            returning.refused(now, entry.call.origin(), retry_after, entry.call.objective);
+        }
         self.forget(id);
         Order::GiveUp { reason, not_run: !doubtful, retry_after }
     }
@@ -144,12 +149,4 @@
         let spread = 0.7 + 0.6 * self.random.random::<f64>();
         Duration::from_secs_f64((seconds * spread).clamp(COME_BACK.0, COME_BACK.1))
     }
-
-    /// Whether the caller allows less time than callers of the route do at first.
-    pub(super) fn has_returned(&mut self, call: &Call) -> bool {
-        let Some(patience) = call.patience else { return false };
-        let longest = self.patience.entry(Arc::clone(&call.route.name)).or_insert(patience);
-        *longest = patience.max(*longest);
-        patience + RETURN_GAP < *longest
-    }
 }
--- a/crates/policy/src/balance/budget.rs
+++ b/crates/policy/src/balance/budget.rs
@@ -55,9 +55,14 @@
 
     /// Second tries that the window allows, those that were made included.
     pub fn total(&mut self, now: Timestamp) -> f64 {
+        self.firsts(now) * self.ratio + self.slack
+    }
+
+    /// First tries in the window.
+    pub fn firsts(&mut self, now: Timestamp) -> f64 {
         self.bucket(now);
         let first: u32 = self.buckets.iter().map(|b| b.first).sum();
-        f64::from(first) * self.ratio + self.slack
+        f64::from(first)
     }
 
     /// Takes one second try if more than `reserve` would be left.
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -1,8 +1,12 @@
 //! Calls, and what the balancer is told and orders about them.
 
-use super::{load::LoadReport, routes::Route};
+use super::{load::LoadReport, returning::Origin, routes::Route};
 use crate::Timestamp;
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 /// Limits that come from local settings.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -65,12 +69,19 @@
     pub objective: Timestamp,
     /// Until when an answer is of use.
     pub deadline: Timestamp,
-    /// Time that the caller allows, where it says so.
-    pub patience: Option<Duration>,
+    /// Where it comes from.
+    pub caller: IpAddr,
     /// Whether its body is at hand for a second try.
     pub replayable: bool,
 }
 
+impl Call {
+    /// Where it comes from, and its route.
+    pub(super) fn origin(&self) -> Origin {
+        (self.caller, Arc::clone(&self.route.name))
+    }
+}
+
 /// Identifies one attempt of a call.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Attempt {
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -17,6 +17,8 @@
 const NEW_TIME: f64 = 0.05;
 /// Weight of one more report in the figures on pace.
 const NEW_PACE: f64 = 0.02;
+/// Weight of one more attempt in the part that is refused.
+const NEW_REFUSAL: f64 = 0.02;
 /// Pace above which a machine counts as slow.
 const SLOW_PACE: f64 = 2.0;
 /// Part of a target's slots from which it counts as crowded.
@@ -172,6 +174,8 @@
     paces: Paces,
     /// Mean of observed over expected time at targets that are crowded and at those that are not.
     crowding: (f64, f64),
+    /// Part of the latest attempts that targets refused.
+    refused: f64,
 }
 
 impl Default for Service {
@@ -181,6 +185,7 @@
             times: IndexMap::new(),
             paces: Paces { telling: Telling::Unknown, slow_part: 0.2, slow: 4.0, usual: 1.0 },
             crowding: (CROWDED_TIME, 1.0),
+            refused: 0.0,
         }
     }
 }
@@ -406,6 +411,16 @@
         *mean += (ratio - *mean) * NEW_TIME;
     }
 
+    /// Part of the latest attempts that targets refused.
+    pub(super) fn refused_part(&self) -> f64 {
+        self.refused
+    }
+
+    /// Counts an attempt in the part that is refused.
+    pub(super) fn learn_refusal(&mut self, refused: bool) {
+        self.refused += (f64::from(u8::from(refused)) - self.refused) * NEW_REFUSAL;
+    }
+
     /// Takes the pace that an answer told, or that it told none, into the figures.
     pub(super) fn learn_pace(&mut self, pace: Option<f64>) {
         self.paces.learn(pace);
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -7,7 +7,11 @@
         ProbeResult, Record, Route, Share, Source, Start, Verdict,
     },
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 /// Failure domain of the balancer under test.
 pub(crate) const NEAR: &str = "a";
@@ -93,17 +97,18 @@
         self.balancer.set_targets(now, &self.catalog);
     }
 
-    /// A call of `route` arrives.
+    /// A call of `route` arrives from a caller of its own.
     pub(crate) fn arrive(&mut self, now: Timestamp, route: &Arc<Route>) -> (u64, Order) {
-        self.arrive_with(now, route, Duration::from_secs(2))
+        let [.., high, low] = self.calls.to_be_bytes();
+        self.arrive_from(now, route, [10, 1, high, low].into())
     }
 
-    /// A call of `route` arrives whose caller waits for `patience`.
-    pub(crate) fn arrive_with(
+    /// A call of `route` arrives from `caller`.
+    pub(crate) fn arrive_from(
         &mut self,
         now: Timestamp,
         route: &Arc<Route>,
-        patience: Duration,
+        caller: IpAddr,
     ) -> (u64, Order) {
         self.calls += 1;
         let call = Call {
@@ -112,7 +117,7 @@
             service: Arc::clone(&route.shares[0].service),
             objective: now + route.objective,
             deadline: now + route.timeout,
-            patience: Some(patience),
+            caller,
             replayable: true,
         };
         (self.calls, self.balancer.arrive(now, call))
--- a/crates/policy/tests/balance/overload.rs
+++ b/crates/policy/tests/balance/overload.rs
@@ -2,7 +2,10 @@
 //! backlog after an outage.
 
 use crate::fixture::{World, idle, ms, route, started};
-use azuretally_policy::balance::{LoadReport, Order, ProbeResult};
+use azuretally_policy::balance::{LoadReport, Order, ProbeResult, Route, Verdict};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::{collections::VecDeque, net::IpAddr, sync::Arc};
 
 /// Answers every probe that is ordered with `pace`.
 fn answer_probes(world: &mut World, at: u64, pace: f64) -> usize {
@@ -21,7 +24,7 @@
     answer_probes(&mut world, 0, 1.0);
     let orders = world.balancer.advance(ms(0));
     let [(_, Order::Start(start))] = orders.as_slice() else { panic!("{orders:?}") };
-    let verdict = azuretally_policy::balance::Verdict::Answered { ok: true, bytes: 100 };
+    let verdict = Verdict::Answered { ok: true, bytes: 100 };
     world.end(ms(160), id, &start.target, verdict, Some(idle(1.0)));
     world.balancer.forget(id);
     world
@@ -106,7 +109,7 @@
     assert_eq!(order, Order::Wait);
     let (fresh, order) = world.arrive(ms(300), &check);
     assert_eq!(order, Order::Wait);
-    let verdict = azuretally_policy::balance::Verdict::Answered { ok: true, bytes: 100 };
+    let verdict = Verdict::Answered { ok: true, bytes: 100 };
     let report = LoadReport { running: 1, waiting: 0, slots: 2, pace: None };
     world.end(ms(310), first, &target, verdict, Some(report));
     let orders = world.balancer.advance(ms(310));
@@ -143,7 +146,7 @@
         let at = round * 2_000;
         let (id, order) = world.arrive(ms(at), &check);
         let Order::Start(start) = order else { panic!("round {round}: {order:?}") };
-        let verdict = azuretally_policy::balance::Verdict::Answered { ok: true, bytes: 100 };
+        let verdict = Verdict::Answered { ok: true, bytes: 100 };
         world.end(ms(at + 990), id, &start.target, verdict, None);
         world.balancer.forget(id);
     }
@@ -154,17 +157,14 @@
 fn second_tries_that_are_short_go_to_the_most_urgent_calls() {
     let mut world = World::new(4, 0);
     let check = route("check", true);
-    let sale = std::sync::Arc::new(azuretally_policy::balance::Route {
-        priority: 0,
-        ..azuretally_policy::balance::Route::clone(&route("sale", false))
-    });
+    let sale = Arc::new(Route { priority: 0, ..Route::clone(&route("sale", false)) });
     let mut again = [0, 0];
     for n in 0..600 {
         let at = 10 + n * 20;
         let (kind, route) = if n % 5 == 0 { (1, &sale) } else { (0, &check) };
         let (id, order) = world.arrive(ms(at), route);
         if let Order::Start(start) = order {
-            let verdict = azuretally_policy::balance::Verdict::Refused;
+            let verdict = Verdict::Refused;
             let order = world.end(ms(at + 1), id, &start.target, verdict, None);
             again[kind] += usize::from(matches!(order, Order::Start(_)));
         }
@@ -181,18 +181,86 @@
     let mut world = World::new(4, 0);
     let check = route("check", true);
     let mut again = [0, 0];
-    for n in 0..600 {
+    for n in 0..600_u64 {
         let at = 10 + n * 20;
-        let (kind, patience) = if n % 5 == 0 { (1, 1_900) } else { (0, 2_000) };
-        let patience = std::time::Duration::from_millis(patience);
-        let (id, order) = world.arrive_with(ms(at), &check, patience);
+        // Each fifth caller was refused 20 ms before; the others are new.
+        let kind = usize::from(n % 5 == 1);
+        let number = if kind == 1 { n - 1 } else { n };
+        let [.., high, low] = number.to_be_bytes();
+        let (id, order) = world.arrive_from(ms(at), &check, [10, 2, high, low].into());
         if let Order::Start(start) = order {
-            let verdict = azuretally_policy::balance::Verdict::Refused;
-            let order = world.end(ms(at + 1), id, &start.target, verdict, None);
-            again[kind] += usize::from(matches!(order, Order::Start(_)));
+            let order = world.end(ms(at + 1), id, &start.target, Verdict::Refused, None);
+            // The call that comes back next is refused whatever budget there is.
+            let counted = n % 5 != 0;
+            again[kind] += usize::from(counted && matches!(order, Order::Start(_)));
+            if !counted && let Order::Start(start) = order {
+                world.end(ms(at + 2), id, &start.target, Verdict::Refused, None);
+            }
         }
         world.balancer.forget(id);
     }
     assert!(again[1] >= 108, "{} of 120 calls that came back were tried again", again[1]);
     assert!(again[0] > 0, "the others use what is left");
 }
+
+/// A call that comes back has less time left until its objective than a new one.
+#[test]
+fn call_that_comes_back_keeps_its_objective() {
+    let mut world = World::new(2, 0);
+    let check = route("check", true);
+    let caller = [10, 2, 0, 1].into();
+    let (id, mut order) = world.arrive_from(ms(0), &check, caller);
+    while let Order::Start(start) = order {
+        order = world.end(ms(10), id, &start.target, Verdict::Refused, None);
+    }
+    assert!(matches!(order, Order::GiveUp { not_run: true, .. }), "{order:?}");
+    let hedge_at = |order| started(order).hedge_at.expect("a second attempt is considered");
+    let back = hedge_at(world.arrive_from(ms(260), &check, caller).1);
+    let mut fresh = World::new(2, 0);
+    let new = hedge_at(fresh.arrive_from(ms(260), &check, caller).1);
+    assert!(
+        back > new,
+        "no second attempt is in time for a call that came back: {back:?}, {new:?}"
+    );
+}
+
+/// Targets shed over half of the calls, and callers come back once: second tries are kept for those
+/// that cannot come back again.
+#[test]
+fn calls_that_come_back_while_targets_shed_find_second_tries_left() {
+    let mut world = World::new(4, 0);
+    let check = route("check", true);
+    let sale = Arc::new(Route { priority: 0, ..Route::clone(&route("sale", false)) });
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let mut back: VecDeque<(u64, IpAddr)> = VecDeque::new();
+    let mut refused = [0, 0];
+    let mut again = [0, 0];
+    for at in (10..30_000_u32).step_by(5) {
+        let [high, middle, low, _] = (at << 8).to_be_bytes();
+        let returning = back.pop_front_if(|(due, _)| *due <= u64::from(at));
+        let kind = usize::from(returning.is_some());
+        let caller = returning.map_or([10, high, middle, low].into(), |(_, caller)| caller);
+        let at = u64::from(at);
+        // Callers of sales come back too; what becomes of them is not counted.
+        let is_sale = kind == 0 && random.random_bool(0.3);
+        let route = if is_sale { &sale } else { &check };
+        let (id, order) = world.arrive_from(ms(at), route, caller);
+        let Order::Start(start) = order else { panic!("{order:?}") };
+        let verdict = match random.random_bool(0.55) {
+            true => Verdict::Refused,
+            false => Verdict::Answered { ok: true, bytes: 10 },
+        };
+        let order = world.end(ms(at + 1), id, &start.target, verdict, None);
+        world.balancer.forget(id);
+        if verdict != Verdict::Refused || is_sale {
+            continue;
+        }
+        let tried = matches!(order, Order::Start(_));
+        refused[kind] += 1;
+        again[kind] += usize::from(tried);
+        if !tried && kind == 0 {
+            back.push_back((at + 40, caller));
+        }
+    }
+    assert!(again[1] * 10 >= refused[1] * 9, "{again:?} of {refused:?} were tried again");
+}
