fix(policy): leave first news to the own failure domain for a while

Cause: a gateway without any news asked the best informed peer of any failure domain at once, so at a restart each of 300 gateways could fetch the picture of 3,000 targets across domains. Change: the time for which news is left to the own reader of the platform counts from the start of a gateway that has had none; the decision moves from the gateway to the roster. Test: first_news_is_not_fetched_from_another_domain_unless_it_is_late (before, no news at all meant that far peers are asked at once).

--- a/crates/gateway/src/control/news.rs
+++ b/crates/gateway/src/control/news.rs
@@ -18,8 +18,6 @@
 const LIMIT: Duration = Duration::from_millis(500);
 /// Pause after a peer did not.
 const PAUSE: Duration = Duration::from_millis(100);
-/// Time for which news from another failure domain is left to the own reader of the platform.
-const FAR_PATIENCE: Duration = Duration::from_millis(1_200);
 
 /// Follows the peers until the task is dropped.
 pub(super) async fn run<Adapter>(gateway: Rc<Gateway<Adapter>>)
@@ -46,9 +44,8 @@
 {
     let now = gateway.clock.now();
     let catalog = gateway.catalog.borrow();
-    let patient = catalog.age(now).is_some_and(|age| age < FAR_PATIENCE);
     let roster = gateway.roster.borrow();
-    roster.better_informed(catalog.revision(), !patient).map(|(_, ip)| ip)
+    roster.better_informed(now, catalog.revision(), catalog.age(now)).map(|(_, ip)| ip)
 }
 
 async fn fetch<Adapter>(gateway: &Gateway<Adapter>, address: SocketAddr) -> Result<(), LinkError>
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -100,15 +100,19 @@
     Adapter: Dialect + Publication,
 {
     let now = gateway.clock.now();
-    let revision = gateway.catalog.borrow().revision();
+    let (revision, age) = {
+        let catalog = gateway.catalog.borrow();
+        (catalog.revision(), catalog.age(now))
+    };
     let roster = gateway.roster.borrow();
+    let informed = roster.better_informed(now, revision, age).is_some();
     if let Some(age) = roster.confirmed_age(now, revision)
         && revision > 0
     {
         let source = Source::Peer(age);
         gateway.catalog.borrow_mut().apply(now, revision, Vec::new(), source);
     }
-    if roster.better_informed(revision, true).is_some() {
+    if informed {
         drop(roster);
         gateway.changed.notify_waiters();
     }
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -46,6 +46,9 @@
 const ENOUGH_POWER: u32 = 150;
 /// Calls that run at a time for which one gateway is enough.
 const SLOTS_EACH: u32 = 300;
+/// Time for which news from another failure domain is left to the own reader of the platform: from
+/// the latest news on, or from the start of a gateway that has had none.
+const FAR_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Gateways told in one answer to a greeting.
 const TOLD: usize = 48;
 
@@ -291,9 +294,15 @@
         own_age.is_none_or(|age| age > limit)
     }
 
-    /// The peer with later news than `revision`, the one with the latest news first, near before
-    /// far; far ones only if `far` allows them.
-    pub fn better_informed(&self, revision: u64, far: bool) -> Option<(Arc<str>, IpAddr)> {
+    /// The peer with later news than `revision`, which is `age` old: the one with the latest news
+    /// first, near before far. Far ones are asked only when no near one has had news for a while.
+    pub fn better_informed(
+        &self,
+        now: Timestamp,
+        revision: u64,
+        age: Option<Duration>,
+    ) -> Option<(Arc<str>, IpAddr)> {
+        let far = age.unwrap_or_else(|| now.since(self.started)) >= FAR_PATIENCE;
         let near = |p: &Peer| p.beat.domain == self.own.domain;
         let ahead = self
             .peers
--- a/crates/policy/tests/balance/roster.rs
+++ b/crates/policy/tests/balance/roster.rs
@@ -4,7 +4,7 @@
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
-    balance::{Beat, Phase, Roster, RosterBuilder},
+    balance::{Beat, Message, Phase, Roster, RosterBuilder},
 };
 use indexmap::IndexMap;
 use std::{
@@ -73,23 +73,28 @@
 }
 
 fn roster_of(number: u8, domains: u8, seeds: &[IpAddr], process: u64, power: u32) -> Roster {
-    let own = Beat {
+    let own = Beat { process, power, ..beat_of(number, domains) };
+    let mut roster = RosterBuilder::new(own).seeds(seeds.to_vec()).build(ms(0));
+    roster.set_own(Phase::Ready, 1, Some(Duration::ZERO), false);
+    roster
+}
+
+/// What gateway `number` says of itself at its start.
+fn beat_of(number: u8, domains: u8) -> Beat {
+    Beat {
         host: Arc::from(format!("gateway-{number}")),
         domain: Arc::from(format!("domain-{}", number % domains)),
-        process,
+        process: 1,
         sequence: 0,
         calls: SocketAddr::new(ip(number), 80),
-        power,
+        power: 200,
         phase: Phase::Starting,
         settled: false,
         revision: 0,
         age_ms: None,
         reader: false,
         elsewhere: Vec::new(),
-    };
-    let mut roster = RosterBuilder::new(own).seeds(seeds.to_vec()).build(ms(0));
-    roster.set_own(Phase::Ready, 1, Some(Duration::ZERO), false);
-    roster
+    }
 }
 
 #[test]
@@ -253,3 +258,20 @@
     fleet.run(50);
     assert!((1..=31).contains(&fleet.sent), "{} messages", fleet.sent);
 }
+
+/// Restart of a large fleet: if each gateway fetched the whole picture from another failure domain,
+/// that would cost more than all its calls.
+#[test]
+fn first_news_is_not_fetched_from_another_domain_unless_it_is_late() {
+    let beat = |number, revision| {
+        Message::Beat(Beat { sequence: 1, phase: Phase::Ready, revision, ..beat_of(number, 2) })
+    };
+    let mut fresh = roster(2, 2, &[], 1);
+    fresh.receive(ms(100), ip(1), beat(1, 7));
+    assert_eq!(fresh.better_informed(ms(100), 0, None), None);
+    let (_, late) = fresh.better_informed(ms(1_300), 0, None).expect("no near news came");
+    assert_eq!(late, ip(1));
+    fresh.receive(ms(100), ip(4), beat(4, 5));
+    let (_, near) = fresh.better_informed(ms(100), 0, None).expect("a near peer has news");
+    assert_eq!(near, ip(4));
+}
