feat(gateway): tell waits, kinds of attempts and cancelled ones in the log

Cause: the log did not show that a call waited, whether a further attempt was a retry or a hedge, nor what was cancelled; verdicts and reports were debug text with blanks, which key=value tools cut off. Hedges were counted twice in the attempts metric, as hedge and as further. Change: a line when a call waits; kind= on sent lines, load=running/waiting/slots @pace and one-word verdicts on attempt lines, cancelled= on ended lines; metric kinds first, again, hedge. A figure that nothing read is gone from the balancer.

--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -185,7 +185,7 @@
             }
         }
         loop {
-            let waiting = gateway.balancer.borrow().report().waiting;
+            let waiting = gateway.balancer.borrow().waiting();
             gateway.metrics.waiting.set(i64::try_from(waiting).unwrap_or(i64::MAX));
             if waiting == 0 {
                 break;
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -66,6 +66,8 @@
     /// Order that the balancer owes.
     owed: Option<oneshot::Receiver<Order>>,
     hedge_at: Option<Timestamp>,
+    /// Whether the next attempt is one beside another.
+    hedging: bool,
     /// An answer that is delivered unless a better one comes.
     held: Option<Received>,
     detail: String,
@@ -85,6 +87,7 @@
             attempts: FuturesUnordered::new(),
             owed: None,
             hedge_at: None,
+            hedging: false,
             held: None,
             detail: String::new(),
         }
@@ -98,6 +101,7 @@
             match order {
                 Order::Start(start) => self.start(start),
                 Order::Wait if self.attempts.is_empty() => {
+                    self.log_wait();
                     self.owed = Some(self.gateway.await_order(self.inbound.number));
                 }
                 Order::Wait => {}
@@ -136,7 +140,7 @@
                     self.gateway.order_probes();
                     match hedge {
                         Hedge::Start(start) => {
-                            self.gateway.metrics.attempt(&self.inbound.service, "hedge");
+                            self.hedging = true;
                             return Order::Start(start);
                         }
                         Hedge::Later(at) => self.hedge_at = Some(at),
@@ -151,12 +155,29 @@
         }
     }
 
+    /// The call waits for a place, or for what targets tell of their load.
+    fn log_wait(&self) {
+        let now = self.gateway.clock.now();
+        log::info!(
+            "calls: waits id={} service={} waiting={} left_ms={}",
+            self.inbound.id(),
+            self.inbound.service,
+            self.gateway.balancer.borrow().waiting(),
+            self.inbound.deadline.since(now).as_millis(),
+        );
+    }
+
     fn start(&mut self, start: Start) {
         let inbound = &self.inbound;
         let now = self.gateway.clock.now();
+        let kind = match (start.number, std::mem::take(&mut self.hedging)) {
+            (1, _) => "first",
+            (_, true) => "hedge",
+            (_, false) => "again",
+        };
         log::info!(
-            "calls: sent id={} target={} near={} attempt={} waited_ms={} expected_ms={} report_ms={} \
-             left_ms={} caller={} belief_ms={}",
+            "calls: sent id={} target={} near={} attempt={} kind={kind} waited_ms={} expected_ms={} \
+             report_ms={} left_ms={} caller={} belief_ms={}",
             inbound.id(),
             start.target,
             start.near,
@@ -168,7 +189,6 @@
             inbound.caller,
             self.gateway.catalog.borrow().age(now).unwrap_or_default().as_millis(),
         );
-        let kind = if start.number == 1 { "first" } else { "further" };
         self.gateway.metrics.attempt(&inbound.service, kind);
         self.hedge_at = start.hedge_at;
         let gateway = Rc::clone(&self.gateway);
@@ -180,9 +200,11 @@
         let now = self.gateway.clock.now();
         let Ended { attempt, verdict, report, received, near, started } = ended;
         log::info!(
-            "calls: attempt id={} target={} verdict={verdict:?} report={report:?} ms={}",
+            "calls: attempt id={} target={} verdict={} load={} ms={}",
             self.inbound.id(),
             attempt.target,
+            verdict.as_str(),
+            report.map_or_else(|| "-".to_owned(), |r| r.to_string()),
             now.since(started).as_millis(),
         );
         if let Some(received) = received {
@@ -191,7 +213,8 @@
             {
                 self.gateway.metrics.far_bytes.inc_by(bytes.len() as u64);
             }
-            self.detail = format!("target={} status={}", attempt.target, received.head.status);
+            let status = received.head.status.as_u16();
+            self.detail = format!("target={} status={status}", attempt.target);
             self.held = Some(received);
         }
         let ending = Ending { attempt, verdict, report };
@@ -216,7 +239,8 @@
         let mut response = Response::new(body);
         *response.status_mut() = head.status;
         *response.headers_mut() = head.headers;
-        let detail = std::mem::take(&mut self.detail);
+        // Attempts that are still under way end with the task.
+        let detail = format!("{} cancelled={}", self.detail, self.attempts.len());
         self.ticket.end("answered", &detail);
         response
     }
@@ -228,7 +252,7 @@
             Failing::NotRun(after) => {
                 format!("reason={} retry_after_ms={}", reason.as_str(), after.as_millis())
             }
-            _ => format!("reason={}", reason.as_str()),
+            _ => format!("reason={} cancelled={}", reason.as_str(), self.attempts.len()),
         };
         self.ticket.end(failing.as_str(), &detail);
         response.map(|bytes| Either::Left(Full::new(bytes)))
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -20,8 +20,8 @@
 pub use beat::{Beat, Directions, Message, Outgoing, Phase};
 pub use budget::WindowBudget;
 pub use call::{
-    Attempt, Call, Ending, Failure, GiveUp, Hedge, Limits, Order, Probe, ProbeResult, Report,
-    Start, Verdict,
+    Attempt, Call, Ending, Failure, GiveUp, Hedge, Limits, Order, Probe, ProbeResult, Start,
+    Verdict,
 };
 pub use catalog::{Catalog, Change, Listed, Record, Snapshot, Source, Told};
 pub use load::LoadReport;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -10,7 +10,7 @@
 
 use super::{
     budget::WindowBudget,
-    call::{Attempt, Call, Ending, GiveUp, Limits, Order, Probe, Report, Start, Verdict},
+    call::{Attempt, Call, Ending, GiveUp, Limits, Order, Probe, Start, Verdict},
     catalog::{Catalog, Listed},
     returning::Returning,
     service::{Choice, Place, Service, Wish},
@@ -208,11 +208,9 @@
         orders
     }
 
-    /// Calls that wait and run.
-    pub fn report(&self) -> Report {
-        let waiting = self.queues.values().map(Vec::len).sum();
-        let running = self.calls.values().map(|e| e.running as usize).sum();
-        Report { waiting, running }
+    /// Calls that wait.
+    pub fn waiting(&self) -> usize {
+        self.queues.values().map(Vec::len).sum()
     }
 
     fn drain(&mut self, now: Timestamp, index: usize, orders: &mut Vec<(u64, Order)>) {
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -190,6 +190,21 @@
     },
 }
 
+impl Verdict {
+    /// Name in logs.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered { ok: true, .. } => "answered",
+            Self::Answered { ok: false, .. } => "failed",
+            Self::Refused => "refused",
+            Self::Moved => "moved",
+            Self::Failed { failure: Failure::Connect, .. } => "unreachable",
+            Self::Failed { sent: false, .. } => "not-sent",
+            Self::Failed { sent: true, .. } => "broken",
+        }
+    }
+}
+
 /// End of an attempt.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Ending {
@@ -200,12 +215,3 @@
     /// Load that the target reported.
     pub report: Option<LoadReport>,
 }
-
-/// Figures of the queues, for logs and metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Report {
-    /// Calls that wait.
-    pub waiting: usize,
-    /// Calls under way at targets.
-    pub running: usize,
-}
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -4,7 +4,10 @@
 //! shared machine is believed for a moment only, the calls of others come to an end.
 
 use crate::Timestamp;
-use std::time::Duration;
+use std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+};
 
 /// Time for which a reported pace is believed; machines change theirs several times a second.
 const PACE_MEMORY: Duration = Duration::from_millis(20);
@@ -30,6 +33,14 @@
     pub pace: Option<f64>,
 }
 
+impl Display for LoadReport {
+    /// Running, waiting and slots, and the pace where it is told: `3/0/4@1.00`.
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}/{}", self.running, self.waiting, self.slots)?;
+        self.pace.map_or(Ok(()), |pace| write!(f, "@{pace:.2}"))
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Heard {
     report: LoadReport,
