fix(policy): leave the first list to the first gateways of a failure domain

A gateway without news read the whole list itself, 60 pages for 3,001 targets, so 300 of them asked for 18,000 pages of a platform that answers 6,000 a second. Change: a gateway without news counts its age from its start, so it reads at once only while it knows no gateway before it, and otherwise after 1.45 s and a quarter for each of at most four ranks; between the pages of a long list it leaves the rest to gateways that turn out to come first. Test: gateways_without_news_leave_the_list_to_the_first_of_their_domain (before, every gateway without news was a reader).

--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -42,16 +42,16 @@
         }
         let known = gateway.catalog.borrow().revision() > 0;
         let result = if listed && known {
-            follow(&gateway, &mut link).await
+            follow(&gateway, &mut link).await.map(|()| true)
         } else {
             list(&gateway, &mut link).await
         };
         match result {
-            Ok(()) => {
+            Ok(whole) => {
                 if failures > 0 {
                     log::info!("control: platform answers again, failures={failures}");
                 }
-                listed = true;
+                listed = whole;
                 failures = 0;
                 gateway.metrics.read("ok");
                 sleep(gateway.settings().read_interval()).await;
@@ -73,11 +73,14 @@
 where
     Adapter: Dialect + Publication,
 {
-    let age = gateway.catalog.borrow().age(gateway.clock.now());
-    gateway.roster.borrow().is_reader(age)
+    let now = gateway.clock.now();
+    let age = gateway.catalog.borrow().age(now);
+    gateway.roster.borrow().is_reader(now, age)
 }
 
-async fn list<Adapter>(gateway: &Gateway<Adapter>, link: &mut Link) -> Result<(), ReadError>
+/// Reads everything. Returns whether it did: the rest of a long list is left to another gateway that
+/// turns out to come first.
+async fn list<Adapter>(gateway: &Gateway<Adapter>, link: &mut Link) -> Result<bool, ReadError>
 where
     Adapter: Dialect + Publication,
 {
@@ -96,13 +99,17 @@
         if after.is_none() {
             break;
         }
+        if !is_reader(gateway) {
+            log::info!("control: list left to the gateways before this one");
+            return Ok(false);
+        }
     }
     let now = gateway.clock.now();
     log::info!("control: list revision={} unreadable={}", all.revision, all.unreadable);
     let changed =
         gateway.catalog.borrow_mut().relist(now, all.revision, all.changes, Source::Platform);
     settle(gateway, changed);
-    Ok(())
+    Ok(true)
 }
 
 async fn follow<Adapter>(gateway: &Gateway<Adapter>, link: &mut Link) -> Result<(), ReadError>
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -208,7 +208,7 @@
             log::info!("control: phase={phase:?} before={before:?}");
         }
         let age = catalog.age(now);
-        let reader = roster.is_reader(age);
+        let reader = roster.is_reader(now, age);
         roster.set_own(phase, catalog.essential(), age, reader);
     }
 
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -41,6 +41,8 @@
 /// Age of the belief at which the next reader in order takes over, and how much later each
 /// further one does.
 const TAKEOVER: (Duration, Duration) = (Duration::from_millis(1_450), Duration::from_millis(250));
+/// Ranks by which gateways without any news wait longer than one another.
+const FIRST_RANKS: u32 = 4;
 /// Power that the gateways which callers of one failure domain are directed to have together, where
 /// there are enough of them: 150 thousandths of a core, or 30 Mbit/s.
 const ENOUGH_POWER: u32 = 150;
@@ -284,14 +286,14 @@
         self.directions(&self.own.domain).addresses.contains(&self.own.calls)
     }
 
-    /// Whether this gateway has to read the platform: nobody before it has fresh news.
-    pub fn is_reader(&self, own_age: Option<Duration>) -> bool {
-        let rank = self.rank_in_domain();
-        let limit = TAKEOVER.0 + TAKEOVER.1 * u32::try_from(rank).unwrap_or(u32::MAX);
-        if rank == 0 {
-            return true;
-        }
-        own_age.is_none_or(|age| age > limit)
+    /// Whether this gateway has to read the platform: nobody before it has fresh news. A gateway that
+    /// has had no news waits from its start on; `own_age` is the age of its latest news.
+    pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
+        let rank = u32::try_from(self.rank_in_domain()).unwrap_or(u32::MAX);
+        let age = own_age.unwrap_or_else(|| now.since(self.started));
+        // Without any news nothing can be served, so the last in order do not wait for long.
+        let rank_counted = if own_age.is_none() { rank.min(FIRST_RANKS) } else { rank };
+        rank == 0 || age > TAKEOVER.0 + TAKEOVER.1 * rank_counted
     }
 
     /// The peer with later news than `revision`, which is `age` old: the one with the latest news
--- a/crates/policy/tests/balance/roster.rs
+++ b/crates/policy/tests/balance/roster.rs
@@ -64,7 +64,10 @@
 
     fn readers(&self) -> usize {
         let fresh = Some(Duration::from_millis(900));
-        self.rosters.iter().filter(|(ip, r)| !self.cut.contains(ip) && r.is_reader(fresh)).count()
+        self.rosters
+            .iter()
+            .filter(|(ip, r)| !self.cut.contains(ip) && r.is_reader(self.now(), fresh))
+            .count()
     }
 }
 
@@ -275,3 +278,16 @@
     let (_, near) = fresh.better_informed(ms(100), 0, None).expect("a near peer has news");
     assert_eq!(near, ip(4));
 }
+
+/// Restart of a large fleet: lists of all targets by every gateway would be more than the platform
+/// answers.
+#[test]
+fn gateways_without_news_leave_the_list_to_the_first_of_their_domain() {
+    let mut fleet = Fleet::new(60, 3);
+    fleet.run(300);
+    let readers =
+        |fleet: &Fleet| fleet.rosters.values().filter(|r| r.is_reader(fleet.now(), None)).count();
+    assert_eq!(readers(&fleet), 3);
+    fleet.run(2_500);
+    assert_eq!(readers(&fleet), 60, "none waits for long where the first ones bring nothing");
+}
