refactor(policy): split ranking and reading off the roster

Two functions that gave up calls with different reasons become one. No change of behaviour: the tests of the roster and of calls pass unchanged.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -167,7 +167,7 @@
         if entry.running > 0 {
             return Order::Wait;
         }
-        self.again(now, id).unwrap_or_else(|| self.lost(now, id))
+        self.again(now, id).unwrap_or_else(|| self.lost(now, id, GiveUp::Refused))
     }
 
     /// Probes that have to be sent now.
@@ -231,7 +231,7 @@
         for id in ids {
             if self.is_hopeless(now, id) {
                 self.leave_queue(&service, id);
-                let order = self.lost_in_queue(now, id);
+                let order = self.lost(now, id, GiveUp::Deadline);
                 orders.push((id, order));
                 continue;
             }
--- a/crates/policy/src/balance/balancer/tries.rs
+++ b/crates/policy/src/balance/balancer/tries.rs
@@ -100,14 +100,10 @@
         Some(order)
     }
 
-    pub(super) fn lost(&mut self, now: Timestamp, id: u64) -> Order {
+    /// Gives up a call that cannot be tried again, for `reason` unless a target may have run it.
+    pub(super) fn lost(&mut self, now: Timestamp, id: u64, reason: GiveUp) -> Order {
         let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
-        self.give_up(now, id, if doubtful { GiveUp::Lost } else { GiveUp::Refused })
-    }
-
-    pub(super) fn lost_in_queue(&mut self, now: Timestamp, id: u64) -> Order {
-        let doubtful = self.calls.get(&id).is_some_and(|e| e.doubtful);
-        self.give_up(now, id, if doubtful { GiveUp::Lost } else { GiveUp::Deadline })
+        self.give_up(now, id, if doubtful { GiveUp::Lost } else { reason })
     }
 
     pub(super) fn give_up(&mut self, now: Timestamp, id: u64, reason: GiveUp) -> Order {
--- a/crates/policy/src/balance/roster.rs
+++ b/crates/policy/src/balance/roster.rs
@@ -5,16 +5,17 @@
 //! the others, and rarely. Nothing is agreed upon: every gateway ranks the living ones by the same
 //! rule, and where two pictures differ for a moment, two gateways do the same work.
 
+mod ranking;
+mod reading;
+
 use super::beat::{Beat, Directions, Message, Outgoing, Phase};
 use crate::Timestamp;
 use indexmap::IndexMap;
 use std::{
-    hash::Hasher,
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
-use xxhash_rust::xxh3::Xxh3Default;
 
 /// Time between two heartbeats within a failure domain of few gateways.
 const NEAR_BEAT: Duration = Duration::from_millis(400);
@@ -38,19 +39,6 @@
 ];
 /// Pause while no other gateway is known.
 const LONELY_GREETING: Duration = Duration::from_secs(2);
-/// Age of the belief at which the next reader in order takes over, and how much later each
-/// further one does.
-const TAKEOVER: (Duration, Duration) = (Duration::from_millis(1_450), Duration::from_millis(250));
-/// Ranks by which gateways without any news wait longer than one another.
-const FIRST_RANKS: u32 = 4;
-/// Power that the gateways which callers of one failure domain are directed to have together, where
-/// there are enough of them: 150 thousandths of a core, or 30 Mbit/s.
-const ENOUGH_POWER: u32 = 150;
-/// Calls that run at a time for which one gateway is enough.
-const SLOTS_EACH: u32 = 300;
-/// Time for which news from another failure domain is left to the own reader of the platform: from
-/// the latest news on, or from the start of a gateway that has had none.
-const FAR_PATIENCE: Duration = Duration::from_millis(1_200);
 /// Gateways told in one answer to a greeting.
 const TOLD: usize = 48;
 
@@ -286,63 +274,6 @@
         self.directions(&self.own.domain).addresses.contains(&self.own.calls)
     }
 
-    /// Whether this gateway has to read the platform: nobody before it has fresh news. A gateway that
-    /// has had no news waits from its start on; `own_age` is the age of its latest news.
-    pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
-        let rank = u32::try_from(self.rank_in_domain()).unwrap_or(u32::MAX);
-        let age = own_age.unwrap_or_else(|| now.since(self.started));
-        // Without any news nothing can be served, so the last in order do not wait for long.
-        let rank_counted = if own_age.is_none() { rank.min(FIRST_RANKS) } else { rank };
-        rank == 0 || age > TAKEOVER.0 + TAKEOVER.1 * rank_counted
-    }
-
-    /// The peer with later news than `revision`, which is `age` old: the one with the latest news
-    /// first, near before far. Far ones are asked only when no near one has had news for a while.
-    pub fn better_informed(
-        &self,
-        now: Timestamp,
-        revision: u64,
-        age: Option<Duration>,
-    ) -> Option<(Arc<str>, IpAddr)> {
-        let far = age.unwrap_or_else(|| now.since(self.started)) >= FAR_PATIENCE;
-        let near = |p: &Peer| p.beat.domain == self.own.domain;
-        let ahead = self
-            .peers
-            .values()
-            .filter(|p| p.alive && p.beat.revision > revision && (far || near(p)));
-        let best = ahead.max_by_key(|p| (near(p), p.beat.revision));
-        best.map(|p| (Arc::clone(&p.beat.host), p.beat.calls.ip()))
-    }
-
-    /// Age of the freshest news of a peer that knows of no change after `revision`.
-    pub fn confirmed_age(&self, now: Timestamp, revision: u64) -> Option<Duration> {
-        let same = self.peers.values().filter(|p| p.alive && p.beat.revision <= revision);
-        let age = |p: &Peer| {
-            let told = Duration::from_millis(u64::from(p.beat.age_ms?));
-            Some(told + now.since(p.heard))
-        };
-        same.filter_map(age).min()
-    }
-
-    /// The first other gateway of the failure domain, whose end is to be noticed at once.
-    pub fn watched(&self) -> Option<(Arc<str>, IpAddr)> {
-        let ranked = self.ranked(&self.own.domain);
-        let first = ranked.first().filter(|b| b.host != self.own.host)?;
-        Some((Arc::clone(&first.host), first.calls.ip()))
-    }
-
-    /// How many of `ranked` callers are directed to: as many as are set, and more where these are
-    /// weak.
-    fn needed(&self, ranked: &[&Beat]) -> usize {
-        let least = self.directed.max((self.slots / SLOTS_EACH) as usize);
-        let mut power = 0;
-        let enough = ranked.iter().position(|b| {
-            power += b.power;
-            power >= ENOUGH_POWER
-        });
-        enough.map_or(ranked.len(), |last| (last + 1).max(least)).min(ranked.len())
-    }
-
     fn near_interval(&self) -> Duration {
         let near = self.near().filter(|p| p.alive).count();
         NEAR_BEAT.max(NEAR_BEAT_EACH * u32::try_from(near).unwrap_or(u32::MAX))
@@ -447,81 +378,4 @@
         }
         self.peers.retain(|_, p| p.alive || now.since(p.heard) < REMEMBERED);
     }
-
-    /// Gateways of `domain` that callers may use, the first choice first.
-    fn ranked(&self, domain: &str) -> Vec<&Beat> {
-        let peers = self.peers.values().filter(|p| p.alive).map(|p| &p.beat);
-        let all = peers.chain(std::iter::once(&self.own));
-        let mut usable: Vec<&Beat> =
-            all.filter(|b| b.phase == Phase::Ready && &*b.domain == domain).collect();
-        usable.sort_by_key(|b| order(b));
-        usable
-    }
-
-    /// First ready gateways of the other failure domains: as heard by the first gateway of the own
-    /// one.
-    fn elsewhere(&self) -> Vec<(Arc<str>, SocketAddr)> {
-        let near = self.near().filter(|p| p.alive && p.beat.phase != Phase::Leaving);
-        match near.min_by_key(|p| order(&p.beat)) {
-            Some(first) if !self.is_first() => first.beat.elsewhere.clone(),
-            _ => self.heard_elsewhere(),
-        }
-    }
-
-    fn heard_elsewhere(&self) -> Vec<(Arc<str>, SocketAddr)> {
-        let far = self.peers.values().map(|p| &p.beat.domain).filter(|d| **d != self.own.domain);
-        let mut domains: Vec<&Arc<str>> = far.collect();
-        domains.sort();
-        domains.dedup();
-        let first = |d: &Arc<str>| Some((Arc::clone(d), self.ranked(d).first()?.calls));
-        domains.into_iter().filter_map(first).collect()
-    }
-
-    /// The first living gateway of each other failure domain, ready or not, and one dead one of
-    /// each domain that has none.
-    fn first_of_others(&self) -> Vec<IpAddr> {
-        let mut firsts: IndexMap<&Arc<str>, (bool, Order, IpAddr)> = IndexMap::new();
-        for peer in self.peers.values().filter(|p| p.beat.domain != self.own.domain) {
-            let usable = peer.alive && peer.beat.phase != Phase::Leaving;
-            let candidate = (!usable, order(&peer.beat), peer.beat.calls.ip());
-            let best = firsts.entry(&peer.beat.domain).or_insert(candidate);
-            if candidate < *best {
-                *best = candidate;
-            }
-        }
-        firsts.into_values().map(|(_, _, ip)| ip).collect()
-    }
-
-    /// The first gateway of the own failure domain, nothing when it is this one.
-    fn first_near(&self) -> Option<IpAddr> {
-        let near = self.near().filter(|p| p.alive && p.beat.phase != Phase::Leaving);
-        let first = near.min_by_key(|p| order(&p.beat))?;
-        (!self.is_first()).then(|| first.beat.calls.ip())
-    }
-
-    fn is_first(&self) -> bool {
-        self.rank_in_domain() == 0
-    }
-
-    /// Number of living gateways of the own domain that come before this one, ready or not.
-    fn rank_in_domain(&self) -> usize {
-        let own = order(&self.own);
-        let before = |p: &&Peer| p.alive && p.beat.phase != Phase::Leaving && order(&p.beat) < own;
-        let leaving = self.own.phase == Phase::Leaving;
-        if leaving {
-            self.near().filter(|p| p.alive).count()
-        } else {
-            self.near().filter(before).count()
-        }
-    }
-}
-
-/// Whether a gateway started a moment ago, its lack of power, and a hash of its name.
-type Order = (bool, u32, u64);
-
-/// Order of gateways: settled ones first, then the strong ones, then by a hash of the name.
-fn order(beat: &Beat) -> Order {
-    let mut hash = Xxh3Default::new();
-    hash.write(beat.host.as_bytes());
-    (!beat.settled, u32::MAX - beat.power, hash.finish())
 }
