test(gateway): long bodies are passed on whole, and broken ones do not look complete

Answers above 128 kB and bodies of calls above 256 kB are passed on while they come, which no test covered. All three pass on the code as it is.

--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -149,6 +149,94 @@
     .await;
 }
 
+/// A body that is too long to be read before any of it is passed on.
+const LONG_BODY: usize = 400_000;
+
+/// Sends a call whose target answers with the beginning of a long body, `sent` bytes of it, and
+/// closes. Returns what the caller got.
+async fn answer_in_part(sent: usize) -> String {
+    let (listener, address) = target().await;
+    let (_gateway, calls) = start(&[address]).await;
+    let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+    caller.write_all(get("/sale/1", "a").as_bytes()).await.expect("sent");
+    let (mut stream, _) = listener.accept().await.expect("a call");
+    read_until(&mut stream, "\r\n\r\n").await;
+    let whole = answer("a", &"b".repeat(LONG_BODY));
+    let end = whole.len() - LONG_BODY + sent;
+    let send = async {
+        stream.write_all(&whole.as_bytes()[..end]).await.expect("answered");
+        drop(stream);
+    };
+    let (text, ()) = tokio::join!(read_to_end(&mut caller, whole.len()), send);
+    text
+}
+
+/// Reads until `enough` bytes have come or the connection ends.
+async fn read_to_end(stream: &mut TcpStream, enough: usize) -> String {
+    let mut text = String::new();
+    let mut buffer = [0; 65_536];
+    while text.len() < enough {
+        match timeout(SOON, stream.read(&mut buffer)).await.expect("in time") {
+            Ok(0) | Err(_) => break,
+            Ok(n) => text.push_str(&String::from_utf8_lossy(&buffer[..n])),
+        }
+    }
+    text
+}
+
+#[tokio::test]
+async fn long_answer_arrives_whole() {
+    on_local(async {
+        let text = answer_in_part(LONG_BODY).await;
+        let (head, body) = text.split_once("\r\n\r\n").expect("an answer");
+        assert!(head.starts_with("HTTP/1.1 200"), "{head}");
+        assert_eq!(body.len(), LONG_BODY);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn long_answer_that_breaks_off_does_not_look_complete() {
+    on_local(async {
+        let text = answer_in_part(LONG_BODY / 2).await;
+        let (head, body) = text.split_once("\r\n\r\n").expect("an answer begins");
+        let told = format!("content-length: {LONG_BODY}");
+        let chunks = head.contains("transfer-encoding: chunked") && !body.ends_with("0\r\n\r\n");
+        assert!(head.contains(&told) || chunks, "{head}");
+        assert!(body.len() < LONG_BODY, "{} bytes came", body.len());
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn long_body_of_a_call_reaches_the_target_whole() {
+    on_local(async {
+        let (listener, address) = target().await;
+        let (_gateway, calls) = start(&[address]).await;
+        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+        let head = format!(
+            "POST /sale/1 HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\n\
+             content-length: {LONG_BODY}\r\n\r\n"
+        );
+        let send = async {
+            caller.write_all(head.as_bytes()).await.expect("sent");
+            caller.write_all("b".repeat(LONG_BODY).as_bytes()).await.expect("sent");
+        };
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.expect("a call");
+            let head = read_until(&mut stream, "\r\n\r\n").await;
+            let (_, begun) = head.split_once("\r\n\r\n").expect("a head");
+            let rest = read_to_end(&mut stream, LONG_BODY - begun.len()).await;
+            stream.write_all(answer("a", "done").as_bytes()).await.expect("answered");
+            format!("{begun}{rest}")
+        };
+        let ((), body) = tokio::join!(send, serve);
+        assert!(body == "b".repeat(LONG_BODY), "{} bytes came", body.len());
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn answer_without_a_length_is_whole_when_its_connection_closes() {
     on_local(async {
