--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -93,6 +93,17 @@
     (listener, address)
 }
 
+/// A gateway with one target that got call `a` from the caller and has not answered.
+async fn called(path: &str) -> (Rc<Gateway<Plain>>, TcpStream, TcpStream) {
+    let (listener, address) = target().await;
+    let (gateway, calls) = start(&[address]).await;
+    let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+    caller.write_all(get(path, "a").as_bytes()).await.expect("sent");
+    let (mut stream, _) = listener.accept().await.expect("a call");
+    read_until(&mut stream, "\r\n\r\n").await;
+    (gateway, caller, stream)
+}
+
 /// Reads until `end` has come.
 async fn read_until(stream: &mut TcpStream, end: &str) -> String {
     let mut text = String::new();
@@ -155,12 +166,7 @@
 /// Sends a call whose target answers with the beginning of a long body, `sent` bytes of it, and
 /// closes. Returns what the caller got.
 async fn answer_in_part(sent: usize) -> String {
-    let (listener, address) = target().await;
-    let (_gateway, calls) = start(&[address]).await;
-    let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
-    caller.write_all(get("/sale/1", "a").as_bytes()).await.expect("sent");
-    let (mut stream, _) = listener.accept().await.expect("a call");
-    read_until(&mut stream, "\r\n\r\n").await;
+    let (_gateway, mut caller, mut stream) = called("/sale/1").await;
     let whole = answer("a", &"b".repeat(LONG_BODY));
     let end = whole.len() - LONG_BODY + sent;
     let send = async {
@@ -240,12 +246,7 @@
 #[tokio::test]
 async fn answer_without_a_length_is_whole_when_its_connection_closes() {
     on_local(async {
-        let (listener, address) = target().await;
-        let (_gateway, calls) = start(&[address]).await;
-        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
-        caller.write_all(get("/sale/1", "a").as_bytes()).await.expect("sent");
-        let (mut stream, _) = listener.accept().await.expect("a call");
-        read_until(&mut stream, "\r\n\r\n").await;
+        let (_gateway, mut caller, mut stream) = called("/sale/1").await;
         let unframed =
             "HTTP/1.1 200 OK\r\nx-azuretally-call: a\r\nconnection: close\r\n\r\nwhole body";
         stream.write_all(unframed.as_bytes()).await.expect("answered");
@@ -259,12 +260,7 @@
 #[tokio::test]
 async fn answer_without_a_length_is_none_when_its_connection_is_reset() {
     on_local(async {
-        let (listener, address) = target().await;
-        let (_gateway, calls) = start(&[address]).await;
-        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
-        caller.write_all(get("/sale/1", "a").as_bytes()).await.expect("sent");
-        let (mut stream, _) = listener.accept().await.expect("a call");
-        read_until(&mut stream, "\r\n\r\n").await;
+        let (_gateway, mut caller, mut stream) = called("/sale/1").await;
         let unframed = "HTTP/1.1 200 OK\r\nx-azuretally-call: a\r\nconnection: close\r\n\r\nhalf";
         stream.write_all(unframed.as_bytes()).await.expect("answered");
         sleep(Duration::from_millis(50)).await;
@@ -297,12 +293,7 @@
 #[tokio::test]
 async fn target_stops_working_when_the_caller_leaves() {
     on_local(async {
-        let (listener, address) = target().await;
-        let (_gateway, calls) = start(&[address]).await;
-        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
-        caller.write_all(get("/check/1", "a").as_bytes()).await.expect("sent");
-        let (mut stream, _) = listener.accept().await.expect("a call");
-        read_until(&mut stream, "\r\n\r\n").await;
+        let (_gateway, caller, mut stream) = called("/check/1").await;
         drop(caller);
         let left = Instant::now();
         let mut rest = [0; 16];
