refactor(gateway): one function answers questions for directions

Cause: the plain dialect and the adapter of the platform built the same answer from the same steps, and each had its own reader of a header field. That an empty list of gateways is answered with 503 was decided in platform/ too. Ruled out: sharing the list of header fields of one connection with the entry; the gateway also strips what Connection names, so the entry would change.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,7 +6,12 @@
 use crate::settings::Settings;
 use azuretally_policy::balance::{Change, Directions, LoadReport};
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, request, response};
+use http::{
+    HeaderMap, HeaderValue, Request, Response, StatusCode,
+    header::{AsHeaderName, CONTENT_TYPE},
+    request, response,
+};
+use serde::Serialize;
 use std::{error::Error, fmt, sync::Arc, time::Duration};
 
 /// What the head of a call says beyond method and path.
@@ -108,6 +113,36 @@
     Some(LoadReport { running, waiting, slots, pace })
 }
 
+/// The text of a header field, nothing where it is missing or no text.
+pub fn field_text<Name>(fields: &HeaderMap, name: Name) -> Option<&str>
+where
+    Name: AsHeaderName,
+{
+    fields.get(name)?.to_str().ok()
+}
+
+/// The answer to a question for directions: `body` as JSON, or 503 where `directions` name nobody.
+pub fn directions_response<Body>(directions: &Directions, body: &Body) -> Response<Bytes>
+where
+    Body: Serialize,
+{
+    let mut response = Response::new(Bytes::new());
+    if directions.addresses.is_empty() {
+        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return response;
+    }
+    match serde_json::to_vec(body) {
+        Ok(body) => {
+            *response.body_mut() = body.into();
+            let json = HeaderValue::from_static("application/json");
+            response.headers_mut().insert(CONTENT_TYPE, json);
+        }
+        // Addresses and a time always have a JSON form.
+        Err(_) => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+    }
+    response
+}
+
 /// One answer of the platform.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct News {
--- a/crates/gateway/src/plain.rs
+++ b/crates/gateway/src/plain.rs
@@ -6,7 +6,7 @@
 use crate::{
     dialect::{
         CallHead, Dialect, DirectionsQuery, Failing, News, Outbound, ProbeHead, Publication,
-        ReadError, Standing, TargetHead, load_report,
+        ReadError, Standing, TargetHead, directions_response, field_text, load_report,
     },
     settings::Settings,
 };
@@ -14,9 +14,8 @@
 use azuretally_policy::balance::{Change, Directions};
 use bytes::Bytes;
 use http::{
-    HeaderMap, HeaderValue, Method, Request, Response, StatusCode,
-    header::{CONTENT_TYPE, RETRY_AFTER},
-    request, response,
+    HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::RETRY_AFTER, request,
+    response,
 };
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -56,9 +55,9 @@
     fn tune(&self, _settings: &mut Settings) {}
 
     fn call(&self, head: &request::Parts) -> CallHead {
-        let timeout = text(&head.headers, headers::TIMEOUT_MS).and_then(|t| t.parse().ok());
+        let timeout = field_text(&head.headers, headers::TIMEOUT_MS).and_then(|t| t.parse().ok());
         CallHead {
-            id: text(&head.headers, headers::CALL).map(Arc::from),
+            id: field_text(&head.headers, headers::CALL).map(Arc::from),
             timeout: timeout.map(Duration::from_millis),
         }
     }
@@ -73,8 +72,8 @@
     }
 
     fn target_head(&self, head: &response::Parts, id: Option<&str>) -> TargetHead {
-        let report = text(&head.headers, headers::TARGET_LOAD).and_then(load_report);
-        let standing = if text(&head.headers, headers::CALL) != id {
+        let report = field_text(&head.headers, headers::TARGET_LOAD).and_then(load_report);
+        let standing = if field_text(&head.headers, headers::CALL) != id {
             Standing::Foreign
         } else if head.status == StatusCode::MISDIRECTED_REQUEST {
             Standing::Moved
@@ -88,8 +87,8 @@
 
     fn probe_head(&self, head: &response::Parts) -> ProbeHead {
         ProbeHead {
-            target: text(&head.headers, headers::TARGET).map(Arc::from),
-            report: text(&head.headers, headers::TARGET_LOAD).and_then(load_report),
+            target: field_text(&head.headers, headers::TARGET).map(Arc::from),
+            report: field_text(&head.headers, headers::TARGET_LOAD).and_then(load_report),
         }
     }
 
@@ -134,25 +133,11 @@
     }
 
     fn directions(&self, directions: &Directions) -> Response<Bytes> {
-        let mut response = Response::new(Bytes::new());
-        if directions.addresses.is_empty() {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-            return response;
-        }
         let addresses = GatewayAddresses {
             addresses: directions.addresses.clone(),
             ttl_ms: u64::try_from(directions.lifetime.as_millis()).unwrap_or(u64::MAX),
         };
-        match serde_json::to_vec(&addresses) {
-            Ok(body) => {
-                *response.body_mut() = body.into();
-                let json = HeaderValue::from_static("application/json");
-                response.headers_mut().insert(CONTENT_TYPE, json);
-            }
-            // Addresses and a number always have a JSON form.
-            Err(_) => *response.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
-        }
-        response
+        directions_response(directions, &addresses)
     }
 
     fn is_readiness_query(&self, request: &Request<()>) -> bool {
@@ -178,10 +163,6 @@
     }
 }
 
-fn text<'a>(fields: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    fields.get(name)?.to_str().ok()
-}
-
 fn read(status: StatusCode, body: &[u8]) -> Result<News, ReadError> {
     match status {
         StatusCode::OK => {}
