feat(gateway): log and count how connections of callers end

The log of an incident (calls cut off around SIGTERM) could not tell an answer that a reset discarded from a caller that left: nothing was written on the end of a connection, and calls cut by the exit counted as `caller-gone`.

A call that the exit of the process cuts ends as `interrupted`.

--- a/crates/gateway/src/calls/call_guard.rs
+++ b/crates/gateway/src/calls/call_guard.rs
@@ -9,8 +9,9 @@
 
 /// Completes a call exactly once.
 ///
-/// The task of the call owns the guard. If the guard is dropped before [`CallGuard::complete`],
-/// because the caller closed its connection, the call ends as `caller-gone`.
+/// The task of the call owns the guard. If the guard is dropped before [`CallGuard::complete`], the
+/// call ends as `interrupted` when the process exits, and otherwise as `caller-gone`, because the
+/// caller closed its connection.
 #[derive(Debug)]
 pub(super) struct CallGuard<Adapter>
 where
@@ -59,6 +60,10 @@
     Adapter: CallAdapter + PlatformAdapter,
 {
     fn drop(&mut self) {
-        self.complete("caller-gone", "");
+        let outcome = match self.gateway.shutdown.is_cancelled() {
+            true => "interrupted",
+            false => "caller-gone",
+        };
+        self.complete(outcome, "");
     }
 }
--- /dev/null
+++ b/crates/gateway/src/calls/connection.rs
@@ -0,0 +1,102 @@
+//! Accounting of callers' connections: the calls served on each, and how it ended.
+
+use crate::{
+    adapter::{CallAdapter, PlatformAdapter},
+    gateway::Gateway,
+    socket::ConnectionState,
+};
+use azuretally_policy::Timestamp;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+/// Counts the calls of a caller's connection. Once dropped, which must be after the stream of the
+/// connection, logs and counts how the connection ended.
+#[derive(Debug)]
+pub(super) struct CallerConnection<Adapter>
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    gateway: Rc<Gateway<Adapter>>,
+    from: SocketAddr,
+    opened_at: Timestamp,
+    state: Arc<ConnectionState>,
+    calls: Cell<u64>,
+    in_progress: Cell<bool>,
+    result: RefCell<Option<Result<(), hyper::Error>>>,
+}
+
+impl<Adapter> CallerConnection<Adapter>
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    /// Creates the account of a connection that was accepted from `from`.
+    pub(super) fn new(
+        gateway: Rc<Gateway<Adapter>>,
+        from: SocketAddr,
+        state: Arc<ConnectionState>,
+    ) -> Self {
+        let opened_at = gateway.clock.now();
+        Self {
+            gateway,
+            from,
+            opened_at,
+            state,
+            calls: Cell::new(0),
+            in_progress: Cell::new(false),
+            result: RefCell::default(),
+        }
+    }
+
+    /// Records that the head of a call was read.
+    pub(super) fn call_started(&self) {
+        self.calls.set(self.calls.get() + 1);
+        self.in_progress.set(true);
+    }
+
+    /// Records that the answer to the current call is ready to be written.
+    pub(super) fn call_ended(&self) {
+        self.in_progress.set(false);
+    }
+
+    /// Records that the HTTP connection ended with `result`. Without this, the connection counts as
+    /// interrupted by the end of the process.
+    pub(super) fn ended(&self, result: Result<(), hyper::Error>) {
+        *self.result.borrow_mut() = Some(result);
+    }
+
+    fn reason(&self) -> &'static str {
+        match &*self.result.borrow() {
+            None => "interrupted",
+            Some(Err(e)) if e.is_timeout() => "idle-timeout",
+            Some(Err(e)) if e.is_parse() => "malformed",
+            Some(_) if self.state.is_closed_by_peer() => "caller-closed",
+            Some(Err(_)) => "failed",
+            Some(Ok(())) => "closed",
+        }
+    }
+}
+
+impl<Adapter> Drop for CallerConnection<Adapter>
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    fn drop(&mut self) {
+        let gateway = &self.gateway;
+        let (reason, unread) = (self.reason(), self.state.unread_bytes());
+        let in_progress = self.in_progress.get();
+        let is_notable = gateway.drain.is_cancelled() || in_progress || unread > 0;
+        log::log!(
+            if is_notable { log::Level::Info } else { log::Level::Debug },
+            "calls: connection ended from={} reason={reason} calls={} in_progress={in_progress} \
+             unread_bytes={unread} ms={}",
+            self.from,
+            self.calls.get(),
+            gateway.clock.now().since(self.opened_at).as_millis(),
+        );
+        gateway.metrics.record_connection_end(reason, unread > 0);
+    }
+}
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -1,11 +1,11 @@
 //! Listens for callers and drains their connections on a planned stop.
 
-use super::{pool::ConnectionPool, probe, task::handle_call};
+use super::{connection::CallerConnection, pool::ConnectionPool, probe, task::handle_call};
 use crate::{
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
-    socket::configure,
+    socket::{CallerStream, configure},
 };
 use azuretally_policy::balance::Probe;
 use error_stack::{Report, ResultExt};
@@ -157,11 +157,21 @@
         let limits = gateway.routes().map(|t| t.published().limits);
         let (head_bytes, idle_timeout) =
             limits.map_or(DEFAULT_LIMITS, |l| (l.head_bytes, l.idle_timeout));
+        let stream = CallerStream::new(stream);
+        let account = Rc::new(CallerConnection::new(Rc::clone(gateway), from, stream.state()));
         let service = {
             let gateway = Rc::clone(gateway);
             let pool = Rc::clone(&self.pool);
+            let account = Rc::clone(&account);
             service_fn(move |request| {
-                handle_call(Rc::clone(&gateway), Rc::clone(&pool), from.ip(), request)
+                account.call_started();
+                let call = handle_call(Rc::clone(&gateway), Rc::clone(&pool), from.ip(), request);
+                let account = Rc::clone(&account);
+                async move {
+                    let response = call.await;
+                    account.call_ended();
+                    response
+                }
             })
         };
         let connection = http1::Builder::new()
@@ -177,9 +187,10 @@
                 Some(watcher) => watcher.watch(connection).await,
                 None => connection.await,
             };
-            if let Err(e) = result {
+            if let Err(e) = &result {
                 log::debug!("calls: connection from {from} ended: {e}");
             }
+            account.ended(result);
         });
     }
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -50,6 +50,17 @@
     pub service: String,
 }
 
+/// Labels of the end of a caller's connection.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct ConnectionLabels {
+    /// Why the connection ended: `closed`, `caller-closed`, `idle-timeout`, `malformed`, `failed` or
+    /// `interrupted`.
+    pub reason: String,
+    /// Whether bytes of the caller were unread, so that the kernel reset the connection: `true` or
+    /// `false`.
+    pub reset: String,
+}
+
 /// Labels of a platform read.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PlatformReadLabels {
@@ -79,6 +90,8 @@
     pub retry_budget: Family<ServiceLabels, Gauge<f64, AtomicU64>>,
     /// Connections opened to targets.
     pub target_connections: Counter,
+    /// Connections of callers that ended.
+    pub caller_connections: Family<ConnectionLabels, Counter>,
     /// Bytes of response bodies from targets in other failure domains. Bodies that are streamed to
     /// the caller are not counted.
     pub remote_bytes: Counter,
@@ -112,6 +125,7 @@
             waiting_calls: Gauge::default(),
             retry_budget: Family::default(),
             target_connections: Counter::default(),
+            caller_connections: Family::default(),
             remote_bytes: Counter::default(),
             settings_version: Gauge::default(),
             alive_gateways: Gauge::default(),
@@ -135,6 +149,11 @@
         registry.register("second_tries_left", help, metrics.retry_budget.clone());
         let help = "Connections made to targets";
         registry.register("target_connections", help, metrics.target_connections.clone());
+        registry.register(
+            "caller_connections_ended",
+            "Connections of callers that ended",
+            metrics.caller_connections.clone(),
+        );
         let help = "Bytes of answers from other failure domains";
         registry.register_with_unit("far", help, Unit::Bytes, metrics.remote_bytes.clone());
         let help = "Version of the published settings in force";
@@ -166,6 +185,12 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
+    /// Counts the end of a caller's connection.
+    pub fn record_connection_end(&self, reason: &str, reset: bool) {
+        let labels = ConnectionLabels { reason: reason.to_owned(), reset: reset.to_string() };
+        self.caller_connections.get_or_create(&labels).inc();
+    }
+
     /// Counts an attempt at a target of `service`, or a probe of one.
     pub fn record_attempt(&self, service: &Arc<str>, kind: &str) {
         let labels = AttemptLabels { service: service.to_string(), kind: kind.to_owned() };
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -299,6 +299,25 @@
     .await;
 }
 
+/// Without a count of connections that were reset with unread bytes, lost answers cannot be told
+/// from callers that left.
+#[tokio::test]
+async fn ends_of_callers_connections_are_counted_by_reason() {
+    run_local(async {
+        let (gateway, mut caller, mut stream) = start_with_call_in_flight("/check/1").await;
+        stream.write_all(ok_response("a", "done").as_bytes()).await.expect("response sent");
+        read_until(&mut caller, "done").await;
+        drop(caller);
+        let count = "caller_connections_ended_total{reason=\"caller-closed\",reset=\"false\"} 1";
+        let deadline = Instant::now() + TIMEOUT;
+        while !gateway.metrics_text().contains(count) {
+            assert!(Instant::now() < deadline, "{}", gateway.metrics_text());
+            sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn connection_to_the_target_closes_when_the_caller_disconnects() {
     run_local(async {
