test(gateway): answers lost to a reset at the end of a connection, failing

The planned stop begins, the target answers with 100,000 bytes, and the gateway closes the connection with the calls behind it unread. The kernel resets the connection and discards what it has not delivered:

Err(Os { code: 104, kind: ConnectionReset }) after 4096 bytes

A call sent after the last answer has the same effect, and so has a body that is still being sent when its call is refused (EPIPE).

--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::mpsc,
     task::{LocalSet, spawn_local},
     time::{sleep, timeout},
@@ -481,3 +481,104 @@
     })
     .await;
 }
+
+/// Size of an answer that the gateway buffers but that does not fit into a caller's receive buffer
+/// of [`SMALL_BUFFER_BYTES`].
+const BUFFERED_BODY_BYTES: usize = 100_000;
+/// Receive buffer of a caller that reads late, in bytes.
+const SMALL_BUFFER_BYTES: u32 = 4_096;
+
+/// Connects to `address` with a small receive buffer.
+async fn connect_with_small_buffer(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).expect("a buffer size");
+    socket.connect(address).await.expect("the gateway listens")
+}
+
+/// Starts a gateway whose only call in progress is `a`, with further calls sent behind it, and
+/// begins a planned stop.
+///
+/// Returns the gateway and the connections of the caller and of the target.
+async fn stop_with_pipelined_calls() -> (Rc<Gateway<NativeAdapter>>, TcpStream, TcpStream) {
+    let (listener, address) = bind_target().await;
+    let (gateway, calls) = start_gateway(&[address]).await;
+    let mut caller = connect_with_small_buffer(calls).await;
+    caller.write_all(get_request("/check/1", "a").as_bytes()).await.expect("request sent");
+    let (mut stream, _) = listener.accept().await.expect("a call");
+    read_until(&mut stream, "\r\n\r\n").await;
+    gateway.drain.cancel();
+    for id in ["b", "c", "d"] {
+        caller.write_all(get_request("/check/1", id).as_bytes()).await.expect("request sent");
+        sleep(Duration::from_millis(20)).await;
+    }
+    (gateway, caller, stream)
+}
+
+/// Reads until the end of the connection, which must be orderly.
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let read = timeout(TIMEOUT, stream.read_to_end(&mut bytes)).await.expect("an end in time");
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    assert!(read.is_ok(), "{read:?} after {} bytes", text.len());
+    text
+}
+
+/// Guards against answers that a reset discards: the gateway closed the connection with calls sent
+/// behind the last one unread, before the caller had received the whole answer.
+#[tokio::test]
+async fn planned_stop_does_not_reset_a_connection_with_pipelined_calls() {
+    run_local(async {
+        let (_gateway, mut caller, mut stream) = stop_with_pipelined_calls().await;
+        let answer = ok_response("a", &"b".repeat(BUFFERED_BODY_BYTES));
+        stream.write_all(answer.as_bytes()).await.expect("response sent");
+        sleep(Duration::from_millis(300)).await;
+        let text = read_to_end(&mut caller).await;
+        let (head, body) = text.split_once("\r\n\r\n").expect("a response");
+        assert!(head.contains("connection: close"), "{head}");
+        assert_eq!(body.len(), BUFFERED_BODY_BYTES);
+    })
+    .await;
+}
+
+/// Guards against a reset of a connection whose caller sends a further call just after the last
+/// answer.
+#[tokio::test]
+async fn call_sent_after_the_last_answer_does_not_reset_the_connection() {
+    run_local(async {
+        let (_gateway, mut caller, mut stream) = stop_with_pipelined_calls().await;
+        let answer = ok_response("a", &"b".repeat(BUFFERED_BODY_BYTES));
+        stream.write_all(answer.as_bytes()).await.expect("response sent");
+        for id in ["e", "f"] {
+            sleep(Duration::from_millis(100)).await;
+            caller.write_all(get_request("/check/1", id).as_bytes()).await.expect("request sent");
+        }
+        let text = read_to_end(&mut caller).await;
+        assert_eq!(text.len(), text.find("\r\n\r\n").expect("a head") + 4 + BUFFERED_BODY_BYTES);
+    })
+    .await;
+}
+
+/// Guards against a refusal that is lost because the caller is still sending the body.
+#[tokio::test]
+async fn refusal_of_a_large_body_reaches_a_caller_that_is_still_sending() {
+    run_local(async {
+        let (_, address) = bind_target().await;
+        let (_gateway, calls) = start_gateway(&[address]).await;
+        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+        let body_bytes = 8_000_000;
+        let head = format!(
+            "POST /sale/1 HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\n\
+             content-length: {body_bytes}\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.expect("request sent");
+        for _ in 0..10 {
+            let part = vec![b'b'; body_bytes / 10];
+            caller.write_all(&part).await.expect("the gateway still reads");
+            sleep(Duration::from_millis(10)).await;
+        }
+        caller.shutdown().await.expect("the connection is open");
+        let text = read_to_end(&mut caller).await;
+        assert!(text.starts_with("HTTP/1.1 413"), "{text}");
+    })
+    .await;
+}
