fix(gateway): close connections of callers in stages

Callers lost answers that their target had given: ECONNRESET after 4,096 of 100,000 bytes in planned_stop_does_not_reset_a_connection_with_pipelined_calls, red before this change.

Cause: the gateway closed a connection as soon as the last answer was in the socket's send buffer. With calls sent behind it unread, or arriving after the close, the kernel resets the connection and discards what the caller has not received. The planned stop makes every answer the last one, so it hits each caller that sends ahead; each new connection during the stop, which serves a single call, again. A refusal whose caller was still sending the body was lost in the same way (EPIPE).

Ruled out for these tests: the target's answer (complete, read by the gateway), the time limit, the end of the grace time (the stop was 0.3 s old).

Change: the sending side is closed first. After an answer that announces the close, what follows is read and discarded until the caller closes, for 3 s at most. Without an announcement, bytes that follow may be a call that the caller may repeat if it was not read: they stay unread, and the connection is closed once what was sent before can have arrived. A refusal before the body was read announces the close.

Why it works: the kernel resets only for bytes that nobody reads; now the socket is closed after the caller has closed its side, which it does when it has the whole answer.

--- a/crates/gateway/src/calls/connection.rs
+++ b/crates/gateway/src/calls/connection.rs
@@ -6,6 +6,7 @@
     socket::ConnectionState,
 };
 use azuretally_policy::Timestamp;
+use http::{HeaderValue, Response, header::CONNECTION};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -24,6 +25,8 @@
     from: SocketAddr,
     opened_at: Timestamp,
     state: Arc<ConnectionState>,
+    /// Whether the first answer is the last one.
+    single_call: bool,
     calls: Cell<u64>,
     in_progress: Cell<bool>,
     result: RefCell<Option<Result<(), hyper::Error>>>,
@@ -33,11 +36,13 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    /// Creates the account of a connection that was accepted from `from`.
+    /// Creates the account of a connection that was accepted from `from`. With `single_call`, the
+    /// connection ends after the first answer.
     pub(super) fn new(
         gateway: Rc<Gateway<Adapter>>,
         from: SocketAddr,
         state: Arc<ConnectionState>,
+        single_call: bool,
     ) -> Self {
         let opened_at = gateway.clock.now();
         Self {
@@ -45,6 +50,7 @@
             from,
             opened_at,
             state,
+            single_call,
             calls: Cell::new(0),
             in_progress: Cell::new(false),
             result: RefCell::default(),
@@ -57,9 +63,16 @@
         self.in_progress.set(true);
     }
 
-    /// Records that the answer to the current call is ready to be written.
-    pub(super) fn call_ended(&self) {
+    /// Records that the answer to the current call is ready to be written. If no further call is
+    /// accepted on the connection, the answer announces that.
+    pub(super) fn call_ended<Body>(&self, response: &mut Response<Body>) {
         self.in_progress.set(false);
+        if self.single_call || self.gateway.drain.is_cancelled() {
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        if response.headers().contains_key(CONNECTION) {
+            self.state.announce_close();
+        }
     }
 
     /// Records that the HTTP connection ended with `result`. Without this, the connection counts as
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -135,10 +135,15 @@
             objective: self.arrived_at + self.route.objective,
             deadline: self.deadline,
             caller: self.caller,
-            replayable: matches!(self.body, CallBody::Buffered(_)),
+            replayable: self.is_buffered(),
         }
     }
 
+    /// Returns whether the body has been read completely.
+    pub(super) fn is_buffered(&self) -> bool {
+        matches!(self.body, CallBody::Buffered(_))
+    }
+
     /// Returns the caller's id of the call for log lines, `-` if there is none.
     pub(super) fn log_id(&self) -> &str {
         self.call_headers.id.as_deref().unwrap_or("-")
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -14,7 +14,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -158,7 +158,9 @@
         let (head_bytes, idle_timeout) =
             limits.map_or(DEFAULT_LIMITS, |l| (l.head_bytes, l.idle_timeout));
         let stream = CallerStream::new(stream);
-        let account = Rc::new(CallerConnection::new(Rc::clone(gateway), from, stream.state()));
+        let single_call = graceful.is_none();
+        let account = CallerConnection::new(Rc::clone(gateway), from, stream.state(), single_call);
+        let account = Rc::new(account);
         let service = {
             let gateway = Rc::clone(gateway);
             let pool = Rc::clone(&self.pool);
@@ -168,9 +170,9 @@
                 let call = handle_call(Rc::clone(&gateway), Rc::clone(&pool), from.ip(), request);
                 let account = Rc::clone(&account);
                 async move {
-                    let response = call.await;
-                    account.call_ended();
-                    response
+                    let mut response = call.await?;
+                    account.call_ended(&mut response);
+                    Ok::<_, Infallible>(response)
                 }
             })
         };
@@ -179,7 +181,7 @@
             // This timeout also covers the idle time before the next request.
             .header_read_timeout(idle_timeout)
             .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
-            .keep_alive(graceful.is_some())
+            .keep_alive(!single_call)
             .serve_connection(TokioIo::new(stream), service);
         let watcher = graceful.map(GracefulShutdown::watcher);
         gateway.tasks.spawn_local(async move {
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -16,7 +16,8 @@
     balance::{AttemptResult, Decision, GiveUpReason, HedgeDecision, NewAttempt},
 };
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
+use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc};
@@ -32,10 +33,19 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    match InboundCall::read(&gateway, caller, request).await {
-        Ok(inbound) => Ok(CallTask::new(gateway, pool, inbound).run().await),
-        Err(rejected) => Ok(rejection_response(&gateway, &rejected)),
+    let has_body = !request.body().is_end_stream();
+    let (mut response, body_read) = match InboundCall::read(&gateway, caller, request).await {
+        Ok(inbound) => {
+            let buffered = inbound.is_buffered();
+            (CallTask::new(gateway, pool, inbound).run().await, buffered)
+        }
+        Err(rejected) => (rejection_response(&gateway, &rejected), !has_body),
+    };
+    // The rest of the body stands where the next call would begin.
+    if !body_read {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    Ok(response)
 }
 
 fn rejection_response<Adapter>(
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -1,8 +1,14 @@
-//! TCP connections: socket options, and how connections of callers end.
+//! TCP connections: socket options, and the orderly end of connections of callers.
+//!
+//! The kernel resets a connection that is closed with unread bytes or that receives bytes after it
+//! was closed, and discards what it has not delivered to the peer. Callers may send at any time, so
+//! a connection of a caller is closed in stages (RFC 9112, section 9.6): only the sending side
+//! first, and the rest once the caller has received everything.
 
 use rustix::{io::ioctl_fionread, net::sockopt::set_tcp_user_timeout};
 use std::{
     io::{self, IoSlice},
+    mem::MaybeUninit,
     pin::Pin,
     sync::{
         Arc,
@@ -14,8 +20,17 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
+    time::{Sleep, sleep},
 };
 
+/// Maximum time for which the receiving side of a connection stays open after the sending side was
+/// closed.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time that sent bytes need at most to reach a caller whose connection works.
+const DELIVERY_TIME: Duration = Duration::from_millis(250);
+/// Size of the buffer into which bytes are read that are discarded.
+const DISCARD_BUFFER_BYTES: usize = 4_096;
+
 /// Sets `TCP_NODELAY` and a `TCP_USER_TIMEOUT` of `timeout` on `stream`.
 ///
 /// Small writes are sent without delay, and the kernel closes a connection whose peer has
@@ -34,11 +49,19 @@
 /// State of a [`CallerStream`], shared with the task that serves the connection.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
+    close_announced: AtomicBool,
     peer_closed: AtomicBool,
     unread_bytes: AtomicU64,
 }
 
 impl ConnectionState {
+    /// Records that the answer to be written next is the last one and says so.
+    ///
+    /// Whatever the caller sends after it counts as not received, so the stream may discard it.
+    pub fn announce_close(&self) {
+        self.close_announced.store(true, Ordering::Relaxed);
+    }
+
     /// Returns whether the caller closed its side of the connection or reset it.
     pub fn is_closed_by_peer(&self) -> bool {
         self.peer_closed.load(Ordering::Relaxed)
@@ -53,23 +76,73 @@
     }
 }
 
-/// Connection of a caller.
+/// Connection of a caller, which is closed in stages.
+///
+/// Shutting down the stream closes the sending side at once. It completes when the caller has closed
+/// its side too or a time limit has passed. Until then, bytes from the caller are discarded if the
+/// last answer announced the close. Otherwise they may be the beginning of a call that the caller
+/// sends again elsewhere if it was not read: such bytes are left unread, and the connection is
+/// closed as soon as everything sent before can have arrived.
 #[derive(Debug)]
 pub struct CallerStream {
     stream: TcpStream,
     state: Arc<ConnectionState>,
+    /// Limit of the last stage, `None` while the sending side is open.
+    close_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether unread bytes were seen after the sending side was closed.
+    unread_seen: bool,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, state: Arc::default() }
+        Self { stream, state: Arc::default(), close_timer: None, unread_seen: false }
     }
 
     /// Returns the state of the connection, which outlives the stream.
     pub fn state(&self) -> Arc<ConnectionState> {
         Arc::clone(&self.state)
     }
+
+    /// Completes once the caller has closed its side.
+    fn poll_peer_close(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.state.is_closed_by_peer() {
+            return Poll::Ready(());
+        }
+        match self.state.close_announced.load(Ordering::Relaxed) {
+            true => self.poll_discard(cx),
+            false => self.poll_unread(cx),
+        }
+    }
+
+    /// Reads and discards bytes until the caller closes its side.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let mut bytes = [MaybeUninit::uninit(); DISCARD_BUFFER_BYTES];
+        loop {
+            let mut buf = ReadBuf::uninit(&mut bytes);
+            let result = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            if result.is_err() || buf.filled().is_empty() {
+                return Poll::Ready(());
+            }
+        }
+    }
+
+    /// Waits until the caller closes its side, without reading. Shortens the time limit once there
+    /// are unread bytes.
+    fn poll_unread(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.unread_seen {
+            return Poll::Pending;
+        }
+        let mut byte = [MaybeUninit::uninit(); 1];
+        match ready!(self.stream.poll_peek(cx, &mut ReadBuf::uninit(&mut byte))) {
+            Ok(0) | Err(_) => Poll::Ready(()),
+            Ok(_) => {
+                self.unread_seen = true;
+                self.close_timer = Some(Box::pin(sleep(DELIVERY_TIME)));
+                Poll::Pending
+            }
+        }
+    }
 }
 
 impl AsyncRead for CallerStream {
@@ -113,7 +186,18 @@
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+        let this = &mut *self;
+        if this.close_timer.is_none() {
+            ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
+            this.close_timer = Some(Box::pin(sleep(CLOSE_TIMEOUT)));
+        }
+        if this.poll_peer_close(cx).is_ready() {
+            return Poll::Ready(Ok(()));
+        }
+        match &mut this.close_timer {
+            Some(timer) => timer.as_mut().poll(cx).map(Ok),
+            None => Poll::Ready(Ok(())),
+        }
     }
 }
 
