fix(gateway): keep idle connections through the notice of a planned stop

A connection that was accepted during the notice and not used stayed open until the exit: a call sent on it late was taken and then cut.

Cause: the stop closed every idle connection at once, and had no hold of those accepted later.

Change: new and kept connections are treated alike. For 0.45 of the grace time each serves one more call, whose answer announces the close; then idle ones are closed. Connections that are still in the backlog of the listener are accepted before it closes, and have 100 ms to deliver their call.

Remains: a connection whose handshake ends between the last accept and the close of the listener.

--- a/crates/gateway/src/calls/connection.rs
+++ b/crates/gateway/src/calls/connection.rs
@@ -25,8 +25,6 @@
     from: SocketAddr,
     opened_at: Timestamp,
     state: Arc<ConnectionState>,
-    /// Whether the first answer is the last one.
-    single_call: bool,
     calls: Cell<u64>,
     in_progress: Cell<bool>,
     result: RefCell<Option<Result<(), hyper::Error>>>,
@@ -36,13 +34,11 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    /// Creates the account of a connection that was accepted from `from`. With `single_call`, the
-    /// connection ends after the first answer.
+    /// Creates the account of a connection that was accepted from `from`.
     pub(super) fn new(
         gateway: Rc<Gateway<Adapter>>,
         from: SocketAddr,
         state: Arc<ConnectionState>,
-        single_call: bool,
     ) -> Self {
         let opened_at = gateway.clock.now();
         Self {
@@ -50,7 +46,6 @@
             from,
             opened_at,
             state,
-            single_call,
             calls: Cell::new(0),
             in_progress: Cell::new(false),
             result: RefCell::default(),
@@ -63,11 +58,11 @@
         self.in_progress.set(true);
     }
 
-    /// Records that the answer to the current call is ready to be written. If no further call is
-    /// accepted on the connection, the answer announces that.
+    /// Records that the answer to the current call is ready to be written. During a planned stop, it
+    /// is the last answer on the connection and announces that.
     pub(super) fn call_ended<Body>(&self, response: &mut Response<Body>) {
         self.in_progress.set(false);
-        if self.single_call || self.gateway.drain.is_cancelled() {
+        if self.gateway.drain.is_cancelled() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         if response.headers().contains_key(CONNECTION) {
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -14,7 +14,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, io, net::SocketAddr, os::fd::AsFd, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -42,6 +42,8 @@
 /// Fraction of the grace time during which new connections are still accepted, since callers cache
 /// directions for a while.
 const DRAIN_ACCEPT_FRACTION: f64 = 0.45;
+/// Time after the last accept within which a call may still arrive on an open connection.
+const LAST_CALL_TIME: Duration = Duration::from_millis(100);
 /// The process exits this long before the end of the grace time, when it would be killed, even with
 /// calls in flight.
 const EXIT_MARGIN: Duration = Duration::from_millis(500);
@@ -95,6 +97,10 @@
     }
 
     /// Accepts connections until the planned stop, then drains them within the grace time.
+    ///
+    /// Callers learn of the stop from directions and from the next answer on their connection. Until
+    /// that had time, new connections are accepted and open ones kept, each for one more call. Then
+    /// idle connections are closed, and calls in progress are finished.
     async fn accept_and_drain(self) {
         let graceful = GracefulShutdown::new();
         let gateway = &self.gateway;
@@ -102,7 +108,7 @@
             tokio::select! {
                 () = gateway.drain.cancelled() => break,
                 accepted = self.listener.accept() => match accepted {
-                    Ok((stream, from)) => self.serve(stream, from, Some(&graceful)),
+                    Ok((stream, from)) => self.serve(stream, from, &graceful),
                     Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
                 }
             }
@@ -111,27 +117,31 @@
         let drain_start = Instant::now();
         log::info!("calls: planned stop, connections={}", graceful.count());
         gateway.refresh_membership();
-        // Open connections close after the call in flight. New ones serve a single call each.
-        let graceful_shutdown = graceful.shutdown();
-        tokio::pin!(graceful_shutdown);
         let accept_end = sleep_until(drain_start + grace.mul_f64(DRAIN_ACCEPT_FRACTION));
         tokio::pin!(accept_end);
-        let mut is_drained = false;
         loop {
             tokio::select! {
                 () = &mut accept_end => break,
-                () = &mut graceful_shutdown, if !is_drained => is_drained = true,
                 accepted = self.listener.accept() => match accepted {
-                    Ok((stream, from)) => self.serve(stream, from, None),
+                    Ok((stream, from)) => self.serve(stream, from, &graceful),
                     Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
                 }
             }
         }
+        if let Err(e) = self.accept_backlog(&graceful) {
+            log::debug!("calls: cannot accept the connections in the backlog: {e}");
+        }
         let Self { gateway, listener, .. } = self;
         drop(listener);
         gateway.tasks.close();
         let exit_at = drain_start + grace.saturating_sub(EXIT_MARGIN);
-        if timeout_at(exit_at, gateway.tasks.wait()).await.is_err() {
+        let drained = async {
+            sleep(LAST_CALL_TIME).await;
+            log::info!("calls: idle connections close, connections={}", graceful.count());
+            graceful.shutdown().await;
+            gateway.tasks.wait().await;
+        };
+        if timeout_at(exit_at, drained).await.is_err() {
             log::warn!(
                 "calls: connections={} still open at the end of the grace time",
                 gateway.tasks.len()
@@ -139,7 +149,23 @@
         }
     }
 
-    fn serve(&self, stream: TcpStream, from: SocketAddr, graceful: Option<&GracefulShutdown>) {
+    /// Accepts the connections in the backlog of the listener, which closing it would reset. The
+    /// runtime may not know of them yet.
+    fn accept_backlog(&self, graceful: &GracefulShutdown) -> io::Result<()> {
+        let listener = std::net::TcpListener::from(self.listener.as_fd().try_clone_to_owned()?);
+        loop {
+            match listener.accept() {
+                Ok((stream, from)) => {
+                    stream.set_nonblocking(true)?;
+                    self.serve(TcpStream::from_std(stream)?, from, graceful);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    fn serve(&self, stream: TcpStream, from: SocketAddr, graceful: &GracefulShutdown) {
         let gateway = &self.gateway;
         let size = gateway.settings().size;
         let memory_limit =
@@ -158,9 +184,7 @@
         let (head_bytes, idle_timeout) =
             limits.map_or(DEFAULT_LIMITS, |l| (l.head_bytes, l.idle_timeout));
         let stream = CallerStream::new(stream);
-        let single_call = graceful.is_none();
-        let account = CallerConnection::new(Rc::clone(gateway), from, stream.state(), single_call);
-        let account = Rc::new(account);
+        let account = Rc::new(CallerConnection::new(Rc::clone(gateway), from, stream.state()));
         let service = {
             let gateway = Rc::clone(gateway);
             let pool = Rc::clone(&self.pool);
@@ -181,14 +205,10 @@
             // This timeout also covers the idle time before the next request.
             .header_read_timeout(idle_timeout)
             .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
-            .keep_alive(!single_call)
             .serve_connection(TokioIo::new(stream), service);
-        let watcher = graceful.map(GracefulShutdown::watcher);
+        let connection = graceful.watch(connection);
         gateway.tasks.spawn_local(async move {
-            let result = match watcher {
-                Some(watcher) => watcher.watch(connection).await,
-                None => connection.await,
-            };
+            let result = connection.await;
             if let Err(e) = &result {
                 log::debug!("calls: connection from {from} ended: {e}");
             }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -582,3 +582,52 @@
     })
     .await;
 }
+
+/// Starts a gateway with a target and a kept connection on which call `a` was answered.
+///
+/// Returns the gateway and the connections of the caller and of the target.
+async fn start_with_kept_connection() -> (Rc<Gateway<NativeAdapter>>, TcpStream, TcpStream) {
+    let (gateway, mut caller, mut stream) = start_with_call_in_flight("/sale/1").await;
+    stream.write_all(ok_response("a", "first").as_bytes()).await.expect("response sent");
+    read_until(&mut caller, "first").await;
+    (gateway, caller, stream)
+}
+
+/// Guards against kept connections that a planned stop closes without notice, so that calls which
+/// their callers are sending fail.
+#[tokio::test]
+async fn kept_connection_serves_one_more_call_after_a_planned_stop_begins() {
+    run_local(async {
+        let (gateway, mut caller, mut stream) = start_with_kept_connection().await;
+        gateway.drain.cancel();
+        sleep(Duration::from_millis(300)).await;
+        caller.write_all(get_request("/sale/1", "b").as_bytes()).await.expect("request sent");
+        read_until(&mut stream, "\r\n\r\n").await;
+        stream.write_all(ok_response("b", "second").as_bytes()).await.expect("response sent");
+        let text = read_to_end(&mut caller).await;
+        assert!(text.contains("connection: close") && text.ends_with("second"), "{text}");
+    })
+    .await;
+}
+
+/// Guards against connections without a call that outlast the acceptance of new ones: a call sent on
+/// them later could not be finished.
+#[tokio::test]
+async fn idle_connections_close_when_a_planned_stop_accepts_no_more() {
+    run_local(async {
+        let (gateway, mut kept, _stream) = start_with_kept_connection().await;
+        gateway.drain.cancel();
+        let drain_start = Instant::now();
+        let calls = gateway.settings().listen.calls;
+        let mut unused = TcpStream::connect(calls).await.expect("the gateway still listens");
+        assert_eq!(read_to_end(&mut kept).await, "");
+        assert_eq!(read_to_end(&mut unused).await, "");
+        let elapsed = drain_start.elapsed();
+        // The grace time is 2 s, of which new connections are accepted for 0.45.
+        let expected = Duration::from_millis(900)..Duration::from_millis(1_500);
+        assert!(expected.contains(&elapsed), "{elapsed:?}");
+        drop((kept, unused));
+        timeout(TIMEOUT, gateway.shutdown.cancelled()).await.expect("the gateway shuts down");
+    })
+    .await;
+}
