test(gateway): reproduce the calls lost around a planned stop with real processes

Cause, as reproduced: the gateway closes a connection right after its last answer. If bytes of a further call are unread in the socket at that moment, or arrive later, the kernel sends a reset and discards what it has not yet delivered of the answer (hypothesis A of docs/incidents/planned-stop.md, and C where the last answer of an idle connection is still on its way).

The new test runs the real binary on loopback with a store, targets and callers that write raw bytes, and stops it with real signals.

--- /dev/null
+++ b/crates/gateway/tests/planned_stop/gateway.rs
@@ -0,0 +1,127 @@
+//! Gateway processes.
+
+use azuretally_gateway::native::READINESS_PATH;
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs::{self, File},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, Command, ExitStatus, Stdio},
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{Instant, sleep},
+};
+
+/// Interval at which conditions are checked.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Time within which a gateway must be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// A gateway process, which is killed and reaped when dropped.
+#[derive(Debug)]
+pub(crate) struct Gateway {
+    /// Address at which it accepts calls.
+    pub(crate) calls: SocketAddr,
+    readiness: SocketAddr,
+    settings: PathBuf,
+    log: PathBuf,
+    process: Child,
+}
+
+impl Gateway {
+    /// Starts a process with the settings file `settings`. Its output is appended to `log`.
+    pub(crate) fn start(
+        settings: PathBuf,
+        log: PathBuf,
+        calls: SocketAddr,
+        readiness: SocketAddr,
+    ) -> Self {
+        let process = start_process(&settings, &log);
+        Self { calls, readiness, settings, log, process }
+    }
+
+    /// Waits until the gateway is ready.
+    pub(crate) async fn wait_until_ready(&self) {
+        let start = Instant::now();
+        while !is_ready(self.readiness).await {
+            assert!(start.elapsed() < START_TIMEOUT, "the gateway is not ready:\n{}", self.log());
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Sends `signal` to the process.
+    pub(crate) fn signal(&self, signal: Signal) {
+        kill_process(Pid::from_child(&self.process), signal).expect("the process runs");
+    }
+
+    /// Begins the planned stop.
+    pub(crate) fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    /// Waits until the process has exited, at most for `limit`.
+    pub(crate) async fn wait_for_exit(&mut self, limit: Duration) -> ExitStatus {
+        let start = Instant::now();
+        loop {
+            if let Some(status) = self.process.try_wait().expect("a child process") {
+                return status;
+            }
+            assert!(start.elapsed() < limit, "the gateway has not exited:\n{}", self.log());
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
+    /// Appends `text` to the settings file.
+    pub(crate) fn append_settings(&self, text: &str) {
+        let current = fs::read_to_string(&self.settings).expect("the settings file exists");
+        fs::write(&self.settings, current + text).expect("the settings file is writable");
+    }
+
+    /// Returns the log of all processes of this gateway.
+    pub(crate) fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
+    /// Returns the lines of the log that name the call `id`.
+    pub(crate) fn log_of(&self, id: &str) -> String {
+        let field = format!(" id={id} ");
+        let log = self.log();
+        let lines: Vec<_> = log.lines().filter(|line| line.contains(&field)).collect();
+        lines.join("\n")
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+    }
+}
+
+fn start_process(settings: &PathBuf, log: &PathBuf) -> Child {
+    let output = File::options().create(true).append(true).open(log).expect("a log file");
+    Command::new(env!("CARGO_BIN_EXE_azuretally-gateway"))
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone().expect("a log file"))
+        .stderr(output)
+        .spawn()
+        .expect("the gateway is built")
+}
+
+async fn is_ready(address: SocketAddr) -> bool {
+    let ask = async {
+        let mut stream = TcpStream::connect(address).await?;
+        let request =
+            format!("GET {READINESS_PATH} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n\r\n");
+        stream.write_all(request.as_bytes()).await?;
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).await?;
+        std::io::Result::Ok(answer)
+    };
+    ask.await.is_ok_and(|answer| answer.starts_with(b"HTTP/1.1 200"))
+}
--- /dev/null
+++ b/crates/gateway/tests/planned_stop/main.rs
@@ -0,0 +1,18 @@
+//! Planned stops of gateway processes, as callers see them on their sockets.
+#![allow(clippy::expect_used)]
+
+mod bodies;
+mod call;
+mod caller;
+mod deployment;
+mod exit;
+mod gateway;
+mod idle;
+mod late;
+mod network;
+mod pipelined;
+mod signals;
+mod store;
+mod target;
+mod targets_leaving;
+mod verdict;
