--- a/crates/gateway/tests/planned_stop/call.rs
+++ b/crates/gateway/tests/planned_stop/call.rs
@@ -98,6 +98,19 @@
         answers
     }
 
+    /// Removes the first answer from `bytes` if it is complete.
+    pub(crate) fn take(bytes: &mut Vec<u8>) -> Option<Self> {
+        let (answer, rest) = Self::parse(bytes).filter(|(answer, _)| answer.is_complete)?;
+        let taken = bytes.len() - rest.len();
+        bytes.drain(..taken);
+        Some(answer)
+    }
+
+    /// Returns whether the connection ends after this answer.
+    pub(crate) fn is_last(&self) -> bool {
+        self.header("connection") == Some("close")
+    }
+
     fn parse(bytes: &[u8]) -> Option<(Self, &[u8])> {
         let end = head_end(bytes)?;
         let head = String::from_utf8_lossy(&bytes[..end]).to_ascii_lowercase();
--- a/crates/gateway/tests/planned_stop/deployment.rs
+++ b/crates/gateway/tests/planned_stop/deployment.rs
@@ -13,11 +13,17 @@
 use azuretally_standin::http::listen;
 use std::{fs, sync::Arc, time::Duration};
 use tempfile::TempDir;
-use tokio::task::JoinSet;
+use tokio::{task::JoinSet, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Time from SIGTERM until a gateway would be killed.
 pub(crate) const GRACE: Duration = Duration::from_secs(6);
+/// Time after its last byte within which a call that is not passed on may be closed unanswered.
+pub(crate) const LOSS_SLACK: Duration = Duration::from_millis(200);
+/// Part of the grace time after which a target that is still running a call excuses its loss.
+pub(crate) const EXCUSED_FRACTION: f64 = 5.0 / 6.0;
+/// Time after SIGTERM until which a call must have been sent for that.
+pub(crate) const EXCUSED_SEND_TIME: Duration = Duration::from_secs(3);
 /// Service of all targets.
 const SERVICE: &str = "service";
 /// Host numbers of the first gateway and of the first target in the network of a test.
@@ -69,6 +75,13 @@
         self.runs.lock().get(id).copied()
     }
 
+    /// Returns whether a call that was sent early enough was still being run so late after `signal`
+    /// that its loss is excused.
+    pub(crate) fn is_excused(&self, id: &str, signal: Instant) -> bool {
+        let late = signal + GRACE.mul_f64(EXCUSED_FRACTION);
+        self.run_of(id).is_some_and(|run| run.answered.is_none_or(|answered| answered >= late))
+    }
+
     /// Ends all processes and tasks.
     pub(crate) async fn shut_down(mut self) {
         self.gateways.clear();
--- a/crates/gateway/tests/planned_stop/gateway.rs
+++ b/crates/gateway/tests/planned_stop/gateway.rs
@@ -43,6 +43,11 @@
         Self { calls, readiness, settings, log, process }
     }
 
+    /// Starts a new process after the last one has exited.
+    pub(crate) fn restart(&mut self) {
+        self.process = start_process(&self.settings, &self.log);
+    }
+
     /// Waits until the gateway is ready.
     pub(crate) async fn wait_until_ready(&self) {
         let start = Instant::now();
--- a/crates/gateway/tests/planned_stop/late.rs
+++ b/crates/gateway/tests/planned_stop/late.rs
@@ -3,7 +3,7 @@
 use super::{
     call::Call,
     caller::Caller,
-    deployment::{Deployment, GRACE},
+    deployment::{Deployment, EXCUSED_FRACTION, EXCUSED_SEND_TIME, GRACE, LOSS_SLACK},
     verdict::{Verdict, assert_whole, evidence},
 };
 use std::time::Duration;
@@ -14,8 +14,6 @@
 
 /// Time that a caller waits for further bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(8);
-/// Part of the grace time after which a target that is still running a call excuses its loss.
-const EXCUSED_FRACTION: f64 = 5.0 / 6.0;
 
 /// Calls that wait for a slot when the planned stop begins are answered.
 #[tokio::test]
@@ -76,6 +74,70 @@
     deployment.shut_down().await;
 }
 
+/// A call that still waited for a slot when the process exited ended without an answer.
+#[tokio::test]
+async fn planned_stop_answers_calls_that_wait_until_the_process_exits() {
+    const CALLS: usize = 40;
+    let mut deployment = Deployment::start(1, 1).await;
+    let address = deployment.gateways[0].calls;
+    deployment.gateways[0].terminate();
+    let signal = Instant::now();
+    sleep_until(signal + Duration::from_millis(2_400)).await;
+    let mut calls = JoinSet::new();
+    for number in 0..CALLS {
+        calls.spawn(async move {
+            let call = Call::new(&format!("c{number}"), "roster").service_ms(1_900);
+            let mut caller = Caller::connect(address).await.expect("connected");
+            caller.send(&call).await.expect("sent");
+            let sent = Instant::now();
+            let end = caller.read_to_end(READ_TIMEOUT).await;
+            (caller, call, end, sent.elapsed())
+        });
+    }
+    for (caller, call, end, elapsed) in calls.join_all().await {
+        let answers = caller.answers();
+        let verdict = Verdict::new(&deployment, &call, answers.first(), elapsed);
+        let seen = evidence(&deployment, &caller, &call, &end);
+        let is_kept = match verdict {
+            Verdict::Whole | Verdict::Refused | Verdict::TimedOut => true,
+            Verdict::Unread => elapsed <= LOSS_SLACK,
+            Verdict::Cut => deployment.is_excused(&call.id, signal),
+        };
+        assert!(is_kept, "{verdict:?} after {elapsed:?}; {seen}");
+    }
+    deployment.gateways[0].wait_for_exit(GRACE).await;
+    deployment.shut_down().await;
+}
+
+/// A call that arrived shortly before the process exits on a connection that was still open was
+/// passed on and ended with the process.
+#[tokio::test]
+async fn planned_stop_passes_on_no_call_that_it_cannot_finish() {
+    let mut deployment = Deployment::start(1, 2).await;
+    let address = deployment.gateways[0].calls;
+    let early = Caller::connect(address).await.expect("connected");
+    sleep(Duration::from_millis(50)).await;
+    deployment.gateways[0].terminate();
+    let signal = Instant::now();
+    sleep_until(signal + Duration::from_millis(2_400)).await;
+    let late = Caller::connect(address).await.expect("connected");
+    sleep_until(signal + EXCUSED_SEND_TIME + Duration::from_millis(2_200)).await;
+    for (mut caller, id) in [(early, "early"), (late, "late")] {
+        let call = Call::new(id, "roster").service_ms(640);
+        if caller.send(&call).await.is_err() {
+            continue;
+        }
+        let sent = Instant::now();
+        let end = caller.read_to_end(READ_TIMEOUT).await;
+        let answers = caller.answers();
+        let verdict = Verdict::new(&deployment, &call, answers.first(), sent.elapsed());
+        let seen = evidence(&deployment, &caller, &call, &end);
+        assert_ne!(verdict, Verdict::Cut, "{seen}");
+    }
+    deployment.gateways[0].wait_for_exit(GRACE).await;
+    deployment.shut_down().await;
+}
+
 /// Connections that arrive while the listener closes are either answered or not passed on to a
 /// target.
 #[tokio::test]
--- a/crates/gateway/tests/planned_stop/target.rs
+++ b/crates/gateway/tests/planned_stop/target.rs
@@ -23,12 +23,12 @@
 /// Calls that a target runs concurrently.
 pub(crate) const SLOTS: u32 = 8;
 
-/// What a target has done with a call.
+/// What targets have done with a call, which may have run more than once.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Run {
-    /// When the target got the call.
+    /// When the first target got the call.
     pub(crate) started: Instant,
-    /// When it began to write its answer.
+    /// When the first answer was written.
     pub(crate) answered: Option<Instant>,
 }
 
@@ -111,7 +111,8 @@
         if path == PROBE_PATH {
             return self.write_answer(stream, &id, &[]).await;
         }
-        self.runs.lock().insert(id.clone(), Run { started: Instant::now(), answered: None });
+        let run = Run { started: Instant::now(), answered: None };
+        self.runs.lock().entry(id.clone()).or_insert(run);
         let is_early = route == EARLY_ROUTE;
         if !is_early {
             skip_body(stream, unread).await?;
@@ -121,7 +122,7 @@
         sleep(Duration::from_millis(service_ms)).await;
         self.running.fetch_sub(1, Ordering::SeqCst);
         if let Some(run) = self.runs.lock().get_mut(&id) {
-            run.answered = Some(Instant::now());
+            run.answered.get_or_insert_with(Instant::now);
         }
         self.write_answer(stream, &id, &body).await?;
         if is_early { skip_body(stream, unread).await } else { Some(()) }
--- a/crates/gateway/tests/planned_stop/verdict.rs
+++ b/crates/gateway/tests/planned_stop/verdict.rs
@@ -76,8 +76,7 @@
     assert_whole(deployment, caller, call, end);
     let seen = evidence(deployment, caller, call, end);
     let answers = caller.answers();
-    let last = answers.last().and_then(|answer| answer.header("connection"));
-    assert_eq!(last, Some("close"), "{seen}");
+    assert!(answers.last().is_some_and(Answer::is_last), "no end announced; {seen}");
     assert!(end.is_orderly(), "the connection ended with an error; {seen}");
 }
 
