feat(policy): give up calls that cannot end before the gateway stops

Cause: the decisions knew the deadline of a call only. With a time limit of 4 s, a call may wait for a slot long after the exit of a gateway that has 5.5 s left, and may still be started, hedged or repeated.

Change: `Balancer::drain` announces when the gateway stops. From then on - no attempt starts (first, repeat or hedge) that is not expected to end by then, with a margin of half of its expected time; - a call that cannot end by then is given up at once, on arrival or when the drain begins, by the work that waits before it. The reason is `stopping`. Without a drain the decisions are those of before. The gateway does not announce its stop yet; that comes next.

Tests: `drain::`. The property test plays histories of 60 events with a stop of 0 to 1.2 s at any step.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -3,7 +3,8 @@
 //! Calls queue at the gateway, not at a target: a call is assigned to a target only when one has a
 //! free slot. Waiting calls that can still be answered within their objective go first, ordered by
 //! priority and then by objective; late ones use the remaining slots. A call that cannot be
-//! answered before its deadline is given up at once, so that its caller can retry.
+//! answered before its deadline is given up at once, so that its caller can retry. While the gateway
+//! drains, the same holds for the time at which it stops.
 
 mod learning;
 mod retries;
@@ -16,7 +17,7 @@
     },
     catalog::{Catalog, ListedTarget},
     refusals::RefusalTracker,
-    service::{Candidate, Choice, ChoiceRequest, Service},
+    service::{Candidate, Choice, ChoiceRequest, DRAIN_MARGIN, Service},
     target::RunningAttempt,
 };
 use crate::Timestamp;
@@ -84,6 +85,8 @@
     calls: IndexMap<u64, CallState>,
     queues: IndexMap<Arc<str>, Vec<u64>>,
     probes: Vec<Probe>,
+    /// When the gateway stops, [`Timestamp::MAX`] if it does not.
+    drain_end: Timestamp,
     random: Pcg64Mcg,
 }
 
@@ -101,6 +104,7 @@
             calls: IndexMap::new(),
             queues: IndexMap::new(),
             probes: Vec::new(),
+            drain_end: Timestamp::MAX,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
     }
@@ -113,6 +117,16 @@
         }
     }
 
+    /// Announces that the gateway stops at `until`.
+    ///
+    /// From now on no attempt starts that is not expected to end by then. Waiting calls that cannot
+    /// be answered by then are given up by [`Self::dispatch_waiting`], and calls that are still
+    /// running then have to be ended with [`Self::expire`]. A later call of this method can bring
+    /// the end forward, but not put it off.
+    pub fn drain(&mut self, until: Timestamp) {
+        self.drain_end = self.drain_end.min(until);
+    }
+
     /// Updates the targets from `catalog`.
     pub fn set_targets(&mut self, now: Timestamp, catalog: &Catalog) {
         let mut listed: IndexMap<Arc<str>, Vec<&ListedTarget>> = IndexMap::new();
@@ -192,13 +206,17 @@
         std::mem::take(&mut self.probes)
     }
 
-    /// Gives up a call whose deadline has passed.
+    /// Gives up a call whose deadline has passed, or all of them at the end of a drain.
     pub fn expire(&mut self, now: Timestamp, id: u64) -> Decision {
+        let mut reason = GiveUpReason::Deadline;
         if let Some(state) = self.calls.get_mut(&id) {
             state.may_have_run |= state.running > 0;
+            if now < state.call.deadline && now >= self.drain_end {
+                reason = GiveUpReason::Stopping;
+            }
         }
         self.penalize_silent(now, id);
-        self.give_up(now, id, GiveUpReason::Deadline)
+        self.give_up(now, id, reason)
     }
 
     /// Removes a call that has ended or whose caller has disconnected; its attempts have been
@@ -249,15 +267,18 @@
         let service = Arc::clone(service);
         let mut ids = queue.clone();
         ids.sort_by_key(|id| self.queue_rank(now, *id));
+        let capacity = self.capacity(&service);
+        let mut wait = 0.0;
         let mut full = false;
         let mut deferred = 0;
         for id in ids {
-            if self.misses_deadline(now, id) {
+            if let Some(reason) = self.miss_reason(now, id, wait) {
                 self.dequeue(&service, id);
-                let decision = self.abandon(now, id, GiveUpReason::Deadline);
+                let decision = self.abandon(now, id, reason);
                 decisions.push((id, decision));
                 continue;
             }
+            wait += self.base_seconds(id) / capacity;
             if full || deferred >= MAX_DEFERRED {
                 continue;
             }
@@ -285,12 +306,33 @@
         (late, route.priority, state.call.objective)
     }
 
-    /// Returns whether the call can no longer be answered before its deadline.
-    fn misses_deadline(&self, now: Timestamp, id: u64) -> bool {
-        let Some(state) = self.calls.get(&id) else { return true };
+    /// Returns why the call can no longer be answered in time: not before its deadline, or, if it
+    /// starts after `wait` seconds, not before the end of the drain.
+    fn miss_reason(&self, now: Timestamp, id: u64, wait: f64) -> Option<GiveUpReason> {
+        let Some(state) = self.calls.get(&id) else { return Some(GiveUpReason::Deadline) };
+        if now + Duration::from_secs_f64(self.base_seconds(id)) > state.call.deadline {
+            return Some(GiveUpReason::Deadline);
+        }
+        self.misses_drain(now, id, wait).then_some(GiveUpReason::Stopping)
+    }
+
+    /// Returns whether the call cannot be answered before the end of the drain if it starts after
+    /// `wait` seconds.
+    fn misses_drain(&self, now: Timestamp, id: u64, wait: f64) -> bool {
+        let needed = wait + self.base_seconds(id) * DRAIN_MARGIN;
+        needed > self.drain_end.since(now).as_secs_f64()
+    }
+
+    /// Returns the expected seconds of the call at an idle, warm target of the usual speed.
+    fn base_seconds(&self, id: u64) -> f64 {
+        let Some(state) = self.calls.get(&id) else { return 0.0 };
         let service = self.services.get(&state.call.service);
-        let base = service.map_or(0.0, |s| s.base_seconds(&state.call.route));
-        now + Duration::from_secs_f64(base) > state.call.deadline
+        service.map_or(0.0, |s| s.base_seconds(&state.call.route))
+    }
+
+    /// Returns the seconds of work that the targets of the service do per second.
+    fn capacity(&self, service: &str) -> f64 {
+        self.services.get(service).map_or(MIN_CAPACITY, |s| s.capacity().max(MIN_CAPACITY))
     }
 
     /// Starts the call, queues it or gives it up.
@@ -311,10 +353,14 @@
         if waiting >= QUEUE_LIMIT {
             return self.give_up(now, id, GiveUpReason::QueueFull);
         }
+        let wait = self.queue_seconds(now, id);
         let left = self.calls.get(&id).map_or(Duration::ZERO, |s| s.call.deadline.since(now));
-        if self.expected_wait(now, id) > left.as_secs_f64() * MAX_WAIT_FRACTION {
+        if wait + self.typical_seconds(id) > left.as_secs_f64() * MAX_WAIT_FRACTION {
             return self.give_up(now, id, GiveUpReason::Deadline);
         }
+        if self.misses_drain(now, id, wait) {
+            return self.give_up(now, id, GiveUpReason::Stopping);
+        }
         self.queues.entry(name).or_default().push(id);
         if let Some(state) = self.calls.get_mut(&id) {
             state.waiting = true;
@@ -322,17 +368,21 @@
         Decision::Wait
     }
 
-    /// Estimates the seconds until the call is answered, given the work queued before it.
-    fn expected_wait(&self, now: Timestamp, id: u64) -> f64 {
+    /// Estimates the seconds until the call starts, given the work queued before it.
+    fn queue_seconds(&self, now: Timestamp, id: u64) -> f64 {
         let Some(state) = self.calls.get(&id) else { return 0.0 };
-        let Some(service) = self.services.get(&state.call.service) else { return 0.0 };
         let own = self.queue_rank(now, id);
         let queue = self.queues.get(&state.call.service).map_or(&[][..], Vec::as_slice);
         let before = queue.iter().filter(|other| self.queue_rank(now, **other) < own);
-        let work =
-            |id: &u64| self.calls.get(id).map_or(0.0, |s| service.base_seconds(&s.call.route));
-        let ahead: f64 = before.map(work).sum();
-        ahead / service.capacity().max(MIN_CAPACITY) + service.typical_seconds(&state.call.route)
+        let ahead: f64 = before.map(|other| self.base_seconds(*other)).sum();
+        ahead / self.capacity(&state.call.service)
+    }
+
+    /// Returns the expected seconds of the call at a typical target.
+    fn typical_seconds(&self, id: u64) -> f64 {
+        let Some(state) = self.calls.get(&id) else { return 0.0 };
+        let service = self.services.get(&state.call.service);
+        service.map_or(0.0, |s| s.typical_seconds(&state.call.route))
     }
 
     /// Chooses a slot, and requests the probes that are needed for the choice.
@@ -344,7 +394,8 @@
             now,
             route: &state.call.route,
             objective: state.call.objective,
-            deadline: state.call.deadline,
+            deadline: state.call.deadline.min(self.drain_end),
+            drain_end: self.drain_end,
             tried: &state.tried,
             crossing_cost: self.settings.crossing_cost,
             good_only,
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -57,6 +57,9 @@
         if state.sent >= route.attempts || now + margin > state.call.deadline {
             return HedgeDecision::Never;
         }
+        if self.misses_drain(now, id, 0.0) {
+            return HedgeDecision::Never;
+        }
         let forced = now >= state.forced_hedge;
         let in_time = now + margin <= state.call.objective;
         if !forced && (!in_time || !queue_empty || service.local_usage() > HEDGE_MAX_USAGE) {
@@ -87,7 +90,7 @@
         if !allowed || !state.call.replayable || state.sent >= route.attempts {
             return None;
         }
-        if state.unsent >= MAX_UNSENT || self.misses_deadline(now, id) {
+        if state.unsent >= MAX_UNSENT || self.miss_reason(now, id, 0.0).is_some() {
             return None;
         }
         // Attempts that never reached a target need no budget.
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -123,6 +123,8 @@
     Refused,
     /// A target may have run it, and it must not or cannot be sent again.
     Lost,
+    /// It cannot be answered before the gateway stops.
+    Stopping,
 }
 
 impl GiveUpReason {
@@ -134,6 +136,7 @@
             Self::NoTarget => "no-target",
             Self::Refused => "refused",
             Self::Lost => "lost",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -75,6 +75,9 @@
 const MIN_SCALE: f64 = 0.1;
 /// Upper bound of the service time learned from one answer, in multiples of the mean so far.
 const MAX_BASE_SAMPLE: f64 = 4.0;
+/// Time that must be left until the end of a drain for a call to start, in multiples of its expected
+/// duration.
+pub(super) const DRAIN_MARGIN: f64 = 1.5;
 /// Lower bound of the mean service time of a route, in seconds.
 const MIN_BASE_SECONDS: f64 = 0.000_1;
 /// Upper bound of the ratio of observed to expected time of one answer in the means from which the
@@ -99,6 +102,8 @@
     /// Until when an answer has its full value.
     pub(super) objective: Timestamp,
     pub(super) deadline: Timestamp,
+    /// When the gateway stops, [`Timestamp::MAX`] if it does not.
+    pub(super) drain_end: Timestamp,
     /// Targets that the call has already been sent to.
     pub(super) tried: &'a [Arc<str>],
     /// Cost of 1 kB to another failure domain, as a fraction of the value of a call.
@@ -428,6 +433,9 @@
         let scale = slowdown * crowding.clamp(CROWDED_RANGE.0, CROWDED_RANGE.1) * warm_up;
         let latency_ratio = target.load.latency_ratio(now).max(target.overdue_ratio(now));
         let expected = self.base_seconds(request.route) * scale * latency_ratio;
+        if expected * DRAIN_MARGIN > request.drain_end.since(now).as_secs_f64() {
+            return None;
+        }
         let left = request.objective.since(now);
         let known = reported.is_some() || !self.slowdowns.may_be_reported();
         let slow_share = if known { 0.0 } else { self.slowdowns.slow_share };
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -2,6 +2,7 @@
 
 mod at_most_once;
 mod catalog;
+mod drain;
 mod fixture;
 mod hedging;
 mod membership;
