fix(gateway): answer every call before the exit of a planned stop

What callers saw: calls that waited in a stopping gateway, or were under way at a target, when the process exited ended with a closed connection (docs/incidents/planned-stop.md, hypothesis B). With a grace time of 6 s and a time limit of 4 s, that is any call that is sent up to 2.7 s after SIGTERM and does not end within the following 2.8 s.

Cause: only the deadline ended a call's task. At the exit the tasks were dropped with their connections. The margin before the kill was 0.5 s whatever the grace time: with 0.5 s of it, calls were cut 225 ms after SIGTERM. The 0.5 s also meant that calls could not be answered between the decision to exit and the exit.

Change: - Calls are served for 7/8 of the grace time. The balancer is told when the stop begins, and gives up what cannot end by then at once as not run (`reason=stopping`). A call that is still running at that time ends with an unknown outcome: it is neither repeated nor called not run. - The answers have another 0.041 of the grace time, counted from when the process comes to it, so that one that was frozen until after its exit time still answers. The process ends after 11/12 of the grace time at the latest, as before with 6 s. - A call whose body is still being read at that time is refused. - After a pause of the process, no attempt is sent if the time has passed. The deadline that targets are told stays as it was.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -145,7 +145,8 @@
         };
         // After a pause of the process, the decision may be out of date.
         let now = gateway.clock.now();
-        if now >= inbound.deadline || now.since(decided_at) > MAX_DECISION_AGE {
+        let is_old = now.since(decided_at) > MAX_DECISION_AGE;
+        if now >= inbound.deadline || is_old || !gateway.is_serving() {
             return Err(Failure::Connect);
         }
         *sent = true;
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -24,6 +24,8 @@
 const MAX_REPLAY_BYTES: usize = 256 * 1_024;
 /// Time after which a caller may retry while the gateway does not know any routes yet.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller may retry elsewhere if the gateway stops before it has read the call.
+const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -100,7 +102,12 @@
         if body.size_hint().lower() > limit {
             return Err(reject(CallFailure::TooLarge));
         }
-        let buffered = timeout(time_limit, buffer_body(body, MAX_REPLAY_BYTES)).await;
+        let buffered = tokio::select! {
+            buffered = timeout(time_limit, buffer_body(body, MAX_REPLAY_BYTES)) => buffered,
+            () = gateway.serving_ended() => {
+                return Err(reject(CallFailure::NotRun(STOPPED_RETRY_AFTER)));
+            }
+        };
         let buffered = buffered.map_err(|_| reject(CallFailure::SlowBody))?;
         let body = match buffered.map_err(|e| reject(body_failure(e)))? {
             BufferedBody::Complete(bytes) => CallBody::Buffered(bytes),
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -6,6 +6,7 @@
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
     socket::configure,
+    stop::StopTimes,
 };
 use azuretally_policy::balance::Probe;
 use error_stack::{Report, ResultExt};
@@ -18,7 +19,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
-    time::{Instant, sleep, sleep_until, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 
 /// Delay after a failed accept, which usually means that file descriptors are exhausted.
@@ -42,9 +43,6 @@
 /// Fraction of the grace time during which new connections are still accepted, since callers cache
 /// directions for a while.
 const DRAIN_ACCEPT_FRACTION: f64 = 0.45;
-/// The process exits this long before the end of the grace time, when it would be killed, even with
-/// calls in flight.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which waiting calls are dispatched or given up.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which expired idle connections are removed while no calls wait.
@@ -109,6 +107,8 @@
         }
         let grace = Duration::from_millis(gateway.settings().stop.grace_ms);
         let drain_start = Instant::now();
+        let stop_times = StopTimes::new(grace);
+        gateway.serve_until_stop(stop_times.serving);
         log::info!("calls: planned stop, connections={}", graceful.count());
         gateway.refresh_membership();
         // Open connections close after the call in flight. New ones serve a single call each.
@@ -130,8 +130,10 @@
         let Self { gateway, listener, .. } = self;
         drop(listener);
         gateway.tasks.close();
-        let exit_at = drain_start + grace.saturating_sub(EXIT_MARGIN);
-        if timeout_at(exit_at, gateway.tasks.wait()).await.is_err() {
+        let serving_end = drain_start + stop_times.serving;
+        let is_served = timeout_at(serving_end, gateway.tasks.wait()).await.is_ok();
+        // Counted from now: after a pause of the process, answers are still to be written.
+        if !is_served && timeout(stop_times.flush, gateway.tasks.wait()).await.is_err() {
             log::warn!(
                 "calls: connections={} still open at the end of the grace time",
                 gateway.tasks.len()
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -157,14 +157,18 @@
                         HedgeDecision::Never => {}
                     }
                 }
-                () = deadline => {
-                    let now = self.gateway.clock.now();
-                    return self.gateway.balancer.borrow_mut().expire(now, self.inbound.id);
-                }
+                () = deadline => return self.expire(),
+                () = self.gateway.serving_ended() => return self.expire(),
             }
         }
     }
 
+    /// Ends the call at its deadline or at the end of a planned stop.
+    fn expire(&self) -> Decision {
+        let now = self.gateway.clock.now();
+        self.gateway.balancer.borrow_mut().expire(now, self.inbound.id)
+    }
+
     /// Logs that the call waits for a free slot or for load reports of targets.
     fn log_wait(&self) {
         let now = self.gateway.clock.now();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -6,18 +6,25 @@
     metrics::Metrics,
     settings::Settings,
 };
-use azuretally_policy::balance::{
-    Balancer, BalancerSettings, Catalog, Decision, Heartbeat, Membership, MembershipBuilder, Phase,
-    Probe, RouteTable, Source, TrafficSplit,
+use azuretally_policy::{
+    Timestamp,
+    balance::{
+        Balancer, BalancerSettings, Catalog, Decision, Heartbeat, Membership, MembershipBuilder,
+        Phase, Probe, RouteTable, Source, TrafficSplit,
+    },
 };
 use indexmap::IndexMap;
 use std::{
     cell::{Cell, RefCell},
+    future::pending,
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
 };
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::{
+    sync::{Notify, mpsc, oneshot, watch},
+    time::sleep,
+};
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 /// Fraction of the configured retry ratio that a gateway applies to the calls it accepts.
@@ -64,6 +71,8 @@
     /// Notified when a call begins to wait, to start the timer that dispatches waiting calls.
     pub call_queued: Notify,
     routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Until when calls are served, once the planned stop has begun.
+    serving_end: watch::Sender<Option<Timestamp>>,
     /// Channels to the tasks of waiting calls, by call id.
     waiters: RefCell<IndexMap<u64, oneshot::Sender<Decision>>>,
     /// Decisions made before the task of the call began to wait for them.
@@ -103,6 +112,7 @@
             changed: Notify::new(),
             call_queued: Notify::new(),
             routes: RefCell::default(),
+            serving_end: watch::Sender::default(),
             waiters: RefCell::default(),
             early_decisions: RefCell::default(),
             probes,
@@ -121,6 +131,30 @@
         self.routes.borrow().clone()
     }
 
+    /// Serves calls for another `time` only. Waiting calls that cannot be answered by then are given
+    /// up at once.
+    pub fn serve_until_stop(&self, time: Duration) {
+        let end = self.clock.now() + time;
+        self.balancer.borrow_mut().drain(end);
+        self.serving_end.send_replace(Some(end));
+        self.dispatch_waiting();
+    }
+
+    /// Returns whether calls may still be sent to targets.
+    pub fn is_serving(&self) -> bool {
+        self.serving_end.borrow().is_none_or(|end| self.clock.now() < end)
+    }
+
+    /// Waits until calls are no longer served.
+    pub async fn serving_ended(&self) {
+        let mut receiver = self.serving_end.subscribe();
+        let end = receiver.wait_for(Option::is_some).await.ok().and_then(|end| *end);
+        match end {
+            Some(end) => sleep(end.since(self.clock.now())).await,
+            None => pending().await,
+        }
+    }
+
     /// Allocates an id for a new call, unique within this process.
     pub fn next_call_id(&self) -> u64 {
         self.next_id.replace(self.next_id.get() + 1)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod program;
 pub mod settings;
 pub mod socket;
+pub mod stop;
 
 pub use error::StartError;
--- /dev/null
+++ b/crates/gateway/src/stop.rs
@@ -0,0 +1,25 @@
+//! Times of a planned stop, as parts of the grace time.
+
+use std::time::Duration;
+
+/// Fraction of the grace time during which calls are served. A call that is still running then ends
+/// with an unknown outcome, which must not happen before five sixths of the grace time.
+const SERVING_FRACTION: f64 = 0.875;
+/// Fraction of the grace time in which the last answers reach their callers before the exit.
+const FLUSH_FRACTION: f64 = 0.041;
+
+/// Times of a planned stop. The remainder of the grace time is left for the exit of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct StopTimes {
+    /// Time from the beginning of the stop during which calls are served.
+    pub serving: Duration,
+    /// Time after that in which the answers to the last calls are sent.
+    pub flush: Duration,
+}
+
+impl StopTimes {
+    /// Divides `grace`, the time from SIGTERM to SIGKILL.
+    pub fn new(grace: Duration) -> Self {
+        Self { serving: grace.mul_f64(SERVING_FRACTION), flush: grace.mul_f64(FLUSH_FRACTION) }
+    }
+}
