fix(gateway): read arrived answers before a call ends after a pause

What callers saw: a process that was frozen during its planned stop, and resumed after calls are no longer served, answered 502 for a call whose target had answered meanwhile.

Cause: after the pause, the timer of the call and the answer are ready in the same turn of the runtime, and the call's task took one of them at random, or the timer before the connection's task had read the answer.

Change: after a timer has run out the task lets the runtime poll its sockets once, and an attempt that has ended goes before a timer. The same holds for the deadline of a call.

--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -20,7 +20,7 @@
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc};
-use tokio::{sync::oneshot, time::sleep};
+use tokio::{sync::oneshot, task::yield_now, time::sleep};
 
 /// Serves one call.
 pub(super) async fn handle_call<Adapter>(
@@ -131,9 +131,10 @@
     async fn next_decision(&mut self) -> Decision {
         loop {
             let now = self.gateway.clock.now();
-            let deadline = sleep(self.inbound.deadline.since(now));
+            let expired = wait_for_end(Rc::clone(&self.gateway), self.inbound.deadline);
             let hedge_in = self.hedge_at.map(|at| at.since(now));
             tokio::select! {
+                biased;
                 decision = recv_decision(&mut self.pending_decision) => {
                     self.pending_decision = None;
                     return decision;
@@ -157,18 +158,14 @@
                         HedgeDecision::Never => {}
                     }
                 }
-                () = deadline => return self.expire(),
-                () = self.gateway.serving_ended() => return self.expire(),
+                () = expired => {
+                    let now = self.gateway.clock.now();
+                    return self.gateway.balancer.borrow_mut().expire(now, self.inbound.id);
+                }
             }
         }
     }
 
-    /// Ends the call at its deadline or at the end of a planned stop.
-    fn expire(&self) -> Decision {
-        let now = self.gateway.clock.now();
-        self.gateway.balancer.borrow_mut().expire(now, self.inbound.id)
-    }
-
     /// Logs that the call waits for a free slot or for load reports of targets.
     fn log_wait(&self) {
         let now = self.gateway.clock.now();
@@ -275,6 +272,19 @@
     }
 }
 
+/// Waits until the deadline of a call, or until a stopping gateway no longer serves it.
+async fn wait_for_end<Adapter>(gateway: Rc<Gateway<Adapter>>, deadline: Timestamp)
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    tokio::select! {
+        () = sleep(deadline.since(gateway.clock.now())) => {}
+        () = gateway.serving_ended() => {}
+    }
+    // After a pause of the process, an answer may have arrived that is still to be read.
+    yield_now().await;
+}
+
 async fn recv_decision(pending_decision: &mut Option<oneshot::Receiver<Decision>>) -> Decision {
     match pending_decision {
         // The sender is only dropped when the call is removed, that is, when this task ends.
--- a/crates/gateway/tests/grace.rs
+++ b/crates/gateway/tests/grace.rs
@@ -429,6 +429,20 @@
     assert!(elapsed < Duration::from_millis(2_000) + PROMPTLY, "exited after {elapsed:?}");
 }
 
+/// Guards against an answer being dropped that arrived while the process was frozen.
+#[tokio::test]
+async fn answer_is_delivered_by_a_process_that_resumes_after_the_exit_time() {
+    let fixture = Fixture::start(1_000, 1).await;
+    let mut caller = fixture.call("/sale/1", "a").await;
+    let (mut target, _) = fixture.next_at_target().await;
+    fixture.stop();
+    fixture.command(Command::Freeze(Duration::from_millis(1_000)));
+    sleep(Duration::from_millis(300)).await;
+    respond(&mut target, "a", "whole").await;
+    let text = read_until(&mut caller, "whole").await;
+    assert!(text.starts_with("HTTP/1.1 200") && text.ends_with("whole"), "{text:?}");
+}
+
 /// Guards against a hedge that cannot end before the exit.
 #[tokio::test]
 async fn hedge_that_cannot_end_before_the_exit_is_not_sent() {
