--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -6,6 +6,7 @@
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
     socket::{CallerStream, configure},
+    stop::StopTimes,
 };
 use azuretally_policy::balance::Probe;
 use error_stack::{Report, ResultExt};
@@ -18,7 +19,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
-    time::{Instant, sleep, sleep_until, timeout_at},
+    time::{Instant, sleep, sleep_until, timeout, timeout_at},
 };
 
 /// Delay after a failed accept, which usually means that file descriptors are exhausted.
@@ -44,9 +45,6 @@
 const DRAIN_ACCEPT_FRACTION: f64 = 0.45;
 /// Time after the last accept within which a call may still arrive on an open connection.
 const LAST_CALL_TIME: Duration = Duration::from_millis(100);
-/// The process exits this long before the end of the grace time, when it would be killed, even with
-/// calls in flight.
-const EXIT_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which waiting calls are dispatched or given up.
 const DISPATCH_INTERVAL: Duration = Duration::from_millis(20);
 /// Interval at which expired idle connections are removed while no calls wait.
@@ -115,6 +113,8 @@
         }
         let grace = Duration::from_millis(gateway.settings().stop.grace_ms);
         let drain_start = Instant::now();
+        let stop_times = StopTimes::new(grace);
+        gateway.serve_until_stop(stop_times.serving);
         log::info!("calls: planned stop, connections={}", graceful.count());
         gateway.refresh_membership();
         let accept_end = sleep_until(drain_start + grace.mul_f64(DRAIN_ACCEPT_FRACTION));
@@ -134,14 +134,17 @@
         let Self { gateway, listener, .. } = self;
         drop(listener);
         gateway.tasks.close();
-        let exit_at = drain_start + grace.saturating_sub(EXIT_MARGIN);
-        let drained = async {
-            sleep(LAST_CALL_TIME).await;
-            log::info!("calls: idle connections close, connections={}", graceful.count());
+        let serving_end = drain_start + stop_times.serving;
+        sleep_until(serving_end.min(Instant::now() + LAST_CALL_TIME)).await;
+        log::info!("calls: idle connections close, connections={}", graceful.count());
+        let closed = async {
             graceful.shutdown().await;
             gateway.tasks.wait().await;
         };
-        if timeout_at(exit_at, drained).await.is_err() {
+        tokio::pin!(closed);
+        let is_closed = timeout_at(serving_end, &mut closed).await.is_ok();
+        // Counted from now: after a pause of the process, answers are still to be written.
+        if !is_closed && timeout(stop_times.flush, closed).await.is_err() {
             log::warn!(
                 "calls: connections={} still open at the end of the grace time",
                 gateway.tasks.len()
