--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -21,7 +21,7 @@
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc};
-use tokio::{sync::oneshot, time::sleep};
+use tokio::{sync::oneshot, task::yield_now, time::sleep};
 
 /// Serves one call.
 pub(super) async fn handle_call<Adapter>(
@@ -141,9 +141,10 @@
     async fn next_decision(&mut self) -> Decision {
         loop {
             let now = self.gateway.clock.now();
-            let deadline = sleep(self.inbound.deadline.since(now));
+            let expired = wait_for_end(Rc::clone(&self.gateway), self.inbound.deadline);
             let hedge_in = self.hedge_at.map(|at| at.since(now));
             tokio::select! {
+                biased;
                 decision = recv_decision(&mut self.pending_decision) => {
                     self.pending_decision = None;
                     return decision;
@@ -167,7 +168,7 @@
                         HedgeDecision::Never => {}
                     }
                 }
-                () = deadline => {
+                () = expired => {
                     let now = self.gateway.clock.now();
                     return self.gateway.balancer.borrow_mut().expire(now, self.inbound.id);
                 }
@@ -281,6 +282,19 @@
     }
 }
 
+/// Waits until the deadline of a call, or until a stopping gateway no longer serves it.
+async fn wait_for_end<Adapter>(gateway: Rc<Gateway<Adapter>>, deadline: Timestamp)
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    tokio::select! {
+        () = sleep(deadline.since(gateway.clock.now())) => {}
+        () = gateway.serving_ended() => {}
+    }
+    // After a pause of the process, an answer may have arrived that is still to be read.
+    yield_now().await;
+}
+
 async fn recv_decision(pending_decision: &mut Option<oneshot::Receiver<Decision>>) -> Decision {
     match pending_decision {
         // The sender is only dropped when the call is removed, that is, when this task ends.
