fix(gateway): handle signals before the first port is open

What callers saw: a request for directions sent to a gateway that was just starting ended with a closed connection if SIGTERM or SIGHUP came at that moment, and so did what waited in the backlog of the other ports.

Cause: the handlers were installed after all listeners were bound. In between, the default action of the signal ends the process.

Change: the handlers are the first thing that a gateway installs, before it reads its settings.

--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -17,8 +17,8 @@
     time::Duration,
 };
 use tokio::{
-    runtime,
-    signal::unix::{SignalKind, signal},
+    runtime::{self, Runtime},
+    signal::unix::{Signal, SignalKind, signal},
     sync::mpsc,
     task::LocalSet,
     time::sleep,
@@ -39,17 +39,18 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
+    let runtime = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .change_context(StartError::Runtime)?;
+    let signals = Signals::install(&runtime)?;
     let settings = load(&path, &adapter)?;
     let sink = LineSink::default();
     logging::init(&sink, &settings)?;
     let writer = LogWriter::start(&sink, io::stdout()).change_context(StartError::Log)?;
     log::info!("gateway: start settings={settings:?}");
-    let runtime = runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .change_context(StartError::Runtime)?;
     let local = LocalSet::new();
-    let result = local.block_on(&runtime, serve(path, adapter, settings));
+    let result = local.block_on(&runtime, serve(path, adapter, settings, signals));
     match &result {
         Ok(()) => log::info!("gateway: end"),
         Err(e) => log::error!("gateway: end, {e:?}"),
@@ -60,10 +61,33 @@
     result
 }
 
+/// Streams of the handled signals.
+#[derive(Debug)]
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Installs the handlers. Until then a signal ends the process without a planned stop, so this
+    /// comes before anything listens.
+    fn install(runtime: &Runtime) -> Result<Self, Report<StartError>> {
+        let _context = runtime.enter();
+        let install = |kind| signal(kind).change_context(StartError::Runtime);
+        Ok(Self {
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+            hangup: install(SignalKind::hangup())?,
+        })
+    }
+}
+
 async fn serve<Adapter>(
     path: PathBuf,
     adapter: Adapter,
     settings: Settings,
+    mut signals: Signals,
 ) -> Result<(), Report<StartError>>
 where
     Adapter: CallAdapter + PlatformAdapter,
@@ -74,16 +98,13 @@
     let heartbeats = HeartbeatSocket::bind(listen.heartbeats).await?;
     let control_servers = ControlServers::bind(&listen).await?;
     let call_server = calls::Server::bind(Rc::clone(&gateway), probe_receiver).await?;
-    let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Runtime)?;
-    let mut interrupt = signal(SignalKind::interrupt()).change_context(StartError::Runtime)?;
-    let mut hangup = signal(SignalKind::hangup()).change_context(StartError::Runtime)?;
-    let signals = async {
+    let handle_signals = async {
         let mut text = fs::read_to_string(&path).unwrap_or_default();
         loop {
             tokio::select! {
-                _ = terminate.recv() => break,
-                _ = interrupt.recv() => break,
-                _ = hangup.recv() => log::info!("gateway: settings reload requested by SIGHUP"),
+                _ = signals.terminate.recv() => break,
+                _ = signals.interrupt.recv() => break,
+                _ = signals.hangup.recv() => log::info!("gateway: settings reload requested by SIGHUP"),
                 () = sleep(SETTINGS_CHECK_INTERVAL) => {}
             }
             reload(&gateway, &path, &mut text);
@@ -97,7 +118,7 @@
     tokio::join!(
         call_server.run(),
         control::run(Rc::clone(&gateway), heartbeats, control_servers),
-        signals
+        handle_signals
     );
     Ok(())
 }
