test(gateway): give each gateway of the stop tests an address of its own

sighup_at_the_first_connection_does_not_end_the_process and call_in_progress_at_the_exit_of_the_process_ends_as_unknown each failed once with "nothing listens on 127.0.0.1:PORT". The tests connect in a loop until a gateway listens. On 127.0.0.1 such a connection can be given the port itself as its own, or another one takes it, before the gateway binds it. Each gateway now listens on its own loopback address; connections to it come from 127.0.0.1.

--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -13,13 +13,15 @@
 };
 use std::{
     io::Write,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
+    process,
     rc::Rc,
+    sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::TcpStream,
     sync::mpsc,
     task::{JoinHandle, LocalSet, spawn_local},
     time::{sleep, timeout},
@@ -31,6 +33,8 @@
 const END_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time within which a liveness request ends, less than connections of others may take.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Number of the next gateway.
+static NEXT_IP: AtomicU32 = AtomicU32::new(1);
 /// Path that a peer requests to learn when the process has ended.
 const LIVENESS_PATH: &str = "/life";
 
@@ -45,15 +49,10 @@
     async fn start(grace_ms: u64) -> Self {
         let mut settings = stub::settings();
         settings.stop.grace_ms = grace_ms;
-        // Other processes could take the ports before the gateway binds them, but this is unlikely.
-        for address in [
-            &mut settings.listen.directions,
-            &mut settings.listen.readiness,
-            &mut settings.listen.news,
-        ] {
-            let reserved = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
-            *address = reserved.local_addr().expect("bound");
-        }
+        let ip = unique_ip();
+        settings.listen.directions = SocketAddr::new(ip, 9_001);
+        settings.listen.readiness = SocketAddr::new(ip, 9_002);
+        settings.listen.news = SocketAddr::new(ip, 9_003);
         let (probes, _) = mpsc::unbounded_channel();
         let gateway = Rc::new(Gateway::new(NativeAdapter, settings.clone(), probes));
         let heartbeats =
@@ -78,6 +77,15 @@
     }
 }
 
+/// Returns a loopback address that no other test uses. Connections to it come from another address,
+/// so that their ports do not collide with those that are listened on.
+fn unique_ip() -> IpAddr {
+    let number = NEXT_IP.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let [.., last] = number.to_be_bytes();
+    IpAddr::from([127, 64 | (high & 63), low, last])
+}
+
 async fn connect(address: SocketAddr) -> TcpStream {
     TcpStream::connect(address).await.expect("the server listens")
 }
--- a/crates/gateway/tests/grace.rs
+++ b/crates/gateway/tests/grace.rs
@@ -8,9 +8,13 @@
     CallerLimits, Change, PublishedSettings, Route, ServiceSettings, Share, Source, TargetRecord,
 };
 use std::{
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
+    process,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicU32, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -28,6 +32,9 @@
 /// Time within which an event that is not delayed on purpose is expected.
 const PROMPTLY: Duration = Duration::from_millis(250);
 
+/// Number of the next gateway.
+static NEXT_IP: AtomicU32 = AtomicU32::new(1);
+
 /// Returns a route that assumes service times of 0.4 of `objective_ms`.
 fn route(name: &str, idempotent: bool, objective_ms: u64) -> Route {
     Route {
@@ -88,9 +95,7 @@
     }
 
     async fn start_with_slots(grace_ms: u64, target_count: u8, slots: u32) -> Self {
-        // Another process could take the port before the gateway binds it, but this is unlikely.
-        let (reserved, calls) = bind().await;
-        drop(reserved);
+        let calls = SocketAddr::new(unique_ip(), 9_001);
         let mut targets = Vec::new();
         let mut records = Vec::new();
         for number in 0..target_count {
@@ -203,6 +208,15 @@
     });
 }
 
+/// Returns a loopback address that no other test uses. Connections to it come from another address,
+/// so that their ports do not collide with those that are listened on.
+fn unique_ip() -> IpAddr {
+    let number = NEXT_IP.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let [.., last] = number.to_be_bytes();
+    IpAddr::from([127, 64 | (high & 63), low, last])
+}
+
 async fn bind() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -9,7 +9,7 @@
 use std::{
     fs,
     io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     os::unix::process::ExitStatusExt,
     path::PathBuf,
     process::{self, Command, ExitStatus, Stdio},
@@ -31,8 +31,8 @@
 /// Number of processes that each test of a start runs.
 const STARTS: u32 = 25;
 
-/// Number of the next settings file.
-static NEXT_FILE: AtomicU32 = AtomicU32::new(1);
+/// Number of the next gateway.
+static NEXT_IP: AtomicU32 = AtomicU32::new(1);
 
 /// Process of a gateway, which is killed and reaped when dropped.
 struct Gateway {
@@ -45,19 +45,17 @@
 impl Gateway {
     /// Starts a gateway that reads `platform`.
     fn start(platform: SocketAddr, grace_ms: u64) -> Self {
-        // Other processes could take the ports before the gateway binds them, but this is unlikely.
-        let reserved: Vec<TcpListener> = (0..4).map(|_| bind()).collect();
-        let [calls, readiness, directions, news] = [0, 1, 2, 3].map(|n| address(&reserved[n]));
-        drop(reserved);
+        let ip = unique_ip();
+        let [calls, readiness, directions, news] =
+            [9_001, 9_002, 9_003, 9_004].map(|port| SocketAddr::new(ip, port));
         let text = format!(
             "host = \"gateway-1\"\nfailure_domain = \"a\"\nplatform = \"{platform}\"\nread_ms = 50\n\
              [listen]\ncalls = \"{calls}\"\nreadiness = \"{readiness}\"\n\
-             directions = \"{directions}\"\nnews = \"{news}\"\nheartbeats = \"127.0.0.1:0\"\n\
+             directions = \"{directions}\"\nnews = \"{news}\"\nheartbeats = \"{ip}:9004\"\n\
              [size]\ncores = 0.2\nmemory_mb = 260\ndescriptors = 4100\n\
              [stop]\ngrace_ms = {grace_ms}\n"
         );
-        let number = NEXT_FILE.fetch_add(1, Ordering::Relaxed);
-        let name = format!("signals-{}-{number}.toml", process::id());
+        let name = format!("signals-{ip}.toml");
         let settings = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
         fs::write(&settings, text).expect("a settings file");
         let process = Command::new(env!("CARGO_BIN_EXE_azuretally-gateway"))
@@ -97,6 +95,15 @@
     }
 }
 
+/// Returns a loopback address that no other test uses. Connections to it come from another address,
+/// so that their ports do not collide with those that are listened on.
+fn unique_ip() -> IpAddr {
+    let number = NEXT_IP.fetch_add(1, Ordering::Relaxed);
+    let [_, _, high, low] = process::id().to_be_bytes();
+    let [.., last] = number.to_be_bytes();
+    IpAddr::from([127, 64 | (high & 63), low, last])
+}
+
 fn bind() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").expect("a free port")
 }
