refactor(gateway): share the staged close and the look at the backlog

The control servers closed their connections in stages with code of their own, and accepted the backlog of their listeners as the call server does. Both now use `CallerStream` and `accept_backlog` of the socket module.

--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -5,7 +5,7 @@
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
-    socket::{CallerStream, configure},
+    socket::{CallerStream, accept_backlog, configure},
     stop::StopTimes,
 };
 use azuretally_policy::balance::Probe;
@@ -15,7 +15,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use std::{convert::Infallible, io, net::SocketAddr, os::fd::AsFd, rc::Rc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -128,8 +128,11 @@
                 }
             }
         }
-        if let Err(e) = self.accept_backlog(&graceful) {
-            log::debug!("calls: cannot accept the connections in the backlog: {e}");
+        match accept_backlog(&self.listener) {
+            Ok(accepted) => {
+                accepted.into_iter().for_each(|(stream, from)| self.serve(stream, from, &graceful));
+            }
+            Err(e) => log::warn!("calls: cannot accept the connections in the backlog: {e}"),
         }
         let Self { gateway, listener, .. } = self;
         drop(listener);
@@ -152,22 +155,6 @@
         }
     }
 
-    /// Accepts the connections in the backlog of the listener, which closing it would reset. The
-    /// runtime may not know of them yet.
-    fn accept_backlog(&self, graceful: &GracefulShutdown) -> io::Result<()> {
-        let listener = std::net::TcpListener::from(self.listener.as_fd().try_clone_to_owned()?);
-        loop {
-            match listener.accept() {
-                Ok((stream, from)) => {
-                    stream.set_nonblocking(true)?;
-                    self.serve(TcpStream::from_std(stream)?, from, graceful);
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(e) => return Err(e),
-            }
-        }
-    }
-
     fn serve(&self, stream: TcpStream, from: SocketAddr, graceful: &GracefulShutdown) {
         let gateway = &self.gateway;
         let size = gateway.settings().size;
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server and client for the control plane. Calls have a server and client of their own.
 
-use crate::socket::configure;
+use crate::socket::{CallerStream, accept_backlog, configure};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty, Full, Limited};
@@ -9,11 +9,8 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{
-    error::Error, fmt, future::poll_fn, io, iter, net::SocketAddr, pin::Pin, rc::Rc, time::Duration,
-};
+use std::{error::Error, fmt, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
-    io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
     task::{JoinSet, spawn_local},
     time::{sleep, timeout},
@@ -32,10 +29,6 @@
 const MAX_CONNECTIONS: usize = 512;
 /// The time for closing divided by this number is the time in which requests are still read.
 const READ_TIME_DIVISOR: u32 = 8;
-/// Time after the last answer in which the peer may close its side of the connection.
-const PEER_CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Size of the buffer for bytes that are read after the last answer, in bytes.
-const DISCARD_BUFFER_BYTES: usize = 1_024;
 /// Maximum size of a response body that a client accepts, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Timeout for opening a connection.
@@ -85,27 +78,21 @@
             connections.spawn_local(serve_stream(stream));
         }
     }
-    for stream in accept_backlog(listener) {
-        connections.spawn_local(serve_stream(stream));
+    match accept_backlog(&listener) {
+        Ok(accepted) => {
+            for (stream, _) in accepted.into_iter().take(MAX_CONNECTIONS) {
+                connections.spawn_local(serve_stream(stream));
+            }
+        }
+        Err(e) => log::warn!("http: cannot accept the connections in the backlog: {e}"),
     }
+    drop(listener);
     let closed = async { while connections.join_next().await.is_some() {} };
     if timeout(close_timeout, closed).await.is_err() {
         connections.shutdown().await;
     }
 }
 
-/// Closes `listener` and returns the connections that the kernel has accepted already. They would be
-/// reset otherwise.
-fn accept_backlog(listener: TcpListener) -> Vec<TcpStream> {
-    let Ok(listener) = listener.into_std() else { return Vec::new() };
-    let accept = || {
-        let (stream, _) = listener.accept().ok()?;
-        stream.set_nonblocking(true).ok()?;
-        TcpStream::from_std(stream).ok()
-    };
-    iter::from_fn(accept).take(MAX_CONNECTIONS).collect()
-}
-
 /// Serves the requests of one connection. After `shutdown` further ones are read for `read_time`.
 async fn serve_connection<Handler, Fut>(
     stream: TcpStream,
@@ -124,45 +111,28 @@
         let response = handler(Request::from_parts(parts, ()));
         Box::pin(async move { Ok::<_, NoAnswer>(response.await?.map(Full::new)) })
     });
-    let mut connection = server::Builder::new()
+    let stream = CallerStream::new(stream);
+    // All requests may be repeated, so those after the last answer may be discarded.
+    stream.state().announce_close();
+    let connection = server::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEADER_TIMEOUT)
         .max_buf_size(READ_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
     let closing = async {
         shutdown.cancelled().await;
         sleep(read_time).await;
     };
     let ended = tokio::select! {
-        ended = poll_fn(|cx| connection.poll_without_shutdown(cx)) => Some(ended),
-        () = closing => None,
-    };
-    let ended = match ended {
-        Some(ended) => ended,
-        None => {
-            Pin::new(&mut connection).graceful_shutdown();
-            poll_fn(|cx| connection.poll_without_shutdown(cx)).await
+        ended = connection.as_mut() => ended,
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
         }
     };
-    match ended {
-        Ok(()) => close(connection.into_parts().io.into_inner()).await,
-        Err(e) => log::debug!("http: connection ended: {e}"),
-    }
-}
-
-/// Sends the end of the stream and waits for that of the peer. A socket that is closed with unread
-/// bytes is reset instead, and what the peer has not received yet is lost.
-async fn close(mut stream: TcpStream) {
-    let exchange_ends = async {
-        stream.shutdown().await?;
-        let mut rest = [0; DISCARD_BUFFER_BYTES];
-        while stream.read(&mut rest).await? > 0 {}
-        Ok::<_, io::Error>(())
-    };
-    match timeout(PEER_CLOSE_TIMEOUT, exchange_ends).await {
-        Ok(Ok(())) => {}
-        Ok(Err(e)) => log::debug!("http: connection ended: {e}"),
-        Err(_) => log::debug!("http: connection not closed by its peer"),
+    if let Err(e) = ended {
+        log::debug!("http: connection ended: {e}");
     }
 }
 
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -9,6 +9,8 @@
 use std::{
     io::{self, IoSlice},
     mem::MaybeUninit,
+    net::{self, SocketAddr},
+    os::fd::AsFd,
     pin::Pin,
     sync::{
         Arc,
@@ -19,7 +21,7 @@
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpListener, TcpStream},
     time::{Sleep, sleep},
 };
 
@@ -46,6 +48,28 @@
     Ok(())
 }
 
+/// Accepts the connections in the backlog of `listener`, which closing it would reset.
+///
+/// The kernel is asked for them directly, since the runtime may not know of them yet.
+///
+/// # Errors
+///
+/// Returns an error if the listener fails or no file descriptor is left.
+pub fn accept_backlog(listener: &TcpListener) -> io::Result<Vec<(TcpStream, SocketAddr)>> {
+    let listener = net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+    let mut accepted = Vec::new();
+    loop {
+        match listener.accept() {
+            Ok((stream, from)) => {
+                stream.set_nonblocking(true)?;
+                accepted.push((TcpStream::from_std(stream)?, from));
+            }
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(accepted),
+            Err(e) => return Err(e),
+        }
+    }
+}
+
 /// State of a [`CallerStream`], shared with the task that serves the connection.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
