test(gateway): answers that a planned stop still cuts, failing, and a pause of the process

- A call whose body is complete 5.2 s after SIGTERM is passed on and cut at the exit.
It was sent later than 3 s after the signal, so its target being at work does not excuse it.

Green: a process that is suspended for 1 s during its stop cuts no call.

--- a/crates/gateway/tests/planned_stop/deployment.rs
+++ b/crates/gateway/tests/planned_stop/deployment.rs
@@ -75,11 +75,19 @@
         self.runs.lock().get(id).copied()
     }
 
-    /// Returns whether a call that was sent early enough was still being run so late after `signal`
-    /// that its loss is excused.
-    pub(crate) fn is_excused(&self, id: &str, signal: Instant) -> bool {
+    /// Returns whether the loss of a call at `ended` is excused: the call was sent early enough after
+    /// `signal`, and its target was still at work in the last part of the grace time.
+    pub(crate) fn is_excused(
+        &self,
+        id: &str,
+        signal: Instant,
+        sent: Instant,
+        ended: Instant,
+    ) -> bool {
         let late = signal + GRACE.mul_f64(EXCUSED_FRACTION);
-        self.run_of(id).is_some_and(|run| run.answered.is_none_or(|answered| answered >= late))
+        let was_at_work =
+            |run: Run| ended >= late && run.answered.is_none_or(|answered| answered >= late);
+        sent <= signal + EXCUSED_SEND_TIME && self.run_of(id).is_some_and(was_at_work)
     }
 
     /// Ends all processes and tasks.
--- a/crates/gateway/tests/planned_stop/gateway.rs
+++ b/crates/gateway/tests/planned_stop/gateway.rs
@@ -17,6 +17,8 @@
 
 /// Interval at which conditions are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Maximum number of lines of a log in the message of a failed test.
+const MAX_LOG_LINES: usize = 20;
 /// Time within which a gateway must be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -90,11 +92,12 @@
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
-    /// Returns the lines of the log that name the call `id`.
+    /// Returns the lines of the log that name the call `id`, and those on the ends of connections.
     pub(crate) fn log_of(&self, id: &str) -> String {
         let field = format!(" id={id} ");
+        let is_relevant = |line: &&str| line.contains(&field) || line.contains("connection ended");
         let log = self.log();
-        let lines: Vec<_> = log.lines().filter(|line| line.contains(&field)).collect();
+        let lines: Vec<_> = log.lines().filter(is_relevant).take(MAX_LOG_LINES).collect();
         lines.join("\n")
     }
 }
--- a/crates/gateway/tests/planned_stop/late.rs
+++ b/crates/gateway/tests/planned_stop/late.rs
@@ -8,6 +8,7 @@
 };
 use std::time::Duration;
 use tokio::{
+    io::AsyncWriteExt,
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
 };
@@ -91,17 +92,18 @@
             caller.send(&call).await.expect("sent");
             let sent = Instant::now();
             let end = caller.read_to_end(READ_TIMEOUT).await;
-            (caller, call, end, sent.elapsed())
+            (caller, call, end, sent, Instant::now())
         });
     }
-    for (caller, call, end, elapsed) in calls.join_all().await {
+    for (caller, call, end, sent, ended) in calls.join_all().await {
         let answers = caller.answers();
+        let elapsed = ended - sent;
         let verdict = Verdict::new(&deployment, &call, answers.first(), elapsed);
         let seen = evidence(&deployment, &caller, &call, &end);
         let is_kept = match verdict {
             Verdict::Whole | Verdict::Refused | Verdict::TimedOut => true,
             Verdict::Unread => elapsed <= LOSS_SLACK,
-            Verdict::Cut => deployment.is_excused(&call.id, signal),
+            Verdict::Cut => deployment.is_excused(&call.id, signal, sent, ended),
         };
         assert!(is_kept, "{verdict:?} after {elapsed:?}; {seen}");
     }
@@ -138,6 +140,33 @@
     deployment.shut_down().await;
 }
 
+/// A call whose body arrived completely shortly before the process exits was passed on and ended
+/// with the process.
+#[tokio::test]
+async fn planned_stop_passes_on_no_call_whose_body_arrives_too_late() {
+    const BODY_BYTES: usize = 10_000;
+    let mut deployment = Deployment::start(1, 2).await;
+    let address = deployment.gateways[0].calls;
+    deployment.gateways[0].terminate();
+    let signal = Instant::now();
+    sleep_until(signal + Duration::from_millis(2_400)).await;
+    let call = Call::new("slow-body", "roster").service_ms(640).body(BODY_BYTES);
+    let mut caller = Caller::connect(address).await.expect("connected");
+    caller.send(&call).await.expect("sent");
+    let body = [b'b'; BODY_BYTES];
+    caller.stream.write_all(&body[1..]).await.expect("sent");
+    sleep_until(signal + EXCUSED_SEND_TIME + Duration::from_millis(2_200)).await;
+    caller.stream.write_all(&body[..1]).await.expect("sent");
+    let sent = Instant::now();
+    let end = caller.read_to_end(READ_TIMEOUT).await;
+    let answers = caller.answers();
+    let verdict = Verdict::new(&deployment, &call, answers.first(), sent.elapsed());
+    let seen = evidence(&deployment, &caller, &call, &end);
+    assert_ne!(verdict, Verdict::Cut, "{seen}");
+    deployment.gateways[0].wait_for_exit(GRACE).await;
+    deployment.shut_down().await;
+}
+
 /// Connections that arrive while the listener closes are either answered or not passed on to a
 /// target.
 #[tokio::test]
--- a/crates/gateway/tests/planned_stop/rolling.rs
+++ b/crates/gateway/tests/planned_stop/rolling.rs
@@ -1,7 +1,7 @@
 //! Planned stops of several gateways at once and in overlap, all of them in full use.
 
 use super::{
-    deployment::{Deployment, EXCUSED_SEND_TIME, GRACE, LOSS_SLACK},
+    deployment::{Deployment, GRACE, LOSS_SLACK},
     load::{Habit, LoadCaller, MadeCall},
     verdict::Verdict,
 };
@@ -227,8 +227,7 @@
             Verdict::Unread => was_read && !made.is_behind && elapsed > LOSS_SLACK,
             Verdict::Whole | Verdict::Refused | Verdict::TimedOut => false,
         };
-        let is_early = made.sent <= signal + EXCUSED_SEND_TIME;
-        if is_lost && is_early && deployment.is_excused(id, signal) {
+        if is_lost && deployment.is_excused(id, signal, made.sent, made.ended) {
             self.excused += 1;
         } else if is_lost {
             let outcome = logs.outcomes.get(id).map(String::as_str);
--- a/crates/gateway/tests/planned_stop/signals.rs
+++ b/crates/gateway/tests/planned_stop/signals.rs
@@ -43,6 +43,41 @@
     deployment.shut_down().await;
 }
 
+/// A process that does not run for a second of its planned stop cuts no call.
+#[tokio::test]
+async fn planned_stop_cuts_no_call_if_the_process_pauses() {
+    let mut deployment = Deployment::start(1, 8).await;
+    let address = deployment.gateways[0].calls;
+    let signal = Instant::now();
+    let mut calls = JoinSet::new();
+    for number in 0..60 {
+        calls.spawn(async move {
+            sleep(STEP / 2 * number).await;
+            let call = Call::new(&format!("c{number}"), "roster").service_ms(640).bytes(5_000);
+            let mut caller = Caller::connect(address).await.ok()?;
+            caller.send(&call).await.ok()?;
+            let end = caller.read_to_first_answer(READ_TIMEOUT).await;
+            Some((caller, call, end))
+        });
+    }
+    sleep(STEP * 5).await;
+    deployment.gateways[0].terminate();
+    sleep(STEP * 20).await;
+    deployment.gateways[0].signal(Signal::STOP);
+    sleep(STEP * 10).await;
+    deployment.gateways[0].signal(Signal::CONT);
+    let mut whole = 0;
+    for (caller, call, end) in calls.join_all().await.into_iter().flatten() {
+        let answers = caller.answers();
+        let verdict = Verdict::new(&deployment, &call, answers.first(), signal.elapsed());
+        assert_ne!(verdict, Verdict::Cut, "{}", evidence(&deployment, &caller, &call, &end));
+        whole += usize::from(verdict == Verdict::Whole);
+    }
+    assert!(whole > 20, "{whole} calls were answered by a target");
+    deployment.gateways[0].wait_for_exit(GRACE).await;
+    deployment.shut_down().await;
+}
+
 /// SIGHUP and new settings end neither a call nor its connection.
 #[tokio::test]
 async fn new_settings_leave_calls_and_their_connections_alone() {
