--- a/crates/gateway/tests/planned_stop/late.rs
+++ b/crates/gateway/tests/planned_stop/late.rs
@@ -102,6 +102,7 @@
         let seen = evidence(&deployment, &caller, &call, &end);
         let is_kept = match verdict {
             Verdict::Whole | Verdict::Refused | Verdict::TimedOut => true,
+            Verdict::Failed => false,
             Verdict::Unread => elapsed <= LOSS_SLACK,
             Verdict::Cut => deployment.is_excused(&call.id, signal, sent, ended),
         };
--- a/crates/gateway/tests/planned_stop/verdict.rs
+++ b/crates/gateway/tests/planned_stop/verdict.rs
@@ -17,6 +17,8 @@
     Refused,
     /// The caller was told at the time limit that the outcome is unknown.
     TimedOut,
+    /// The caller was told that the outcome is unknown, and no target got the call.
+    Failed,
     /// The connection ended without an answer, and no target got the call.
     Unread,
     /// A target got the call, but the caller did not get its answer.
@@ -42,6 +44,8 @@
             Self::Refused
         } else if answer.status == 504 && elapsed >= call.time_limit() {
             Self::TimedOut
+        } else if outcome == Some("unknown") && !has_run {
+            Self::Failed
         } else {
             Self::Cut
         }
