test(entry): how connections of callers end around a planned stop

Green, kept for coverage: - an idle kept connection is served once more within the notice period, with `Connection: close`; - HTTP/2 calls are served until GOAWAY after the notice period, none cut; - answers of the administration API and directions in progress at the end arrive whole.

--- a/crates/testsuite/src/lib.rs
+++ b/crates/testsuite/src/lib.rs
@@ -12,6 +12,7 @@
 mod eventually;
 mod fleet;
 mod load_generator;
+mod raw;
 mod settings;
 mod web;
 
@@ -23,4 +24,5 @@
 pub use eventually::{DEFAULT_TIMEOUT, eventually};
 pub use fleet::{Fleet, FleetBuilder};
 pub use load_generator::{CompletedCall, LoadGenerator, OutcomeCounts, Workload};
+pub use raw::{RawAnswer, RawReader, RawWriter, connect};
 pub use settings::{PublishedSettings, ServiceSettings};
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -16,4 +16,5 @@
 mod silence;
 mod standins;
 mod stop;
+mod stop_connections;
 mod whole_path;
