fix(entry): install the signal handlers before anything listens

SIGTERM right after the start ended the process by signal 15: callers that a starting entry had already accepted were cut.

Cause: the handlers were installed last, after the control thread with the listeners for directions and administration had started, the runtime had been built and the address for calls was bound.

Change: the runtime is built first and the handlers are installed on it before the line `entry: start`; a signal from then on begins a planned stop.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -5,8 +5,8 @@
 use error_stack::{Report, ResultExt};
 use std::{sync::Arc, thread};
 use tokio::{
-    runtime,
-    signal::unix::{SignalKind, signal},
+    runtime::{self, Runtime},
+    signal::unix::{Signal, SignalKind, signal},
 };
 
 /// Runs an entry until it is stopped. `text` holds the local settings and `source` names their
@@ -25,16 +25,13 @@
     let peer_key = std::fs::read(&local.peer_key_file)
         .change_context_lazy(|| StartError::ReadFile(local.peer_key_file.clone()))?;
     let context = Arc::new(Context::new(local, peer_key)?);
+    let runtime = build_runtime(&context)?;
+    // Before anything listens: until then, SIGTERM ends the process without a planned stop.
+    let signals = StopSignals::install(&runtime)?;
     log::info!("entry: start host={} run={}", context.local.host, context.incarnation);
 
     let control_thread = spawn_control(&context)?;
-    let mut builder = runtime::Builder::new_multi_thread();
-    builder.enable_all().thread_name("calls");
-    if let Some(threads) = context.local.call_threads {
-        builder.worker_threads(threads);
-    }
-    let runtime = builder.build().change_context(StartError::Runtime)?;
-    let result = runtime.block_on(serve(&context));
+    let result = runtime.block_on(serve(&context, signals));
     context.shutdown.cancel();
     if control_thread.join().is_err() {
         log::error!("entry: the control thread panicked");
@@ -46,15 +43,47 @@
     result
 }
 
-async fn serve(context: &Arc<Context>) -> Result<(), Report<StartError>> {
+/// Signals that begin a planned stop.
+#[derive(Debug)]
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    fn install(runtime: &Runtime) -> Result<Self, Report<StartError>> {
+        let _context = runtime.enter();
+        let install = |kind| signal(kind).change_context(StartError::Runtime);
+        Ok(Self {
+            terminate: install(SignalKind::terminate())?,
+            interrupt: install(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits for the next signal.
+    async fn received(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
+fn build_runtime(context: &Context) -> Result<Runtime, Report<StartError>> {
+    let mut builder = runtime::Builder::new_multi_thread();
+    builder.enable_all().thread_name("calls");
+    if let Some(threads) = context.local.call_threads {
+        builder.worker_threads(threads);
+    }
+    builder.build().change_context(StartError::Runtime)
+}
+
+async fn serve(context: &Arc<Context>, mut signals: StopSignals) -> Result<(), Report<StartError>> {
     let server = calls::Server::bind(Arc::clone(context)).await?;
-    let mut terminate = signal(SignalKind::terminate()).change_context(StartError::Runtime)?;
-    let mut interrupt = signal(SignalKind::interrupt()).change_context(StartError::Runtime)?;
     let stop = context.stop.clone();
     let stop_listener = tokio::spawn(async move {
         tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
+            () = signals.received() => {}
             () = stop.cancelled() => {}
         }
         log::info!("entry: planned stop begins");
