--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -16,7 +16,7 @@
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::mpsc,
     task::{LocalSet, spawn_local},
     time::{sleep, timeout},
@@ -299,6 +299,25 @@
     .await;
 }
 
+/// Without a count of connections that were reset with unread bytes, lost answers cannot be told
+/// from callers that left.
+#[tokio::test]
+async fn ends_of_callers_connections_are_counted_by_reason() {
+    run_local(async {
+        let (gateway, mut caller, mut stream) = start_with_call_in_flight("/check/1").await;
+        stream.write_all(ok_response("a", "done").as_bytes()).await.expect("response sent");
+        read_until(&mut caller, "done").await;
+        drop(caller);
+        let count = "caller_connections_ended_total{reason=\"caller-closed\",reset=\"false\"} 1";
+        let deadline = Instant::now() + TIMEOUT;
+        while !gateway.metrics_text().contains(count) {
+            assert!(Instant::now() < deadline, "{}", gateway.metrics_text());
+            sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn connection_to_the_target_closes_when_the_caller_disconnects() {
     run_local(async {
@@ -462,3 +481,153 @@
     })
     .await;
 }
+
+/// Size of an answer that the gateway buffers but that does not fit into a caller's receive buffer
+/// of [`SMALL_BUFFER_BYTES`].
+const BUFFERED_BODY_BYTES: usize = 100_000;
+/// Receive buffer of a caller that reads late, in bytes.
+const SMALL_BUFFER_BYTES: u32 = 4_096;
+
+/// Connects to `address` with a small receive buffer.
+async fn connect_with_small_buffer(address: SocketAddr) -> TcpStream {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.set_recv_buffer_size(SMALL_BUFFER_BYTES).expect("a buffer size");
+    socket.connect(address).await.expect("the gateway listens")
+}
+
+/// Starts a gateway whose only call in progress is `a`, with further calls sent behind it, and
+/// begins a planned stop.
+///
+/// Returns the gateway and the connections of the caller and of the target.
+async fn stop_with_pipelined_calls() -> (Rc<Gateway<NativeAdapter>>, TcpStream, TcpStream) {
+    let (listener, address) = bind_target().await;
+    let (gateway, calls) = start_gateway(&[address]).await;
+    let mut caller = connect_with_small_buffer(calls).await;
+    caller.write_all(get_request("/check/1", "a").as_bytes()).await.expect("request sent");
+    let (mut stream, _) = listener.accept().await.expect("a call");
+    read_until(&mut stream, "\r\n\r\n").await;
+    gateway.drain.cancel();
+    for id in ["b", "c", "d"] {
+        caller.write_all(get_request("/check/1", id).as_bytes()).await.expect("request sent");
+        sleep(Duration::from_millis(20)).await;
+    }
+    (gateway, caller, stream)
+}
+
+/// Reads until the end of the connection, which must be orderly.
+async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    let read = timeout(TIMEOUT, stream.read_to_end(&mut bytes)).await.expect("an end in time");
+    let text = String::from_utf8_lossy(&bytes).into_owned();
+    assert!(read.is_ok(), "{read:?} after {} bytes", text.len());
+    text
+}
+
+/// Guards against answers that a reset discards: the gateway closed the connection with calls sent
+/// behind the last one unread, before the caller had received the whole answer.
+#[tokio::test]
+async fn planned_stop_does_not_reset_a_connection_with_pipelined_calls() {
+    run_local(async {
+        let (_gateway, mut caller, mut stream) = stop_with_pipelined_calls().await;
+        let answer = ok_response("a", &"b".repeat(BUFFERED_BODY_BYTES));
+        stream.write_all(answer.as_bytes()).await.expect("response sent");
+        sleep(Duration::from_millis(300)).await;
+        let text = read_to_end(&mut caller).await;
+        let (head, body) = text.split_once("\r\n\r\n").expect("a response");
+        assert!(head.contains("connection: close"), "{head}");
+        assert_eq!(body.len(), BUFFERED_BODY_BYTES);
+    })
+    .await;
+}
+
+/// Guards against a reset of a connection whose caller sends a further call just after the last
+/// answer.
+#[tokio::test]
+async fn call_sent_after_the_last_answer_does_not_reset_the_connection() {
+    run_local(async {
+        let (_gateway, mut caller, mut stream) = stop_with_pipelined_calls().await;
+        let answer = ok_response("a", &"b".repeat(BUFFERED_BODY_BYTES));
+        stream.write_all(answer.as_bytes()).await.expect("response sent");
+        for id in ["e", "f"] {
+            sleep(Duration::from_millis(100)).await;
+            caller.write_all(get_request("/check/1", id).as_bytes()).await.expect("request sent");
+        }
+        let text = read_to_end(&mut caller).await;
+        assert_eq!(text.len(), text.find("\r\n\r\n").expect("a head") + 4 + BUFFERED_BODY_BYTES);
+    })
+    .await;
+}
+
+/// Guards against a refusal that is lost because the caller is still sending the body.
+#[tokio::test]
+async fn refusal_of_a_large_body_reaches_a_caller_that_is_still_sending() {
+    run_local(async {
+        let (_, address) = bind_target().await;
+        let (_gateway, calls) = start_gateway(&[address]).await;
+        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+        let body_bytes = 8_000_000;
+        let head = format!(
+            "POST /sale/1 HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\n\
+             content-length: {body_bytes}\r\n\r\n"
+        );
+        caller.write_all(head.as_bytes()).await.expect("request sent");
+        for _ in 0..10 {
+            let part = vec![b'b'; body_bytes / 10];
+            caller.write_all(&part).await.expect("the gateway still reads");
+            sleep(Duration::from_millis(10)).await;
+        }
+        caller.shutdown().await.expect("the connection is open");
+        let text = read_to_end(&mut caller).await;
+        assert!(text.starts_with("HTTP/1.1 413"), "{text}");
+    })
+    .await;
+}
+
+/// Starts a gateway with a target and a kept connection on which call `a` was answered.
+///
+/// Returns the gateway and the connections of the caller and of the target.
+async fn start_with_kept_connection() -> (Rc<Gateway<NativeAdapter>>, TcpStream, TcpStream) {
+    let (gateway, mut caller, mut stream) = start_with_call_in_flight("/sale/1").await;
+    stream.write_all(ok_response("a", "first").as_bytes()).await.expect("response sent");
+    read_until(&mut caller, "first").await;
+    (gateway, caller, stream)
+}
+
+/// Guards against kept connections that a planned stop closes without notice, so that calls which
+/// their callers are sending fail.
+#[tokio::test]
+async fn kept_connection_serves_one_more_call_after_a_planned_stop_begins() {
+    run_local(async {
+        let (gateway, mut caller, mut stream) = start_with_kept_connection().await;
+        gateway.drain.cancel();
+        sleep(Duration::from_millis(300)).await;
+        caller.write_all(get_request("/sale/1", "b").as_bytes()).await.expect("request sent");
+        read_until(&mut stream, "\r\n\r\n").await;
+        stream.write_all(ok_response("b", "second").as_bytes()).await.expect("response sent");
+        let text = read_to_end(&mut caller).await;
+        assert!(text.contains("connection: close") && text.ends_with("second"), "{text}");
+    })
+    .await;
+}
+
+/// Guards against connections without a call that outlast the acceptance of new ones: a call sent on
+/// them later could not be finished.
+#[tokio::test]
+async fn idle_connections_close_when_a_planned_stop_accepts_no_more() {
+    run_local(async {
+        let (gateway, mut kept, _stream) = start_with_kept_connection().await;
+        gateway.drain.cancel();
+        let drain_start = Instant::now();
+        let calls = gateway.settings().listen.calls;
+        let mut unused = TcpStream::connect(calls).await.expect("the gateway still listens");
+        assert_eq!(read_to_end(&mut kept).await, "");
+        assert_eq!(read_to_end(&mut unused).await, "");
+        let elapsed = drain_start.elapsed();
+        // The grace time is 2 s, of which new connections are accepted for 0.45.
+        let expected = Duration::from_millis(900)..Duration::from_millis(1_500);
+        assert!(expected.contains(&elapsed), "{elapsed:?}");
+        drop((kept, unused));
+        timeout(TIMEOUT, gateway.shutdown.cancelled()).await.expect("the gateway shuts down");
+    })
+    .await;
+}
