fix(entry): close connections of callers in stages

Callers lost answers that a target had given, as in the incident at the gateway: `UnexpectedEof` within the answer for a caller that sends ahead and reads slowly, and 25 calls of 60 callers that a target ran but whose answer did not arrive, on kept connections through one stop.

Cause: the connection was closed as soon as the last answer was in the socket's send buffer. With calls unread behind it, or arriving after the close, the kernel resets the connection and discards what the caller has not received.

Ruled out: the end of the stop (the cuts come after the answer that announces the close), the targets (their runs finished), HTTP/2 (a caller with one call at a time was cut neither before nor after).

Change: connections of callers use the shared CallerStream. An answer that announces the close lets the stream read and discard what follows until the caller closes; on HTTP/2, GOAWAY is the announcement. The account of a connection decides that in one place and counts how the connection ended (`caller_connections_ended` by reason), with a log line if calls were in progress or bytes unread.

--- a/crates/entry/src/calls/app.rs
+++ b/crates/entry/src/calls/app.rs
@@ -10,7 +10,7 @@
     atomic::{AtomicU64, Ordering},
 };
 use tokio::sync::{Notify, mpsc};
-use tokio_util::task::TaskTracker;
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 /// State shared by all tasks of the request path.
 #[derive(Debug)]
@@ -27,8 +27,12 @@
     pub(super) key_finished: Notify,
     /// Queue of probes to be sent.
     pub(super) probes: mpsc::UnboundedSender<ProbeRequest>,
-    /// Tasks of connections, probes and calls with an idempotency key. The planned stop waits for
-    /// them.
+    /// Tasks of the connections of callers. The planned stop waits for them first.
+    pub(super) connections: TaskTracker,
+    /// Cancelled when the connections of callers are to be closed once they are idle.
+    pub(super) close: CancellationToken,
+    /// Tasks of connections to targets and peers, probes and calls with an idempotency key. The
+    /// planned stop waits for them.
     pub(super) tasks: TaskTracker,
     next_id: AtomicU64,
 }
@@ -44,6 +48,8 @@
             key_table: Mutex::default(),
             key_finished: Notify::new(),
             probes,
+            connections: TaskTracker::new(),
+            close: CancellationToken::new(),
             tasks,
             next_id: AtomicU64::new(1),
         }
--- a/crates/entry/src/calls/reply.rs
+++ b/crates/entry/src/calls/reply.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Response, StatusCode,
-    header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER},
+    header::{CONTENT_TYPE, RETRY_AFTER},
 };
 use http_body_util::{Either, Full};
 use std::time::Duration;
@@ -113,9 +113,6 @@
         }
         if app.context.stop.is_cancelled() {
             header_map.insert(headers::ASK_AGAIN, HeaderValue::from_static("1"));
-            if response.version() != http::Version::HTTP_2 {
-                close_connection(response.headers_mut());
-            }
         }
         response
     }
@@ -132,11 +129,6 @@
     }
 }
 
-/// Asks an HTTP/1 client to close the connection.
-fn close_connection(header_map: &mut HeaderMap) {
-    header_map.insert(CONNECTION, HeaderValue::from_static("close"));
-}
-
 /// Inserts a header field unless the value is not valid in a header.
 fn insert_header(header_map: &mut HeaderMap, name: &'static str, value: &str) {
     if let Ok(value) = HeaderValue::from_str(value) {
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -2,6 +2,7 @@
 
 use super::{
     app::App,
+    connection::CallerConnection,
     handler,
     limits::{
         CALLER_TCP_TIMEOUT, HEAD_TIMEOUT, MAINTENANCE_INTERVAL, MAX_CALLER_CONNECTIONS,
@@ -11,15 +12,19 @@
     service::ProbeRequest,
     view_updates,
 };
-use crate::{StartError, context::Context, socket::configure};
+use crate::{
+    StartError,
+    context::Context,
+    socket::{CallerStream, configure},
+};
 use azuretally_policy::dispatch::Event;
 use error_stack::{Report, ResultExt};
 use hyper::service::service_fn;
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto, graceful::GracefulShutdown},
+    server::conn::auto,
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, mpsc},
@@ -58,11 +63,10 @@
         let view_updates = tokio::spawn(view_updates::run(Arc::clone(&app)));
         let prober = tokio::spawn(probe::run(Arc::clone(&app), probes));
         let maintenance = tokio::spawn(run_maintenance(Arc::clone(&app)));
-        let graceful = GracefulShutdown::new();
-        accept(&app, &listener, &graceful).await;
+        accept(&app, &listener).await;
         drop(listener);
-        log::info!("calls: listener closed, connections={}", graceful.count());
-        if timeout(STOP_TIMEOUT, drain(&app, graceful)).await.is_err() {
+        log::info!("calls: listener closed, connections={}", app.connections.len());
+        if timeout(STOP_TIMEOUT, drain(&app)).await.is_err() {
             log::warn!("calls: some calls did not finish within {STOP_TIMEOUT:?}");
         }
         app.context.shutdown.cancel();
@@ -75,7 +79,7 @@
 }
 
 /// Accepts connections until [`STOP_NOTICE_PERIOD`] after the planned stop was requested.
-async fn accept(app: &Arc<App>, listener: &TcpListener, graceful: &GracefulShutdown) {
+async fn accept(app: &Arc<App>, listener: &TcpListener) {
     let permits = Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS));
     let stop_accepting = async {
         app.context.stop.cancelled().await;
@@ -94,45 +98,64 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let connection = serve(Arc::clone(app), stream, client, graceful);
-        app.tasks.spawn(async move {
+        let connection = serve(Arc::clone(app), stream, client);
+        app.connections.spawn(async move {
             let _permit = permit;
             connection.await;
         });
     }
 }
 
-fn serve(
-    app: Arc<App>,
-    stream: TcpStream,
-    client: SocketAddr,
-    graceful: &GracefulShutdown,
-) -> impl Future<Output = ()> + use<> {
-    let watcher = graceful.watcher();
-    async move {
-        if configure(&stream, CALLER_TCP_TIMEOUT).is_err() {
-            return;
+async fn serve(app: Arc<App>, stream: TcpStream, client: SocketAddr) {
+    if configure(&stream, CALLER_TCP_TIMEOUT).is_err() {
+        return;
+    }
+    let stream = CallerStream::new(stream);
+    let account = CallerConnection::new(Arc::clone(&app), client, stream.state());
+    let account = Arc::new(account);
+    let service = service_fn(|request| {
+        let (app, account) = (Arc::clone(&app), Arc::clone(&account));
+        async move {
+            account.call_started(request.version());
+            let mut response = handler::handle(app, client.ip(), request).await?;
+            account.call_ended(&mut response);
+            Ok::<_, Infallible>(response)
         }
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES)
-            .max_headers(MAX_HEADERS);
-        builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
-        let service = service_fn(|r| handler::handle(Arc::clone(&app), client.ip(), r));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        if let Err(e) = watcher.watch(connection).await {
-            log::debug!("calls: connection from {client} failed: {e}");
+    });
+    let builder = connection_builder();
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = app.close.cancelled() => {
+            account.closing();
+            connection.as_mut().graceful_shutdown();
+            connection.await
         }
+    };
+    if let Err(e) = &result {
+        log::debug!("calls: connection from {client} failed: {e}");
     }
+    account.ended(result.is_err());
+}
+
+fn connection_builder() -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
+    builder
 }
 
 /// Waits until the calls in flight have finished and the connections from callers are closed, then
 /// closes the connections to targets and peers and waits for the remaining tasks.
-async fn drain(app: &App, graceful: GracefulShutdown) {
-    graceful.shutdown().await;
+async fn drain(app: &App) {
+    app.close.cancel();
+    app.connections.close();
+    app.connections.wait().await;
     log::info!("calls: all connections from callers are closed");
     app.pool.close();
     app.tasks.close();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -43,6 +43,43 @@
     counter: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ConnectionLabels {
+    reason: &'static str,
+}
+
+/// How a connection of a caller ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionEnd {
+    /// The entry closed it and had announced that, with its last answer or with GOAWAY.
+    Announced,
+    /// The entry closed it while it was idle.
+    Idle,
+    /// The caller closed it.
+    Caller,
+    /// It failed, or the caller sent no valid request in time.
+    Failed,
+    /// The process ended first.
+    Interrupted,
+}
+
+impl ConnectionEnd {
+    /// All values.
+    pub const ALL: [Self; 5] =
+        [Self::Announced, Self::Idle, Self::Caller, Self::Failed, Self::Interrupted];
+
+    /// Returns the name used in metrics and in the log.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Announced => "announced",
+            Self::Idle => "idle",
+            Self::Caller => "caller-closed",
+            Self::Failed => "failed",
+            Self::Interrupted => "interrupted",
+        }
+    }
+}
+
 /// All metrics of one entry.
 pub struct Metrics {
     registry: Mutex<Registry>,
@@ -58,6 +95,7 @@
     record_lines: Gauge,
     lost_calls: Gauge,
     control: Family<CounterLabels, Gauge>,
+    connection_ends: Family<ConnectionLabels, Counter>,
 }
 
 impl Metrics {
@@ -77,6 +115,7 @@
             record_lines: Gauge::default(),
             lost_calls: Gauge::default(),
             control: Family::default(),
+            connection_ends: Family::default(),
         };
         metrics.register();
         metrics
@@ -97,6 +136,16 @@
         self.latency.get_or_create(&labels).observe(seconds);
     }
 
+    /// Counts the end of a connection of a caller.
+    pub fn record_connection_end(&self, end: ConnectionEnd) {
+        self.connection_ends.get_or_create(&ConnectionLabels { reason: end.as_str() }).inc();
+    }
+
+    /// Returns how many connections of callers ended in this way.
+    pub fn connection_ends(&self, end: ConnectionEnd) -> u64 {
+        self.connection_ends.get_or_create(&ConnectionLabels { reason: end.as_str() }).get()
+    }
+
     /// Sets the gauges from `status` and returns all metrics in the text format.
     ///
     /// # Errors
@@ -148,6 +197,11 @@
         r.register("probe_target_ms", "Target time spent on probes", self.probe_time.clone());
         r.register("record_lines", "Lines of the audit record", self.record_lines.clone());
         r.register("control", "What control spent so far", self.control.clone());
+        r.register(
+            "caller_connections_ended",
+            "Connections of callers that ended",
+            self.connection_ends.clone(),
+        );
         r.register("record_lost_calls", "Calls without a line", self.lost_calls.clone());
     }
 }
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -62,6 +62,11 @@
         self.close_announced.store(true, Ordering::Relaxed);
     }
 
+    /// Returns whether the last answer announced the close.
+    pub fn is_close_announced(&self) -> bool {
+        self.close_announced.load(Ordering::Relaxed)
+    }
+
     /// Returns whether the caller closed its side of the connection or reset it.
     pub fn is_closed_by_peer(&self) -> bool {
         self.peer_closed.load(Ordering::Relaxed)
