fix(gateway): leave time to a caller that reads an unannounced last answer slowly

A caller lost the end of an answer of 12 MiB that began before the planned stop and that it read, with calls sent behind it, beyond the end of the notice period: `UnexpectedEof`.

Cause: without an announced close, the connection was closed with its unread bytes 250 ms after they were seen. What the caller had not received by then (some MB in the send buffer of a slow reader) was discarded with the reset.

Change: the stream waits until the caller has closed its side, for 3 s at most as after an announced close. It still reads nothing. The caller sees the end of the stream right after the answer, so a shorter limit tells it nothing sooner. A close behind unread bytes does not wake the reader, so it is looked up each 20 ms.

--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -9,7 +9,7 @@
 use std::{
     io::{self, IoSlice},
     mem::MaybeUninit,
-    pin::Pin,
+    pin::{Pin, pin},
     sync::{
         Arc,
         atomic::{AtomicBool, AtomicU64, Ordering},
@@ -18,7 +18,7 @@
     time::Duration,
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::TcpStream,
     time::{Sleep, sleep},
 };
@@ -26,8 +26,9 @@
 /// Maximum time for which the receiving side of a connection stays open after the sending side was
 /// closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time that sent bytes need at most to reach a caller whose connection works.
-const DELIVERY_TIME: Duration = Duration::from_millis(250);
+/// Interval at which a connection with unread bytes is checked for the caller's close, which the
+/// kernel does not report separately.
+const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Size of the buffer into which bytes are read that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 4_096;
 
@@ -86,22 +87,21 @@
 /// Shutting down the stream closes the sending side at once. It completes when the caller has closed
 /// its side too or a time limit has passed. Until then, bytes from the caller are discarded if the
 /// last answer announced the close. Otherwise they may be the beginning of a call that the caller
-/// sends again elsewhere if it was not read: such bytes are left unread, and the connection is
-/// closed as soon as everything sent before can have arrived.
+/// sends again elsewhere if it was not read: such bytes are left unread.
 #[derive(Debug)]
 pub struct CallerStream {
     stream: TcpStream,
     state: Arc<ConnectionState>,
     /// Limit of the last stage, `None` while the sending side is open.
     close_timer: Option<Pin<Box<Sleep>>>,
-    /// Whether unread bytes were seen after the sending side was closed.
-    unread_seen: bool,
+    /// Time of the next check while there are unread bytes.
+    unread_timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, state: Arc::default(), close_timer: None, unread_seen: false }
+        Self { stream, state: Arc::default(), close_timer: None, unread_timer: None }
     }
 
     /// Returns the state of the connection, which outlives the stream.
@@ -132,22 +132,26 @@
         }
     }
 
-    /// Waits until the caller closes its side, without reading. Shortens the time limit once there
-    /// are unread bytes.
+    /// Waits until the caller closes its side, without reading.
     fn poll_unread(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        if self.unread_seen {
-            return Poll::Pending;
-        }
-        let mut byte = [MaybeUninit::uninit(); 1];
-        match ready!(self.stream.poll_peek(cx, &mut ReadBuf::uninit(&mut byte))) {
-            Ok(0) | Err(_) => Poll::Ready(()),
-            Ok(_) => {
-                self.unread_seen = true;
-                self.close_timer = Some(Box::pin(sleep(DELIVERY_TIME)));
-                Poll::Pending
+        loop {
+            if let Some(timer) = &mut self.unread_timer {
+                ready!(timer.as_mut().poll(cx));
+            }
+            let mut byte = [MaybeUninit::uninit(); 1];
+            match ready!(self.stream.poll_peek(cx, &mut ReadBuf::uninit(&mut byte))) {
+                Ok(0) | Err(_) => return Poll::Ready(()),
+                Ok(_) if self.is_read_closed(cx) => return Poll::Ready(()),
+                Ok(_) => self.unread_timer = Some(Box::pin(sleep(UNREAD_CHECK_INTERVAL))),
             }
         }
     }
+
+    /// Returns whether the caller has closed its side, even if there are unread bytes.
+    fn is_read_closed(&self, cx: &mut Context<'_>) -> bool {
+        let readiness = pin!(self.stream.ready(Interest::READABLE));
+        matches!(readiness.poll(cx), Poll::Ready(Ok(ready)) if ready.is_read_closed())
+    }
 }
 
 impl AsyncRead for CallerStream {
