fix(entry): serve the connections in the backlog before the listener closes

Cause: the listener was closed without a look at its backlog, and idle connections were closed in the same moment, before a call that had already arrived on them was read.

Change: all connections in the backlog are accepted first. Idle connections are closed 200 ms after the listener, so that calls that have been sent are read; their answers announce the close. A connection that is established between the last look and the close can still be reset; nothing of it was read.

--- a/crates/entry/src/calls/limits.rs
+++ b/crates/entry/src/calls/limits.rs
@@ -37,6 +37,9 @@
 /// Time for which a stopping entry still accepts calls, so that callers and peers learn of the
 /// stop first.
 pub(super) const STOP_NOTICE_PERIOD: Duration = Duration::from_secs(2);
+/// Time after the closing of the listener in which calls that have been sent are still read. Then
+/// idle connections are closed.
+pub(super) const LAST_CALL_TIME: Duration = Duration::from_millis(200);
 /// Time that a stopping entry allows calls in flight to finish before it aborts them.
 pub(super) const STOP_TIMEOUT: Duration = Duration::from_secs(30);
 /// `Retry-After` of a request that was not accepted or whose key does not fit in the key table.
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -5,8 +5,9 @@
     connection::CallerConnection,
     handler,
     limits::{
-        CALLER_TCP_TIMEOUT, HEAD_TIMEOUT, MAINTENANCE_INTERVAL, MAX_CALLER_CONNECTIONS,
-        MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE, STOP_NOTICE_PERIOD, STOP_TIMEOUT,
+        CALLER_TCP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME, MAINTENANCE_INTERVAL,
+        MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE, STOP_NOTICE_PERIOD,
+        STOP_TIMEOUT,
     },
     probe,
     service::ProbeRequest,
@@ -24,10 +25,12 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
 };
-use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible, io, net::SocketAddr, os::fd::AsFd, pin::pin, sync::Arc, time::Duration,
+};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
     time::{Instant, MissedTickBehavior, interval, sleep, sleep_until, timeout},
 };
 
@@ -63,8 +66,7 @@
         let view_updates = tokio::spawn(view_updates::run(Arc::clone(&app)));
         let prober = tokio::spawn(probe::run(Arc::clone(&app), probes));
         let maintenance = tokio::spawn(run_maintenance(Arc::clone(&app)));
-        accept(&app, &listener).await;
-        drop(listener);
+        Acceptor::new(Arc::clone(&app), listener).run().await;
         log::info!("calls: listener closed, connections={}", app.connections.len());
         if timeout(STOP_TIMEOUT, drain(&app)).await.is_err() {
             log::warn!("calls: some calls did not finish within {STOP_TIMEOUT:?}");
@@ -78,28 +80,67 @@
     }
 }
 
-/// Accepts connections until [`STOP_NOTICE_PERIOD`] after the planned stop was requested.
-async fn accept(app: &Arc<App>, listener: &TcpListener) {
-    let permits = Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS));
-    let stop_accepting = async {
-        app.context.stop.cancelled().await;
-        sleep_until(Instant::now() + STOP_NOTICE_PERIOD).await;
-    };
-    tokio::pin!(stop_accepting);
-    loop {
-        let accepted = tokio::select! {
-            () = &mut stop_accepting => return,
-            accepted = async {
-                let permit = Arc::clone(&permits).acquire_owned().await;
-                (listener.accept().await, permit)
-            } => accepted,
-        };
-        let (Ok((stream, client)), permit) = accepted else {
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+/// Accepts connections from callers.
+struct Acceptor {
+    app: Arc<App>,
+    listener: TcpListener,
+    permits: Arc<Semaphore>,
+}
+
+impl Acceptor {
+    fn new(app: Arc<App>, listener: TcpListener) -> Self {
+        Self { app, listener, permits: Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS)) }
+    }
+
+    /// Accepts connections until [`STOP_NOTICE_PERIOD`] after the planned stop was requested, then
+    /// closes the listener.
+    async fn run(self) {
+        let stop_accepting = async {
+            self.app.context.stop.cancelled().await;
+            sleep_until(Instant::now() + STOP_NOTICE_PERIOD).await;
         };
-        let connection = serve(Arc::clone(app), stream, client);
-        app.connections.spawn(async move {
+        tokio::pin!(stop_accepting);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut stop_accepting => break,
+                accepted = self.accept() => accepted,
+            };
+            match accepted {
+                Some((stream, client, permit)) => self.spawn(stream, client, permit),
+                None => sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+        if let Err(e) = self.accept_backlog() {
+            log::warn!("calls: cannot accept the connections in the backlog: {e}");
+        }
+    }
+
+    async fn accept(&self) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+        let permit = Arc::clone(&self.permits).acquire_owned().await.ok()?;
+        let (stream, client) = self.listener.accept().await.ok()?;
+        Some((stream, client, permit))
+    }
+
+    /// Accepts the connections in the backlog of the listener, which closing it would reset. The
+    /// runtime may not know of them yet.
+    fn accept_backlog(&self) -> io::Result<()> {
+        let listener = std::net::TcpListener::from(self.listener.as_fd().try_clone_to_owned()?);
+        while let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
+            match listener.accept() {
+                Ok((stream, client)) => {
+                    stream.set_nonblocking(true)?;
+                    self.spawn(TcpStream::from_std(stream)?, client, permit);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(())
+    }
+
+    fn spawn(&self, stream: TcpStream, client: SocketAddr, permit: OwnedSemaphorePermit) {
+        let connection = serve(Arc::clone(&self.app), stream, client);
+        self.app.connections.spawn(async move {
             let _permit = permit;
             connection.await;
         });
@@ -153,6 +194,7 @@
 /// Waits until the calls in flight have finished and the connections from callers are closed, then
 /// closes the connections to targets and peers and waits for the remaining tasks.
 async fn drain(app: &App) {
+    sleep(LAST_CALL_TIME).await;
     app.close.cancel();
     app.connections.close();
     app.connections.wait().await;
