fix(entry): announce the close after an answer that precedes the end of the body

A caller that was still sending a body when its call was refused saw no `Connection: close`, sent on, and was reset (413 for a body beyond the 64 MiB that are read and discarded, 404).

Cause: hyper closes the connection when the body of a call is not read to its end, but the answer had been written without an announcement, so the rest of the body stayed unread.

Change: an answer announces the close if the body has not been read completely: after a refusal before the body was read, and if a body that is forwarded while it arrives was not complete. The stream then discards the rest. A call whose body was complete keeps its connection.

--- a/crates/entry/src/calls/body.rs
+++ b/crates/entry/src/calls/body.rs
@@ -10,15 +10,57 @@
     error::Error,
     fmt,
     pin::Pin,
-    task::{Context, Poll},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    task::{Context, Poll, ready},
 };
 
 /// Body of a request to a target or peer.
-pub(super) type RequestBody = Either<Full<Bytes>, Limited<Incoming>>;
+pub(super) type RequestBody = Either<Full<Bytes>, Limited<TrackedBody>>;
 
 /// Body of a reply to a caller.
 pub(super) type ReplyBody = Either<Full<Bytes>, StreamedBody>;
 
+/// Body of a request that is forwarded while it is received.
+#[derive(Debug)]
+pub(super) struct TrackedBody {
+    body: Incoming,
+    is_complete: Arc<AtomicBool>,
+}
+
+impl TrackedBody {
+    /// Wraps `body`. `is_complete` is set once all of it has been read.
+    pub(super) fn new(body: Incoming, is_complete: Arc<AtomicBool>) -> Self {
+        Self { body, is_complete }
+    }
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let frame = ready!(Pin::new(&mut self.body).poll_frame(cx));
+        if frame.is_none() || self.body.is_end_stream() {
+            self.is_complete.store(true, Ordering::Relaxed);
+        }
+        Poll::Ready(frame)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// The upstream response ended early. The reply to the caller is aborted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct TruncatedBody;
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -5,6 +5,7 @@
     attempt::{Attempt, AttemptResult, Destination},
     body::ReplyBody,
     call_guard::CallGuard,
+    connection::announce_close,
     copies,
     exchange::{ExchangeError, ResponseBody, UpstreamResponse},
     inbound::{Inbound, InboundError},
@@ -25,6 +26,7 @@
     stream::FuturesUnordered,
 };
 use http::{Request, Response, StatusCode};
+use http_body::Body;
 use hyper::body::Incoming;
 use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
@@ -46,18 +48,30 @@
         return Ok(reply.into_response(&app, app.context.view().revision));
     }
     let router = app.router.load_full();
+    let has_body = !request.body().is_end_stream();
     let inbound = match Inbound::read(&app.context, &router, client_ip, request).await {
         Ok(inbound) => inbound,
-        Err(e) => return Ok(rejection(e).into_response(&app, app.context.view().revision)),
+        Err(e) => {
+            let mut response = rejection(e).into_response(&app, app.context.view().revision);
+            if has_body {
+                announce_close(&mut response);
+            }
+            return Ok(response);
+        }
     };
     let revision = inbound.config.service.revision;
     let inbound = Arc::new(inbound);
     let guard = CallGuard::new(Arc::clone(&app), Arc::clone(&inbound));
     let reply = match &inbound.key {
         Some(key) => keyed::run(&app, &inbound, key, guard).await,
-        None => dispatch(&app, inbound, guard).await,
+        None => dispatch(&app, Arc::clone(&inbound), guard).await,
     };
-    Ok(reply.into_response(&app, revision))
+    let mut response = reply.into_response(&app, revision);
+    // The rest of the body stands where the next call would begin.
+    if !inbound.body.is_complete() {
+        announce_close(&mut response);
+    }
+    Ok(response)
 }
 
 /// Returns the outcome that a peer reported, if it is a known one.
--- a/crates/entry/src/calls/inbound.rs
+++ b/crates/entry/src/calls/inbound.rs
@@ -1,7 +1,7 @@
 //! Reads the requests of callers.
 
 use super::{
-    body::RequestBody,
+    body::{RequestBody, TrackedBody},
     limits::{
         BODY_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_DISCARDED_BYTES, MAX_NAME_BYTES,
     },
@@ -20,7 +20,14 @@
 use http_body_util::{BodyExt, Either, Full, Limited};
 use hyper::body::Incoming;
 use parking_lot::Mutex;
-use std::{net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    net::IpAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
 use tokio::time::timeout;
 use xxhash_rust::xxh3::Xxh3;
 
@@ -83,7 +90,14 @@
     /// A complete body, which can be sent more than once.
     Buffered(Bytes),
     /// A body that is still being received and can be sent once.
-    Streaming(Mutex<Option<Incoming>>),
+    Streaming(StreamingBody),
+}
+
+/// Body of a call that is still being received.
+#[derive(Debug)]
+pub(super) struct StreamingBody {
+    unsent: Mutex<Option<Incoming>>,
+    is_complete: Arc<AtomicBool>,
 }
 
 impl CallBody {
@@ -91,10 +105,18 @@
     pub(super) fn request_body(&self) -> Option<RequestBody> {
         match self {
             Self::Buffered(bytes) => Some(Either::Left(Full::new(bytes.clone()))),
-            Self::Streaming(stream) => stream
-                .lock()
-                .take()
-                .map(|s| Either::Right(Limited::new(s, MAX_BODY_BYTES as usize))),
+            Self::Streaming(StreamingBody { unsent, is_complete }) => {
+                let body = TrackedBody::new(unsent.lock().take()?, Arc::clone(is_complete));
+                Some(Either::Right(Limited::new(body, MAX_BODY_BYTES as usize)))
+            }
+        }
+    }
+
+    /// Returns whether all of the body has been read.
+    pub(super) fn is_complete(&self) -> bool {
+        match self {
+            Self::Buffered(_) => true,
+            Self::Streaming(body) => body.is_complete.load(Ordering::Relaxed),
         }
     }
 }
@@ -240,7 +262,10 @@
             Ok(Ok(collected)) => Ok(CallBody::Buffered(collected.to_bytes())),
             _ => Err(InboundError::Body),
         },
-        _ => Ok(CallBody::Streaming(Mutex::new(Some(body)))),
+        _ => Ok(CallBody::Streaming(StreamingBody {
+            unsent: Mutex::new(Some(body)),
+            is_complete: Arc::default(),
+        })),
     }
 }
 
--- a/crates/testsuite/tests/testsuite/stop_connections.rs
+++ b/crates/testsuite/tests/testsuite/stop_connections.rs
@@ -247,13 +247,16 @@
     assert!(answered > 500, "{answered} calls answered");
 }
 
-async fn send_body(mut writer: RawWriter, length: usize, done: CancellationToken) {
+/// Sends a body, or as much of it as there is time for until `done`. Returns the writer, which closes
+/// its side of the connection when it is dropped.
+async fn send_body(mut writer: RawWriter, length: usize, done: CancellationToken) -> RawWriter {
     let part = vec![b'x'; 16 * KIB];
     for _ in 0..length / part.len() {
         if done.is_cancelled() || writer.send(&part).await.is_err() {
-            return;
+            break;
         }
     }
+    writer
 }
 
 /// Sends a request with a large body and keeps sending while it reads the answer.
