feat(settings): local setting for the time that a planned stop allows calls to finish

The time after which a stopping entry gives up calls in progress was a constant of 30 s. Supervisors allow a process different times before they kill it, and a test of the end of a stop should not take half a minute. `stop_timeout_ms` of the local file sets it; the default stays 30 s.

--- a/crates/entry/src/calls/limits.rs
+++ b/crates/entry/src/calls/limits.rs
@@ -40,8 +40,9 @@
 /// Time after the closing of the listener in which calls that have been sent are still read. Then
 /// idle connections are closed.
 pub(super) const LAST_CALL_TIME: Duration = Duration::from_millis(200);
-/// Time that a stopping entry allows calls in flight to finish before it aborts them.
-pub(super) const STOP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time that a stopping entry allows calls in flight to finish before it aborts them, unless the
+/// local settings name another.
+pub(super) const DEFAULT_STOP_TIMEOUT: Duration = Duration::from_secs(30);
 /// `Retry-After` of a request that was not accepted or whose key does not fit in the key table.
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Timeout of a probe.
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -5,9 +5,9 @@
     connection::CallerConnection,
     handler,
     limits::{
-        CALLER_TCP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME, MAINTENANCE_INTERVAL,
-        MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE, STOP_NOTICE_PERIOD,
-        STOP_TIMEOUT,
+        CALLER_TCP_TIMEOUT, DEFAULT_STOP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME,
+        MAINTENANCE_INTERVAL, MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE,
+        STOP_NOTICE_PERIOD,
     },
     probe,
     service::ProbeRequest,
@@ -68,8 +68,11 @@
         let maintenance = tokio::spawn(run_maintenance(Arc::clone(&app)));
         Acceptor::new(Arc::clone(&app), listener).run().await;
         log::info!("calls: listener closed, connections={}", app.connections.len());
-        if timeout(STOP_TIMEOUT, drain(&app)).await.is_err() {
-            log::warn!("calls: some calls did not finish within {STOP_TIMEOUT:?}");
+        let stop_timeout = app.context.local.stop_timeout_ms;
+        let stop_timeout =
+            stop_timeout.map_or(DEFAULT_STOP_TIMEOUT, |ms| Duration::from_millis(ms.into()));
+        if timeout(stop_timeout, drain(&app)).await.is_err() {
+            log::warn!("calls: some calls did not finish within {stop_timeout:?}");
         }
         app.context.shutdown.cancel();
         for task in [view_updates, prober, maintenance] {
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -20,6 +20,7 @@
     "span_file",
     "record_file",
     "call_threads",
+    "stop_timeout_ms",
 ];
 
 /// Keys of the published document, as dotted paths. `*` stands for a name, `#` for an index in a
--- a/crates/settings/src/local.rs
+++ b/crates/settings/src/local.rs
@@ -13,6 +13,8 @@
 const LOG_LEVELS: [&str; 6] = ["off", "error", "warn", "info", "debug", "trace"];
 /// Maximum of `call_threads`.
 const MAX_CALL_THREADS: usize = 1_024;
+/// Maximum of `stop_timeout_ms`: one day.
+const MAX_STOP_TIMEOUT_MS: u32 = 24 * 60 * 60 * 1_000;
 
 /// Addresses on which an entry listens.
 #[derive(Clone, Debug, Deserialize)]
@@ -60,6 +62,9 @@
     /// Number of worker threads that handle calls. Defaults to one per core.
     #[serde(default)]
     pub call_threads: Option<usize>,
+    /// Time that the planned stop allows calls in progress to finish, in ms. Defaults to 30 s.
+    #[serde(default)]
+    pub stop_timeout_ms: Option<u32>,
 }
 
 impl LocalSettings {
@@ -98,6 +103,9 @@
                 format!("{threads} is not between 1 and {MAX_CALL_THREADS}")
             });
         }
+        if let Some(timeout_ms) = self.stop_timeout_ms {
+            validator.count("stop_timeout_ms", timeout_ms, 1, MAX_STOP_TIMEOUT_MS);
+        }
         validator.problems
     }
 }
--- a/crates/testsuite/src/entry.rs
+++ b/crates/testsuite/src/entry.rs
@@ -10,6 +10,7 @@
     fs,
     net::SocketAddr,
     path::{Path, PathBuf},
+    time::Duration,
 };
 
 const CALLS_PORT: u16 = 8_080;
@@ -41,6 +42,8 @@
     pub advertised_peers: SocketAddr,
     /// Address at which it reaches the platform.
     pub platform: SocketAddr,
+    /// Time that the planned stop allows calls in progress to finish, if not the default.
+    pub stop_timeout: Option<Duration>,
     directory: PathBuf,
     process: Option<Child>,
 }
@@ -63,6 +66,7 @@
             peers: address(PEERS_PORT),
             advertised_peers: address(PEERS_PORT),
             platform,
+            stop_timeout: None,
             directory: directory.to_owned(),
             process: None,
         }
@@ -121,15 +125,18 @@
 
     fn settings_toml(&self, seeds: &[SocketAddr]) -> String {
         let seeds: Vec<_> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
+        let stop_timeout =
+            self.stop_timeout.map(|t| format!("stop_timeout_ms = {}\n", t.as_millis()));
         format!(
             "host = \"{}\"\nfailure_domain = \"{}\"\nplatform = [\"{}\"]\nseeds = [{}]\n\
-             peer_key_file = \"{}\"\nlog_level = \"info\"\ncall_threads = 2\n\n\
+             peer_key_file = \"{}\"\nlog_level = \"info\"\ncall_threads = 2\n{}\n\
              [listen]\ncalls = \"{}\"\ndirections = \"{}\"\nadmin = \"{}\"\npeers = \"{}\"\n",
             self.host,
             self.failure_domain,
             self.platform,
             seeds.join(", "),
             self.directory.join("peer.key").display(),
+            stop_timeout.unwrap_or_default(),
             self.calls,
             self.directions,
             self.admin,
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -58,6 +58,7 @@
     links: bool,
     published: PublishedSettings,
     target_args: Vec<String>,
+    stop_timeout: Option<Duration>,
 }
 
 /// A running deployment. Its processes are killed when it is dropped.
@@ -111,6 +112,7 @@
                 urgent_ms: 2_000,
             },
             target_args: Vec::new(),
+            stop_timeout: None,
         }
     }
 
@@ -328,6 +330,13 @@
         self
     }
 
+    /// Sets the time that the planned stop of an entry allows calls in progress to finish.
+    #[must_use]
+    pub fn stop_timeout(mut self, stop_timeout: Duration) -> Self {
+        self.stop_timeout = Some(stop_timeout);
+        self
+    }
+
     /// Starts all processes and waits until every entry answers calls.
     pub async fn start(self) -> Fleet {
         let fleet = self.start_processes().await;
@@ -347,6 +356,7 @@
         let mut entries: Vec<_> = (0..self.entries)
             .map(|i| Entry::new(&network, directory.path(), i, platform))
             .collect();
+        entries.iter_mut().for_each(|e| e.stop_timeout = self.stop_timeout);
         let mut links = Links::default();
         let mut target_addresses: Vec<_> =
             (0..self.targets).map(|i| network.address(TARGETS_HOST, TARGETS_PORT + i)).collect();
