fix(entry): answer calls that outlast the planned stop before the exit

Calls whose time limit goes beyond the time allowed to a planned stop ended without an answer, whether a target had them or not.

Cause: when the time had passed, the request path returned and the runtime dropped the tasks of all connections.

Change: when the time has passed, the calls that have not ended are aborted: as not run if no attempt can have run, otherwise as unknown, both with the reason `stopping`. Then the connections have 4 s to deliver the answers and to close, before the process exits. A call whose answer is being forwarded at that time is still cut, and so is one whose body is not complete.

--- a/crates/entry/src/calls/app.rs
+++ b/crates/entry/src/calls/app.rs
@@ -31,6 +31,8 @@
     pub(super) connections: TaskTracker,
     /// Cancelled when the connections of callers are to be closed once they are idle.
     pub(super) close: CancellationToken,
+    /// Cancelled when the entry is about to exit and calls that have not ended are aborted.
+    pub(super) abort: CancellationToken,
     /// Tasks of connections to targets and peers, probes and calls with an idempotency key. The
     /// planned stop waits for them.
     pub(super) tasks: TaskTracker,
@@ -50,6 +52,7 @@
             probes,
             connections: TaskTracker::new(),
             close: CancellationToken::new(),
+            abort: CancellationToken::new(),
             tasks,
             next_id: AtomicU64::new(1),
         }
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -18,7 +18,7 @@
 use azuretally_api::{headers, record::Outcome};
 use azuretally_policy::{
     Timestamp,
-    dispatch::{Call, CallId, Event, FailureKind, LoadReport, TargetRefusal},
+    dispatch::{Call, CallId, Event, FailureKind, LoadReport, RefusalReason, TargetRefusal},
 };
 use futures_util::{
     StreamExt,
@@ -107,6 +107,7 @@
         abort_handles: Vec::new(),
         oldest_start,
         response_lost: false,
+        cancelled: false,
     }
     .run()
     .await
@@ -126,6 +127,8 @@
     oldest_start: Timestamp,
     /// Whether an attempt was written whose response did not arrive.
     response_lost: bool,
+    /// Whether an attempt was cancelled that may have been written.
+    cancelled: bool,
 }
 
 impl CallTask<'_> {
@@ -152,6 +155,7 @@
                         attempts.push(Abortable::new(attempt.run(), registration));
                     }
                     Step::Cancel { target } => self.cancel(&target),
+                    Step::Abort => return self.abort(!attempts.is_empty()),
                     Step::Refuse { reason, retry_after } => {
                         let reason = reason.as_str();
                         self.guard.end(Outcome::NotRun, Some(reason));
@@ -216,10 +220,22 @@
         if let Some(index) = self.abort_handles.iter().position(|(t, _)| **t == *target) {
             let (_, abort_handle) = self.abort_handles.swap_remove(index);
             abort_handle.abort();
+            self.cancelled = true;
             self.guard.end_attempt(target);
         }
     }
 
+    /// Ends the call because the entry is about to exit.
+    fn abort(mut self, in_progress: bool) -> Reply {
+        let reason = RefusalReason::Stopping.as_str();
+        if in_progress || self.response_lost || self.cancelled {
+            self.guard.end(Outcome::Unknown, Some(reason));
+            return Reply::unknown(reason);
+        }
+        self.guard.end(Outcome::NotRun, Some(reason));
+        Reply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, DEFAULT_RETRY_AFTER)
+    }
+
     /// Returns the response to forward to the caller, or `None` if the dispatcher decides what
     /// happens next.
     fn handle_target_result(
--- a/crates/entry/src/calls/keyed.rs
+++ b/crates/entry/src/calls/keyed.rs
@@ -172,7 +172,10 @@
         timeout,
     };
     let request = request_from(inbound, address, relay_headers(timeout))?;
-    let response = exchange.run(request).await.ok()?;
+    let response = tokio::select! {
+        response = exchange.run(request) => response.ok()?,
+        () = app.abort.cancelled() => return None,
+    };
     let outcome = handler::reported_outcome(&response)?;
     Some((outcome, response))
 }
--- a/crates/entry/src/calls/limits.rs
+++ b/crates/entry/src/calls/limits.rs
@@ -43,6 +43,8 @@
 /// Time that a stopping entry allows calls in flight to finish before it aborts them, unless the
 /// local settings name another.
 pub(super) const DEFAULT_STOP_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time that a stopping entry allows for the delivery of the answers to aborted calls.
+pub(super) const ABORT_TIMEOUT: Duration = Duration::from_secs(4);
 /// `Retry-After` of a request that was not accepted or whose key does not fit in the key table.
 pub(super) const DEFAULT_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Timeout of a probe.
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -5,7 +5,7 @@
     connection::CallerConnection,
     handler,
     limits::{
-        CALLER_TCP_TIMEOUT, DEFAULT_STOP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME,
+        ABORT_TIMEOUT, CALLER_TCP_TIMEOUT, DEFAULT_STOP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME,
         MAINTENANCE_INTERVAL, MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE,
         STOP_NOTICE_PERIOD,
     },
@@ -71,9 +71,7 @@
         let stop_timeout = app.context.local.stop_timeout_ms;
         let stop_timeout =
             stop_timeout.map_or(DEFAULT_STOP_TIMEOUT, |ms| Duration::from_millis(ms.into()));
-        if timeout(stop_timeout, drain(&app)).await.is_err() {
-            log::warn!("calls: some calls did not finish within {stop_timeout:?}");
-        }
+        finish_calls(&app, stop_timeout).await;
         app.context.shutdown.cancel();
         for task in [view_updates, prober, maintenance] {
             if task.await.is_err() {
@@ -194,6 +192,21 @@
     builder
 }
 
+/// Waits for the calls in flight for at most `stop_timeout`, then aborts them and waits until their
+/// answers have been delivered, for at most [`ABORT_TIMEOUT`].
+async fn finish_calls(app: &App, stop_timeout: Duration) {
+    let mut drained = pin!(drain(app));
+    if timeout(stop_timeout, drained.as_mut()).await.is_ok() {
+        return;
+    }
+    log::warn!("calls: connections={} open after {stop_timeout:?}", app.connections.len());
+    app.abort.cancel();
+    app.router.load().services().for_each(|s| s.abort_calls());
+    if timeout(ABORT_TIMEOUT, drained).await.is_err() {
+        log::warn!("calls: connections={} still open at the exit", app.connections.len());
+    }
+}
+
 /// Waits until the calls in flight have finished and the connections from callers are closed, then
 /// closes the connections to targets and peers and waits for the remaining tasks.
 async fn drain(app: &App) {
--- a/crates/testsuite/tests/testsuite/stop_connections.rs
+++ b/crates/testsuite/tests/testsuite/stop_connections.rs
@@ -1,5 +1,6 @@
 //! How the connections of callers end around a planned stop.
 
+use azuretally_api::headers;
 use azuretally_testsuite::{
     Call, DEFAULT_TIMEOUT, Fleet, FleetBuilder, RawAnswer, RawReader, RawWriter, connect,
     eventually,
@@ -347,6 +348,45 @@
     assert!(fleet.entries[0].process().wait_for_exit(STOP_BOUND).await.success());
 }
 
+/// Calls that outlast the time allowed to the stop ended without an answer when the process exited.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_that_outlast_the_stop_are_answered_before_the_exit() {
+    const MINUTE_MS: u32 = 60_000;
+    let mut fleet = one_entry()
+        .targets(1)
+        .slots(1)
+        .published(|p| p.urgent_ms = MINUTE_MS)
+        .stop_timeout(seconds(0.5))
+        .start()
+        .await;
+    let address = fleet.entries[0].calls;
+    let (mut running, mut running_writer) = connect(address, None).await.unwrap();
+    running_writer.balance("o-0", "&ms=25000").await.unwrap();
+    wait_for_start(&fleet, "o-0").await;
+    let (mut queued, mut queued_writer) = connect(address, None).await.unwrap();
+    queued_writer.balance("o-1", "").await.unwrap();
+    let (mut sale, mut sale_writer) = connect(address, None).await.unwrap();
+    let key = format!("{}/o-2", fleet.direction().await.token);
+    let request = format!(
+        "POST /till/sale?id=o-2 HTTP/1.1\r\nhost: till\r\nidempotency-key: {key}\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    sale_writer.send(request.as_bytes()).await.unwrap();
+    sleep(Duration::from_millis(200)).await;
+    fleet.entries[0].process().terminate();
+
+    let answer = running.answer().await.expect("a whole answer").expect("an answer");
+    assert_eq!(answer.header(headers::OUTCOME), Some(headers::UNKNOWN), "{}", answer.head);
+    for reader in [&mut queued, &mut sale] {
+        let answer = reader.answer().await.expect("a whole answer").expect("an answer");
+        assert_eq!(answer.header(headers::OUTCOME), Some(headers::NOT_RUN), "{}", answer.head);
+        assert!(answer.header("retry-after").is_some() && answer.announces_close());
+    }
+    drop((running, running_writer, queued, queued_writer, sale, sale_writer));
+    assert!(fleet.entries[0].process().wait_for_exit(STOP_BOUND).await.success());
+    assert_eq!(fleet.starts("o-1").await + fleet.starts(&key).await, 0);
+}
+
 /// Guards against a shutdown that cuts off answers of the administration API in progress.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn administration_answers_in_progress_at_the_end_of_a_stop_arrive_whole() {
