--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -5,6 +5,7 @@
     attempt::{Attempt, AttemptResult, Destination},
     body::ReplyBody,
     call_guard::CallGuard,
+    connection::announce_close,
     copies,
     exchange::{ExchangeError, ResponseBody, UpstreamResponse},
     inbound::{Inbound, InboundError},
@@ -17,7 +18,7 @@
 use azuretally_api::{headers, record::Outcome};
 use azuretally_policy::{
     Timestamp,
-    dispatch::{Call, CallId, Event, FailureKind, LoadReport, TargetRefusal},
+    dispatch::{Call, CallId, Event, FailureKind, LoadReport, RefusalReason, TargetRefusal},
 };
 use futures_util::{
     StreamExt,
@@ -25,6 +26,7 @@
     stream::FuturesUnordered,
 };
 use http::{Request, Response, StatusCode};
+use http_body::Body;
 use hyper::body::Incoming;
 use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
 
@@ -46,18 +48,30 @@
         return Ok(reply.into_response(&app, app.context.view().revision));
     }
     let router = app.router.load_full();
+    let has_body = !request.body().is_end_stream();
     let inbound = match Inbound::read(&app.context, &router, client_ip, request).await {
         Ok(inbound) => inbound,
-        Err(e) => return Ok(rejection(e).into_response(&app, app.context.view().revision)),
+        Err(e) => {
+            let mut response = rejection(e).into_response(&app, app.context.view().revision);
+            if has_body {
+                announce_close(&mut response);
+            }
+            return Ok(response);
+        }
     };
     let revision = inbound.config.service.revision;
     let inbound = Arc::new(inbound);
     let guard = CallGuard::new(Arc::clone(&app), Arc::clone(&inbound));
     let reply = match &inbound.key {
         Some(key) => keyed::run(&app, &inbound, key, guard).await,
-        None => dispatch(&app, inbound, guard).await,
+        None => dispatch(&app, Arc::clone(&inbound), guard).await,
     };
-    Ok(reply.into_response(&app, revision))
+    let mut response = reply.into_response(&app, revision);
+    // The rest of the body stands where the next call would begin.
+    if !inbound.body.is_complete() {
+        announce_close(&mut response);
+    }
+    Ok(response)
 }
 
 /// Returns the outcome that a peer reported, if it is a known one.
@@ -93,6 +107,7 @@
         abort_handles: Vec::new(),
         oldest_start,
         response_lost: false,
+        cancelled: false,
     }
     .run()
     .await
@@ -112,6 +127,8 @@
     oldest_start: Timestamp,
     /// Whether an attempt was written whose response did not arrive.
     response_lost: bool,
+    /// Whether an attempt was cancelled that may have been written.
+    cancelled: bool,
 }
 
 impl CallTask<'_> {
@@ -138,6 +155,7 @@
                         attempts.push(Abortable::new(attempt.run(), registration));
                     }
                     Step::Cancel { target } => self.cancel(&target),
+                    Step::Abort => return self.abort(!attempts.is_empty()),
                     Step::Refuse { reason, retry_after } => {
                         let reason = reason.as_str();
                         self.guard.end(Outcome::NotRun, Some(reason));
@@ -202,10 +220,22 @@
         if let Some(index) = self.abort_handles.iter().position(|(t, _)| **t == *target) {
             let (_, abort_handle) = self.abort_handles.swap_remove(index);
             abort_handle.abort();
+            self.cancelled = true;
             self.guard.end_attempt(target);
         }
     }
 
+    /// Ends the call because the entry is about to exit.
+    fn abort(mut self, in_progress: bool) -> Reply {
+        let reason = RefusalReason::Stopping.as_str();
+        if in_progress || self.response_lost || self.cancelled {
+            self.guard.end(Outcome::Unknown, Some(reason));
+            return Reply::unknown(reason);
+        }
+        self.guard.end(Outcome::NotRun, Some(reason));
+        Reply::not_run(StatusCode::SERVICE_UNAVAILABLE, reason, DEFAULT_RETRY_AFTER)
+    }
+
     /// Returns the response to forward to the caller, or `None` if the dispatcher decides what
     /// happens next.
     fn handle_target_result(
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -2,27 +2,33 @@
 
 use super::{
     app::App,
+    connection::CallerConnection,
     handler,
     limits::{
-        CALLER_TCP_TIMEOUT, HEAD_TIMEOUT, MAINTENANCE_INTERVAL, MAX_CALLER_CONNECTIONS,
-        MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE, STOP_NOTICE_PERIOD, STOP_TIMEOUT,
+        ABORT_TIMEOUT, CALLER_TCP_TIMEOUT, DEFAULT_STOP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME,
+        MAINTENANCE_INTERVAL, MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE,
+        STOP_NOTICE_PERIOD,
     },
     probe,
     service::ProbeRequest,
     view_updates,
 };
-use crate::{StartError, context::Context, socket::configure};
+use crate::{
+    StartError,
+    context::Context,
+    socket::{CallerStream, accept_backlog, configure},
+};
 use azuretally_policy::dispatch::Event;
 use error_stack::{Report, ResultExt};
 use hyper::service::service_fn;
 use hyper_util::{
     rt::{TokioExecutor, TokioIo, TokioTimer},
-    server::{conn::auto, graceful::GracefulShutdown},
+    server::conn::auto,
 };
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, mpsc},
+    sync::{OwnedSemaphorePermit, Semaphore, mpsc},
     time::{Instant, MissedTickBehavior, interval, sleep, sleep_until, timeout},
 };
 
@@ -58,13 +64,12 @@
         let view_updates = tokio::spawn(view_updates::run(Arc::clone(&app)));
         let prober = tokio::spawn(probe::run(Arc::clone(&app), probes));
         let maintenance = tokio::spawn(run_maintenance(Arc::clone(&app)));
-        let graceful = GracefulShutdown::new();
-        accept(&app, &listener, &graceful).await;
-        drop(listener);
-        log::info!("calls: listener closed, connections={}", graceful.count());
-        if timeout(STOP_TIMEOUT, drain(&app, graceful)).await.is_err() {
-            log::warn!("calls: some calls did not finish within {STOP_TIMEOUT:?}");
-        }
+        Acceptor::new(Arc::clone(&app), listener).run().await;
+        log::info!("calls: listener closed, connections={}", app.connections.len());
+        let stop_timeout = app.context.local.stop_timeout_ms;
+        let stop_timeout =
+            stop_timeout.map_or(DEFAULT_STOP_TIMEOUT, |ms| Duration::from_millis(ms.into()));
+        finish_calls(&app, stop_timeout).await;
         app.context.shutdown.cancel();
         for task in [view_updates, prober, maintenance] {
             if task.await.is_err() {
@@ -74,65 +79,128 @@
     }
 }
 
-/// Accepts connections until [`STOP_NOTICE_PERIOD`] after the planned stop was requested.
-async fn accept(app: &Arc<App>, listener: &TcpListener, graceful: &GracefulShutdown) {
-    let permits = Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS));
-    let stop_accepting = async {
-        app.context.stop.cancelled().await;
-        sleep_until(Instant::now() + STOP_NOTICE_PERIOD).await;
-    };
-    tokio::pin!(stop_accepting);
-    loop {
-        let accepted = tokio::select! {
-            () = &mut stop_accepting => return,
-            accepted = async {
-                let permit = Arc::clone(&permits).acquire_owned().await;
-                (listener.accept().await, permit)
-            } => accepted,
-        };
-        let (Ok((stream, client)), permit) = accepted else {
-            sleep(ACCEPT_RETRY_DELAY).await;
-            continue;
+/// Accepts connections from callers.
+struct Acceptor {
+    app: Arc<App>,
+    listener: TcpListener,
+    permits: Arc<Semaphore>,
+}
+
+impl Acceptor {
+    fn new(app: Arc<App>, listener: TcpListener) -> Self {
+        Self { app, listener, permits: Arc::new(Semaphore::new(MAX_CALLER_CONNECTIONS)) }
+    }
+
+    /// Accepts connections until [`STOP_NOTICE_PERIOD`] after the planned stop was requested, then
+    /// closes the listener.
+    async fn run(self) {
+        let stop_accepting = async {
+            self.app.context.stop.cancelled().await;
+            sleep_until(Instant::now() + STOP_NOTICE_PERIOD).await;
         };
-        let connection = serve(Arc::clone(app), stream, client, graceful);
-        app.tasks.spawn(async move {
+        tokio::pin!(stop_accepting);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut stop_accepting => break,
+                accepted = self.accept() => accepted,
+            };
+            match accepted {
+                Some((stream, client, permit)) => self.spawn(stream, client, permit),
+                None => sleep(ACCEPT_RETRY_DELAY).await,
+            }
+        }
+        match accept_backlog(&self.listener) {
+            Ok(accepted) => {
+                for (stream, client) in accepted {
+                    let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { break };
+                    self.spawn(stream, client, permit);
+                }
+            }
+            Err(e) => log::warn!("calls: cannot accept the connections in the backlog: {e}"),
+        }
+    }
+
+    async fn accept(&self) -> Option<(TcpStream, SocketAddr, OwnedSemaphorePermit)> {
+        let permit = Arc::clone(&self.permits).acquire_owned().await.ok()?;
+        let (stream, client) = self.listener.accept().await.ok()?;
+        Some((stream, client, permit))
+    }
+
+    fn spawn(&self, stream: TcpStream, client: SocketAddr, permit: OwnedSemaphorePermit) {
+        let connection = serve(Arc::clone(&self.app), stream, client);
+        self.app.connections.spawn(async move {
             let _permit = permit;
             connection.await;
         });
     }
 }
 
-fn serve(
-    app: Arc<App>,
-    stream: TcpStream,
-    client: SocketAddr,
-    graceful: &GracefulShutdown,
-) -> impl Future<Output = ()> + use<> {
-    let watcher = graceful.watcher();
-    async move {
-        if configure(&stream, CALLER_TCP_TIMEOUT).is_err() {
-            return;
+async fn serve(app: Arc<App>, stream: TcpStream, client: SocketAddr) {
+    if configure(&stream, CALLER_TCP_TIMEOUT).is_err() {
+        return;
+    }
+    let stream = CallerStream::new(stream);
+    let account = CallerConnection::new(Arc::clone(&app), client, stream.state());
+    let account = Arc::new(account);
+    let service = service_fn(|request| {
+        let (app, account) = (Arc::clone(&app), Arc::clone(&account));
+        async move {
+            account.call_started(request.version());
+            let mut response = handler::handle(app, client.ip(), request).await?;
+            account.call_ended(&mut response);
+            Ok::<_, Infallible>(response)
         }
-        let mut builder = auto::Builder::new(TokioExecutor::new());
-        builder
-            .http1()
-            .timer(TokioTimer::new())
-            .header_read_timeout(HEAD_TIMEOUT)
-            .max_buf_size(MAX_HEAD_BYTES)
-            .max_headers(MAX_HEADERS);
-        builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
-        let service = service_fn(|r| handler::handle(Arc::clone(&app), client.ip(), r));
-        let connection = builder.serve_connection(TokioIo::new(stream), service);
-        if let Err(e) = watcher.watch(connection).await {
-            log::debug!("calls: connection from {client} failed: {e}");
+    });
+    let builder = connection_builder();
+    let mut connection = pin!(builder.serve_connection(TokioIo::new(stream), service));
+    let result = tokio::select! {
+        result = connection.as_mut() => result,
+        () = app.close.cancelled() => {
+            account.closing();
+            connection.as_mut().graceful_shutdown();
+            connection.await
         }
+    };
+    if let Err(e) = &result {
+        log::debug!("calls: connection from {client} failed: {e}");
+    }
+    account.ended(result.is_err());
+}
+
+fn connection_builder() -> auto::Builder<TokioExecutor> {
+    let mut builder = auto::Builder::new(TokioExecutor::new());
+    builder
+        .http1()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(MAX_HEAD_BYTES)
+        .max_headers(MAX_HEADERS);
+    builder.http2().timer(TokioTimer::new()).max_header_list_size(MAX_HEAD_BYTES as u32);
+    builder
+}
+
+/// Waits for the calls in flight for at most `stop_timeout`, then aborts them and waits until their
+/// answers have been delivered, for at most [`ABORT_TIMEOUT`].
+async fn finish_calls(app: &App, stop_timeout: Duration) {
+    let mut drained = pin!(drain(app));
+    if timeout(stop_timeout, drained.as_mut()).await.is_ok() {
+        return;
+    }
+    log::warn!("calls: connections={} open after {stop_timeout:?}", app.connections.len());
+    app.abort.cancel();
+    app.router.load().services().for_each(|s| s.abort_calls());
+    if timeout(ABORT_TIMEOUT, drained).await.is_err() {
+        log::warn!("calls: connections={} still open at the exit", app.connections.len());
     }
 }
 
 /// Waits until the calls in flight have finished and the connections from callers are closed, then
 /// closes the connections to targets and peers and waits for the remaining tasks.
-async fn drain(app: &App, graceful: GracefulShutdown) {
-    graceful.shutdown().await;
+async fn drain(app: &App) {
+    sleep(LAST_CALL_TIME).await;
+    app.close.cancel();
+    app.connections.close();
+    app.connections.wait().await;
     log::info!("calls: all connections from callers are closed");
     app.pool.close();
     app.tasks.close();
