test(gateway): close the listener of a target when its stop begins

planned_stop_answers_calls_while_a_target_stops failed in 1 of 6 runs of the whole file and in 1 of 20 runs alone, beside 6 to 10 busy processes. Cause, in the stand-in: it left its listener open while its last calls ran, so that calls were sent to its backlog and reset. One call that must not be repeated ended with 502 that way, which no target had run; one with a limit of 1.2 s got 200 bytes, probably its 504, of which the message did not show the status.

The message of a failed test has the status and reason of each answer.

--- a/crates/gateway/tests/planned_stop/call.rs
+++ b/crates/gateway/tests/planned_stop/call.rs
@@ -1,6 +1,6 @@
 //! Calls, the requests that carry them, and the answers to them.
 
-use std::{sync::Arc, time::Duration};
+use std::{fmt, sync::Arc, time::Duration};
 
 /// Route whose calls are answered by targets before their body has been read.
 pub(crate) const EARLY_ROUTE: &str = "early";
@@ -133,6 +133,14 @@
     }
 }
 
+impl fmt::Display for Answer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let reason = self.header("x-azuretally-reason").unwrap_or("-");
+        let is_complete = self.is_complete;
+        write!(f, "status={} reason={reason} complete={is_complete}", self.status)
+    }
+}
+
 /// Returns the length of the head of a message, if it is complete.
 pub(crate) fn head_end(bytes: &[u8]) -> Option<usize> {
     bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4)
--- a/crates/gateway/tests/planned_stop/target.rs
+++ b/crates/gateway/tests/planned_stop/target.rs
@@ -76,13 +76,13 @@
                     }
                 }
             }
+            drop(listener);
             while connections.join_next().await.is_some() {}
         };
         tokio::select! {
             () = stop.cancelled() => {}
             () = accept => {}
         }
-        drop(listener);
         connections.shutdown().await;
     }
 
