feat(entry): tell at the end of a stop how connections ended

The entry counts the ends of connections by reason since it closes them in stages; now a line at the end of a planned stop gives the numbers since its begin, and how many connections were still open.

--- a/crates/entry/src/calls/connection.rs
+++ b/crates/entry/src/calls/connection.rs
@@ -1,7 +1,10 @@
 //! Connections of callers: whether an answer is the last one, and how each connection ended.
 
 use super::app::App;
-use crate::{metrics::ConnectionEnd, socket::ConnectionState};
+use crate::{
+    metrics::{ConnectionEnd, Metrics},
+    socket::ConnectionState,
+};
 use http::{HeaderValue, Response, Version, header::CONNECTION};
 use parking_lot::Mutex;
 use std::{
@@ -101,6 +104,24 @@
     }
 }
 
+/// Number of connections that ended so far, in each way.
+#[derive(Debug)]
+pub(super) struct EndCounts([u64; ConnectionEnd::ALL.len()]);
+
+impl EndCounts {
+    /// Reads the current numbers.
+    pub(super) fn read(metrics: &Metrics) -> Self {
+        Self(ConnectionEnd::ALL.map(|end| metrics.connection_ends(end)))
+    }
+
+    /// Returns the numbers since `earlier`, for a log line.
+    pub(super) fn since(&self, earlier: &Self) -> String {
+        let numbers = self.0.iter().zip(&earlier.0).map(|(now, then)| now - then);
+        let ends = ConnectionEnd::ALL.iter().zip(numbers);
+        ends.map(|(end, n)| format!("{}={n}", end.as_str())).collect::<Vec<_>>().join(" ")
+    }
+}
+
 /// Announces that the connection is closed after this response.
 pub(super) fn announce_close<Body>(response: &mut Response<Body>) {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -2,7 +2,7 @@
 
 use super::{
     app::App,
-    connection::CallerConnection,
+    connection::{CallerConnection, EndCounts},
     handler,
     limits::{
         ABORT_TIMEOUT, CALLER_TCP_TIMEOUT, DEFAULT_STOP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME,
@@ -66,12 +66,23 @@
         let view_updates = tokio::spawn(view_updates::run(Arc::clone(&app)));
         let prober = tokio::spawn(probe::run(Arc::clone(&app), probes));
         let maintenance = tokio::spawn(run_maintenance(Arc::clone(&app)));
-        Acceptor::new(Arc::clone(&app), listener).run().await;
+        let metrics = &app.context.metrics;
+        let ends_before = async {
+            app.context.stop.cancelled().await;
+            EndCounts::read(metrics)
+        };
+        let acceptor = Acceptor::new(Arc::clone(&app), listener);
+        let (ends_before, ()) = tokio::join!(ends_before, acceptor.run());
         log::info!("calls: listener closed, connections={}", app.connections.len());
         let stop_timeout = app.context.local.stop_timeout_ms;
         let stop_timeout =
             stop_timeout.map_or(DEFAULT_STOP_TIMEOUT, |ms| Duration::from_millis(ms.into()));
         finish_calls(&app, stop_timeout).await;
+        log::info!(
+            "calls: connections ended during the stop: {} open={}",
+            EndCounts::read(metrics).since(&ends_before),
+            app.connections.len()
+        );
         app.context.shutdown.cancel();
         for task in [view_updates, prober, maintenance] {
             if task.await.is_err() {
--- a/crates/testsuite/tests/testsuite/stop_connections.rs
+++ b/crates/testsuite/tests/testsuite/stop_connections.rs
@@ -166,6 +166,32 @@
     assert!(fleet.entries[0].process().wait_for_exit(STOP_BOUND).await.success());
 }
 
+/// Guards against a log that cannot tell an answer that a reset discarded from a caller that left.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn log_of_a_stop_tells_how_connections_ended() {
+    let mut fleet = one_entry().start().await;
+    let address = fleet.entries[0].calls;
+    let (mut answered, mut answered_writer) = connect(address, None).await.unwrap();
+    let (mut idle, mut idle_writer) = connect(address, None).await.unwrap();
+    for (reader, writer) in [(&mut answered, &mut answered_writer), (&mut idle, &mut idle_writer)] {
+        writer.balance("e-0", "").await.unwrap();
+        reader.answer().await.unwrap().unwrap();
+    }
+    fleet.entries[0].process().terminate();
+    sleep(seconds(0.5)).await;
+    answered_writer.balance("e-1", "").await.unwrap();
+    answered.answer().await.unwrap().unwrap();
+    drop((answered, answered_writer));
+    assert!(idle.answer().await.unwrap().is_none());
+    drop((idle, idle_writer));
+    let process = fleet.entries[0].process();
+    assert!(process.wait_for_exit(STOP_BOUND).await.success());
+    // The connection on which the harness waited until the entry served is idle too.
+    let line = "during the stop: announced=1 idle=2 caller-closed=0 failed=0 interrupted=0 open=0";
+    let log = process.log();
+    assert!(log.contains(line), "{log}");
+}
+
 /// The same over HTTP/2, where the connection is closed with GOAWAY after the notice period.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn http2_connection_is_served_until_goaway_after_the_notice_period() {
