fix(gateway,entry): lose no signal while the handlers are installed

Cause: signal-hook-registry, which tokio uses, installs its handler by a system call and enters the receiver in its table after that. A signal between the two is taken and dropped.

Change: SIGTERM, SIGINT and SIGHUP are blocked (nix, safe functions) until their receivers exist, also in the threads that are started meanwhile. A blocked signal stays pending, so it is delivered then.

--- a/crates/entry/src/daemon.rs
+++ b/crates/entry/src/daemon.rs
@@ -1,6 +1,6 @@
 //! Startup, planned stop and shutdown of an entry.
 
-use crate::{StartError, admin, calls, context::Context, control, record};
+use crate::{StartError, admin, calls, context::Context, control, record, signals::BlockedSignals};
 use azuretally_settings::LocalSettings;
 use error_stack::{Report, ResultExt};
 use std::{sync::Arc, thread};
@@ -25,9 +25,11 @@
     let peer_key = std::fs::read(&local.peer_key_file)
         .change_context_lazy(|| StartError::ReadFile(local.peer_key_file.clone()))?;
     let context = Arc::new(Context::new(local, peer_key)?);
-    let runtime = build_runtime(&context)?;
     // Before anything listens: until then, SIGTERM ends the process without a planned stop.
+    let blocked = BlockedSignals::block().change_context(StartError::Runtime)?;
+    let runtime = build_runtime(&context)?;
     let signals = StopSignals::install(&runtime)?;
+    drop(blocked);
     log::info!("entry: start host={} run={}", context.local.host, context.incarnation);
 
     let control_thread = spawn_control(&context)?;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,5 +17,5 @@
 pub mod trace;
 pub mod view;
 
-pub use azuretally_gateway::{clock, socket};
+pub use azuretally_gateway::{clock, signals, socket};
 pub use error::StartError;
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -8,6 +8,7 @@
     gateway::Gateway,
     logging::{self, LineSink, LogWriter},
     settings::Settings,
+    signals::BlockedSignals,
 };
 use error_stack::{Report, ResultExt};
 use std::{
@@ -73,6 +74,7 @@
     /// Installs the handlers. Until then a signal ends the process without a planned stop, so this
     /// comes before anything listens.
     fn install(runtime: &Runtime) -> Result<Self, Report<StartError>> {
+        let _blocked = BlockedSignals::block().change_context(StartError::Runtime)?;
         let _context = runtime.enter();
         let install = |kind| signal(kind).change_context(StartError::Runtime);
         Ok(Self {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod native;
 pub mod program;
 pub mod settings;
+pub mod signals;
 pub mod socket;
 pub mod stop;
 
