feat(soak): use connections as callers do, and count calls around planned stops

Its callers sent one call at a time through hyper and a proxy, which reads and buffers what the kernel would discard at a reset.

Change: - Callers speak HTTP/1.1 on plain TCP (`connection`) with one of three habits by seed: `kept`, `fresh` and `pipelined`. Some have a small receive buffer, read late, send bodies in pieces, stop at a failed write, or connect without a proxy. Directions are held for up to three times their lifetime, answers have up to 60 kB. - `stops` judges the calls around each planned stop at the end of the run: whole, refused, cut, excused, unread. A call counts as cut if a target had it, or if the gateway had read it and more than 200 ms passed. The check of before saw only calls that had run before their connection ended and ended with the process; a fault since 3 s before the SIGTERM excused every call. Now only an unplanned fault from 3 s before the call to its end does, or one of the other named excuses. - `planned` stops gateways in use in series and overlap, with further signals, rewritten settings, SIGHUP, freezes (mixed profile only) and a stop right after the start, beside replaced targets and new settings. `--planned-only` runs it without unplanned faults, with a grace time of 6 s and the operations of the incident. - A call refused for a slow or malformed body was not run, and its log line says why: the check of the logs takes these outcomes too.

The faults of a seed keep their sequence in the mixed profile; planned work comes on top from a seed of its own. What callers send has changed for every seed.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,7 @@
 //! Records what callers and targets observe and checks it against the guarantees of the gateways.
 
-use indexmap::IndexMap;
+use crate::stops::{self, Call, CallEnd, Route, Stop, StopCounts};
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 use std::{
     collections::VecDeque,
@@ -42,23 +43,6 @@
     GaveUp,
 }
 
-/// State of one call.
-#[derive(Clone, Debug)]
-struct Call {
-    idempotent: bool,
-    gateway: usize,
-    runs: u32,
-    ended: Option<(Instant, CallResult)>,
-    /// Whether the gateway was killed before it was certain to have logged the outcome.
-    unwritten: bool,
-}
-
-impl Call {
-    fn result(&self) -> Option<CallResult> {
-        self.ended.map(|(_, result)| result)
-    }
-}
-
 /// A call for which the caller has a result.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndedCall {
@@ -75,10 +59,14 @@
 #[derive(Debug, Default)]
 struct State {
     calls: IndexMap<u64, Call>,
-    /// Time of the last fault at each gateway.
+    /// Time of the last start or unplanned fault at each gateway.
     last_fault: IndexMap<usize, Instant>,
-    /// Gateways in a planned stop, with the time at which it began.
-    stopping_since: IndexMap<usize, Instant>,
+    /// Unplanned faults at each gateway.
+    faults: IndexMap<usize, Vec<Instant>>,
+    /// Gateways in a planned stop.
+    stopping: IndexSet<usize>,
+    /// All planned stops of the run.
+    stops: Vec<Stop>,
     /// Targets that are leaving or gone, with the time at which the platform recorded it.
     leaving_since: IndexMap<String, Instant>,
     /// Settings versions with the time at which each was published.
@@ -103,10 +91,33 @@
 }
 
 impl Checker {
-    /// Records that a caller is about to send a call to `gateway`.
-    pub(crate) fn record_send(&self, id: u64, gateway: usize, idempotent: bool) {
-        let call = Call { idempotent, gateway, runs: 0, ended: None, unwritten: false };
-        self.state.lock().calls.insert(id, call);
+    /// Records that a caller is about to send a call.
+    pub(crate) fn record_send(&self, id: u64, route: Route) {
+        self.state.lock().calls.insert(id, Call::new(route));
+    }
+
+    /// Records that the last byte of a call has been sent.
+    pub(crate) fn record_sent(&self, id: u64) {
+        if let Some(call) = self.state.lock().calls.get_mut(&id) {
+            call.sent_at = Instant::now();
+        }
+    }
+
+    /// Records that a target has received a call.
+    pub(crate) fn record_receipt(&self, id: u64) {
+        if let Some(call) = self.state.lock().calls.get_mut(&id) {
+            call.holders += 1;
+        }
+    }
+
+    /// Records that a target no longer has a call. `broken_off` tells whether the target ended the
+    /// connection by itself instead of answering.
+    pub(crate) fn record_release(&self, id: u64, broken_off: bool) {
+        if let Some(call) = self.state.lock().calls.get_mut(&id) {
+            call.holders -= 1;
+            call.worked_until = Some(Instant::now());
+            call.broken_off |= broken_off;
+        }
     }
 
     /// Records that a target starts to run a call. Checks that the call was sent, that a call that
@@ -122,7 +133,7 @@
         };
         call.runs += 1;
         let (runs, idempotent, result, gateway) =
-            (call.runs, call.idempotent, call.result(), call.gateway);
+            (call.runs, call.route.idempotent, call.result(), call.route.gateway);
         if runs > 1 && !idempotent {
             state.add_violation(format!(
                 "twice: call {id} ran {runs} times, most recently at {target}"
@@ -150,12 +161,10 @@
         self.state.lock().record_arrival(Instant::now(), id, service);
     }
 
-    /// Records the result of a call. Checks that a call reported as not run did not run, and that a
-    /// planned stop cuts off no running call.
-    pub(crate) fn record_end(&self, id: u64, result: CallResult) {
+    /// Records the end of a call. Checks that a call reported as not run did not run.
+    pub(crate) fn record_end(&self, id: u64, end: CallEnd) {
         let mut state = self.state.lock();
-        let now = Instant::now();
-        let name = match result {
+        let name = match end.result {
             CallResult::Answered => "answered",
             CallResult::NotRun => "not-run",
             CallResult::Unknown => "unknown",
@@ -164,26 +173,29 @@
             CallResult::GaveUp => "gave-up",
         };
         *state.counts.entry(name).or_default() += 1;
-        state.recent_calls.push_back((now, result == CallResult::Answered));
-        while state.recent_calls.front().is_some_and(|(at, _)| now - *at > SETTLE_TIME) {
+        state.recent_calls.push_back((end.at, end.result == CallResult::Answered));
+        while state.recent_calls.front().is_some_and(|(at, _)| end.at - *at > SETTLE_TIME) {
             state.recent_calls.pop_front();
         }
         let Some(call) = state.calls.get_mut(&id) else { return };
-        call.ended = Some((now, result));
-        let (runs, gateway) = (call.runs, call.gateway);
-        if result == CallResult::NotRun && runs > 0 {
+        call.end = Some(end);
+        if end.result == CallResult::NotRun && call.runs > 0 {
             state.add_violation(format!("refused: call {id} ran but was reported as not run"));
         }
-        let stop_began = state.stopping_since.get(&gateway).copied();
-        if result == CallResult::Cut
-            && runs > 0
-            && let Some(stop_began) = stop_began
-            && state.last_fault.get(&gateway).is_none_or(|at| stop_began - SETTLE_TIME > *at)
-        {
-            state.add_violation(format!(
-                "lost: call {id} was cut off by the planned stop of gateway {gateway}"
-            ));
+    }
+
+    /// Counts the calls around planned stops. Checks that no stop cut off a call that a target had
+    /// or that the gateway had read a while ago. `is_read` tells whether a gateway has read a call.
+    pub(crate) fn check_stops<IsRead>(&self, is_read: IsRead) -> StopCounts
+    where
+        IsRead: Fn(u64) -> bool,
+    {
+        let mut state = self.state.lock();
+        let (counts, losses) = stops::count(&state.calls, &state.stops, &state.faults, is_read);
+        for loss in losses {
+            state.add_violation(loss);
         }
+        counts
     }
 
     /// Records an answer that is not the complete answer to the call.
@@ -228,8 +240,16 @@
         self.state.lock().highest_versions.get(&(gateway, incarnation)).copied().unwrap_or(0)
     }
 
-    /// Records a fault at a gateway or its links.
+    /// Records an unplanned fault at a gateway or its links.
     pub(crate) fn record_fault(&self, gateway: usize) {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        state.last_fault.insert(gateway, now);
+        state.faults.entry(gateway).or_default().push(now);
+    }
+
+    /// Records that a gateway is started. The time bounds apply to it once it has settled.
+    pub(crate) fn record_start(&self, gateway: usize) {
         self.state.lock().last_fault.insert(gateway, Instant::now());
     }
 
@@ -237,8 +257,8 @@
     pub(crate) fn record_kill(&self, gateway: usize) {
         let mut state = self.state.lock();
         let now = Instant::now();
-        for call in state.calls.values_mut().filter(|c| c.gateway == gateway) {
-            call.unwritten |= call.ended.is_none_or(|(at, _)| now - at < LOG_LOSS_WINDOW);
+        for call in state.calls.values_mut().filter(|c| c.route.gateway == gateway) {
+            call.unwritten |= call.end.is_none_or(|end| now - end.at < LOG_LOSS_WINDOW);
         }
     }
 
@@ -246,25 +266,33 @@
     pub(crate) fn ended_calls(&self) -> Vec<EndedCall> {
         let state = self.state.lock();
         let to_ended_call = |(id, call): (&u64, &Call)| {
-            let (at, result) = call.ended?;
+            let end = call.end?;
             let (runs, unwritten) = (call.runs, call.unwritten);
-            Some(EndedCall { id: *id, result, runs, age: at.elapsed(), unwritten })
+            Some(EndedCall { id: *id, result: end.result, runs, age: end.at.elapsed(), unwritten })
         };
         state.calls.iter().filter_map(to_ended_call).collect()
     }
 
-    /// Records the beginning or the end of a planned stop.
-    pub(crate) fn set_stopping(&self, gateway: usize, stopping: bool) {
+    /// Records that a planned stop begins.
+    pub(crate) fn record_stop(&self, stop: Stop) {
         let mut state = self.state.lock();
-        match stopping {
-            true => state.stopping_since.insert(gateway, Instant::now()),
-            false => state.stopping_since.shift_remove(&gateway),
-        };
+        state.stopping.insert(stop.gateway);
+        state.stops.push(stop);
+    }
+
+    /// Records that the process of a planned stop is gone.
+    pub(crate) fn record_stop_end(&self, gateway: usize) {
+        self.state.lock().stopping.swap_remove(&gateway);
+    }
+
+    /// Returns the number of planned stops in progress.
+    pub(crate) fn stopping_count(&self) -> usize {
+        self.state.lock().stopping.len()
     }
 
     /// Returns whether a planned stop of the gateway is in progress.
     pub(crate) fn is_stopping(&self, gateway: usize) -> bool {
-        self.state.lock().stopping_since.contains_key(&gateway)
+        self.state.lock().stopping.contains(&gateway)
     }
 
     /// Returns whether the gateway has had no fault for [`SETTLE_TIME`].
@@ -303,10 +331,14 @@
         }
     }
 
-    /// Returns the violations and the number of calls by result.
-    pub(crate) fn results(&self) -> (Vec<String>, IndexMap<&'static str, u64>) {
-        let state = self.state.lock();
-        (state.violations.clone(), state.counts.clone())
+    /// Returns the number of calls by result.
+    pub(crate) fn counts(&self) -> IndexMap<&'static str, u64> {
+        self.state.lock().counts.clone()
+    }
+
+    /// Returns the violations.
+    pub(crate) fn violations(&self) -> Vec<String> {
+        self.state.lock().violations.clone()
     }
 }
 
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -4,14 +4,15 @@
     callers::HOST_NAME,
     checker::{BUDGET_SLACK, Checker},
     platform::Platform,
+    process::Process,
     run::Options,
-    targets::{PROBE_PATH, SLOTS, Target},
+    targets::{PROBE_PATH, Target},
+    workload::{MOVING, Operation, Workload},
 };
 use azuretally_policy::balance::{
     CallerLimits, PublishedSettings, Route, ServiceSettings, Share, TargetRecord,
 };
 use azuretally_standin::{http::listen, proxy::Link};
-use azuretally_testsuite::Child;
 use parking_lot::Mutex;
 use std::{
     fs,
@@ -19,7 +20,7 @@
     path::{Path, PathBuf},
     sync::{
         Arc,
-        atomic::{AtomicU32, AtomicU64, Ordering},
+        atomic::{AtomicU32, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -38,8 +39,14 @@
 const CALLERS_PER_TARGET: usize = 24;
 /// Number of failure domains.
 const FAILURE_DOMAINS: usize = 3;
-/// Grace period of a planned stop, in ms.
-const GRACE_MS: u64 = 3_000;
+/// Ports of a gateway and of its links.
+const CALLS_PORT: u16 = 7_000;
+const DIRECTIONS_PORT: u16 = 7_002;
+const NEWS_PORT: u16 = 7_003;
+const CALLERS_LINK_PORT: u16 = 7_100;
+const PLATFORM_LINK_PORT: u16 = 7_101;
+/// File descriptors of a gateway in its first settings file.
+const DESCRIPTORS: u64 = 4_100;
 
 /// A gateway with its links.
 #[derive(Debug)]
@@ -52,10 +59,16 @@
     pub(crate) directions_address: SocketAddr,
     pub(crate) callers_link: Arc<Link>,
     pub(crate) platform_link: Arc<Link>,
-    pub(crate) child: Mutex<Option<Child>>,
+    pub(crate) process: Mutex<Option<Process>>,
     /// Number of processes started for this gateway.
     pub(crate) incarnation: AtomicU32,
+    /// Open connections of callers.
+    pub(crate) connections: Arc<AtomicUsize>,
     settings: PathBuf,
+    /// Contents of the settings file without the number of descriptors.
+    settings_text: String,
+    /// Number of times that the settings file was written.
+    revision: AtomicU64,
 }
 
 /// A target with its link.
@@ -70,6 +83,7 @@
 #[derive(Debug)]
 pub(crate) struct Cluster {
     pub(crate) checker: Arc<Checker>,
+    pub(crate) workload: Workload,
     pub(crate) platform: Arc<Platform>,
     pub(crate) gateways: Vec<Gateway>,
     pub(crate) targets: Mutex<Vec<TargetLink>>,
@@ -87,6 +101,8 @@
     /// `options.network` selects, so that concurrent runs use distinct addresses.
     pub(crate) async fn start(options: &Options, directory: &Path) -> Arc<Self> {
         let checker = Arc::new(Checker::default());
+        let workload =
+            Workload::new(options.profile, options.gateways, options.targets, options.callers);
         let platform = Arc::new(Platform::new(Arc::clone(&checker)));
         let mut tasks = JoinSet::new();
         let stop = CancellationToken::new();
@@ -97,13 +113,12 @@
         tasks.spawn(Arc::clone(&platform).run(platform_listener, stop.clone()));
         let mut gateways = Vec::new();
         for number in 0..options.gateways {
-            let gateway =
-                set_up_gateway(options, number, platform_address, directory, &mut tasks, &stop)
-                    .await;
-            gateways.push(gateway);
+            let links = GatewayLinks::new(options, number, platform_address, &mut tasks, &stop);
+            gateways.push(Gateway::new(options, &workload, number, directory, links));
         }
         let cluster = Arc::new(Self {
             checker,
+            workload,
             platform,
             gateways,
             targets: Mutex::default(),
@@ -134,7 +149,7 @@
         let version = self.version.load(Ordering::SeqCst) + 1;
         if version <= SETTINGS_VERSIONS {
             self.version.store(version, Ordering::SeqCst);
-            self.platform.publish(settings_of(version));
+            self.platform.publish(settings_of(version, &self.workload));
         }
     }
 
@@ -142,11 +157,9 @@
     pub(crate) fn start_gateway(&self, number: usize) {
         let gateway = &self.gateways[number];
         gateway.incarnation.fetch_add(1, Ordering::SeqCst);
-        self.checker.record_fault(number);
-        let args = ["--settings".to_owned(), gateway.settings.display().to_string()];
-        let name = format!("gateway-{number}");
-        let child = Child::start(&self.directory, &name, "azuretally-gateway", &args);
-        *gateway.child.lock() = Some(child);
+        self.checker.record_start(number);
+        let log = self.directory.join(format!("gateway-{number}.log"));
+        *gateway.process.lock() = Some(Process::start(&gateway.settings, log));
     }
 
     /// Starts a target of `service` behind a link and registers it with the platform.
@@ -166,6 +179,7 @@
         let target = Arc::new(Target::new(
             Arc::clone(&name),
             Arc::clone(&service),
+            self.workload,
             Arc::clone(&self.checker),
         ));
         {
@@ -180,7 +194,7 @@
             address,
             failure_domain: failure_domain_name(number as usize),
             version: Arc::from("v1"),
-            slots: SLOTS,
+            slots: self.workload.slots,
             leaving: false,
             warmup: Duration::ZERO,
         };
@@ -191,9 +205,8 @@
     /// Ends all processes and tasks that the run started.
     pub(crate) async fn shut_down(&self) {
         for gateway in &self.gateways {
-            if let Some(mut child) = gateway.child.lock().take() {
-                child.resume();
-                child.kill();
+            if let Some(mut process) = gateway.process.lock().take() {
+                process.kill();
             }
         }
         self.stop.cancel();
@@ -225,17 +238,23 @@
 }
 
 /// Returns the settings of `version`.
-fn settings_of(version: u64) -> PublishedSettings {
-    let route = |name: &str, idempotent, service: String| Route {
-        name: Arc::from(name),
-        host: Arc::from(HOST_NAME),
-        prefix: Arc::from(format!("/{name}/")),
-        idempotent,
-        timeout: Duration::from_millis(1_000),
-        objective: Duration::from_millis(200),
-        priority: u32::from(idempotent),
-        attempts: 2,
-        shares: vec![Share { service: Arc::from(service), weight: 1 }],
+fn settings_of(version: u64, workload: &Workload) -> PublishedSettings {
+    let route = |operation: &Operation| {
+        let service = match operation.name {
+            MOVING => format!("{MOVING_PREFIX}{version}"),
+            _ => MAIN_SERVICE.to_owned(),
+        };
+        Route {
+            name: Arc::from(operation.name),
+            host: Arc::from(HOST_NAME),
+            prefix: Arc::from(format!("/{}/", operation.name)),
+            idempotent: operation.idempotent,
+            timeout: operation.timeout,
+            objective: operation.timeout / 5,
+            priority: u32::from(operation.idempotent),
+            attempts: 2,
+            shares: vec![Share { service: Arc::from(service), weight: 1 }],
+        }
     };
     let service_settings = ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH) };
     let names = (1..=SETTINGS_VERSIONS)
@@ -243,11 +262,7 @@
         .chain([MAIN_SERVICE.to_owned()]);
     PublishedSettings {
         version,
-        routes: vec![
-            route("check", true, MAIN_SERVICE.to_owned()),
-            route("sale", false, MAIN_SERVICE.to_owned()),
-            route("moving", true, format!("{MOVING_PREFIX}{version}")),
-        ],
+        routes: workload.operations.iter().map(route).collect(),
         services: names.map(|name| (Arc::from(name), service_settings.clone())).collect(),
         limits: CallerLimits {
             head_bytes: 16_384,
@@ -258,59 +273,94 @@
     }
 }
 
-/// Sets up the links and the settings file of a gateway without starting it.
-async fn set_up_gateway(
-    options: &Options,
-    number: usize,
-    platform_address: SocketAddr,
-    directory: &Path,
-    tasks: &mut JoinSet<()>,
-    stop: &CancellationToken,
-) -> Gateway {
-    let loopback_ip = |number: usize| {
-        let number = u16::try_from(number + 1).expect("gateway number does not fit in 16 bits");
-        let [high, low] = number.to_be_bytes();
-        Ipv4Addr::new(127, options.network, high, low)
-    };
-    let at = |port| SocketAddr::from((loopback_ip(number), port));
-    let callers_listener = listen(at(7_100)).expect("failed to bind a gateway link address");
-    let platform_listener = listen(at(7_101)).expect("failed to bind a gateway link address");
-    let callers_link = Arc::new(Link::new(at(7_000)));
-    let platform_link = Arc::new(Link::new(platform_address));
-    tasks.spawn(Arc::clone(&callers_link).run(callers_listener, stop.clone()));
-    tasks.spawn(Arc::clone(&platform_link).run(platform_listener, stop.clone()));
-    let seeds: Vec<String> =
-        (0..options.gateways.min(3)).map(|n| format!("\"{}:7003\"", loopback_ip(n))).collect();
-    let ip = loopback_ip(number);
-    let text = format!(
-        "host = \"gateway-{number}\"\nfailure_domain = \"{}\"\nplatform = \"{}\"\nseeds = [{}]\n\
-         [listen]\ncalls = \"{ip}:7000\"\nreadiness = \"{ip}:7001\"\ndirections = \"{ip}:7002\"\n\
-         news = \"{ip}:7003\"\nheartbeats = \"{ip}:7004\"\n\
-         [size]\ncores = 0.2\nmemory_mb = 260\ndescriptors = 4100\n\
-         [retries]\nratio = 0.2\nslack = {BUDGET_SLACK}\nwindow_ms = 10000\n\
-         [stop]\ngrace_ms = {GRACE_MS}\n",
-        failure_domain_name(number),
-        at(7_101),
-        seeds.join(", "),
-    );
-    let settings = directory.join(format!("gateway-{number}.toml"));
-    fs::write(&settings, text).expect("failed to write the settings file");
-    Gateway {
-        number,
-        calls_address: at(7_000),
-        link_address: at(7_100),
-        directions_address: at(7_002),
-        callers_link,
-        platform_link,
-        child: Mutex::new(None),
-        incarnation: AtomicU32::new(0),
-        settings,
+/// Returns the address of a port of a gateway.
+fn gateway_address(options: &Options, number: usize, port: u16) -> SocketAddr {
+    let number = u16::try_from(number + 1).expect("gateway number does not fit in 16 bits");
+    let [high, low] = number.to_be_bytes();
+    SocketAddr::from((Ipv4Addr::new(127, options.network, high, low), port))
+}
+
+/// Links to and from a gateway.
+struct GatewayLinks {
+    callers: Arc<Link>,
+    platform: Arc<Link>,
+}
+
+impl GatewayLinks {
+    fn new(
+        options: &Options,
+        number: usize,
+        platform_address: SocketAddr,
+        tasks: &mut JoinSet<()>,
+        stop: &CancellationToken,
+    ) -> Self {
+        let mut start = |port, target| {
+            let listener = listen(gateway_address(options, number, port))
+                .expect("failed to bind a gateway link address");
+            let link = Arc::new(Link::new(target));
+            tasks.spawn(Arc::clone(&link).run(listener, stop.clone()));
+            link
+        };
+        let callers = start(CALLERS_LINK_PORT, gateway_address(options, number, CALLS_PORT));
+        let platform = start(PLATFORM_LINK_PORT, platform_address);
+        Self { callers, platform }
     }
 }
 
 impl Gateway {
-    /// Time that a gateway has to exit after the signal of a planned stop before it is killed.
-    pub(crate) fn grace_period() -> Duration {
-        Duration::from_millis(GRACE_MS)
+    /// Sets up a gateway with its settings file without starting it.
+    fn new(
+        options: &Options,
+        workload: &Workload,
+        number: usize,
+        directory: &Path,
+        links: GatewayLinks,
+    ) -> Self {
+        let at = |port| gateway_address(options, number, port);
+        let gateway = Self {
+            number,
+            calls_address: at(CALLS_PORT),
+            link_address: at(CALLERS_LINK_PORT),
+            directions_address: at(DIRECTIONS_PORT),
+            callers_link: links.callers,
+            platform_link: links.platform,
+            process: Mutex::new(None),
+            incarnation: AtomicU32::new(0),
+            connections: Arc::default(),
+            settings: directory.join(format!("gateway-{number}.toml")),
+            settings_text: settings_text(options, workload, number),
+            revision: AtomicU64::new(0),
+        };
+        gateway.write_settings();
+        gateway
     }
+
+    /// Writes the settings file. Each time it has another number of descriptors.
+    pub(crate) fn write_settings(&self) {
+        let descriptors = DESCRIPTORS + self.revision.fetch_add(1, Ordering::SeqCst);
+        let text = format!("{}descriptors = {descriptors}\n", self.settings_text);
+        fs::write(&self.settings, text).expect("failed to write the settings file");
+    }
+}
+
+/// Returns the contents of the settings file of a gateway without the number of descriptors.
+fn settings_text(options: &Options, workload: &Workload, number: usize) -> String {
+    let seed = |n| format!("\"{}\"", gateway_address(options, n, NEWS_PORT));
+    let seeds: Vec<String> = (0..options.gateways.min(3)).map(seed).collect();
+    let ip = gateway_address(options, number, CALLS_PORT).ip();
+    format!(
+        "host = \"gateway-{number}\"\nfailure_domain = \"{}\"\n\
+         platform = \"{ip}:{PLATFORM_LINK_PORT}\"\nseeds = [{}]\n\
+         [listen]\ncalls = \"{ip}:{CALLS_PORT}\"\nreadiness = \"{ip}:7001\"\n\
+         directions = \"{ip}:{DIRECTIONS_PORT}\"\nnews = \"{ip}:{NEWS_PORT}\"\n\
+         heartbeats = \"{ip}:7004\"\n\
+         [directions]\ngateways = {}\n\
+         [retries]\nratio = 0.2\nslack = {BUDGET_SLACK}\nwindow_ms = 10000\n\
+         [stop]\ngrace_ms = {}\n\
+         [size]\ncores = 0.2\nmemory_mb = 260\n",
+        failure_domain_name(number),
+        seeds.join(", "),
+        workload.directed,
+        workload.grace.as_millis(),
+    )
 }
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -1,7 +1,8 @@
 //! Injects a seeded random sequence of faults, which may overlap.
 
 use crate::{
-    cluster::{Cluster, Gateway},
+    cluster::Cluster,
+    planned::{StopExtras, stop_gateway},
     platform::PlatformMode,
     targets::TargetMode,
 };
@@ -9,6 +10,7 @@
 use azuretally_standin::proxy::Faults;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rustix::process::Signal;
 use std::{
     sync::Arc,
     time::{Duration, Instant},
@@ -35,7 +37,7 @@
         let cluster = Arc::clone(cluster);
         match rng.random_range(0..12) {
             0 => drop(active.spawn(kill_gateway(cluster, number, duration / 3))),
-            1 => drop(active.spawn(stop_gateway(cluster, number))),
+            1 => drop(active.spawn(stop_gateway(cluster, number, StopExtras::default()))),
             2 => drop(active.spawn(suspend_gateway(cluster, number, duration))),
             3 | 4 => {
                 let faults = link_faults(&mut rng);
@@ -116,60 +118,20 @@
 
 /// Kills a gateway and restarts it after `downtime`.
 async fn kill_gateway(cluster: Arc<Cluster>, number: usize, downtime: Duration) {
-    let Some(mut child) = cluster.gateways[number].child.lock().take() else { return };
+    let Some(mut process) = cluster.gateways[number].process.lock().take() else { return };
     cluster.checker.record_fault(number);
     cluster.checker.record_kill(number);
-    child.resume();
-    child.kill();
+    process.kill();
     sleep(downtime).await;
     cluster.start_gateway(number);
 }
 
-/// Stops a gateway with SIGTERM and checks that it exits within its grace period. Kills it if it
-/// does not, and starts it again.
-async fn stop_gateway(cluster: Arc<Cluster>, number: usize) {
-    let gateway = &cluster.gateways[number];
-    if cluster.checker.is_stopping(number) || gateway.child.lock().is_none() {
-        return;
-    }
-    cluster.checker.set_stopping(number, true);
-    if let Some(child) = gateway.child.lock().as_ref() {
-        child.terminate();
-    }
-    let deadline = Instant::now() + Gateway::grace_period();
-    let is_running_now =
-        || gateway.child.lock().as_mut().is_some_and(azuretally_testsuite::Child::is_running);
-    while is_running_now() && Instant::now() < deadline {
-        sleep(Duration::from_millis(20)).await;
-    }
-    // A process that was suspended in the meantime cannot exit in time, so it is not reported.
-    if is_running_now() && cluster.checker.is_settled(number) {
-        cluster.checker.record_violation(format!(
-            "stop: gateway {number} did not exit within its grace period"
-        ));
-    }
-    let Some(mut child) = gateway.child.lock().take() else {
-        // A concurrent `kill_gateway` took the process, and restarts it.
-        cluster.checker.set_stopping(number, false);
-        return;
-    };
-    if child.is_running() {
-        cluster.checker.record_kill(number);
-        child.resume();
-        child.kill();
-    }
-    // Callers see the end of their connections slightly after the process exits.
-    sleep(Duration::from_millis(200)).await;
-    cluster.checker.set_stopping(number, false);
-    cluster.start_gateway(number);
-}
-
 /// Suspends a gateway with SIGSTOP for `duration`.
-async fn suspend_gateway(cluster: Arc<Cluster>, number: usize, duration: Duration) {
+pub(crate) async fn suspend_gateway(cluster: Arc<Cluster>, number: usize, duration: Duration) {
     let set_suspended = |suspended: bool| {
         cluster.checker.record_fault(number);
-        if let Some(child) = cluster.gateways[number].child.lock().as_ref() {
-            if suspended { child.suspend() } else { child.resume() }
+        if let Some(process) = cluster.gateways[number].process.lock().as_ref() {
+            process.signal(if suspended { Signal::STOP } else { Signal::CONT });
         }
     };
     set_suspended(true);
@@ -232,7 +194,7 @@
 
 /// Replaces a random target of the main service unless too few are left. With `announced`, the
 /// platform first lists it as leaving, so that gateways drain it.
-async fn replace_target(cluster: Arc<Cluster>, random_index: usize, announced: bool) {
+pub(crate) async fn replace_target(cluster: Arc<Cluster>, random_index: usize, announced: bool) {
     let main = cluster.main_targets();
     if main.len() <= MIN_MAIN_TARGETS {
         return;
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,10 +11,17 @@
 mod callers;
 mod checker;
 mod cluster;
+mod connection;
 mod faults;
 mod logs;
+mod planned;
 mod platform;
+mod process;
 mod run;
+mod stops;
 mod targets;
+mod workload;
 
 pub use run::{Options, Report, run};
+pub use stops::StopCounts;
+pub use workload::Profile;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,14 +1,17 @@
 //! `azuretally-soak`: a soak test that injects random faults into real gateway processes.
 
-use azuretally_soak::{Options, run};
+use azuretally_soak::{Options, Profile, run};
 use std::{path::PathBuf, process::ExitCode, time::Duration};
 
 const USAGE: &str = "Usage: azuretally-soak [--seed N] [--runs N] [--seconds N] [--gateways N]
                        [--targets N] [--callers N] [--network N] [--logs DIR]
+                       [--planned-only]
 
 Runs seeds N, N + 1, ... and prints a line for each. Exits with 1 when a promise was broken.
 --logs keeps the logs of each seed in DIR/seed-N and replaces those of an earlier run of the seed.
---network selects the loopback network 127.N.0.0/16, so that concurrent soaks do not collide.";
+--network selects the loopback network 127.N.0.0/16, so that concurrent soaks do not collide.
+--planned-only injects no unplanned faults, only stops, restarts, hangups, settings and replaced
+targets.";
 
 /// Parsed command line.
 struct Args {
@@ -41,10 +44,11 @@
         let options = Options { seed, ..args.options.clone() };
         let report = runtime.block_on(run(&options));
         println!(
-            "seed {seed}: {} broken, {:.3} answered at the end, {:?}",
+            "seed {seed}: {} broken, {:.3} answered at the end, {:?}, {}",
             report.violations.len(),
             report.answered_share,
-            report.counts
+            report.counts,
+            report.stops
         );
         for violation in &report.violations {
             println!("  {violation}");
@@ -70,6 +74,7 @@
             Long("targets") => options.targets = parser.value()?.parse()?,
             Long("callers") => options.callers = parser.value()?.parse()?,
             Long("network") => options.network = parser.value()?.parse()?,
+            Long("planned-only") => options.profile = Profile::Planned,
             Long("logs") => options.output_dir = Some(PathBuf::from(parser.value()?)),
             Long("help") | Short('h') => return Ok(None),
             _ => return Err(arg.unexpected()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,6 +1,8 @@
 //! Runs the soak for one seed.
 
-use crate::{callers, cluster::Cluster, faults, logs};
+use crate::{
+    callers::Caller, cluster::Cluster, faults, logs, planned, stops::StopCounts, workload::Profile,
+};
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -36,6 +38,8 @@
     /// Second byte of the loopback addresses of the gateways. Concurrent runs need different
     /// values.
     pub network: u8,
+    /// What the run puts the gateways through.
+    pub profile: Profile,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -51,6 +55,7 @@
             targets: 8,
             callers: 24,
             network: 77,
+            profile: Profile::Mixed,
             output_dir: None,
         }
     }
@@ -63,6 +68,8 @@
     pub violations: Vec<String>,
     /// Number of calls by result.
     pub counts: IndexMap<&'static str, u64>,
+    /// Calls around planned stops.
+    pub stops: StopCounts,
     /// Fraction of calls answered in the last seconds of the run.
     pub answered_share: f64,
 }
@@ -86,10 +93,16 @@
     sleep(STARTUP_TIME).await;
     let mut rng = Pcg64Mcg::seed_from_u64(options.seed);
     for _ in 0..options.callers {
-        let stop = cluster.stop.clone();
-        cluster.spawn(callers::run_caller(Arc::clone(&cluster), rng.random(), CALL_PAUSE, stop));
+        let caller = Caller::new(Arc::clone(&cluster), rng.random());
+        cluster.spawn(caller.run(CALL_PAUSE, cluster.stop.clone()));
+    }
+    let (fault_seed, planned_seed) = (rng.random(), rng.random());
+    let end = Instant::now() + options.fault_time;
+    let planned = planned::inject(&cluster, options.profile, planned_seed, end);
+    match options.profile {
+        Profile::Mixed => drop(tokio::join!(faults::inject(&cluster, fault_seed, end), planned)),
+        Profile::Planned => planned.await,
     }
-    faults::inject(&cluster, rng.random(), Instant::now() + options.fault_time).await;
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
@@ -98,14 +111,19 @@
         ));
     }
     for gateway in &cluster.gateways {
-        let exited = gateway.child.lock().as_mut().is_none_or(|child| !child.is_running());
+        let exited = gateway.process.lock().as_mut().is_none_or(|p| !p.is_running());
         if exited {
             let number = gateway.number;
             cluster.checker.record_violation(format!("exit: gateway {number} exited unexpectedly"));
         }
     }
-    logs::check_outcomes(&cluster);
+    let ended_calls = cluster.checker.ended_calls();
+    let outcomes = logs::read_outcomes(&cluster);
+    logs::compare(&cluster.checker, &ended_calls, &outcomes);
+    let stops = cluster.checker.check_stops(|id| outcomes.contains_key(&id));
+    // The end of the processes cuts off the calls in flight.
+    let counts = cluster.checker.counts();
     cluster.shut_down().await;
-    let (violations, counts) = cluster.checker.results();
-    Report { violations, counts, answered_share }
+    let violations = cluster.checker.violations();
+    Report { violations, counts, stops, answered_share }
 }
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -1,10 +1,14 @@
 //! Stand-ins for targets that run calls, report them to the checker and can simulate faults.
 
-use crate::checker::Checker;
+use crate::{
+    checker::Checker,
+    workload::{ID_SPREAD, Workload},
+};
 use azuretally_api::headers;
 use azuretally_standin::http::{ConnectionAborted, ResponseBody, serve, text_response};
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
 use std::{
@@ -19,12 +23,13 @@
 
 /// Path at which targets report their load.
 pub(crate) const PROBE_PATH: &str = "/load";
-/// Calls that a target runs concurrently.
-pub(crate) const SLOTS: u32 = 2;
-/// Calls that may wait for a slot before the target refuses further calls.
-const MAX_WAITING: u32 = 4;
-/// Time that a target takes to run a call.
-const SERVICE_TIME: Duration = Duration::from_millis(20);
+/// Calls per slot that may wait before the target refuses further calls.
+const MAX_WAITING_PER_SLOT: u32 = 2;
+/// One answer in this many is long, with up to [`MAX_LONG_BYTES`] of padding.
+const LONG_ANSWER_PERIOD: u64 = 4;
+const MAX_LONG_BYTES: u64 = 60_000;
+/// Upper bound of the padding of the other answers, in bytes.
+const MAX_SHORT_BYTES: u64 = 3_000;
 
 /// How a target handles calls.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -53,6 +58,7 @@
 pub(crate) struct Target {
     name: Arc<str>,
     service: Arc<str>,
+    workload: Workload,
     mode: Mutex<TargetMode>,
     slots: Semaphore,
     /// Calls that are running or waiting for a slot.
@@ -65,12 +71,18 @@
 }
 
 impl Target {
-    pub(crate) fn new(name: Arc<str>, service: Arc<str>, checker: Arc<Checker>) -> Self {
+    pub(crate) fn new(
+        name: Arc<str>,
+        service: Arc<str>,
+        workload: Workload,
+        checker: Arc<Checker>,
+    ) -> Self {
         Self {
             name,
             service,
+            workload,
             mode: Mutex::default(),
-            slots: Semaphore::new(SLOTS as usize),
+            slots: Semaphore::new(workload.slots as usize),
             in_flight: AtomicU32::new(0),
             received_calls: AtomicU32::new(0),
             checker,
@@ -103,10 +115,14 @@
             let answer = text_response(StatusCode::MISDIRECTED_REQUEST, "another target");
             return Ok(self.with_headers(answer, call));
         }
+        let mut held = HeldCall::new(&self, id);
+        let service_time = self.workload.service_time(id, request.uri().path());
+        request.into_body().collect().await.map_err(|_| ConnectionAborted)?;
         let call_index = self.received_calls.fetch_add(1, Ordering::SeqCst);
         let mode = *self.mode.lock();
         let is_affected = call_index.is_multiple_of(3);
-        let full = self.in_flight.load(Ordering::SeqCst) >= SLOTS + MAX_WAITING;
+        let limit = self.workload.slots * (1 + MAX_WAITING_PER_SLOT);
+        let full = self.in_flight.load(Ordering::SeqCst) >= limit;
         if full || (mode == TargetMode::Shed && call_index.is_multiple_of(2)) {
             self.checker.record_refusal(id, &self.service);
             let mut answer = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
@@ -118,7 +134,12 @@
         let Ok(_slot) = self.slots.acquire().await else { return Err(ConnectionAborted) };
         self.checker.record_run(id, &self.name, &self.service);
         let factor = if mode == TargetMode::Slow { 5 } else { 1 };
-        sleep(SERVICE_TIME * factor).await;
+        sleep(service_time * factor).await;
+        let breaks_off = matches!(
+            mode,
+            TargetMode::Hang | TargetMode::Disconnect | TargetMode::Truncate | TargetMode::WrongId
+        );
+        held.is_broken_off = breaks_off && is_affected;
         match mode {
             TargetMode::Hang if is_affected => sleep(Duration::from_secs(60)).await,
             TargetMode::Disconnect if is_affected => return Err(ConnectionAborted),
@@ -150,9 +171,10 @@
         mut answer: Response<ResponseBody>,
         call: Option<String>,
     ) -> Response<ResponseBody> {
-        let busy = SLOTS as usize - self.slots.available_permits();
+        let slots = self.workload.slots;
+        let busy = slots as usize - self.slots.available_permits();
         let waiting = (self.in_flight.load(Ordering::SeqCst) as usize).saturating_sub(busy);
-        let load = format!("{busy},{waiting},{SLOTS},100");
+        let load = format!("{busy},{waiting},{slots},100");
         let header_map = answer.headers_mut();
         let values = [
             (headers::TARGET_LOAD, Some(load)),
@@ -170,7 +192,32 @@
 
 /// Returns the complete body that a service answers to a call.
 pub(crate) fn expected_body(id: u64, service: &str) -> Bytes {
-    Bytes::from(format!("{service} {id} {}", "x".repeat((id % 3_000) as usize)))
+    let is_long = id.is_multiple_of(LONG_ANSWER_PERIOD);
+    let bound = if is_long { MAX_LONG_BYTES } else { MAX_SHORT_BYTES };
+    let padding = id.wrapping_mul(ID_SPREAD) % bound;
+    Bytes::from(format!("{service} {id} {}", "x".repeat(padding as usize)))
+}
+
+/// A call that a target has, until dropped.
+struct HeldCall<'a> {
+    target: &'a Target,
+    id: u64,
+    /// Whether the target ends the connection instead of answering.
+    is_broken_off: bool,
+}
+
+impl<'a> HeldCall<'a> {
+    fn new(target: &'a Target, id: u64) -> Self {
+        target.checker.record_receipt(id);
+        Self { target, id, is_broken_off: false }
+    }
+}
+
+impl Drop for HeldCall<'_> {
+    fn drop(&mut self) {
+        let is_broken_off = self.is_broken_off || self.target.stop.is_cancelled();
+        self.target.checker.record_release(self.id, is_broken_off);
+    }
 }
 
 /// Counts a call in `in_flight` until dropped.
