--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -1,6 +1,6 @@
 //! A short run of the soak, and runs of the seeds that once reported a broken guarantee.
 
-use azuretally_soak::{Options, run};
+use azuretally_soak::{Options, Profile, run};
 use std::time::Duration;
 
 fn assert_no_violations(options: Options) {
@@ -24,3 +24,17 @@
         ..Options::new(1)
     });
 }
+
+/// Planned stops must cut off no call, however callers use their connections: the gateway once
+/// closed connections with unread bytes, and the reset discarded answers.
+#[test]
+fn planned_work_cuts_off_no_call() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(4),
+        gateways: 6,
+        callers: 200,
+        network: 80,
+        profile: Profile::Planned,
+        ..Options::new(3)
+    });
+}
