--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -16,11 +16,12 @@
     balance::{AttemptResult, Decision, GiveUpReason, HedgeDecision, NewAttempt},
 };
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
-use http::{Request, Response};
+use http::{HeaderValue, Request, Response, header::CONNECTION};
+use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc};
-use tokio::{sync::oneshot, time::sleep};
+use tokio::{sync::oneshot, task::yield_now, time::sleep};
 
 /// Serves one call.
 pub(super) async fn handle_call<Adapter>(
@@ -32,10 +33,19 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    match InboundCall::read(&gateway, caller, request).await {
-        Ok(inbound) => Ok(CallTask::new(gateway, pool, inbound).run().await),
-        Err(rejected) => Ok(rejection_response(&gateway, &rejected)),
+    let has_body = !request.body().is_end_stream();
+    let (mut response, body_read) = match InboundCall::read(&gateway, caller, request).await {
+        Ok(inbound) => {
+            let buffered = inbound.is_buffered();
+            (CallTask::new(gateway, pool, inbound).run().await, buffered)
+        }
+        Err(rejected) => (rejection_response(&gateway, &rejected), !has_body),
+    };
+    // The rest of the body stands where the next call would begin.
+    if !body_read {
+        response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
+    Ok(response)
 }
 
 fn rejection_response<Adapter>(
@@ -131,9 +141,10 @@
     async fn next_decision(&mut self) -> Decision {
         loop {
             let now = self.gateway.clock.now();
-            let deadline = sleep(self.inbound.deadline.since(now));
+            let expired = wait_for_end(Rc::clone(&self.gateway), self.inbound.deadline);
             let hedge_in = self.hedge_at.map(|at| at.since(now));
             tokio::select! {
+                biased;
                 decision = recv_decision(&mut self.pending_decision) => {
                     self.pending_decision = None;
                     return decision;
@@ -157,7 +168,7 @@
                         HedgeDecision::Never => {}
                     }
                 }
-                () = deadline => {
+                () = expired => {
                     let now = self.gateway.clock.now();
                     return self.gateway.balancer.borrow_mut().expire(now, self.inbound.id);
                 }
@@ -271,6 +282,19 @@
     }
 }
 
+/// Waits until the deadline of a call, or until a stopping gateway no longer serves it.
+async fn wait_for_end<Adapter>(gateway: Rc<Gateway<Adapter>>, deadline: Timestamp)
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    tokio::select! {
+        () = sleep(deadline.since(gateway.clock.now())) => {}
+        () = gateway.serving_ended() => {}
+    }
+    // After a pause of the process, an answer may have arrived that is still to be read.
+    yield_now().await;
+}
+
 async fn recv_decision(pending_decision: &mut Option<oneshot::Receiver<Decision>>) -> Decision {
     match pending_decision {
         // The sender is only dropped when the call is removed, that is, when this task ends.
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 server and client for the control plane. Calls have a server and client of their own.
 
-use crate::socket::configure;
+use crate::socket::{CallerStream, accept_backlog, configure};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty, Full, Limited};
@@ -9,7 +9,7 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{error::Error, fmt, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::{JoinSet, spawn_local},
@@ -27,23 +27,42 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of open connections of one server.
 const MAX_CONNECTIONS: usize = 512;
+/// The time for closing divided by this number is the time in which requests are still read.
+const READ_TIME_DIVISOR: u32 = 8;
 /// Maximum size of a response body that a client accepts, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 * 1_024 * 1_024;
 /// Timeout for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Returned by a handler to close the connection without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct NoAnswer;
+
+impl fmt::Display for NoAnswer {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("closed without an answer")
+    }
+}
+
+impl Error for NoAnswer {}
+
 /// Serves requests on `listener` with `handler` until `shutdown` is cancelled.
 ///
-/// Request bodies are not read. Connections beyond a fixed limit are closed at once.
+/// Requests that have arrived by then are still answered. All connections are closed within
+/// `close_timeout`. Request bodies are not read. Connections beyond a fixed limit are closed at once.
 pub async fn serve<Handler, Fut>(
     listener: TcpListener,
     shutdown: CancellationToken,
+    close_timeout: Duration,
     handler: Handler,
 ) where
     Handler: Fn(Request<()>) -> Fut + 'static,
-    Fut: Future<Output = Response<Bytes>> + 'static,
+    Fut: Future<Output = Result<Response<Bytes>, NoAnswer>> + 'static,
 {
     let handler = Rc::new(handler);
+    let read_time = close_timeout / READ_TIME_DIVISOR;
+    let serve_stream =
+        |stream| serve_connection(stream, shutdown.clone(), read_time, Rc::clone(&handler));
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -55,30 +74,66 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if connections.len() >= MAX_CONNECTIONS || configure(&stream, ACK_TIMEOUT).is_err() {
-            continue;
+        if connections.len() < MAX_CONNECTIONS {
+            connections.spawn_local(serve_stream(stream));
         }
-        let handler = Rc::clone(&handler);
-        connections.spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let handler = Rc::clone(&handler);
-                async move {
-                    let (parts, _) = request.into_parts();
-                    let response = handler(Request::from_parts(parts, ())).await;
-                    Ok::<_, Infallible>(response.map(Full::new))
-                }
-            });
-            let connection = server::Builder::new()
-                .timer(TokioTimer::new())
-                .header_read_timeout(HEADER_TIMEOUT)
-                .max_buf_size(READ_BUFFER_BYTES)
-                .serve_connection(TokioIo::new(stream), service);
-            if let Err(e) = connection.await {
-                log::debug!("http: connection ended: {e}");
+    }
+    match accept_backlog(&listener) {
+        Ok(accepted) => {
+            for (stream, _) in accepted.into_iter().take(MAX_CONNECTIONS) {
+                connections.spawn_local(serve_stream(stream));
             }
-        });
+        }
+        Err(e) => log::warn!("http: cannot accept the connections in the backlog: {e}"),
+    }
+    drop(listener);
+    let closed = async { while connections.join_next().await.is_some() {} };
+    if timeout(close_timeout, closed).await.is_err() {
+        connections.shutdown().await;
+    }
+}
+
+/// Serves the requests of one connection. After `shutdown` further ones are read for `read_time`.
+async fn serve_connection<Handler, Fut>(
+    stream: TcpStream,
+    shutdown: CancellationToken,
+    read_time: Duration,
+    handler: Rc<Handler>,
+) where
+    Handler: Fn(Request<()>) -> Fut + 'static,
+    Fut: Future<Output = Result<Response<Bytes>, NoAnswer>> + 'static,
+{
+    if configure(&stream, ACK_TIMEOUT).is_err() {
+        return;
+    }
+    let service = service_fn(move |request: Request<Incoming>| {
+        let (parts, _) = request.into_parts();
+        let response = handler(Request::from_parts(parts, ()));
+        Box::pin(async move { Ok::<_, NoAnswer>(response.await?.map(Full::new)) })
+    });
+    let stream = CallerStream::new(stream);
+    // All requests may be repeated, so those after the last answer may be discarded.
+    stream.state().announce_close();
+    let connection = server::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let closing = async {
+        shutdown.cancelled().await;
+        sleep(read_time).await;
+    };
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = closing => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(e) = ended {
+        log::debug!("http: connection ended: {e}");
     }
-    connections.shutdown().await;
 }
 
 /// Error that prevented a complete response to a request.
