--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -16,7 +16,7 @@
 use crate::{
     StartError,
     context::Context,
-    socket::{CallerStream, configure},
+    socket::{CallerStream, accept_backlog, configure},
 };
 use azuretally_policy::dispatch::Event;
 use error_stack::{Report, ResultExt};
@@ -25,9 +25,7 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
 };
-use std::{
-    convert::Infallible, io, net::SocketAddr, os::fd::AsFd, pin::pin, sync::Arc, time::Duration,
-};
+use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, mpsc},
@@ -133,18 +131,11 @@
         Some((stream, client, permit))
     }
 
-    /// Accepts the connections in the backlog of the listener, which closing it would reset. The
-    /// runtime may not know of them yet.
+    /// Accepts the connections in the backlog of the listener. Those beyond the limit are closed.
     fn accept_backlog(&self) -> io::Result<()> {
-        let listener = std::net::TcpListener::from(self.listener.as_fd().try_clone_to_owned()?);
-        while let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
-            match listener.accept() {
-                Ok((stream, client)) => {
-                    stream.set_nonblocking(true)?;
-                    self.spawn(TcpStream::from_std(stream)?, client, permit);
-                }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
-                Err(e) => return Err(e),
+        for (stream, client) in accept_backlog(&self.listener)? {
+            if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
+                self.spawn(stream, client, permit);
             }
         }
         Ok(())
