--- a/crates/testsuite/tests/testsuite/stop_connections.rs
+++ b/crates/testsuite/tests/testsuite/stop_connections.rs
@@ -320,23 +320,49 @@
     assert!(answer.announces_close(), "{}", answer.head);
 }
 
+/// Starts a new incarnation of entry `number` and sends SIGTERM as soon as it logs its start.
+fn stop_right_after_start(fleet: &mut Fleet, number: usize) {
+    let starts = |log: String| log.matches("entry: start ").count();
+    fleet.entries[number].kill();
+    let before = starts(fleet.entries[number].process().log());
+    fleet.restart(number);
+    let process = fleet.entries[number].process();
+    let start = Instant::now();
+    while starts(process.log()) == before {
+        assert!(start.elapsed() < DEFAULT_TIMEOUT, "no line in the log");
+    }
+    process.terminate();
+}
+
 /// SIGTERM between the opening of the listeners and the installation of the signal handlers killed
 /// the process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sigterm_right_after_the_start_begins_a_planned_stop() {
+    const ENTRIES: usize = 4;
+    const ROUNDS: usize = 2;
+    let mut fleets = Vec::new();
+    for _ in 0..ENTRIES {
+        fleets.push(one_entry().targets(1).start_processes().await);
+    }
+    for _ in 0..ROUNDS {
+        for fleet in &mut fleets {
+            stop_right_after_start(fleet, 0);
+        }
+        for fleet in &mut fleets {
+            let status = fleet.entries[0].process().wait_for_exit(STOP_BOUND).await;
+            assert!(status.success(), "{status}");
+        }
+    }
+}
+
+/// A peer that dies while a connection to it is being established ended the process by SIGABRT or
+/// SIGSEGV.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_outlive_peers_that_are_killed_while_connecting() {
     const ENTRIES: u8 = 8;
     let mut fleet = Fleet::builder().entries(ENTRIES).start_processes().await;
-    for i in 0..fleet.entries.len() {
-        fleet.entries[i].kill();
-        let starts = |log: String| log.matches("entry: start ").count();
-        let before = starts(fleet.entries[i].process().log());
-        fleet.restart(i);
-        let process = fleet.entries[i].process();
-        let start = Instant::now();
-        while starts(process.log()) == before {
-            assert!(start.elapsed() < DEFAULT_TIMEOUT, "no line in the log");
-        }
-        process.terminate();
+    for number in 0..fleet.entries.len() {
+        stop_right_after_start(&mut fleet, number);
     }
     for entry in &mut fleet.entries {
         let status = entry.process().wait_for_exit(STOP_BOUND).await;
