--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -25,7 +25,7 @@
     rt::{TokioExecutor, TokioIo, TokioTimer},
     server::conn::auto,
 };
-use std::{convert::Infallible, io, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, pin::pin, sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{OwnedSemaphorePermit, Semaphore, mpsc},
@@ -120,8 +120,14 @@
                 None => sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
-        if let Err(e) = self.accept_backlog() {
-            log::warn!("calls: cannot accept the connections in the backlog: {e}");
+        match accept_backlog(&self.listener) {
+            Ok(accepted) => {
+                for (stream, client) in accepted {
+                    let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { break };
+                    self.spawn(stream, client, permit);
+                }
+            }
+            Err(e) => log::warn!("calls: cannot accept the connections in the backlog: {e}"),
         }
     }
 
@@ -131,16 +137,6 @@
         Some((stream, client, permit))
     }
 
-    /// Accepts the connections in the backlog of the listener. Those beyond the limit are closed.
-    fn accept_backlog(&self) -> io::Result<()> {
-        for (stream, client) in accept_backlog(&self.listener)? {
-            if let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() {
-                self.spawn(stream, client, permit);
-            }
-        }
-        Ok(())
-    }
-
     fn spawn(&self, stream: TcpStream, client: SocketAddr, permit: OwnedSemaphorePermit) {
         let connection = serve(Arc::clone(&self.app), stream, client);
         self.app.connections.spawn(async move {
