fix(policy): a call too long for the stop holds up no others

While a gateway drains, callers of short operations waited behind a call that no target can end before the stop, and were refused in the end although a slot was free.

Cause: "no slot in time" was taken for "no slot at all", which ends the pass over the queue.

Change: during a drain, a call without a slot doesn't end the pass.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -290,8 +290,12 @@
                     }
                 }
                 Choice::Probe(_) | Choice::Defer => deferred += 1,
-                // A call that has tried some targets may find no slot where other calls do.
-                Choice::Full => full = self.calls.get(&id).is_some_and(|s| s.tried.is_empty()),
+                // A call that has tried some targets, or takes too long to end before the stop, may
+                // find no slot where other calls do.
+                Choice::Full => {
+                    let is_untried = self.calls.get(&id).is_some_and(|s| s.tried.is_empty());
+                    full = is_untried && self.drain_end == Timestamp::MAX;
+                }
             }
         }
     }
--- a/crates/policy/tests/balance/drain.rs
+++ b/crates/policy/tests/balance/drain.rs
@@ -75,6 +75,37 @@
     assert!(is_stopping(&decision, true), "{decision:?}");
 }
 
+/// Guards against a call that no target can end in time holding up those behind it.
+#[test]
+fn call_too_long_for_the_stop_does_not_hold_up_others() {
+    let mut fixture = Fixture::new(1, 0);
+    let timeout = Duration::from_secs(10);
+    let check = Arc::new(Route { timeout, ..Route::clone(&route("check", true)) });
+    let long = Route {
+        timeout,
+        objective: Duration::from_secs(3),
+        priority: 0,
+        ..Route::clone(&route("long", true))
+    };
+    let mut at = 0;
+    // The target takes three times as long as expected.
+    for _ in 0..12 {
+        let (id, decision) = fixture.submit(ms(at), &check);
+        at += 3 * BASE_MS;
+        let outcome = AttemptOutcome::Answered { ok: true, bytes: 100 };
+        fixture.end_attempt(ms(at), id, &expect_start(decision).target, outcome, None);
+    }
+    fixture.balancer.drain(ms(at + 2_200));
+    let (_, decision) = fixture.submit(ms(at), &Arc::new(long));
+    assert_eq!(decision, Decision::Wait);
+    let (short, decision) = fixture.submit(ms(at), &check);
+    let is_short_start =
+        |(id, d): &(u64, Decision)| *id == short && matches!(d, Decision::Start(_));
+    let is_started = matches!(decision, Decision::Start(_))
+        || fixture.balancer.dispatch_waiting(ms(at + 1)).iter().any(is_short_start);
+    assert!(is_started, "{decision:?}");
+}
+
 /// Call with its running attempts and its outcome.
 struct TrackedCall {
     id: u64,
