fix(entry): answer calls of a removed service before the exit

Callers whose service had been removed from the settings before a planned stop got no answer: both connections of a trial, one call in progress and one queued, ended with the process after 7.5 s.

Cause: at the time limit of the stop, the entry aborted the calls of the services in the current settings only.

Change: each call waits for the end of the stop itself, next to the decisions of its dispatcher, so that no list of services has to be complete.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -134,9 +134,12 @@
 impl CallTask<'_> {
     async fn run(mut self) -> Reply {
         let mailbox = Arc::clone(&self.mailbox);
+        let exiting = self.app.abort.clone();
         let mut attempts = FuturesUnordered::new();
         loop {
             tokio::select! {
+                biased;
+                () = exiting.cancelled() => return self.abort(!attempts.is_empty()),
                 step = mailbox.next() => match step {
                     Step::Dispatch { target, .. } => {
                         self.guard.start_attempt(&target);
@@ -155,7 +158,6 @@
                         attempts.push(Abortable::new(attempt.run(), registration));
                     }
                     Step::Cancel { target } => self.cancel(&target),
-                    Step::Abort => return self.abort(!attempts.is_empty()),
                     Step::Refuse { reason, retry_after } => {
                         let reason = reason.as_str();
                         self.guard.end(Outcome::NotRun, Some(reason));
--- a/crates/entry/src/calls/mailbox.rs
+++ b/crates/entry/src/calls/mailbox.rs
@@ -18,8 +18,6 @@
     Unknown { reason: UnknownReason },
     /// Cancel the attempt at a target.
     Cancel { target: Arc<str> },
-    /// End the call at once: the entry is about to exit.
-    Abort,
 }
 
 /// Queue of steps with a single reader.
--- a/crates/entry/src/calls/service.rs
+++ b/crates/entry/src/calls/service.rs
@@ -47,8 +47,6 @@
     targets: Vec<TargetInfo>,
     peers: Vec<PeerSlots>,
     calls: IndexMap<CallId, PendingCall>,
-    /// Whether calls are aborted because the entry is about to exit.
-    aborting: bool,
     /// Empty buffer, kept for its capacity.
     actions: Vec<Action>,
     /// Time at which [`Event::Tick`] is due.
@@ -99,7 +97,6 @@
                 targets: Vec::new(),
                 peers: Vec::new(),
                 calls: IndexMap::new(),
-                aborting: false,
                 actions: Vec::new(),
                 wakeup: None,
                 slots_updated: Timestamp::default(),
@@ -121,10 +118,6 @@
     /// [`Service::remove_call`].
     pub(super) fn submit(self: &Arc<Self>, call: Call, mailbox: Arc<Mailbox>) {
         let mut state = self.state.lock();
-        if state.aborting {
-            mailbox.post(Step::Abort);
-            return;
-        }
         let pending_call = PendingCall { mailbox, submitted_at: self.clock.now(), started: false };
         state.calls.insert(call.id, pending_call);
         self.process(state, Event::Arrived(call));
@@ -135,15 +128,6 @@
         self.state.lock().calls.swap_remove(&call);
     }
 
-    /// Aborts the calls that have not ended, and those that arrive later.
-    pub(super) fn abort_calls(&self) {
-        let mut state = self.state.lock();
-        state.aborting = true;
-        for pending_call in state.calls.values() {
-            pending_call.mailbox.post(Step::Abort);
-        }
-    }
-
     /// Passes any event other than an arrival to the dispatcher.
     pub(super) fn handle(self: &Arc<Self>, event: Event) {
         self.process(self.state.lock(), event);
--- a/crates/testsuite/tests/testsuite/stop_connections.rs
+++ b/crates/testsuite/tests/testsuite/stop_connections.rs
@@ -475,3 +475,37 @@
     assert!(asked > 0);
     assert!(fleet.entries[0].process().wait_for_exit(STOP_BOUND).await.success());
 }
+
+/// Calls whose service was removed from the settings before the stop ended with the process, without
+/// an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_of_a_removed_service_are_answered_before_the_exit() {
+    let mut settings = None;
+    let mut fleet = one_entry()
+        .targets(1)
+        .slots(1)
+        .published(|p| {
+            p.urgent_ms = 60_000;
+            settings = Some(p.clone());
+        })
+        .stop_timeout(seconds(0.5))
+        .start()
+        .await;
+    let mut settings = settings.unwrap();
+    let address = fleet.entries[0].calls;
+    let (mut running, mut running_writer) = connect(address, None).await.unwrap();
+    running_writer.balance("o-0", "&ms=25000").await.unwrap();
+    wait_for_start(&fleet, "o-0").await;
+    let (mut queued, mut queued_writer) = connect(address, None).await.unwrap();
+    queued_writer.balance("o-1", "").await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    settings.services[0].name = "other".into();
+    fleet.publish(&settings.to_toml(), None).await.unwrap();
+    sleep(seconds(3.0)).await;
+    fleet.entries[0].process().terminate();
+    let running = timeout(STOP_BOUND, running.answer()).await.expect("in time").unwrap();
+    assert!(running.expect("an answer").head.contains("x-azuretally-outcome: unknown"));
+    let queued = timeout(STOP_BOUND, queued.answer()).await.expect("in time").unwrap();
+    assert!(queued.expect("an answer").head.contains("x-azuretally-outcome: not-run"));
+    assert!(fleet.entries[0].process().wait_for_exit(STOP_BOUND).await.success());
+}
