fix(gateway): refuse calls that are complete too late in a stop

Cause: only the expected time decided whether a call is passed on; how late it arrived did not.

Change: a call that is read completely after half of the grace time is refused as not run.

--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -115,6 +115,9 @@
                 CallBody::Streaming(RefCell::new(Some(PrefixedBody::new(first, rest, limit, None))))
             }
         };
+        if !gateway.is_reading() {
+            return Err(reject(CallFailure::NotRun(STOPPED_RETRY_AFTER)));
+        }
         let mut headers = parts.headers;
         strip_hop_by_hop_headers(&mut headers);
         Ok(Self {
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -114,7 +114,7 @@
         let grace = Duration::from_millis(gateway.settings().stop.grace_ms);
         let drain_start = Instant::now();
         let stop_times = StopTimes::new(grace);
-        gateway.serve_until_stop(stop_times.serving);
+        gateway.serve_until_stop(&stop_times);
         log::info!("calls: planned stop, connections={}", graceful.count());
         gateway.refresh_membership();
         let accept_end = sleep_until(drain_start + grace.mul_f64(DRAIN_ACCEPT_FRACTION));
@@ -128,11 +128,8 @@
                 }
             }
         }
-        match accept_backlog(&self.listener) {
-            Ok(accepted) => {
-                accepted.into_iter().for_each(|(stream, from)| self.serve(stream, from, &graceful));
-            }
-            Err(e) => log::warn!("calls: cannot accept the connections in the backlog: {e}"),
+        for (stream, from) in accept_backlog(&self.listener) {
+            self.serve(stream, from, &graceful);
         }
         let Self { gateway, listener, .. } = self;
         drop(listener);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -5,6 +5,7 @@
     clock::Clock,
     metrics::Metrics,
     settings::Settings,
+    stop::StopTimes,
 };
 use azuretally_policy::{
     Timestamp,
@@ -71,6 +72,8 @@
     /// Notified when a call begins to wait, to start the timer that dispatches waiting calls.
     pub call_queued: Notify,
     routes: RefCell<Option<Rc<RouteTable>>>,
+    /// Until when calls are read, [`Timestamp::MAX`] until the planned stop begins.
+    reading_end: Cell<Timestamp>,
     /// Until when calls are served, once the planned stop has begun.
     serving_end: watch::Sender<Option<Timestamp>>,
     /// Channels to the tasks of waiting calls, by call id.
@@ -112,6 +115,7 @@
             changed: Notify::new(),
             call_queued: Notify::new(),
             routes: RefCell::default(),
+            reading_end: Cell::new(Timestamp::MAX),
             serving_end: watch::Sender::default(),
             waiters: RefCell::default(),
             early_decisions: RefCell::default(),
@@ -131,15 +135,22 @@
         self.routes.borrow().clone()
     }
 
-    /// Serves calls for another `time` only. Waiting calls that cannot be answered by then are given
-    /// up at once.
-    pub fn serve_until_stop(&self, time: Duration) {
-        let end = self.clock.now() + time;
+    /// Reads and serves calls for the times of a planned stop only. Waiting calls that cannot be
+    /// answered by then are given up at once.
+    pub fn serve_until_stop(&self, times: &StopTimes) {
+        let now = self.clock.now();
+        self.reading_end.set(now + times.reading);
+        let end = now + times.serving;
         self.balancer.borrow_mut().drain(end);
         self.serving_end.send_replace(Some(end));
         self.dispatch_waiting();
     }
 
+    /// Returns whether a call that has been read now may still be served.
+    pub fn is_reading(&self) -> bool {
+        self.clock.now() <= self.reading_end.get()
+    }
+
     /// Returns whether calls may still be sent to targets.
     pub fn is_serving(&self) -> bool {
         self.serving_end.borrow().is_none_or(|end| self.clock.now() < end)
--- a/crates/gateway/src/stop.rs
+++ b/crates/gateway/src/stop.rs
@@ -2,6 +2,9 @@
 
 use std::time::Duration;
 
+/// Fraction of the grace time during which calls are read. One that arrives later could not be
+/// finished if its target is slow.
+const READING_FRACTION: f64 = 0.5;
 /// Fraction of the grace time during which calls are served. A call that is still running then ends
 /// with an unknown outcome, which must not happen before five sixths of the grace time.
 const SERVING_FRACTION: f64 = 0.875;
@@ -13,6 +16,8 @@
 /// Times of a planned stop. The remainder of the grace time is left for the exit of the process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StopTimes {
+    /// Time from the beginning of the stop during which calls are read.
+    pub reading: Duration,
     /// Time from the beginning of the stop during which calls are served.
     pub serving: Duration,
     /// Time after that in which the answers to the last calls are sent.
@@ -25,6 +30,7 @@
     /// Divides `grace`, the time from SIGTERM to SIGKILL.
     pub fn new(grace: Duration) -> Self {
         Self {
+            reading: grace.mul_f64(READING_FRACTION),
             serving: grace.mul_f64(SERVING_FRACTION),
             flush: grace.mul_f64(FLUSH_FRACTION),
             closing: grace.mul_f64(CLOSING_FRACTION),
--- a/crates/gateway/tests/planned_stop/late.rs
+++ b/crates/gateway/tests/planned_stop/late.rs
@@ -199,3 +199,28 @@
     deployment.gateways[0].wait_for_exit(GRACE).await;
     deployment.shut_down().await;
 }
+
+/// A call whose body was complete 4 s after SIGTERM was passed on to a target that was slower than
+/// expected, and ended without its answer at the exit.
+#[tokio::test]
+async fn planned_stop_refuses_a_call_whose_body_is_complete_too_late() {
+    const BODY_BYTES: usize = 10_000;
+    let mut deployment = Deployment::start(1, 2).await;
+    let address = deployment.gateways[0].calls;
+    deployment.gateways[0].terminate();
+    let signal = Instant::now();
+    sleep_until(signal + Duration::from_millis(2_400)).await;
+    let call = Call::new("slow-body", "roster").service_ms(1_300).body(BODY_BYTES);
+    let mut caller = Caller::connect(address).await.expect("connected");
+    caller.send(&call).await.expect("sent");
+    caller.stream.write_all(&[b'b'; BODY_BYTES - 1]).await.expect("sent");
+    sleep_until(signal + EXCUSED_SEND_TIME + Duration::from_secs(1)).await;
+    caller.stream.write_all(b"b").await.expect("sent");
+    let sent = Instant::now();
+    let end = caller.read_to_end(READ_TIMEOUT).await;
+    let verdict = Verdict::new(&deployment, &call, caller.answers().first(), sent.elapsed());
+    let seen = evidence(&deployment, &caller, &call, &end);
+    assert_eq!(verdict, Verdict::Refused, "{seen}");
+    deployment.gateways[0].wait_for_exit(GRACE).await;
+    deployment.shut_down().await;
+}
