fix(gateway): keep the connection after a long body that was read completely

Since refusals announce the close when a body was not read, each call with a body over 256 KiB ended its connection, although the body had been passed on to its end: a new connection for each such call.

Change: the streamed body tells when its end was read; only a body with a rest announces the close.

connection_is_kept_after_a_long_body: red without the change (`connection: close`), green with it; calls 21 passed.

--- a/crates/gateway/src/calls/body.rs
+++ b/crates/gateway/src/calls/body.rs
@@ -6,9 +6,11 @@
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::Incoming;
 use std::{
+    cell::Cell,
     error::Error,
     fmt,
     pin::Pin,
+    rc::Rc,
     task::{Context, Poll, ready},
 };
 
@@ -47,6 +49,8 @@
     rest: Incoming,
     /// Bytes that may still follow within the limit.
     remaining: u64,
+    /// Set once the end of the body has been read.
+    complete: Rc<Cell<bool>>,
     /// Connection that the body is read from. It is closed when the body is dropped.
     _connection: Option<Connection>,
 }
@@ -60,7 +64,13 @@
         connection: Option<Connection>,
     ) -> Self {
         let remaining = limit.saturating_sub(first.len() as u64);
-        Self { first: Some(first), rest, remaining, _connection: connection }
+        let complete = Rc::default();
+        Self { first: Some(first), rest, remaining, complete, _connection: connection }
+    }
+
+    /// Returns a flag that is set once the end of the body has been read.
+    pub(super) fn complete_flag(&self) -> Rc<Cell<bool>> {
+        Rc::clone(&self.complete)
     }
 }
 
@@ -76,7 +86,10 @@
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         let frame = match ready!(Pin::new(&mut self.rest).poll_frame(cx)) {
-            None => return Poll::Ready(None),
+            None => {
+                self.complete.set(true);
+                return Poll::Ready(None);
+            }
             Some(Err(_)) => return Poll::Ready(Some(Err(BodyError::Truncated))),
             Some(Ok(frame)) => frame,
         };
@@ -85,6 +98,7 @@
             return Poll::Ready(Some(Err(BodyError::TooLarge)));
         }
         self.remaining -= bytes;
+        self.complete.set(self.rest.is_end_stream());
         Poll::Ready(Some(Ok(frame)))
     }
 
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -17,7 +17,13 @@
 use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use std::{cell::RefCell, net::IpAddr, sync::Arc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    net::IpAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::time::timeout;
 
 /// Bodies up to this size are buffered, so that another attempt can send them again.
@@ -154,6 +160,15 @@
         matches!(self.body, CallBody::Buffered(_))
     }
 
+    /// Returns a flag that is set once the end of the body has been read, or `None` if the body is
+    /// buffered.
+    pub(super) fn body_complete_flag(&self) -> Option<Rc<Cell<bool>>> {
+        match &self.body {
+            CallBody::Buffered(_) => None,
+            CallBody::Streaming(body) => body.borrow().as_ref().map(PrefixedBody::complete_flag),
+        }
+    }
+
     /// Returns the caller's id of the call for log lines, `-` if there is none.
     pub(super) fn log_id(&self) -> &str {
         self.call_headers.id.as_deref().unwrap_or("-")
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -36,8 +36,9 @@
     let has_body = !request.body().is_end_stream();
     let (mut response, body_read) = match InboundCall::read(&gateway, caller, request).await {
         Ok(inbound) => {
-            let buffered = inbound.is_buffered();
-            (CallTask::new(gateway, pool, inbound).run().await, buffered)
+            let complete = inbound.body_complete_flag();
+            let response = CallTask::new(gateway, pool, inbound).run().await;
+            (response, complete.is_none_or(|complete| complete.get()))
         }
         Err(rejected) => (rejection_response(&gateway, &rejected), !has_body),
     };
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -558,6 +558,34 @@
     .await;
 }
 
+/// Guards against closing a connection after each long body, although the body was read completely.
+#[tokio::test]
+async fn connection_is_kept_after_a_long_body() {
+    run_local(async {
+        let (listener, address) = bind_target().await;
+        let (_gateway, calls) = start_gateway(&[address]).await;
+        let mut caller = TcpStream::connect(calls).await.expect("the gateway listens");
+        let long = format!(
+            "POST /sale/1 HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\n\
+             content-length: {LONG_BODY_BYTES}\r\n\r\n{}",
+            "b".repeat(LONG_BODY_BYTES)
+        );
+        let send = async { caller.write_all(long.as_bytes()).await.expect("request sent") };
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.expect("a call");
+            read_at_least(&mut stream, LONG_BODY_BYTES).await;
+            stream
+        };
+        let ((), mut stream) = tokio::join!(send, serve);
+        // Whatever is left of the head.
+        sleep(Duration::from_millis(50)).await;
+        stream.write_all(ok_response("a", "first").as_bytes()).await.expect("response sent");
+        let text = read_until(&mut caller, "first").await;
+        assert!(text.contains("first") && !text.contains("connection: close"), "{text}");
+    })
+    .await;
+}
+
 /// Guards against a refusal that is lost because the caller is still sending the body.
 #[tokio::test]
 async fn refusal_of_a_large_body_reaches_a_caller_that_is_still_sending() {
