--- a/crates/testsuite/tests/testsuite/stop_connections.rs
+++ b/crates/testsuite/tests/testsuite/stop_connections.rs
@@ -320,23 +320,49 @@
     assert!(answer.announces_close(), "{}", answer.head);
 }
 
+/// Starts a new incarnation of entry `number` and sends SIGTERM as soon as it logs its start.
+fn stop_right_after_start(fleet: &mut Fleet, number: usize) {
+    let starts = |log: String| log.matches("entry: start ").count();
+    fleet.entries[number].kill();
+    let before = starts(fleet.entries[number].process().log());
+    fleet.restart(number);
+    let process = fleet.entries[number].process();
+    let start = Instant::now();
+    while starts(process.log()) == before {
+        assert!(start.elapsed() < DEFAULT_TIMEOUT, "no line in the log");
+    }
+    process.terminate();
+}
+
 /// SIGTERM between the opening of the listeners and the installation of the signal handlers killed
 /// the process.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn sigterm_right_after_the_start_begins_a_planned_stop() {
+    const ENTRIES: usize = 4;
+    const ROUNDS: usize = 2;
+    let mut fleets = Vec::new();
+    for _ in 0..ENTRIES {
+        fleets.push(one_entry().targets(1).start_processes().await);
+    }
+    for _ in 0..ROUNDS {
+        for fleet in &mut fleets {
+            stop_right_after_start(fleet, 0);
+        }
+        for fleet in &mut fleets {
+            let status = fleet.entries[0].process().wait_for_exit(STOP_BOUND).await;
+            assert!(status.success(), "{status}");
+        }
+    }
+}
+
+/// A peer that dies while a connection to it is being established ended the process by SIGABRT or
+/// SIGSEGV.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_outlive_peers_that_are_killed_while_connecting() {
     const ENTRIES: u8 = 8;
     let mut fleet = Fleet::builder().entries(ENTRIES).start_processes().await;
-    for i in 0..fleet.entries.len() {
-        fleet.entries[i].kill();
-        let starts = |log: String| log.matches("entry: start ").count();
-        let before = starts(fleet.entries[i].process().log());
-        fleet.restart(i);
-        let process = fleet.entries[i].process();
-        let start = Instant::now();
-        while starts(process.log()) == before {
-            assert!(start.elapsed() < DEFAULT_TIMEOUT, "no line in the log");
-        }
-        process.terminate();
+    for number in 0..fleet.entries.len() {
+        stop_right_after_start(&mut fleet, number);
     }
     for entry in &mut fleet.entries {
         let status = entry.process().wait_for_exit(STOP_BOUND).await;
@@ -449,3 +475,37 @@
     assert!(asked > 0);
     assert!(fleet.entries[0].process().wait_for_exit(STOP_BOUND).await.success());
 }
+
+/// Calls whose service was removed from the settings before the stop ended with the process, without
+/// an answer.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_of_a_removed_service_are_answered_before_the_exit() {
+    let mut settings = None;
+    let mut fleet = one_entry()
+        .targets(1)
+        .slots(1)
+        .published(|p| {
+            p.urgent_ms = 60_000;
+            settings = Some(p.clone());
+        })
+        .stop_timeout(seconds(0.5))
+        .start()
+        .await;
+    let mut settings = settings.unwrap();
+    let address = fleet.entries[0].calls;
+    let (mut running, mut running_writer) = connect(address, None).await.unwrap();
+    running_writer.balance("o-0", "&ms=25000").await.unwrap();
+    wait_for_start(&fleet, "o-0").await;
+    let (mut queued, mut queued_writer) = connect(address, None).await.unwrap();
+    queued_writer.balance("o-1", "").await.unwrap();
+    sleep(Duration::from_millis(300)).await;
+    settings.services[0].name = "other".into();
+    fleet.publish(&settings.to_toml(), None).await.unwrap();
+    sleep(seconds(3.0)).await;
+    fleet.entries[0].process().terminate();
+    let running = timeout(STOP_BOUND, running.answer()).await.expect("in time").unwrap();
+    assert!(running.expect("an answer").head.contains("x-azuretally-outcome: unknown"));
+    let queued = timeout(STOP_BOUND, queued.answer()).await.expect("in time").unwrap();
+    assert!(queued.expect("an answer").head.contains("x-azuretally-outcome: not-run"));
+    assert!(fleet.entries[0].process().wait_for_exit(STOP_BOUND).await.success());
+}
