refactor(gateway): one accept loop, and all times of a stop in one place

Read through once more: the planned stop repeated the accept loop, kept one fraction of the grace time apart from the others, and boxed the futures of the control servers, which pinning made needless. No behaviour changed.

--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -40,9 +40,6 @@
 /// Lower bound of the limit of open connections, however little memory and however few descriptors
 /// the process has.
 const MIN_CONNECTION_LIMIT: u64 = 64;
-/// Fraction of the grace time during which new connections are still accepted, since callers cache
-/// directions for a while.
-const DRAIN_ACCEPT_FRACTION: f64 = 0.45;
 /// Time after the last accept within which a call may still arrive on an open connection.
 const LAST_CALL_TIME: Duration = Duration::from_millis(100);
 /// Interval at which waiting calls are dispatched or given up.
@@ -102,32 +99,14 @@
     async fn accept_and_drain(self) {
         let graceful = GracefulShutdown::new();
         let gateway = &self.gateway;
-        loop {
-            tokio::select! {
-                () = gateway.drain.cancelled() => break,
-                accepted = self.listener.accept() => match accepted {
-                    Ok((stream, from)) => self.serve(stream, from, &graceful),
-                    Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
-                }
-            }
-        }
+        self.accept_until(gateway.drain.cancelled(), &graceful).await;
         let grace = Duration::from_millis(gateway.settings().stop.grace_ms);
         let drain_start = Instant::now();
         let stop_times = StopTimes::new(grace);
         gateway.serve_until_stop(&stop_times);
         log::info!("calls: planned stop, connections={}", graceful.count());
         gateway.refresh_membership();
-        let accept_end = sleep_until(drain_start + grace.mul_f64(DRAIN_ACCEPT_FRACTION));
-        tokio::pin!(accept_end);
-        loop {
-            tokio::select! {
-                () = &mut accept_end => break,
-                accepted = self.listener.accept() => match accepted {
-                    Ok((stream, from)) => self.serve(stream, from, &graceful),
-                    Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
-                }
-            }
-        }
+        self.accept_until(sleep_until(drain_start + stop_times.accepting), &graceful).await;
         for (stream, from) in accept_backlog(&self.listener) {
             self.serve(stream, from, &graceful);
         }
@@ -152,6 +131,23 @@
         }
     }
 
+    /// Accepts connections until `end` completes.
+    async fn accept_until<End>(&self, end: End, graceful: &GracefulShutdown)
+    where
+        End: Future<Output = ()>,
+    {
+        tokio::pin!(end);
+        loop {
+            tokio::select! {
+                () = &mut end => return,
+                accepted = self.listener.accept() => match accepted {
+                    Ok((stream, from)) => self.serve(stream, from, graceful),
+                    Err(_) => sleep(ACCEPT_RETRY_DELAY).await,
+                }
+            }
+        }
+    }
+
     fn serve(&self, stream: TcpStream, from: SocketAddr, graceful: &GracefulShutdown) {
         let gateway = &self.gateway;
         let size = gateway.settings().size;
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -104,7 +104,7 @@
     let service = service_fn(move |request: Request<Incoming>| {
         let (parts, _) = request.into_parts();
         let response = handler(Request::from_parts(parts, ()));
-        Box::pin(async move { Ok::<_, NoAnswer>(response.await?.map(Full::new)) })
+        async move { Ok::<_, NoAnswer>(response.await?.map(Full::new)) }
     });
     let stream = CallerStream::new(stream);
     // All requests may be repeated, so those after the last answer may be discarded.
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -158,7 +158,7 @@
         if self.state.is_closed_by_peer() {
             return Poll::Ready(());
         }
-        match self.state.close_announced.load(Ordering::Relaxed) {
+        match self.state.is_close_announced() {
             true => self.poll_discard(cx),
             false => self.poll_unread(cx),
         }
