feat(gateway): read, log and count the limits that targets name

The logs could not tell whether calls or load probes used up a target's limit, nor which gateways sent them: answered probes left no line, and no metric counted by target.

The field is read from answers and from probe responses, changes are logged, attempts and probes sent to a target that has named a limit carry it in their line, and azuretally_limited_requests_total counts them by kind. The native protocol gets the field x-target-limit. No decision depends on it yet.

A value that is negative or not a number is unreadable and changes nothing; of several the lowest counts.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -53,6 +53,9 @@
 /// In a target's response: running calls, waiting calls, slots and optionally the slowdown of its
 /// machine in percent (100 is normal, more is slower), separated by commas.
 pub const TARGET_LOAD: &str = "x-target-load";
+/// In a target's response: requests per second that the target takes from all gateways together, a
+/// decimal number, for as long as its responses say so. Only the gateway reads it.
+pub const TARGET_LIMIT: &str = "x-target-limit";
 /// Set to `1` on a response that was stored for the first call with the same idempotency key.
 pub const REPLAYED: &str = "x-azuretally-replayed";
 /// Path at which a caller queries the outcome of an idempotency key. A key that has not run yet is
--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -4,7 +4,7 @@
 //! no decisions, performs no I/O and keeps no state of calls.
 
 use crate::settings::Settings;
-use azuretally_policy::balance::{Change, Directions, LoadReport};
+use azuretally_policy::balance::{Change, Directions, LimitField, LoadReport, RequestRate};
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
@@ -52,6 +52,8 @@
     pub kind: ResponseKind,
     /// Load that the target reports, if any.
     pub report: Option<LoadReport>,
+    /// What the response says about the limit of the target.
+    pub limit: LimitField,
 }
 
 /// Values read from the head of a probe response.
@@ -61,6 +63,8 @@
     pub target: Option<Arc<str>>,
     /// Load that the target reports, if any.
     pub report: Option<LoadReport>,
+    /// What the response says about the limit of the target.
+    pub limit: LimitField,
 }
 
 /// Failure that the gateway reports to the caller instead of a target's response.
@@ -115,6 +119,28 @@
     Some(LoadReport { running, waiting, slots, slowdown })
 }
 
+/// Parses the limit that a target names in the header `name`: a decimal number of requests per second.
+///
+/// The lowest counts if there are several. A value that is negative or not a number is unreadable.
+pub fn limit_field<Name>(headers: &HeaderMap, name: Name) -> LimitField
+where
+    Name: AsHeaderName,
+{
+    let mut field = LimitField::Absent;
+    for value in headers.get_all(name) {
+        for text in value.to_str().unwrap_or_default().split(',') {
+            let parsed = text.trim().parse().ok().and_then(RequestRate::from_per_second);
+            field = match (field, parsed) {
+                (LimitField::Named(before), Some(rate)) => LimitField::Named(rate.min(before)),
+                (_, Some(rate)) => LimitField::Named(rate),
+                (LimitField::Absent, None) => LimitField::Unreadable,
+                (_, None) => field,
+            };
+        }
+    }
+    field
+}
+
 /// Returns the value of a header, or `None` if it is missing or not visible ASCII.
 pub fn header_text<Name>(headers: &HeaderMap, name: Name) -> Option<&str>
 where
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -11,7 +11,7 @@
 };
 use azuretally_policy::{
     Timestamp,
-    balance::{Attempt, AttemptOutcome, Failure, LoadReport, NewAttempt},
+    balance::{Attempt, AttemptOutcome, Failure, LimitField, LoadReport, NewAttempt},
 };
 use bytes::Bytes;
 use http::{Response, header::CONTENT_ENCODING, response};
@@ -54,6 +54,8 @@
     pub(super) outcome: AttemptOutcome,
     /// Load that the target reported, if any.
     pub(super) report: Option<LoadReport>,
+    /// What the target said about its limit.
+    pub(super) limit: LimitField,
     /// The response, if the target executed the call.
     pub(super) received: Option<ReceivedResponse>,
     /// Whether the target is in the failure domain of this gateway.
@@ -98,6 +100,7 @@
                 attempt,
                 outcome,
                 report: target_response.report,
+                limit: target_response.limit,
                 received,
                 same_domain,
                 started_at,
@@ -109,6 +112,7 @@
                 attempt,
                 outcome,
                 report: None,
+                limit: LimitField::Unreadable,
                 received: None,
                 same_domain,
                 started_at,
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -42,6 +42,10 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
+    if let Some(limit) = probe.limit {
+        log::info!("calls: probe sent target={} limit={limit}", probe.target);
+        gateway.metrics.record_limited_request(&probe.service, "probe");
+    }
     let result =
         timeout(PROBE_TIMEOUT, exchange(&gateway, &pool, &probe)).await.unwrap_or_default();
     let result = result.unwrap_or(ProbeResult::NoAnswer);
@@ -82,6 +86,9 @@
     pool.release(connection, &head.headers);
     let probe_response = gateway.adapter.parse_probe_response(&head);
     let is_same_target = probe_response.target.is_none_or(|name| name == probe.target);
+    if is_same_target {
+        gateway.balancer.borrow_mut().record_probe_limit(probe, probe_response.limit);
+    }
     match probe_response.report {
         _ if !is_same_target => None,
         Some(report) => Some(ProbeResult::Report(report)),
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -199,7 +199,7 @@
         };
         log::info!(
             "calls: sent id={} target={} near={} attempt={} kind={kind} waited_ms={} expected_ms={} \
-             report_ms={} left_ms={} caller={} belief_ms={}",
+             report_ms={} left_ms={} caller={} belief_ms={} limit={}",
             inbound.log_id(),
             new_attempt.target,
             new_attempt.same_domain,
@@ -210,8 +210,12 @@
             inbound.deadline.since(now).as_millis(),
             inbound.caller,
             self.gateway.catalog.borrow().age(now).unwrap_or_default().as_millis(),
+            new_attempt.limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string()),
         );
         self.gateway.metrics.record_attempt(&inbound.service, kind);
+        if new_attempt.limit.is_some() {
+            self.gateway.metrics.record_limited_request(&inbound.service, kind);
+        }
         self.hedge_at = new_attempt.hedge_at;
         let gateway = Rc::clone(&self.gateway);
         let attempt =
@@ -221,7 +225,7 @@
 
     fn attempt_completed(&mut self, completed: CompletedAttempt) -> Decision {
         let now = self.gateway.clock.now();
-        let CompletedAttempt { attempt, outcome, report, received, same_domain, started_at } =
+        let CompletedAttempt { attempt, outcome, report, limit, received, same_domain, started_at } =
             completed;
         log::info!(
             "calls: attempt id={} target={} verdict={} load={} ms={}",
@@ -241,7 +245,7 @@
             self.detail = format!("target={} status={status}", attempt.target);
             self.response = Some(received);
         }
-        let result = AttemptResult { attempt, outcome, report };
+        let result = AttemptResult { attempt, outcome, report, limit };
         let decision = self.gateway.balancer.borrow_mut().attempt_ended(now, &result);
         self.gateway.dispatch_waiting();
         decision
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -316,6 +316,14 @@
             }
         }
         self.forward_probes();
+        self.log_target_changes();
+    }
+
+    /// Logs what the balancer has learned about targets.
+    pub fn log_target_changes(&self) {
+        for line in self.balancer.borrow_mut().take_log_lines() {
+            log::info!("control: {line}");
+        }
     }
 
     /// Passes the probes that the balancer requested to the probe task.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -82,6 +82,8 @@
     pub latency: Family<CallLabels, Histogram>,
     /// Attempts at targets, and probes of them.
     pub attempts: Family<AttemptLabels, Counter>,
+    /// Attempts and probes sent to targets that had named a limit.
+    pub limited_requests: Family<AttemptLabels, Counter>,
     /// Platform reads.
     pub platform_reads: Family<PlatformReadLabels, Counter>,
     /// Calls that are queued for a target.
@@ -121,6 +123,7 @@
             calls: Family::default(),
             latency: Family::new_with_constructor(latency_histogram),
             attempts: Family::default(),
+            limited_requests: Family::default(),
             platform_reads: Family::default(),
             waiting_calls: Gauge::default(),
             retry_budget: Family::default(),
@@ -135,6 +138,11 @@
         let help = "Time from arrival to the head of the answer";
         registry.register_with_unit("call_time", help, Unit::Seconds, metrics.latency.clone());
         registry.register("attempts", "Attempts at targets", metrics.attempts.clone());
+        registry.register(
+            "limited_requests",
+            "Attempts and probes sent to targets that had named a limit",
+            metrics.limited_requests.clone(),
+        );
         registry.register(
             "platform_reads",
             "Reads of the platform",
@@ -197,6 +205,12 @@
         self.attempts.get_or_create(&labels).inc();
     }
 
+    /// Counts an attempt or a probe that is sent to a target of `service` that has named a limit.
+    pub fn record_limited_request(&self, service: &Arc<str>, kind: &str) {
+        let labels = AttemptLabels { service: service.to_string(), kind: kind.to_owned() };
+        self.limited_requests.get_or_create(&labels).inc();
+    }
+
     /// Sets the number of retries and hedges that the budget of `service` currently allows.
     pub fn set_retry_budget(&self, service: &Arc<str>, remaining: f64) {
         let labels = ServiceLabels { service: service.to_string() };
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -7,7 +7,7 @@
     adapter::{
         CallAdapter, CallFailure, CallHeaders, DirectionsQuery, PlatformAdapter, PlatformUpdate,
         ProbeResponse, ReadError, ResponseKind, TargetRequest, TargetResponse, header_text,
-        json_directions, load_report,
+        json_directions, limit_field, load_report,
     },
     settings::Settings,
 };
@@ -86,18 +86,21 @@
         } else {
             ResponseKind::Executed
         };
-        TargetResponse { kind, report }
+        let limit = limit_field(&head.headers, headers::TARGET_LIMIT);
+        TargetResponse { kind, report, limit }
     }
 
     fn parse_probe_response(&self, head: &response::Parts) -> ProbeResponse {
         ProbeResponse {
             target: header_text(&head.headers, headers::TARGET).map(Arc::from),
             report: header_text(&head.headers, headers::TARGET_LOAD).and_then(load_report),
+            limit: limit_field(&head.headers, headers::TARGET_LIMIT),
         }
     }
 
     fn prepare_response_headers(&self, fields: &mut HeaderMap) {
         fields.remove(headers::TARGET_LOAD);
+        fields.remove(headers::TARGET_LIMIT);
         fields.insert(headers::OUTCOME, HeaderValue::from_static(headers::ANSWERED));
     }
 
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -4,8 +4,8 @@
 
 use azuretally_gateway::{gateway::Gateway, native::NativeAdapter};
 use azuretally_policy::balance::{
-    Attempt, AttemptOutcome, AttemptResult, Call, Change, Decision, LoadReport, Route, Share,
-    Source,
+    Attempt, AttemptOutcome, AttemptResult, Call, Change, Decision, LimitField, LoadReport, Route,
+    Share, Source,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::sync::mpsc;
@@ -53,6 +53,7 @@
         attempt: Attempt { call: 1, target: new_attempt.target },
         outcome: AttemptOutcome::Answered { ok: true, bytes: 1 },
         report: Some(LoadReport { running: 0, waiting: 0, slots: 1, slowdown: None }),
+        limit: LimitField::Absent,
     };
     gateway.balancer.borrow_mut().attempt_ended(now, &result);
     gateway.dispatch_waiting();
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -43,7 +43,7 @@
 /// them.
 pub(crate) fn disable_probes(gateway: &Gateway<NativeAdapter>) {
     let TargetRecord { service, name, address, .. } = target(0, 1);
-    let probe = Probe { service, target: name, address };
+    let probe = Probe { service, target: name, address, limit: None };
     let now = gateway.clock.now();
     gateway.balancer.borrow_mut().probe_ended(now, &probe, ProbeResult::NoReport);
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod call;
 mod catalog;
 mod heartbeat;
+mod limits;
 mod load;
 mod membership;
 mod refusals;
@@ -25,6 +26,7 @@
 };
 pub use catalog::{Catalog, CatalogUpdate, Change, ListedTarget, Snapshot, Source, TargetRecord};
 pub use heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
+pub use limits::{LimitField, RequestRate};
 pub use load::LoadReport;
 pub use membership::{Membership, MembershipBuilder};
 pub use routes::{
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -85,6 +85,7 @@
     calls: IndexMap<u64, CallState>,
     queues: IndexMap<Arc<str>, Vec<u64>>,
     probes: Vec<Probe>,
+    log_lines: Vec<String>,
     /// When the gateway stops, [`Timestamp::MAX`] if it does not.
     drain_end: Timestamp,
     random: Pcg64Mcg,
@@ -104,6 +105,7 @@
             calls: IndexMap::new(),
             queues: IndexMap::new(),
             probes: Vec::new(),
+            log_lines: Vec::new(),
             drain_end: Timestamp::MAX,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
@@ -206,6 +208,11 @@
         std::mem::take(&mut self.probes)
     }
 
+    /// Returns the log lines on changes of targets since the last call.
+    pub fn take_log_lines(&mut self) -> Vec<String> {
+        std::mem::take(&mut self.log_lines)
+    }
+
     /// Gives up a call whose deadline has passed, or all of them at the end of a drain.
     pub fn expire(&mut self, now: Timestamp, id: u64) -> Decision {
         let mut reason = GiveUpReason::Deadline;
@@ -415,6 +422,7 @@
                     service: Arc::clone(&state.call.service),
                     target: Arc::clone(&target.name),
                     address: target.address,
+                    limit: target.limit,
                 });
             }
         }
@@ -454,6 +462,7 @@
             expected_ms: (candidate.expected * 1_000.0) as u64,
             report_ms: target.load.report_age(now).map(|age| age.as_millis() as u64),
             same_domain: candidate.local,
+            limit: target.limit,
         })
     }
 
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -1,6 +1,11 @@
 //! Calls, attempts and probes: inputs and decisions of the balancer.
 
-use super::{load::LoadReport, refusals::Origin, routes::Route};
+use super::{
+    limits::{LimitField, RequestRate},
+    load::LoadReport,
+    refusals::Origin,
+    routes::Route,
+};
 use crate::Timestamp;
 use std::{
     net::{IpAddr, SocketAddr},
@@ -32,6 +37,8 @@
     pub target: Arc<str>,
     /// Address of the target.
     pub address: SocketAddr,
+    /// Limit that the target has named, if any, for the log.
+    pub limit: Option<RequestRate>,
 }
 
 /// Result of a probe.
@@ -108,6 +115,8 @@
     pub report_ms: Option<u64>,
     /// Whether the target is in the failure domain of this gateway.
     pub same_domain: bool,
+    /// Limit that the target has named, if any, for the log.
+    pub limit: Option<RequestRate>,
 }
 
 /// Why a call was given up.
@@ -217,4 +226,6 @@
     pub outcome: AttemptOutcome,
     /// Load report that came with the answer.
     pub report: Option<LoadReport>,
+    /// What the answer says about the limit of the target.
+    pub limit: LimitField,
 }
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -1,6 +1,10 @@
 //! State of one target at this gateway.
 
-use super::{catalog::ListedTarget, load::TargetLoad};
+use super::{
+    catalog::ListedTarget,
+    limits::{LimitField, RequestRate},
+    load::TargetLoad,
+};
 use crate::Timestamp;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -61,6 +65,8 @@
     pub(super) unanswered_probes: u32,
     /// Token bucket of probes: number of tokens, and when it was computed.
     pub(super) probe_tokens: (f64, Timestamp),
+    /// Limit that the target has named.
+    pub(super) limit: Option<RequestRate>,
 }
 
 impl Target {
@@ -81,6 +87,7 @@
             probe_sent: None,
             unanswered_probes: 0,
             probe_tokens: (1.0, now),
+            limit: None,
         }
     }
 
@@ -146,6 +153,21 @@
         self.backoff_until = self.backoff_until.max(now + backoff);
     }
 
+    /// Records the limit that an answer names, and returns a log line if it has changed.
+    pub(super) fn record_limit(&mut self, field: LimitField) -> Option<String> {
+        let limit = match field {
+            LimitField::Absent => None,
+            LimitField::Unreadable => {
+                return Some(format!("target {} unreadable limit", self.name));
+            }
+            LimitField::Named(rate) => Some(rate),
+        };
+        let before = std::mem::replace(&mut self.limit, limit);
+        let text = |l: Option<RequestRate>| l.map_or_else(|| "none".to_owned(), |l| l.to_string());
+        (before != limit)
+            .then(|| format!("target {} limit={} before={}", self.name, text(limit), text(before)))
+    }
+
     /// Returns the largest ratio of elapsed time to [`OVERDUE_AGE`] times the expected duration
     /// over all running calls, at least 1.
     pub(super) fn overdue_ratio(&self, now: Timestamp) -> f64 {
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -4,7 +4,8 @@
     Timestamp,
     balance::{
         Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Call, Catalog, Change,
-        Decision, LoadReport, NewAttempt, Probe, ProbeResult, Route, Share, Source, TargetRecord,
+        Decision, LimitField, LoadReport, NewAttempt, Probe, ProbeResult, Route, Share, Source,
+        TargetRecord,
     },
 };
 use std::{
@@ -71,7 +72,7 @@
     pub(crate) fn new(local: u8, remote: u8) -> Self {
         let mut fixture = Self::before_first_answer(local, remote);
         let TargetRecord { service, name, address, .. } = record(0, LOCAL);
-        let probe = Probe { service, target: name, address };
+        let probe = Probe { service, target: name, address, limit: None };
         fixture.balancer.probe_ended(ms(0), &probe, ProbeResult::NoReport);
         fixture
     }
@@ -134,7 +135,8 @@
         report: Option<LoadReport>,
     ) -> Decision {
         let attempt = Attempt { call: id, target: Arc::clone(target) };
-        self.balancer.attempt_ended(now, &AttemptResult { attempt, outcome, report })
+        let limit = LimitField::Absent;
+        self.balancer.attempt_ended(now, &AttemptResult { attempt, outcome, report, limit })
     }
 }
 
