test(soak): targets that name limits, red

It does not look at which gateway passed an answer on, which is stricter than the users' rule; calls of gateways with a recent fault or restart are left out.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,9 @@
 //! Records what callers and targets observe and checks it against the guarantees of the gateways.
 
-use crate::stops::{self, Call, CallEnd, Route, Stop, StopCounts};
+use crate::{
+    limits::LimitChecks,
+    stops::{self, Call, CallEnd, Route, Stop, StopCounts},
+};
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 use std::{
@@ -75,6 +78,8 @@
     highest_versions: IndexMap<(usize, u32), u64>,
     /// Arrivals at targets by service: time, and whether it counts as a first attempt.
     arrivals: IndexMap<String, VecDeque<(Instant, bool)>>,
+    /// Limits of targets, and the requests that they got.
+    limits: LimitChecks,
     /// Time of the last disturbance of the platform.
     last_outage: Option<Instant>,
     violations: Vec<String>,
@@ -156,6 +161,23 @@
         }
     }
 
+    /// Records that a target names another limit from now on, or none.
+    pub(crate) fn record_limit(&self, target: &str, rate: Option<f64>) {
+        self.state.lock().limits.record_limit(Instant::now(), target, rate);
+    }
+
+    /// Records that a target got the call `id`, or a probe. Checks the limit of the target, unless
+    /// the gateway of the call has had a fault.
+    pub(crate) fn record_request(&self, id: Option<u64>, target: &str) {
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        let call = id.and_then(|id| state.calls.get(&id));
+        if call.is_none_or(|call| state.is_settled(call.route.gateway, now)) {
+            let violation = state.limits.record_arrival(now, target);
+            violation.into_iter().for_each(|violation| state.add_violation(violation));
+        }
+    }
+
     /// Records that a target refused a call.
     pub(crate) fn record_refusal(&self, id: u64, service: &str) {
         self.state.lock().record_arrival(Instant::now(), id, service);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -13,6 +13,7 @@
 mod cluster;
 mod connection;
 mod faults;
+mod limits;
 mod logs;
 mod planned;
 mod platform;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,7 +1,8 @@
 //! Runs the soak for one seed.
 
 use crate::{
-    callers::Caller, cluster::Cluster, faults, logs, planned, stops::StopCounts, workload::Profile,
+    callers::Caller, cluster::Cluster, faults, limits, logs, planned, stops::StopCounts,
+    workload::Profile,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -40,6 +41,8 @@
     pub network: u8,
     /// What the run puts the gateways through.
     pub profile: Profile,
+    /// Whether targets name limits on their requests.
+    pub limits: bool,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -56,6 +59,7 @@
             callers: 24,
             network: 77,
             profile: Profile::Mixed,
+            limits: false,
             output_dir: None,
         }
     }
@@ -99,10 +103,18 @@
     let (fault_seed, planned_seed) = (rng.random(), rng.random());
     let end = Instant::now() + options.fault_time;
     let planned = planned::inject(&cluster, options.profile, planned_seed, end);
-    match options.profile {
-        Profile::Mixed => drop(tokio::join!(faults::inject(&cluster, fault_seed, end), planned)),
-        Profile::Planned => planned.await,
-    }
+    let limits_seed = rng.random();
+    let limits = async {
+        if options.limits {
+            limits::inject(&cluster, limits_seed, end).await;
+        }
+    };
+    let faults = async {
+        if options.profile == Profile::Mixed {
+            faults::inject(&cluster, fault_seed, end).await;
+        }
+    };
+    tokio::join!(faults, planned, limits);
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -60,6 +60,8 @@
     service: Arc<str>,
     workload: Workload,
     mode: Mutex<TargetMode>,
+    /// Limit that the answers name, in requests per second.
+    limit: Mutex<Option<f64>>,
     slots: Semaphore,
     /// Calls that are running or waiting for a slot.
     in_flight: AtomicU32,
@@ -82,6 +84,7 @@
             service,
             workload,
             mode: Mutex::default(),
+            limit: Mutex::default(),
             slots: Semaphore::new(workload.slots as usize),
             in_flight: AtomicU32::new(0),
             received_calls: AtomicU32::new(0),
@@ -94,6 +97,12 @@
         *self.mode.lock() = mode;
     }
 
+    /// Names another limit from now on, or none.
+    pub(crate) fn set_limit(&self, limit: Option<f64>) {
+        self.checker.record_limit(&self.name, limit);
+        *self.limit.lock() = limit;
+    }
+
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
         let stop = self.stop.clone();
         serve(listener, stop, move |request| Arc::clone(&self).handle(request)).await;
@@ -104,6 +113,7 @@
         request: Request<Incoming>,
     ) -> Result<Response<ResponseBody>, ConnectionAborted> {
         if request.uri().path() == PROBE_PATH {
+            self.checker.record_request(None, &self.name);
             return Ok(self.with_headers(text_response(StatusCode::OK, ""), None));
         }
         let text = |name| request.headers().get(name).and_then(|v| v.to_str().ok());
@@ -115,6 +125,7 @@
             let answer = text_response(StatusCode::MISDIRECTED_REQUEST, "another target");
             return Ok(self.with_headers(answer, call));
         }
+        self.checker.record_request(Some(id), &self.name);
         let mut held = HeldCall::new(&self, id);
         let service_time = self.workload.service_time(id, request.uri().path());
         request.into_body().collect().await.map_err(|_| ConnectionAborted)?;
@@ -180,6 +191,7 @@
             (headers::TARGET_LOAD, Some(load)),
             (headers::TARGET, Some(self.name.to_string())),
             (headers::CALL, call),
+            (headers::TARGET_LIMIT, self.limit.lock().map(|limit| limit.to_string())),
         ];
         for (name, value) in values {
             if let Some(value) = value.and_then(|v| HeaderValue::from_str(&v).ok()) {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -38,3 +38,16 @@
         ..Options::new(3)
     });
 }
+
+/// Targets must get no more requests than the limits that they name: gateways once did not read
+/// them.
+#[test]
+fn limited_targets_get_no_more_than_their_limits() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(16),
+        network: 81,
+        profile: Profile::Planned,
+        limits: true,
+        ..Options::new(5)
+    });
+}
