fix(gateway): keep to the limits that targets name

Cause: no decision depended on the field.

Change: one gateway at a time uses the limit of a target, at its full rate, from a token bucket that starts empty after a handover of 1.5 s; it is chosen by rendezvous hashing among the gateways that callers of the target's domain are directed to. All gateways learn of limits from each other in a message of their own, which builds before this one ignore. Limited targets are not probed. A call that the limits of all targets do not admit in time is refused at once, with a time. At half the rate while the gateway before may only be cut off from this one.

The property test of the fleet fails if probes or calls are not held back, if the handover is left out, if each gateway takes the whole limit, or if the half rate is the full one; 60 s of it pass. It found a gateway cut off from the others that took over the targets of other domains at the full rate.

--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -87,7 +87,11 @@
     let probe_response = gateway.adapter.parse_probe_response(&head);
     let is_same_target = probe_response.target.is_none_or(|name| name == probe.target);
     if is_same_target {
-        gateway.balancer.borrow_mut().record_probe_limit(probe, probe_response.limit);
+        gateway.balancer.borrow_mut().record_probe_limit(
+            gateway.clock.now(),
+            probe,
+            probe_response.limit,
+        );
     }
     match probe_response.report {
         _ if !is_same_target => None,
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -57,6 +57,7 @@
     loop {
         let now = gateway.clock.now();
         gateway.refresh_membership();
+        gateway.exchange_limits();
         let outgoing = gateway.membership.borrow_mut().tick(now);
         send(&gateway, &socket, &outgoing).await;
         apply_membership_changes(&gateway);
@@ -97,7 +98,13 @@
             return;
         }
     };
-    let outgoing = gateway.membership.borrow_mut().receive(now, from, message);
+    let outgoing = match message {
+        Message::Limits(notices) => match gateway.merge_limits(from, &notices) {
+            unknown if unknown.is_empty() => Vec::new(),
+            unknown => vec![Outgoing { to: from, message: Message::Limits(unknown) }],
+        },
+        message => gateway.membership.borrow_mut().receive(now, from, message),
+    };
     send(gateway, socket, &outgoing).await;
     confirm_age(gateway);
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,14 +10,15 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Balancer, BalancerSettings, Catalog, Decision, Heartbeat, Membership, MembershipBuilder,
-        Phase, Probe, RouteTable, Source, TrafficSplit,
+        Balancer, BalancerSettings, Catalog, Decision, Heartbeat, LimitNotice, Membership,
+        MembershipBuilder, Phase, Probe, RouteTable, Source, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
 use std::{
     cell::{Cell, RefCell},
     future::pending,
+    net::IpAddr,
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -316,14 +317,36 @@
             }
         }
         self.forward_probes();
-        self.log_target_changes();
+        self.report_target_changes();
     }
 
-    /// Logs what the balancer has learned about targets.
-    pub fn log_target_changes(&self) {
+    /// Logs what the balancer has learned about targets, and wakes the task that announces it.
+    pub fn report_target_changes(&self) {
         for line in self.balancer.borrow_mut().take_log_lines() {
             log::info!("control: {line}");
         }
+        if self.balancer.borrow().has_limit_changes() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Assigns the limits of targets by the present membership, and passes changes on to it.
+    pub fn exchange_limits(&self) {
+        let now = self.clock.now();
+        let mut balancer = self.balancer.borrow_mut();
+        let mut membership = self.membership.borrow_mut();
+        balancer.assign_limits(now, |domain, target| membership.limit_share(domain, target));
+        membership.announce_limits(balancer.take_limit_changes(), None);
+        membership.set_limits(balancer.limits());
+    }
+
+    /// Adopts the limits that the gateway at `from` knows, and returns what it does not know yet.
+    pub fn merge_limits(&self, from: IpAddr, notices: &[LimitNotice]) -> Vec<LimitNotice> {
+        let now = self.clock.now();
+        let (adopted, outdated) = self.balancer.borrow_mut().merge_limits(now, notices);
+        self.membership.borrow_mut().announce_limits(adopted, Some(from));
+        self.report_target_changes();
+        outdated
     }
 
     /// Passes the probes that the balancer requested to the probe task.
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -26,7 +26,7 @@
 };
 pub use catalog::{Catalog, CatalogUpdate, Change, ListedTarget, Snapshot, Source, TargetRecord};
 pub use heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
-pub use limits::{LimitField, RequestRate};
+pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{Membership, MembershipBuilder};
 pub use routes::{
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -7,6 +7,7 @@
 //! drains, the same holds for the time at which it stops.
 
 mod learning;
+mod limiting;
 mod retries;
 
 use super::{
@@ -16,12 +17,13 @@
         NewAttempt, Probe,
     },
     catalog::{Catalog, ListedTarget},
+    limits::LimitNotice,
     refusals::RefusalTracker,
     service::{Candidate, Choice, ChoiceRequest, DRAIN_MARGIN, Service},
     target::RunningAttempt,
 };
 use crate::Timestamp;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use retries::HEDGE_MARGIN;
@@ -85,6 +87,10 @@
     calls: IndexMap<u64, CallState>,
     queues: IndexMap<Arc<str>, Vec<u64>>,
     probes: Vec<Probe>,
+    /// Targets whose limits are known, also those that have ended: service and name.
+    limited: IndexSet<(Arc<str>, Arc<str>)>,
+    /// Limits that this gateway has learned from answers and not announced yet.
+    limit_changes: Vec<LimitNotice>,
     log_lines: Vec<String>,
     /// When the gateway stops, [`Timestamp::MAX`] if it does not.
     drain_end: Timestamp,
@@ -105,6 +111,8 @@
             calls: IndexMap::new(),
             queues: IndexMap::new(),
             probes: Vec::new(),
+            limited: IndexSet::new(),
+            limit_changes: Vec::new(),
             log_lines: Vec::new(),
             drain_end: Timestamp::MAX,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -278,19 +286,25 @@
         let mut wait = 0.0;
         let mut full = false;
         let mut deferred = 0;
+        let mut ahead = 0;
         for id in ids {
-            if let Some(reason) = self.miss_reason(now, id, wait) {
+            let reason = self
+                .miss_reason(now, id, wait)
+                .or_else(|| self.misses_limits(now, id, ahead).then_some(GiveUpReason::Limited));
+            if let Some(reason) = reason {
                 self.dequeue(&service, id);
                 let decision = self.abandon(now, id, reason);
                 decisions.push((id, decision));
                 continue;
             }
             wait += self.base_seconds(id) / capacity;
+            ahead += 1;
             if full || deferred >= MAX_DEFERRED {
                 continue;
             }
             match self.choose(now, id, false) {
                 Choice::Take(candidate) => {
+                    ahead -= 1;
                     self.dequeue(&service, id);
                     if let Some(start) = self.start(now, id, &candidate) {
                         decisions.push((id, Decision::Start(start)));
@@ -365,9 +379,11 @@
             return self.give_up(now, id, GiveUpReason::QueueFull);
         }
         let wait = self.queue_seconds(now, id);
+        let limited = self.services.get(&name).is_some_and(|s| s.limit_wait(now, 0).is_some());
         let left = self.calls.get(&id).map_or(Duration::ZERO, |s| s.call.deadline.since(now));
         if wait + self.typical_seconds(id) > left.as_secs_f64() * MAX_WAIT_FRACTION {
-            return self.give_up(now, id, GiveUpReason::Deadline);
+            let reason = if limited { GiveUpReason::Limited } else { GiveUpReason::Deadline };
+            return self.give_up(now, id, reason);
         }
         if self.misses_drain(now, id, wait) {
             return self.give_up(now, id, GiveUpReason::Stopping);
@@ -384,8 +400,12 @@
         let Some(state) = self.calls.get(&id) else { return 0.0 };
         let own = self.queue_rank(now, id);
         let queue = self.queues.get(&state.call.service).map_or(&[][..], Vec::as_slice);
-        let before = queue.iter().filter(|other| self.queue_rank(now, **other) < own);
-        let ahead: f64 = before.map(|other| self.base_seconds(*other)).sum();
+        let before = || queue.iter().filter(|other| self.queue_rank(now, **other) < own);
+        let service = self.services.get(&state.call.service);
+        if let Some(wait) = service.and_then(|s| s.limit_wait(now, before().count())) {
+            return wait;
+        }
+        let ahead: f64 = before().map(|other| self.base_seconds(*other)).sum();
         ahead / self.capacity(&state.call.service)
     }
 
@@ -422,7 +442,7 @@
                     service: Arc::clone(&state.call.service),
                     target: Arc::clone(&target.name),
                     address: target.address,
-                    limit: target.limit,
+                    limit: target.limit.rate(),
                 });
             }
         }
@@ -440,8 +460,10 @@
             expected: candidate.expected,
             crowded: candidate.crowded,
             scale: candidate.scale,
-            known: candidate.is_known(),
+            known: candidate.is_measured(),
+            limit_version: target.limit.version(),
         });
+        target.limit.take(now);
         state.tried.push(Arc::clone(&target.name));
         state.running += 1;
         state.sent += 1;
@@ -462,7 +484,7 @@
             expected_ms: (candidate.expected * 1_000.0) as u64,
             report_ms: target.load.report_age(now).map(|age| age.as_millis() as u64),
             same_domain: candidate.local,
-            limit: target.limit,
+            limit: target.limit.rate(),
         })
     }
 
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -3,7 +3,6 @@
 use super::{
     super::{
         call::{AttemptOutcome, AttemptResult, Failure, Probe, ProbeResult},
-        limits::LimitField,
         target::{RunningAttempt, Target},
     },
     Balancer,
@@ -36,15 +35,6 @@
         }
     }
 
-    /// Records the limit that the answer to a probe names.
-    pub fn record_probe_limit(&mut self, probe: &Probe, limit: LimitField) {
-        let Some(service) = self.services.get_mut(&probe.service) else { return };
-        let Some(target) = service.targets.get_mut(&probe.target) else { return };
-        if let LimitField::Named(_) = limit {
-            self.log_lines.extend(target.record_limit(limit));
-        }
-    }
-
     /// Records a failure of each target that has not answered the call for far longer than
     /// expected.
     pub(super) fn penalize_silent(&mut self, now: Timestamp, id: u64) {
@@ -67,6 +57,7 @@
         result: &AttemptResult,
         running: Option<RunningAttempt>,
     ) {
+        self.record_attempt_limit(now, result, running.as_ref());
         let Some(state) = self.calls.get(&result.attempt.call) else { return };
         let route = Arc::clone(&state.call.route);
         let Some(service) = self.services.get_mut(&state.call.service) else { return };
@@ -83,7 +74,6 @@
         service.record_refusal(result.outcome == AttemptOutcome::Refused);
         let base = service.base_seconds(&route);
         let Some(target) = service.targets.get_mut(&result.attempt.target) else { return };
-        self.log_lines.extend(target.record_limit(result.limit));
         record_target_result(now, target, result, running, base);
     }
 }
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -125,6 +125,13 @@
         let may_have_run = self.calls.get(&id).is_some_and(|s| s.may_have_run);
         let retry_after = match reason {
             GiveUpReason::NoTarget => self.jittered_delay(NO_TARGET_RETRY_AFTER.as_secs_f64()),
+            GiveUpReason::Limited => {
+                let seconds = self.queue_seconds(now, id);
+                // Where this gateway may use none of the limits, another one may.
+                let is_finite = seconds.is_finite();
+                let limit = NO_TARGET_RETRY_AFTER.as_secs_f64();
+                self.jittered_delay(if is_finite { seconds } else { limit })
+            }
             GiveUpReason::Refused if self.is_queue_empty(id) => {
                 self.jittered_delay(REFUSED_RETRY_AFTER)
             }
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -128,6 +128,8 @@
     QueueFull,
     /// The service has no usable target.
     NoTarget,
+    /// All usable targets have named limits, which do not admit it before its deadline.
+    Limited,
     /// All its attempts were refused by targets.
     Refused,
     /// A target may have run it, and it must not or cannot be sent again.
@@ -143,6 +145,7 @@
             Self::Deadline => "deadline",
             Self::QueueFull => "queue-full",
             Self::NoTarget => "no-target",
+            Self::Limited => "limited",
             Self::Refused => "refused",
             Self::Lost => "lost",
             Self::Stopping => "stopping",
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -1,5 +1,6 @@
 //! Messages between gateways, and the directions that tell callers which gateways to use.
 
+use super::limits::LimitNotice;
 use serde::{Deserialize, Serialize};
 use std::{
     net::{IpAddr, SocketAddr},
@@ -61,6 +62,8 @@
     /// Addresses of gateways, in reply to [`Message::Join`] or to a heartbeat sent to a gateway
     /// that is not its domain's primary.
     Peers(Vec<IpAddr>),
+    /// Limits of targets. Gateways of builds before this message ignore it.
+    Limits(Vec<LimitNotice>),
 }
 
 /// Message with its receiver.
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -7,12 +7,14 @@
 //! consensus: every gateway ranks the live ones by the same rule, and while two views differ, two
 //! gateways may do the same work.
 
+mod limits;
 mod ranking;
 mod reader;
 
 use super::heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
 use crate::Timestamp;
 use indexmap::IndexMap;
+use limits::LimitOutbox;
 use std::{
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -57,6 +59,13 @@
     alive: bool,
 }
 
+impl Peer {
+    /// Returns whether its heartbeats have stopped without a sign that its process ended.
+    fn is_silent(&self) -> bool {
+        !self.alive && self.disconnected.is_none() && self.heartbeat.phase != Phase::Leaving
+    }
+}
+
 /// Builder of a [`Membership`].
 #[derive(Clone, Debug)]
 pub struct MembershipBuilder {
@@ -105,6 +114,7 @@
             next_join: now,
             joins_sent: 0,
             slots: 0,
+            limit_outbox: LimitOutbox::default(),
             log_lines: Vec::new(),
         }
     }
@@ -131,6 +141,7 @@
     joins_sent: usize,
     /// Concurrent calls that the targets of the local failure domain can run.
     slots: u32,
+    limit_outbox: LimitOutbox,
     log_lines: Vec<String>,
 }
 
@@ -208,7 +219,10 @@
                 let known = self.peers_for(&heartbeat);
                 self.record_heartbeat(now, heartbeat);
                 let own = Message::Heartbeat(self.next_heartbeat());
-                vec![Outgoing { to, message: Message::Peers(known) }, Outgoing { to, message: own }]
+                let mut replies = self.limits_for(to);
+                replies.push(Outgoing { to, message: Message::Peers(known) });
+                replies.push(Outgoing { to, message: own });
+                replies
             }
             Message::Peers(hosts) => {
                 self.unverified.retain(|host| *host != from);
@@ -217,6 +231,8 @@
                 }
                 Vec::new()
             }
+            // The balancer knows the limits.
+            Message::Limits(_) => Vec::new(),
         }
     }
 
@@ -232,7 +248,12 @@
 
     /// Handles timeouts and returns the messages that are due.
     pub fn tick(&mut self, now: Timestamp) -> Vec<Outgoing> {
-        self.own.settled = now.since(self.started) >= SETTLE_TIME;
+        let settled = now.since(self.started) >= SETTLE_TIME;
+        // The change of rank is announced at once.
+        if settled && !self.own.settled {
+            self.next_local = Timestamp::default();
+        }
+        self.own.settled = settled;
         self.expire_silent(now);
         let mut outgoing = Vec::new();
         if now >= self.next_join {
@@ -258,6 +279,7 @@
                 self.send_heartbeats(self.remote_contacts().into_iter(), &mut outgoing);
             }
         }
+        self.send_limits(now, &mut outgoing);
         outgoing
     }
 
@@ -266,7 +288,8 @@
         if !self.unverified.is_empty() {
             return Timestamp::default();
         }
-        self.next_local.min(self.next_remote).min(self.next_join)
+        let heartbeats = self.next_local.min(self.next_remote);
+        heartbeats.min(self.next_join).min(self.limit_outbox.next_due())
     }
 
     /// Returns directions for callers of `domain`: its highest-ranked gateways, or those of other
--- a/crates/policy/src/balance/membership/ranking.rs
+++ b/crates/policy/src/balance/membership/ranking.rs
@@ -35,10 +35,14 @@
     pub(super) fn ranked(&self, domain: &str) -> Vec<&Heartbeat> {
         let peers = self.peers.values().filter(|p| p.alive).map(|p| &p.heartbeat);
         let all = peers.chain(std::iter::once(&self.own));
-        let mut usable: Vec<&Heartbeat> =
-            all.filter(|h| h.phase == Phase::Ready && &*h.domain == domain).collect();
-        usable.sort_by_key(|h| rank_key(h));
-        usable
+        rank(all.filter(|h| h.phase == Phase::Ready && &*h.domain == domain).collect())
+    }
+
+    /// Like [`Self::ranked`], with the gateways that have fallen silent without an end.
+    pub(super) fn ranked_with_silent(&self, domain: &str) -> Vec<&Heartbeat> {
+        let peers = self.peers.values().filter(|p| p.alive || p.is_silent()).map(|p| &p.heartbeat);
+        let all = peers.chain(std::iter::once(&self.own));
+        rank(all.filter(|h| h.phase == Phase::Ready && &*h.domain == domain).collect())
     }
 
     /// Returns the ready primaries of the other failure domains: as reported by the primary of the
@@ -106,6 +110,12 @@
     }
 }
 
+/// Sorts gateways by rank.
+fn rank(mut gateways: Vec<&Heartbeat>) -> Vec<&Heartbeat> {
+    gateways.sort_by_key(|h| rank_key(h));
+    gateways
+}
+
 /// Whether a gateway started recently, its capacity subtracted from the maximum, and a hash of its
 /// host name.
 type RankKey = (bool, u32, u64);
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -145,16 +145,19 @@
     pub(super) scale: f64,
     /// Whether the target is in the failure domain of this gateway.
     pub(super) local: bool,
-    /// Whether the slowdown of the target is known, or targets report none.
+    /// Whether the slowdown of the target is known as well as it will be: it is measured, or the
+    /// target must not be probed.
     known: bool,
+    /// Whether the slowdown of the target was reported, or targets report none.
+    measured: bool,
     /// Probability of an answer within the objective.
     chance: f64,
 }
 
 impl Candidate {
     /// Returns whether the slowdown was known when the slot was chosen.
-    pub(super) fn is_known(&self) -> bool {
-        self.known
+    pub(super) fn is_measured(&self) -> bool {
+        self.measured
     }
 }
 
@@ -282,13 +285,31 @@
         self.base_seconds(route) * (1.0 + self.crowding.0) / 2.0
     }
 
-    /// Returns the seconds of work that the targets do per second.
+    /// Returns the seconds of work that the targets without a limit do per second.
     pub(super) fn capacity(&self) -> f64 {
-        let usable = self.targets.values().filter(|t| t.is_usable());
+        let usable = self.targets.values().filter(|t| t.is_usable() && t.limit.rate().is_none());
         let slots: f64 = usable.map(|t| f64::from(t.slots) / self.crowding.0).sum();
         slots * (1.0 - self.slowdowns.slow_share)
     }
 
+    /// Returns the seconds until the limits admit a call that waits behind `ahead` others, infinite
+    /// if this gateway may use none of the limits. `None` if a usable target has no limit.
+    pub(super) fn limit_wait(&self, now: Timestamp, ahead: usize) -> Option<f64> {
+        let usable = || self.targets.values().filter(|t| t.is_usable());
+        let rates: Option<Vec<f64>> = usable().map(|t| t.limit.own_rate()).collect();
+        let rate: f64 = rates.filter(|rates| !rates.is_empty())?.iter().sum();
+        let tokens: f64 = usable().map(|t| t.limit.tokens(now)).sum();
+        let needed = ahead as f64 + 1.0 - tokens;
+        if needed <= 0.0 {
+            return Some(0.0);
+        }
+        let handover = usable()
+            .filter(|t| t.limit.own_rate().is_some_and(|rate| rate > 0.0))
+            .map(|t| t.limit.handover_left(now).as_secs_f64())
+            .fold(f64::INFINITY, f64::min);
+        Some(handover + needed / rate)
+    }
+
     /// Returns whether any target is usable.
     pub(super) fn has_usable(&self) -> bool {
         self.targets.values().any(Target::is_usable)
@@ -331,9 +352,9 @@
 
     fn score_candidates(&self, request: &ChoiceRequest<'_>) -> Vec<ScoredCandidate> {
         let all_in_backoff =
-            self.targets.values().all(|t| !t.is_usable() || t.in_backoff(request.now));
+            self.targets.values().all(|t| !t.is_usable() || t.is_held(request.now));
         let local = || self.targets.values().filter(|t| t.local && t.is_usable());
-        let locals_in_backoff = local().all(|t| t.in_backoff(request.now));
+        let locals_held = local().all(|t| t.is_held(request.now));
         let mut scored = Vec::new();
         let mut sampled = (0, 0);
         let count = self.targets.len();
@@ -349,7 +370,7 @@
             if !target.is_usable() || backs_off || request.tried.contains(&target.name) {
                 continue;
             }
-            if let Some(candidate) = self.candidate(index, target, request, locals_in_backoff) {
+            if let Some(candidate) = self.candidate(index, target, request, locals_held) {
                 scored.push(self.score(candidate, target, request));
             }
         }
@@ -411,15 +432,17 @@
         index: usize,
         target: &Target,
         request: &ChoiceRequest<'_>,
-        locals_in_backoff: bool,
+        locals_held: bool,
     ) -> Option<Candidate> {
         let now = request.now;
+        if !target.limit.may_send(now) {
+            return None;
+        }
         let own = target.running.len() as f64;
         let others = target.load.other_calls(now);
         let slots = f64::from(target.slots);
         // A remote target keeps one slot free for the gateways in its own failure domain.
-        let reserved =
-            if target.local || locals_in_backoff || target.slots == 1 { 0.0 } else { 1.0 };
+        let reserved = if target.local || locals_held || target.slots == 1 { 0.0 } else { 1.0 };
         if own + 1.0 > slots - reserved
             || own + others > slots - 1.0 - reserved + OTHER_CALLS_TOLERANCE
         {
@@ -437,12 +460,21 @@
             return None;
         }
         let left = request.objective.since(now);
-        let known = reported.is_some() || !self.slowdowns.may_be_reported();
-        let slow_share = if known { 0.0 } else { self.slowdowns.slow_share };
+        let measured = reported.is_some() || !self.slowdowns.may_be_reported();
+        let slow_share = if measured { 0.0 } else { self.slowdowns.slow_share };
         let slow_expected = expected * self.slowdowns.slow_mean / self.slowdowns.usual_mean;
         let chance =
             slow_share * chance(slow_expected, left) + (1.0 - slow_share) * chance(expected, left);
-        Some(Candidate { index, expected, crowded, scale, local: target.local, known, chance })
+        Some(Candidate {
+            index,
+            expected,
+            crowded,
+            scale,
+            local: target.local,
+            known: measured || target.limit.rate().is_some(),
+            measured,
+            chance,
+        })
     }
 
     fn score(
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -1,10 +1,6 @@
 //! State of one target at this gateway.
 
-use super::{
-    catalog::ListedTarget,
-    limits::{LimitField, RequestRate},
-    load::TargetLoad,
-};
+use super::{catalog::ListedTarget, limits::TargetLimit, load::TargetLoad};
 use crate::Timestamp;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -39,6 +35,8 @@
     pub(super) scale: f64,
     /// Whether the slowdown was known at the start.
     pub(super) known: bool,
+    /// Version of the target's limit that was known at the start.
+    pub(super) limit_version: u64,
 }
 
 /// Target with its running attempts, load and backoff state.
@@ -49,6 +47,7 @@
     pub(super) started: Option<u64>,
     pub(super) slots: u32,
     pub(super) leaving: bool,
+    pub(super) domain: Arc<str>,
     /// Whether it is in the failure domain of this gateway.
     pub(super) local: bool,
     /// End of the warm-up.
@@ -65,8 +64,8 @@
     pub(super) unanswered_probes: u32,
     /// Token bucket of probes: number of tokens, and when it was computed.
     pub(super) probe_tokens: (f64, Timestamp),
-    /// Limit that the target has named.
-    pub(super) limit: Option<RequestRate>,
+    /// Limit that the target has named, and the use of it.
+    pub(super) limit: TargetLimit,
 }
 
 impl Target {
@@ -78,6 +77,7 @@
             started: record.started,
             slots: record.slots.max(1),
             leaving: record.leaving,
+            domain: Arc::clone(&record.failure_domain),
             local: &*record.failure_domain == domain,
             warm_at: listed.read + record.warmup,
             running: Vec::new(),
@@ -87,14 +87,15 @@
             probe_sent: None,
             unanswered_probes: 0,
             probe_tokens: (1.0, now),
-            limit: None,
+            limit: TargetLimit::default(),
         }
     }
 
     /// Returns whether a probe may be sent now, at most `rate` per second.
     pub(super) fn may_probe(&self, now: Timestamp, rate: f64) -> bool {
         let none_pending = self.probe_sent.is_none_or(|at| now.since(at) > PROBE_TIMEOUT);
-        none_pending && self.available_tokens(now, rate) >= 1.0
+        // A probe would use up the limit like a call.
+        none_pending && self.limit.rate().is_none() && self.available_tokens(now, rate) >= 1.0
     }
 
     /// Returns the tokens for probes that are available now.
@@ -126,6 +127,12 @@
         !self.leaving && !self.moved
     }
 
+    /// Returns whether the target must get no calls now, because it is in backoff or its limit is
+    /// used up.
+    pub(super) fn is_held(&self, now: Timestamp) -> bool {
+        self.in_backoff(now) || !self.limit.may_send(now)
+    }
+
     /// Returns whether the target is in backoff.
     pub(super) fn in_backoff(&self, now: Timestamp) -> bool {
         now < self.backoff_until
@@ -153,21 +160,6 @@
         self.backoff_until = self.backoff_until.max(now + backoff);
     }
 
-    /// Records the limit that an answer names, and returns a log line if it has changed.
-    pub(super) fn record_limit(&mut self, field: LimitField) -> Option<String> {
-        let limit = match field {
-            LimitField::Absent => None,
-            LimitField::Unreadable => {
-                return Some(format!("target {} unreadable limit", self.name));
-            }
-            LimitField::Named(rate) => Some(rate),
-        };
-        let before = std::mem::replace(&mut self.limit, limit);
-        let text = |l: Option<RequestRate>| l.map_or_else(|| "none".to_owned(), |l| l.to_string());
-        (before != limit)
-            .then(|| format!("target {} limit={} before={}", self.name, text(limit), text(before)))
-    }
-
     /// Returns the largest ratio of elapsed time to [`OVERDUE_AGE`] times the expected duration
     /// over all running calls, at least 1.
     pub(super) fn overdue_ratio(&self, now: Timestamp) -> f64 {
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod fixture;
 mod hedging;
+mod limits;
 mod membership;
 mod overload;
 mod routes;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,14 +5,13 @@
 
 const USAGE: &str = "Usage: azuretally-soak [--seed N] [--runs N] [--seconds N] [--gateways N]
                        [--targets N] [--callers N] [--network N] [--logs DIR]
-                       [--planned-only] [--limits]
+                       [--planned-only]
 
 Runs seeds N, N + 1, ... and prints a line for each. Exits with 1 when a promise was broken.
 --logs keeps the logs of each seed in DIR/seed-N and replaces those of an earlier run of the seed.
 --network selects the loopback network 127.N.0.0/16, so that concurrent soaks do not collide.
 --planned-only injects no unplanned faults, only stops, restarts, hangups, settings and replaced
-targets.
---limits lets some targets name limits on their requests.";
+targets.";
 
 /// Parsed command line.
 struct Args {
@@ -76,7 +75,6 @@
             Long("callers") => options.callers = parser.value()?.parse()?,
             Long("network") => options.network = parser.value()?.parse()?,
             Long("planned-only") => options.profile = Profile::Planned,
-            Long("limits") => options.limits = true,
             Long("logs") => options.output_dir = Some(PathBuf::from(parser.value()?)),
             Long("help") | Short('h') => return Ok(None),
             _ => return Err(arg.unexpected()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -41,8 +41,6 @@
     pub network: u8,
     /// What the run puts the gateways through.
     pub profile: Profile,
-    /// Whether targets name limits on their requests.
-    pub limits: bool,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -59,7 +57,6 @@
             callers: 24,
             network: 77,
             profile: Profile::Mixed,
-            limits: false,
             output_dir: None,
         }
     }
@@ -104,11 +101,7 @@
     let end = Instant::now() + options.fault_time;
     let planned = planned::inject(&cluster, options.profile, planned_seed, end);
     let limits_seed = rng.random();
-    let limits = async {
-        if options.limits {
-            limits::inject(&cluster, limits_seed, end).await;
-        }
-    };
+    let limits = limits::inject(&cluster, limits_seed, end);
     let faults = async {
         if options.profile == Profile::Mixed {
             faults::inject(&cluster, fault_seed, end).await;
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -47,7 +47,6 @@
         fault_time: Duration::from_secs(16),
         network: 81,
         profile: Profile::Planned,
-        limits: true,
         ..Options::new(5)
     });
 }
