feat(gateway): check and log whether any target can be reached

When requests have failed at two targets within a second, the gateway asks four targets of all services at random on new connections, since open ones may live on while new ones are refused. Two checks in a row without any answer mean that it is cut off, two with one that it no longer is. Each is logged, and counted as an attempt of kind reach-check. At most two a second begin, and one that confirms a failed one. No decision depends on it yet.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -11,6 +11,7 @@
 mod inbound;
 mod pool;
 mod probe;
+mod reach;
 mod server;
 mod task;
 
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -10,7 +10,7 @@
 };
 use azuretally_policy::balance::{Probe, ProbeResult};
 use bytes::Bytes;
-use http::{Request, header::HOST};
+use http::{Request, header::HOST, response};
 use http_body_util::{BodyExt, Either, Full};
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::{sync::mpsc, task::JoinSet, time::timeout};
@@ -53,6 +53,7 @@
     gateway.metrics.record_attempt(&probe.service, if answered { "probe" } else { "probe-failed" });
     if !answered {
         log::info!("calls: probe of target={} failed or timed out", probe.target);
+        gateway.target_failed.notify_one();
     }
     let now = gateway.clock.now();
     gateway.balancer.borrow_mut().probe_ended(now, &probe, result);
@@ -67,31 +68,20 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    let path = {
-        let table = gateway.routes()?;
-        Arc::clone(&table.published().services.get(&probe.service)?.probe_path)
-    };
-    let mut connection: Connection = match pool.take(probe.address, false) {
+    let connection = match pool.take(probe.address, false) {
         Some(connection) => connection,
         None => {
             gateway.metrics.target_connections.inc();
             pool.connect(probe.address).await.ok()?
         }
     };
-    let body: RequestBody = Either::Left(Full::new(Bytes::new()));
-    let request = Request::get(&*path).header(HOST, probe.address.to_string()).body(body).ok()?;
-    let response = connection.sender.send_request(request).await.ok()?;
-    let (head, body) = response.into_parts();
-    body.collect().await.ok()?;
-    pool.release(connection, &head.headers);
+    let head = request(gateway, pool, probe, connection).await?;
     let probe_response = gateway.adapter.parse_probe_response(&head);
     let is_same_target = probe_response.target.is_none_or(|name| name == probe.target);
     if is_same_target {
-        gateway.balancer.borrow_mut().record_probe_limit(
-            gateway.clock.now(),
-            probe,
-            probe_response.limit,
-        );
+        let now = gateway.clock.now();
+        let mut balancer = gateway.balancer.borrow_mut();
+        balancer.record_probe_limit(now, probe, probe_response.limit);
     }
     match probe_response.report {
         _ if !is_same_target => None,
@@ -99,3 +89,27 @@
         None => head.status.is_success().then_some(ProbeResult::NoReport),
     }
 }
+
+/// Requests the probe path on `connection` and returns the connection to the pool. Returns the head
+/// of the response, whatever it says, or `None` if there is none.
+pub(super) async fn request<Adapter>(
+    gateway: &Gateway<Adapter>,
+    pool: &ConnectionPool,
+    probe: &Probe,
+    mut connection: Connection,
+) -> Option<response::Parts>
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    let path = {
+        let table = gateway.routes()?;
+        Arc::clone(&table.published().services.get(&probe.service)?.probe_path)
+    };
+    let body: RequestBody = Either::Left(Full::new(Bytes::new()));
+    let request = Request::get(&*path).header(HOST, probe.address.to_string()).body(body).ok()?;
+    let response = connection.sender.send_request(request).await.ok()?;
+    let (head, body) = response.into_parts();
+    body.collect().await.ok()?;
+    pool.release(connection, &head.headers);
+    Some(head)
+}
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -1,6 +1,6 @@
 //! Listens for callers and drains their connections on a planned stop.
 
-use super::{connection::CallerConnection, pool::ConnectionPool, probe, task::handle_call};
+use super::{connection::CallerConnection, pool::ConnectionPool, probe, reach, task::handle_call};
 use crate::{
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
@@ -82,11 +82,13 @@
         let (_, closed) = mpsc::unbounded_channel();
         let probes = std::mem::replace(&mut self.probes, closed);
         let probe_task = probe::run(Rc::clone(&gateway), Rc::clone(&self.pool), probes);
+        let reach_task = reach::run(Rc::clone(&gateway), Rc::clone(&self.pool));
         let maintenance = run_maintenance(Rc::clone(&gateway), Rc::clone(&self.pool));
         tokio::select! {
             () = self.accept_and_drain() => {}
             () = maintenance => {}
             () = probe_task => {}
+            () = reach_task => {}
         }
         gateway.shutdown.cancel();
     }
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -13,7 +13,7 @@
 };
 use azuretally_policy::{
     Timestamp,
-    balance::{AttemptResult, Decision, GiveUpReason, HedgeDecision, NewAttempt},
+    balance::{AttemptOutcome, AttemptResult, Decision, GiveUpReason, HedgeDecision, NewAttempt},
 };
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
 use http::{HeaderValue, Request, Response, header::CONNECTION};
@@ -160,6 +160,7 @@
                         .borrow_mut()
                         .consider_hedge(now, self.inbound.id);
                     self.gateway.forward_probes();
+                    self.gateway.target_failed.notify_one();
                     match hedge {
                         HedgeDecision::Start(new_attempt) => {
                             self.next_is_hedge = true;
@@ -246,6 +247,9 @@
             self.response = Some(received);
         }
         let result = AttemptResult { attempt, outcome, report, limit };
+        if matches!(outcome, AttemptOutcome::Failed { .. }) {
+            self.gateway.target_failed.notify_one();
+        }
         let decision = self.gateway.balancer.borrow_mut().attempt_ended(now, &result);
         self.gateway.dispatch_waiting();
         decision
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -72,6 +72,8 @@
     pub changed: Notify,
     /// Notified when a call begins to wait, to start the timer that dispatches waiting calls.
     pub call_queued: Notify,
+    /// Notified when a target has not answered, which may call for a check of the reach.
+    pub target_failed: Notify,
     routes: RefCell<Option<Rc<RouteTable>>>,
     /// Until when calls are read, [`Timestamp::MAX`] until the planned stop begins.
     reading_end: Cell<Timestamp>,
@@ -115,6 +117,7 @@
             tasks: TaskTracker::new(),
             changed: Notify::new(),
             call_queued: Notify::new(),
+            target_failed: Notify::new(),
             routes: RefCell::default(),
             reading_end: Cell::new(Timestamp::MAX),
             serving_end: watch::Sender::default(),
@@ -330,6 +333,17 @@
         }
     }
 
+    /// Returns when the reach is to be checked next, [`Timestamp::MAX`] if there is no need.
+    pub fn reach_check_due(&self) -> Timestamp {
+        self.balancer.borrow().reach_check_due(self.clock.now(), false)
+    }
+
+    /// Records the result of a check of the reach.
+    pub fn reach_checked(&self, asked: usize, answered: usize) {
+        self.balancer.borrow_mut().reach_checked(self.clock.now(), asked, answered);
+        self.report_target_changes();
+    }
+
     /// Assigns the limits of targets by the present membership, and passes changes on to it.
     pub fn exchange_limits(&self) {
         let now = self.clock.now();
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod load;
 mod membership;
+mod reach;
 mod refusals;
 mod routes;
 mod service;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -8,6 +8,7 @@
 
 mod learning;
 mod limiting;
+mod reaching;
 mod retries;
 
 use super::{
@@ -18,6 +19,7 @@
     },
     catalog::{Catalog, ListedTarget},
     limits::LimitNotice,
+    reach::ReachTracker,
     refusals::RefusalTracker,
     service::{Candidate, Choice, ChoiceRequest, DRAIN_MARGIN, Service},
     target::RunningAttempt,
@@ -91,6 +93,7 @@
     limited: IndexSet<(Arc<str>, Arc<str>)>,
     /// Limits that this gateway has learned from answers and not announced yet.
     limit_changes: Vec<LimitNotice>,
+    reach: ReachTracker,
     log_lines: Vec<String>,
     /// When the gateway stops, [`Timestamp::MAX`] if it does not.
     drain_end: Timestamp,
@@ -113,6 +116,7 @@
             probes: Vec::new(),
             limited: IndexSet::new(),
             limit_changes: Vec::new(),
+            reach: ReachTracker::default(),
             log_lines: Vec::new(),
             drain_end: Timestamp::MAX,
             random: Pcg64Mcg::seed_from_u64(seed),
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -31,7 +31,10 @@
                 target.unanswered_probes = 0;
             }
             ProbeResult::NoReport => target.unanswered_probes = 0,
-            ProbeResult::NoAnswer => target.record_unanswered_probe(now),
+            ProbeResult::NoAnswer => {
+                target.record_unanswered_probe(now);
+                self.reach.record_failure(now, &probe.target);
+            }
         }
     }
 
@@ -72,6 +75,9 @@
             service.record_slowdown(None);
         }
         service.record_refusal(result.outcome == AttemptOutcome::Refused);
+        if matches!(result.outcome, AttemptOutcome::Failed { .. }) {
+            self.reach.record_failure(now, &result.attempt.target);
+        }
         let base = service.base_seconds(&route);
         let Some(target) = service.targets.get_mut(&result.attempt.target) else { return };
         record_target_result(now, target, result, running, base);
