test(soak): gateways that are cut off from all targets, red

From 3 s after the beginning, calls at these gateways must be answered two thirds as often as at the others, unless at most 10 and one in 50 of all calls fail there. Calls of gateways with a fault or start within 3 s are left out.

The gateways of the soak are told apart by their address: the new setting target_source is the local address of connections to targets.

callers_of_partitioned_gateways_are_served fails on this code.

--- a/crates/gateway/src/calls/pool.rs
+++ b/crates/gateway/src/calls/pool.rs
@@ -7,8 +7,17 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
-use std::{cell::RefCell, net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, task::spawn_local, time::timeout};
+use std::{
+    cell::RefCell,
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::spawn_local,
+    time::timeout,
+};
 use tokio_util::task::AbortOnDropHandle;
 
 /// Timeout for opening a connection. Round trips are a few ms.
@@ -54,13 +63,15 @@
 #[derive(Debug)]
 pub(super) struct ConnectionPool {
     clock: Clock,
+    /// Local address of new connections, any if `None`.
+    source: Option<IpAddr>,
     idle: RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>,
 }
 
 impl ConnectionPool {
     /// Creates an empty pool.
-    pub(super) fn new(clock: Clock) -> Self {
-        Self { clock, idle: RefCell::default() }
+    pub(super) fn new(clock: Clock, source: Option<IpAddr>) -> Self {
+        Self { clock, source, idle: RefCell::default() }
     }
 
     /// Takes an idle connection to `address` out of the pool.
@@ -90,7 +101,7 @@
     ///
     /// Returns [`ConnectError`] if the target refuses the connection or does not respond in time.
     pub(super) async fn connect(&self, address: SocketAddr) -> Result<Connection, ConnectError> {
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = timeout(CONNECT_TIMEOUT, open(self.source, address)).await;
         let stream = stream.map_err(|_| ConnectError)?.map_err(|_| ConnectError)?;
         configure(&stream, ACK_TIMEOUT).map_err(|_| ConnectError)?;
         let handshake = http1::Builder::new()
@@ -136,6 +147,13 @@
     }
 }
 
+async fn open(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else { return TcpStream::connect(address).await };
+    let socket = if source.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 fn is_closing(headers: &HeaderMap) -> bool {
     let values = headers.get_all(CONNECTION).into_iter().filter_map(|v| v.to_str().ok());
     values.flat_map(|v| v.split(',')).any(|v| v.trim().eq_ignore_ascii_case("close"))
--- a/crates/gateway/src/calls/reach.rs
+++ b/crates/gateway/src/calls/reach.rs
@@ -42,7 +42,11 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    let targets = gateway.balancer.borrow_mut().start_reach_check(gateway.clock.now());
+    let mut targets = gateway.balancer.borrow_mut().start_reach_check(gateway.clock.now());
+    // Only the settings of its service tell what to ask a target.
+    let table = gateway.routes();
+    let services = table.as_ref().map(|t| &t.published().services);
+    targets.retain(|t| services.is_some_and(|s| s.contains_key(&t.service)));
     let asked = targets.len();
     let mut requests = JoinSet::new();
     for target in targets {
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -72,7 +72,8 @@
         let address = gateway.settings().listen.calls;
         let listener =
             TcpListener::bind(address).await.change_context(StartError::Bind(address))?;
-        let pool = Rc::new(ConnectionPool::new(gateway.clock));
+        let source = gateway.settings().target_source;
+        let pool = Rc::new(ConnectionPool::new(gateway.clock, source));
         Ok(Self { gateway, pool, listener, probes })
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -121,6 +121,9 @@
     pub seeds: Vec<SocketAddr>,
     /// Resources of the host.
     pub size: Size,
+    /// Local address from which connections to targets are opened, any if absent.
+    #[serde(default)]
+    pub target_source: Option<IpAddr>,
     /// Directions for callers.
     #[serde(default)]
     pub directions: DirectionSettings,
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -59,6 +59,13 @@
     pub(crate) unwritten: bool,
 }
 
+/// Number of calls, and of those that were answered.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Served {
+    pub(crate) all: u64,
+    pub(crate) served: u64,
+}
+
 #[derive(Debug, Default)]
 struct State {
     calls: IndexMap<u64, Call>,
@@ -66,6 +73,8 @@
     last_fault: IndexMap<usize, Instant>,
     /// Unplanned faults at each gateway.
     faults: IndexMap<usize, Vec<Instant>>,
+    /// Starts of the processes of each gateway.
+    starts: IndexMap<usize, Vec<Instant>>,
     /// Gateways in a planned stop.
     stopping: IndexSet<usize>,
     /// All planned stops of the run.
@@ -178,6 +187,36 @@
         }
     }
 
+    /// Counts the calls sent between `from` and `until` to the gateways in `numbers`, and to the
+    /// others. Calls of gateways with a fault around that time are left out, and those of callers
+    /// that left early.
+    pub(crate) fn count_served(
+        &self,
+        numbers: &[usize],
+        from: Instant,
+        until: Instant,
+    ) -> (Served, Served) {
+        let state = self.state.lock();
+        let (mut cut, mut others) = (Served::default(), Served::default());
+        let is_disturbed = |gateway: usize, at: Instant| {
+            let near = |fault: &Instant| at < *fault + SETTLE_TIME && *fault < at + SETTLE_TIME;
+            let faults = state.faults.get(&gateway).into_iter().flatten();
+            faults.chain(state.starts.get(&gateway).into_iter().flatten()).any(near)
+        };
+        for call in state.calls.values().filter(|c| (from..until).contains(&c.sent_at)) {
+            let Some(end) = call.end else { continue };
+            let left = end.result == CallResult::GaveUp && !end.timed_out;
+            if left || is_disturbed(call.route.gateway, call.sent_at) {
+                continue;
+            }
+            let is_cut = numbers.contains(&call.route.gateway);
+            let served = if is_cut { &mut cut } else { &mut others };
+            served.all += 1;
+            served.served += u64::from(end.result == CallResult::Answered);
+        }
+        (cut, others)
+    }
+
     /// Records that a target refused a call.
     pub(crate) fn record_refusal(&self, id: u64, service: &str) {
         self.state.lock().record_arrival(Instant::now(), id, service);
@@ -272,7 +311,10 @@
 
     /// Records that a gateway is started. The time bounds apply to it once it has settled.
     pub(crate) fn record_start(&self, gateway: usize) {
-        self.state.lock().last_fault.insert(gateway, Instant::now());
+        let mut state = self.state.lock();
+        let now = Instant::now();
+        state.last_fault.insert(gateway, now);
+        state.starts.entry(gateway).or_default().push(now);
     }
 
     /// Records that a gateway is killed, which loses the log lines that it has not written.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -3,6 +3,7 @@
 use crate::{
     callers::HOST_NAME,
     checker::{BUDGET_SLACK, Checker},
+    partitions::Partitions,
     platform::Platform,
     process::Process,
     run::Options,
@@ -87,6 +88,8 @@
     pub(crate) platform: Arc<Platform>,
     pub(crate) gateways: Vec<Gateway>,
     pub(crate) targets: Mutex<Vec<TargetLink>>,
+    /// Between the gateways and the links of the targets.
+    pub(crate) partitions: Arc<Partitions>,
     /// Latest published settings version.
     pub(crate) version: AtomicU64,
     pub(crate) stop: CancellationToken,
@@ -122,6 +125,7 @@
             platform,
             gateways,
             targets: Mutex::default(),
+            partitions: Arc::default(),
             version: AtomicU64::new(0),
             stop,
             tasks: Mutex::new(tasks),
@@ -172,7 +176,11 @@
         let link_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("failed to bind a loopback port");
-        let address = link_listener.local_addr().expect("bound");
+        let link_address = link_listener.local_addr().expect("bound");
+        let outer_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+            .await
+            .expect("failed to bind a loopback port");
+        let address = outer_listener.local_addr().expect("bound");
         let link = Arc::new(Link::new(target_address));
         let name: Arc<str> = Arc::from(format!("target-{number}"));
         let service: Arc<str> = Arc::from(service);
@@ -186,6 +194,8 @@
             let mut tasks = self.tasks.lock();
             tasks.spawn(Arc::clone(&target).run(listener));
             tasks.spawn(Arc::clone(&link).run(link_listener, self.stop.clone()));
+            let partitions = Arc::clone(&self.partitions);
+            tasks.spawn(partitions.forward(outer_listener, link_address, self.stop.clone()));
         }
         let record = TargetRecord {
             name,
@@ -225,6 +235,11 @@
         self.tasks.lock().spawn(task);
     }
 
+    /// Returns whether two gateways are in the same failure domain.
+    pub(crate) fn is_same_domain(&self, one: usize, other: usize) -> bool {
+        one % FAILURE_DOMAINS == other % FAILURE_DOMAINS
+    }
+
     /// Returns the indexes of the targets of the main service that are not leaving.
     pub(crate) fn main_targets(&self) -> Vec<usize> {
         let targets = self.targets.lock();
@@ -348,8 +363,12 @@
     let seed = |n| format!("\"{}\"", gateway_address(options, n, NEWS_PORT));
     let seeds: Vec<String> = (0..options.gateways.min(3)).map(seed).collect();
     let ip = gateway_address(options, number, CALLS_PORT).ip();
+    let source = match options.partitions {
+        true => format!("target_source = \"{ip}\"\n"),
+        false => String::new(),
+    };
     format!(
-        "host = \"gateway-{number}\"\nfailure_domain = \"{}\"\n\
+        "{source}host = \"gateway-{number}\"\nfailure_domain = \"{}\"\n\
          platform = \"{ip}:{PLATFORM_LINK_PORT}\"\nseeds = [{}]\n\
          [listen]\ncalls = \"{ip}:{CALLS_PORT}\"\nreadiness = \"{ip}:7001\"\n\
          directions = \"{ip}:{DIRECTIONS_PORT}\"\nnews = \"{ip}:{NEWS_PORT}\"\n\
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 mod faults;
 mod limits;
 mod logs;
+mod partitions;
 mod planned;
 mod platform;
 mod process;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,8 +1,8 @@
 //! Runs the soak for one seed.
 
 use crate::{
-    callers::Caller, cluster::Cluster, faults, limits, logs, planned, stops::StopCounts,
-    workload::Profile,
+    callers::Caller, cluster::Cluster, faults, limits, logs, partitions, planned,
+    stops::StopCounts, workload::Profile,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -41,6 +41,8 @@
     pub network: u8,
     /// What the run puts the gateways through.
     pub profile: Profile,
+    /// Whether gateways are cut off from all targets at times.
+    pub partitions: bool,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -57,6 +59,7 @@
             callers: 24,
             network: 77,
             profile: Profile::Mixed,
+            partitions: false,
             output_dir: None,
         }
     }
@@ -102,12 +105,18 @@
     let planned = planned::inject(&cluster, options.profile, planned_seed, end);
     let limits_seed = rng.random();
     let limits = limits::inject(&cluster, limits_seed, end);
+    let partitions_seed = rng.random();
+    let partitions = async {
+        if options.partitions {
+            partitions::inject(&cluster, partitions_seed, end).await;
+        }
+    };
     let faults = async {
         if options.profile == Profile::Mixed {
             faults::inject(&cluster, fault_seed, end).await;
         }
     };
-    tokio::join!(faults, planned, limits);
+    tokio::join!(faults, planned, limits, partitions);
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -50,3 +50,18 @@
         ..Options::new(5)
     });
 }
+
+/// Callers of gateways that are cut off from all targets must be served about as well as the others:
+/// directions once went on naming such gateways, and calls had no way around.
+#[test]
+fn callers_of_partitioned_gateways_are_served() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(24),
+        gateways: 9,
+        callers: 48,
+        network: 83,
+        profile: Profile::Planned,
+        partitions: true,
+        ..Options::new(7)
+    });
+}
