fix(gateway): serve callers of gateways that reach no target

What was seen: while some gateways were partitioned from all targets, callers' first tries there failed: 23 of 318 served, 140 of 140 at the others, and 0 of 189 with a whole failure domain cut off.

Cause: rank and phase of a gateway did not depend on whether it reaches targets, so directions went on naming it; it booked each failure to the target alone; and a call had no way to a target but from the gateway that had received it.

Ruled out: targets that are down, as other gateways were answered by the same ones at the same time; the budget of retries, as attempts that were not sent take none of it.

Change: a gateway that two checks on new connections show to be cut off from all targets says so in its heartbeats (Phase::Detached). Directions leave it out, for all domains; the next ones in rank check their own reach. Calls that still come are relayed to a gateway that reaches targets, with the time and attempts left, once at most, and again only if nothing was sent or the call may be repeated. Without any such gateway everything goes on as before, since the targets may be down. Builds before this phase take such a gateway for silent.

A whole domain that was cut off was still named for up to 6 s by gateways that had met one of it before: a test of the fleet found it, and a change of the reach now goes to all gateways that are known.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -223,6 +223,9 @@
     /// Writes the values of `request` to the headers of a request to a target.
     fn set_target_headers(&self, headers: &mut HeaderMap, request: &TargetRequest);
 
+    /// Writes the time that the caller still waits to the headers of a call to another gateway.
+    fn set_caller_timeout(&self, headers: &mut HeaderMap, timeout: Duration);
+
     /// Parses the head of a target's response to the call with the caller's id `id`.
     fn parse_response(&self, head: &response::Parts, id: Option<&str>) -> TargetResponse;
 
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -12,6 +12,7 @@
 mod pool;
 mod probe;
 mod reach;
+mod relay;
 mod server;
 mod task;
 
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -166,7 +166,9 @@
     Err(Failure::Connect)
 }
 
-async fn receive<Adapter>(
+/// Receives the body of `response`, as a whole if it is short, and returns the connection to the
+/// pool.
+pub(super) async fn receive<Adapter>(
     adapter: &Adapter,
     pool: &ConnectionPool,
     inbound: &InboundCall,
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -5,13 +5,14 @@
     adapter::{CallAdapter, CallFailure, CallHeaders, PlatformAdapter, TargetRequest},
     gateway::Gateway,
 };
+use azuretally_api::headers::RELAYED;
 use azuretally_policy::{
     Timestamp,
     balance::{Call, Route},
 };
 use bytes::Bytes;
 use http::{
-    HeaderMap, HeaderName, Method, Request, Uri,
+    HeaderMap, HeaderName, HeaderValue, Method, Request, Uri,
     header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
 };
 use http_body::Body;
@@ -19,6 +20,7 @@
 use hyper::body::Incoming;
 use std::{
     cell::{Cell, RefCell},
+    fmt::{self, Display, Formatter},
     net::IpAddr,
     rc::Rc,
     sync::Arc,
@@ -54,6 +56,8 @@
     pub(super) call_headers: CallHeaders,
     /// Address of the caller.
     pub(super) caller: IpAddr,
+    /// Whether another gateway relayed the call.
+    pub(super) is_relayed: bool,
     /// Route that matched the call.
     pub(super) route: Arc<Route>,
     /// Service that the call is sent to.
@@ -94,7 +98,8 @@
         Adapter: CallAdapter + PlatformAdapter,
     {
         let arrived_at = gateway.clock.now();
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
+        let relayed = Relayed::take(&mut parts.headers);
         let call_headers = gateway.adapter.parse_call(&parts);
         let reject = |failure| RejectedCall { call_headers: call_headers.clone(), failure };
         let table =
@@ -102,7 +107,11 @@
         let host = requested_host(&parts.headers, &parts.uri)
             .ok_or_else(|| reject(CallFailure::Malformed))?;
         let route = table.find(&host, parts.uri.path());
-        let route = Arc::clone(route.ok_or_else(|| reject(CallFailure::NoRoute))?);
+        let mut route = Arc::clone(route.ok_or_else(|| reject(CallFailure::NoRoute))?);
+        if let Some(relayed) = &relayed {
+            let attempts = relayed.attempts.min(route.attempts);
+            route = Arc::new(Route { attempts, ..route.as_ref().clone() });
+        }
         let time_limit = call_headers.timeout.map_or(route.timeout, |t| t.min(route.timeout));
         let limit = table.published().limits.body_bytes;
         if body.size_hint().lower() > limit {
@@ -130,7 +139,8 @@
             id: gateway.next_call_id(),
             service: gateway.split.borrow_mut().next_service(&route),
             version: table.published().version,
-            caller,
+            caller: relayed.as_ref().map_or(caller, |relayed| relayed.caller),
+            is_relayed: relayed.is_some(),
             arrived_at,
             deadline: arrived_at + time_limit,
             method: parts.method,
@@ -152,6 +162,7 @@
             deadline: self.deadline,
             caller: self.caller,
             replayable: self.is_buffered(),
+            relayed: self.is_relayed,
         }
     }
 
@@ -183,6 +194,31 @@
     where
         Adapter: CallAdapter,
     {
+        let mut request = self.copy_request()?;
+        adapter.set_target_headers(request.headers_mut(), target_request);
+        Some(request)
+    }
+
+    /// Builds a request to another gateway, which may make `attempts` attempts within `timeout`.
+    /// Returns `None` if a streamed body has been sent already.
+    pub(super) fn build_relay_request<Adapter>(
+        &self,
+        adapter: &Adapter,
+        attempts: u32,
+        timeout: Duration,
+    ) -> Option<Request<RequestBody>>
+    where
+        Adapter: CallAdapter,
+    {
+        let relayed = Relayed { attempts, caller: self.caller };
+        let mut request = self.copy_request()?;
+        let headers = request.headers_mut();
+        headers.insert(RELAYED, HeaderValue::from_str(&relayed.to_string()).ok()?);
+        adapter.set_caller_timeout(headers, timeout);
+        Some(request)
+    }
+
+    fn copy_request(&self) -> Option<Request<RequestBody>> {
         let body = match &self.body {
             CallBody::Buffered(bytes) => Either::Left(Full::new(bytes.clone())),
             CallBody::Streaming(body) => Either::Right(body.borrow_mut().take()?),
@@ -190,13 +226,34 @@
         let mut request = Request::new(body);
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.path_and_query().cloned().map(Uri::from).unwrap_or_default();
-        let headers = request.headers_mut();
-        headers.clone_from(&self.headers);
-        adapter.set_target_headers(headers, target_request);
+        request.headers_mut().clone_from(&self.headers);
         Some(request)
     }
 }
 
+/// What a gateway says of a call that it relays.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Relayed {
+    /// Attempts that are left.
+    attempts: u32,
+    caller: IpAddr,
+}
+
+impl Relayed {
+    /// Takes the field out of the headers of a call. Returns `None` if it is missing or unreadable.
+    fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let value = headers.remove(RELAYED)?;
+        let (attempts, caller) = value.to_str().ok()?.split_once(',')?;
+        Some(Self { attempts: attempts.parse().ok()?, caller: caller.parse().ok()? })
+    }
+}
+
+impl Display for Relayed {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "{},{}", self.attempts, self.caller)
+    }
+}
+
 fn body_failure(e: BodyError) -> CallFailure {
     match e {
         BodyError::TooLarge => CallFailure::TooLarge,
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -6,6 +6,7 @@
     exchange::{self, CompletedAttempt, ReceivedBody, ReceivedResponse},
     inbound::{InboundCall, RejectedCall, strip_hop_by_hop_headers},
     pool::ConnectionPool,
+    relay::{RelayOutcome, relay},
 };
 use crate::{
     adapter::{CallAdapter, CallFailure, PlatformAdapter},
@@ -20,9 +21,12 @@
 use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc};
+use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc, time::Duration};
 use tokio::{sync::oneshot, task::yield_now, time::sleep};
 
+/// Maximum number of gateways to which one call is relayed.
+const MAX_RELAYS: usize = 2;
+
 /// Serves one call.
 pub(super) async fn handle_call<Adapter>(
     gateway: Rc<Gateway<Adapter>>,
@@ -77,6 +81,20 @@
     inbound: Rc<InboundCall>,
     guard: CallGuard<Adapter>,
     attempts: FuturesUnordered<LocalBoxFuture<'static, CompletedAttempt>>,
+    /// The call at another gateway, while this one is cut off from all targets.
+    relay: Option<LocalBoxFuture<'static, RelayOutcome>>,
+    /// Number of gateways to which the call was relayed.
+    relays: usize,
+    /// Gateways that may have received a part of the call.
+    uncertain_relays: usize,
+    /// Whether the response comes from another gateway.
+    has_relayed_response: bool,
+    /// Whether a relay was considered when this gateway was found to be cut off.
+    saw_cut: bool,
+    /// Attempts of which a part may have been sent.
+    sent_attempts: u32,
+    /// Whether a target may have run the call in an attempt that has ended.
+    may_have_run: bool,
     /// Receives the next decision while the call waits in the balancer.
     pending_decision: Option<oneshot::Receiver<Decision>>,
     /// When the balancer next considers a hedge.
@@ -101,6 +119,13 @@
             pool,
             inbound,
             attempts: FuturesUnordered::new(),
+            relay: None,
+            relays: 0,
+            uncertain_relays: 0,
+            has_relayed_response: false,
+            saw_cut: false,
+            sent_attempts: 0,
+            may_have_run: false,
             pending_decision: None,
             hedge_at: None,
             next_is_hedge: false,
@@ -110,13 +135,15 @@
     }
 
     async fn run(mut self) -> Response<ResponseBody> {
-        let now = self.gateway.clock.now();
-        let mut decision =
-            self.gateway.balancer.borrow_mut().submit(now, self.inbound.balancer_call());
+        let mut decision = match self.start_relay() {
+            true => Decision::Wait,
+            false => self.submit(),
+        };
         loop {
             self.gateway.forward_probes();
             match decision {
                 Decision::Start(new_attempt) => self.start_attempt(new_attempt),
+                Decision::Wait if self.relay.is_some() => {}
                 Decision::Wait if self.attempts.is_empty() => {
                     self.log_wait();
                     self.pending_decision = Some(self.gateway.await_decision(self.inbound.id));
@@ -127,6 +154,12 @@
                     if self.response.is_some() {
                         return self.deliver();
                     }
+                    let is_ended = self.is_ended();
+                    if !is_ended && (self.relay.is_some() || (not_run && self.start_relay())) {
+                        decision = self.next_decision().await;
+                        continue;
+                    }
+                    let not_run = not_run && !self.may_have_run() && self.uncertain_relays == 0;
                     let failure = match (not_run, reason) {
                         (true, _) => CallFailure::NotRun(retry_after),
                         (false, GiveUpReason::Deadline) => CallFailure::TimedOut,
@@ -139,11 +172,78 @@
         }
     }
 
+    fn submit(&self) -> Decision {
+        let now = self.gateway.clock.now();
+        self.gateway.balancer.borrow_mut().submit(now, self.inbound.balancer_call())
+    }
+
+    /// Returns whether a target may have run the call in an attempt of this gateway.
+    fn may_have_run(&self) -> bool {
+        self.may_have_run || !self.attempts.is_empty()
+    }
+
+    /// Returns whether the call can no longer be answered in time.
+    fn is_ended(&self) -> bool {
+        self.gateway.clock.now() >= self.inbound.deadline || !self.gateway.is_serving()
+    }
+
+    /// Relays the call to another gateway if this one is cut off from all targets. Returns whether it
+    /// was sent on its way.
+    fn start_relay(&mut self) -> bool {
+        let inbound = &self.inbound;
+        if self.relay.is_some() || inbound.is_relayed || self.relays >= MAX_RELAYS {
+            return false;
+        }
+        let peers = self.gateway.relay_peers();
+        let attempts = inbound.route.attempts.saturating_sub(self.sent_attempts);
+        if peers.is_empty() || attempts == 0 {
+            return false;
+        }
+        let peer = peers[(inbound.id as usize + self.relays) % peers.len()];
+        self.relays += 1;
+        self.uncertain_relays += 1;
+        self.detail = format!("peer={peer}");
+        log::info!("calls: relayed id={} peer={peer} attempts={attempts}", inbound.log_id());
+        self.gateway.metrics.relayed_calls.inc();
+        let (gateway, pool) = (Rc::clone(&self.gateway), Rc::clone(&self.pool));
+        self.relay = Some(Box::pin(relay(gateway, pool, Rc::clone(inbound), peer, attempts)));
+        true
+    }
+
+    /// Handles the end of a relay.
+    fn relay_ended(&mut self, outcome: RelayOutcome) -> Decision {
+        self.relay = None;
+        match outcome {
+            // A refusal by the other gateway speaks for its own attempts alone.
+            RelayOutcome::Answered(received)
+                if received.head.status.is_success() || !self.may_have_run() =>
+            {
+                self.detail = format!("{} status={}", self.detail, received.head.status.as_u16());
+                self.response = Some(*received);
+                self.has_relayed_response = true;
+                return Decision::Deliver;
+            }
+            RelayOutcome::Unsent => self.uncertain_relays -= 1,
+            RelayOutcome::Answered(_) | RelayOutcome::Broken => {}
+        }
+        let is_certain = self.uncertain_relays == 0 && !self.may_have_run();
+        let may_repeat = is_certain || self.inbound.route.idempotent;
+        if !self.attempts.is_empty() || (may_repeat && self.start_relay()) {
+            return Decision::Wait;
+        }
+        if is_certain {
+            self.gateway.forget_call(self.inbound.id);
+            return self.submit();
+        }
+        Decision::GiveUp { reason: GiveUpReason::Lost, not_run: false, retry_after: Duration::ZERO }
+    }
+
     async fn next_decision(&mut self) -> Decision {
         loop {
             let now = self.gateway.clock.now();
             let expired = wait_for_end(Rc::clone(&self.gateway), self.inbound.deadline);
             let hedge_in = self.hedge_at.map(|at| at.since(now));
+            let waits = self.pending_decision.is_some();
             tokio::select! {
                 biased;
                 decision = recv_decision(&mut self.pending_decision) => {
@@ -151,6 +251,14 @@
                     return decision;
                 }
                 Some(completed) = self.attempts.next() => return self.attempt_completed(completed),
+                outcome = poll_relay(&mut self.relay) => return self.relay_ended(outcome),
+                () = self.gateway.until_cut_off(), if waits && !self.saw_cut => {
+                    self.saw_cut = true;
+                    if self.start_relay() {
+                        self.pending_decision = None;
+                        self.gateway.forget_call(self.inbound.id);
+                    }
+                }
                 () = async { match hedge_in { Some(d) => sleep(d).await, None => pending().await } } => {
                     self.hedge_at = None;
                     let now = self.gateway.clock.now();
@@ -161,6 +269,9 @@
                         .consider_hedge(now, self.inbound.id);
                     self.gateway.forward_probes();
                     self.gateway.target_failed.notify_one();
+                    if self.inbound.route.idempotent && self.start_relay() {
+                        continue;
+                    }
                     match hedge {
                         HedgeDecision::Start(new_attempt) => {
                             self.next_is_hedge = true;
@@ -218,6 +329,7 @@
             self.gateway.metrics.record_limited_request(&inbound.service, kind);
         }
         self.hedge_at = new_attempt.hedge_at;
+        self.sent_attempts += 1;
         let gateway = Rc::clone(&self.gateway);
         let attempt =
             exchange::run_attempt(gateway, Rc::clone(&self.pool), Rc::clone(inbound), new_attempt);
@@ -247,8 +359,14 @@
             self.response = Some(received);
         }
         let result = AttemptResult { attempt, outcome, report, limit };
-        if matches!(outcome, AttemptOutcome::Failed { .. }) {
-            self.gateway.target_failed.notify_one();
+        match outcome {
+            AttemptOutcome::Failed { sent, .. } => {
+                self.sent_attempts -= u32::from(!sent);
+                self.may_have_run |= sent;
+                self.gateway.target_failed.notify_one();
+            }
+            AttemptOutcome::Answered { .. } => self.may_have_run = true,
+            AttemptOutcome::Refused | AttemptOutcome::Moved => {}
         }
         let decision = self.gateway.balancer.borrow_mut().attempt_ended(now, &result);
         self.gateway.dispatch_waiting();
@@ -261,7 +379,10 @@
         };
         let ReceivedResponse { mut head, body } = received;
         strip_hop_by_hop_headers(&mut head.headers);
-        self.gateway.adapter.prepare_response_headers(&mut head.headers);
+        // The other gateway has prepared the headers of a relayed response.
+        if !self.has_relayed_response {
+            self.gateway.adapter.prepare_response_headers(&mut head.headers);
+        }
         let body = match body {
             ReceivedBody::Complete(bytes) => Either::Left(Full::new(bytes)),
             ReceivedBody::Streaming(first, rest, connection) => {
@@ -273,7 +394,8 @@
         *response.headers_mut() = head.headers;
         // Attempts that are still in flight are cancelled when the task is dropped.
         let detail = format!("{} cancelled={}", self.detail, self.attempts.len());
-        self.guard.complete("answered", &detail);
+        let outcome = if self.has_relayed_response { "relayed" } else { "answered" };
+        self.guard.complete(outcome, &detail);
         response
     }
 
@@ -304,6 +426,13 @@
     yield_now().await;
 }
 
+async fn poll_relay(relay: &mut Option<LocalBoxFuture<'static, RelayOutcome>>) -> RelayOutcome {
+    match relay {
+        Some(relay) => relay.await,
+        None => pending().await,
+    }
+}
+
 async fn recv_decision(pending_decision: &mut Option<oneshot::Receiver<Decision>>) -> Decision {
     match pending_decision {
         // The sender is only dropped when the call is removed, that is, when this task ends.
--- a/crates/gateway/src/control/servers.rs
+++ b/crates/gateway/src/control/servers.rs
@@ -112,7 +112,7 @@
         return empty_response(StatusCode::NOT_FOUND);
     }
     match gateway.membership.borrow().phase() {
-        Phase::Ready => empty_response(StatusCode::OK),
+        Phase::Ready | Phase::Detached => empty_response(StatusCode::OK),
         Phase::Starting | Phase::Leaving => empty_response(StatusCode::SERVICE_UNAVAILABLE),
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use std::{
     cell::{Cell, RefCell},
     future::pending,
-    net::IpAddr,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
     time::{Duration, SystemTime, UNIX_EPOCH},
@@ -74,6 +74,8 @@
     pub call_queued: Notify,
     /// Notified when a target has not answered, which may call for a check of the reach.
     pub target_failed: Notify,
+    /// Whether this gateway is cut off from all targets.
+    cut_off: watch::Sender<bool>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     /// Until when calls are read, [`Timestamp::MAX`] until the planned stop begins.
     reading_end: Cell<Timestamp>,
@@ -118,6 +120,7 @@
             changed: Notify::new(),
             call_queued: Notify::new(),
             target_failed: Notify::new(),
+            cut_off: watch::Sender::default(),
             routes: RefCell::default(),
             reading_end: Cell::new(Timestamp::MAX),
             serving_end: watch::Sender::default(),
@@ -264,7 +267,10 @@
         let phase = if self.drain.is_cancelled() {
             Phase::Leaving
         } else if self.routes.borrow().is_some() {
-            Phase::Ready
+            match self.balancer.borrow().is_cut_off() {
+                true => Phase::Detached,
+                false => Phase::Ready,
+            }
         } else {
             Phase::Starting
         };
@@ -335,13 +341,35 @@
 
     /// Returns when the reach is to be checked next, [`Timestamp::MAX`] if there is no need.
     pub fn reach_check_due(&self) -> Timestamp {
-        self.balancer.borrow().reach_check_due(self.clock.now(), false)
+        let peers_cut_off = self.membership.borrow().needs_reach_check();
+        self.balancer.borrow().reach_check_due(self.clock.now(), peers_cut_off)
     }
 
     /// Records the result of a check of the reach.
     pub fn reach_checked(&self, asked: usize, answered: usize) {
-        self.balancer.borrow_mut().reach_checked(self.clock.now(), asked, answered);
+        let changed = self.balancer.borrow_mut().reach_checked(self.clock.now(), asked, answered);
         self.report_target_changes();
+        if changed {
+            self.refresh_membership();
+            self.cut_off.send_replace(self.balancer.borrow().is_cut_off());
+            self.changed.notify_waiters();
+            self.dispatch_waiting();
+        }
+    }
+
+    /// Waits until this gateway is cut off from all targets.
+    pub async fn until_cut_off(&self) {
+        // The sender lives as long as the gateway.
+        let _ = self.cut_off.subscribe().wait_for(|cut_off| *cut_off).await;
+    }
+
+    /// Returns the gateways to which a call can be relayed, none unless this one is cut off from all
+    /// targets.
+    pub fn relay_peers(&self) -> Vec<SocketAddr> {
+        match *self.cut_off.borrow() {
+            true => self.membership.borrow().relay_peers(),
+            false => Vec::new(),
+        }
     }
 
     /// Assigns the limits of targets by the present membership, and passes changes on to it.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -84,6 +84,8 @@
     pub attempts: Family<AttemptLabels, Counter>,
     /// Attempts and probes sent to targets that had named a limit.
     pub limited_requests: Family<AttemptLabels, Counter>,
+    /// Calls relayed to other gateways.
+    pub relayed_calls: Counter,
     /// Platform reads.
     pub platform_reads: Family<PlatformReadLabels, Counter>,
     /// Calls that are queued for a target.
@@ -124,6 +126,7 @@
             latency: Family::new_with_constructor(latency_histogram),
             attempts: Family::default(),
             limited_requests: Family::default(),
+            relayed_calls: Counter::default(),
             platform_reads: Family::default(),
             waiting_calls: Gauge::default(),
             retry_budget: Family::default(),
@@ -143,6 +146,8 @@
             "Attempts and probes sent to targets that had named a limit",
             metrics.limited_requests.clone(),
         );
+        let help = "Calls relayed to other gateways";
+        registry.register("relayed_calls", help, metrics.relayed_calls.clone());
         registry.register(
             "platform_reads",
             "Reads of the platform",
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -75,6 +75,11 @@
         };
     }
 
+    fn set_caller_timeout(&self, fields: &mut HeaderMap, timeout: Duration) {
+        let ms = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
+        fields.insert(headers::TIMEOUT_MS, HeaderValue::from(ms));
+    }
+
     fn parse_response(&self, head: &response::Parts, id: Option<&str>) -> TargetResponse {
         let report = header_text(&head.headers, headers::TARGET_LOAD).and_then(load_report);
         let kind = if header_text(&head.headers, headers::CALL) != id {
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -30,6 +30,7 @@
         deadline: now + route.timeout,
         caller: std::net::Ipv4Addr::LOCALHOST.into(),
         replayable: true,
+        relayed: false,
         route: Arc::new(route),
     }
 }
--- /dev/null
+++ b/crates/gateway/tests/relay.rs
@@ -0,0 +1,300 @@
+//! Calls at a gateway that is cut off from all targets, which it relays to another one.
+#![allow(clippy::expect_used)]
+
+mod stub;
+
+use azuretally_gateway::{calls::Server, gateway::Gateway, native::NativeAdapter};
+use azuretally_policy::balance::{
+    CallerLimits, Change, Heartbeat, Message, Phase, PublishedSettings, Route, ServiceSettings,
+    Share, Source, TargetRecord,
+};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    sync::mpsc,
+    task::{LocalSet, spawn_local},
+    time::timeout,
+};
+
+/// Timeout for each expected event.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+fn published() -> PublishedSettings {
+    let route = |name: &str, idempotent| Route {
+        name: Arc::from(name),
+        host: Arc::from("test"),
+        prefix: Arc::from(format!("/{name}/")),
+        idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(500),
+        priority: 1,
+        attempts: 2,
+        shares: vec![Share { service: Arc::from("service"), weight: 1 }],
+    };
+    let service = ServiceSettings { connections: 10, probe_path: Arc::from("/load") };
+    PublishedSettings {
+        version: 1,
+        routes: vec![route("check", true), route("sale", false)],
+        services: [(Arc::from("service"), service)].into_iter().collect(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_000_000,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    }
+}
+
+/// A gateway with its address for calls.
+struct Node {
+    gateway: Rc<Gateway<NativeAdapter>>,
+    calls: SocketAddr,
+}
+
+impl Node {
+    /// Starts a gateway that knows `targets`.
+    async fn start(targets: &[SocketAddr]) -> Self {
+        let reserved = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let calls = reserved.local_addr().expect("bound");
+        drop(reserved);
+        let mut settings = stub::settings();
+        settings.listen.calls = calls;
+        let (probes, probe_receiver) = mpsc::unbounded_channel();
+        let gateway = Rc::new(Gateway::new(NativeAdapter, settings, probes));
+        let now = gateway.clock.now();
+        let mut changes = vec![Change::Published(published())];
+        for (number, address) in (0..).zip(targets) {
+            let record = stub::target(number, 1);
+            changes.push(Change::Target(TargetRecord { address: *address, ..record }));
+        }
+        gateway.catalog.borrow_mut().apply(now, 1, changes, Source::Platform);
+        gateway.apply_catalog(Source::Platform);
+        stub::disable_probes(&gateway);
+        let server = Server::bind(Rc::clone(&gateway), probe_receiver).await.expect("a free port");
+        spawn_local(server.run());
+        Self { gateway, calls }
+    }
+
+    /// Starts a gateway that is cut off from its only target, which accepts no connection, and knows
+    /// the gateways at `peers`.
+    async fn start_cut_off(peers: &[SocketAddr]) -> Self {
+        let target = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let node = Self::start(&[target.local_addr().expect("bound")]).await;
+        drop(target);
+        node.meet(peers);
+        node.cut_off();
+        node
+    }
+
+    /// Lets heartbeats of the gateways at `peers` arrive.
+    fn meet(&self, peers: &[SocketAddr]) {
+        let now = self.gateway.clock.now();
+        for peer in peers {
+            let heartbeat = Heartbeat {
+                host: Arc::from(peer.to_string()),
+                domain: Arc::from("a"),
+                incarnation: 1,
+                sequence: 1,
+                call_address: *peer,
+                capacity: 200,
+                phase: Phase::Ready,
+                settled: true,
+                revision: 1,
+                age_ms: Some(0),
+                reader: false,
+                remote_primaries: Vec::new(),
+            };
+            let message = Message::Heartbeat(heartbeat);
+            self.gateway.membership.borrow_mut().receive(now, peer.ip(), message);
+        }
+    }
+
+    fn cut_off(&self) {
+        for _ in 0..2 {
+            self.gateway.reach_checked(4, 0);
+        }
+        assert_eq!(self.gateway.membership.borrow().phase(), Phase::Detached);
+    }
+
+    async fn call(&self, path: &str) -> TcpStream {
+        let mut caller = TcpStream::connect(self.calls).await.expect("the gateway listens");
+        let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\n\r\n");
+        caller.write_all(request.as_bytes()).await.expect("request sent");
+        caller
+    }
+}
+
+async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("bound");
+    (listener, address)
+}
+
+/// Reads until the text contains `end`, or until the connection ends.
+async fn read_until(stream: &mut TcpStream, end: &str) -> String {
+    let mut text = String::new();
+    let mut buffer = [0; 4_096];
+    while !text.contains(end) {
+        match timeout(TIMEOUT, stream.read(&mut buffer)).await.expect("a read before the timeout") {
+            Ok(0) | Err(_) => break,
+            Ok(n) => text.push_str(&String::from_utf8_lossy(&buffer[..n])),
+        }
+    }
+    text
+}
+
+/// Accepts a request and returns it with its connection.
+async fn accept(listener: &TcpListener) -> (String, TcpStream) {
+    let accepted = timeout(TIMEOUT, listener.accept()).await.expect("a connection in time");
+    let (mut stream, _) = accepted.expect("a connection");
+    (read_until(&mut stream, "\r\n\r\n").await, stream)
+}
+
+async fn answer(stream: &mut TcpStream) {
+    let response = "HTTP/1.1 200 OK\r\nx-azuretally-call: a\r\ncontent-length: 4\r\n\r\ndone";
+    stream.write_all(response.as_bytes()).await.expect("response sent");
+}
+
+async fn run_local<Test>(test: Test)
+where
+    Test: Future<Output = ()>,
+{
+    LocalSet::new().run_until(test).await;
+}
+
+#[tokio::test]
+async fn call_at_a_gateway_that_is_cut_off_is_answered_by_another_one() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let other = Node::start(&[address]).await;
+        let cut_off = Node::start_cut_off(&[other.calls]).await;
+        for path in ["/check/1", "/sale/1"] {
+            let mut caller = cut_off.call(path).await;
+            let (request, mut stream) = accept(&target).await;
+            assert!(request.starts_with(&format!("GET {path} ")), "{request}");
+            assert!(!request.contains("x-azuretally-relayed"), "{request}");
+            answer(&mut stream).await;
+            let response = read_until(&mut caller, "done").await;
+            assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+            assert!(response.contains("x-azuretally-outcome: answered"), "{response}");
+        }
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn refusal_of_the_other_gateway_reaches_the_caller_as_a_refusal() {
+    run_local(async {
+        let other = Node::start(&[]).await;
+        let cut_off = Node::start_cut_off(&[other.calls]).await;
+        let mut caller = cut_off.call("/sale/1").await;
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("x-azuretally-outcome: not-run"), "{response}");
+        assert!(response.contains("retry-after"), "{response}");
+    })
+    .await;
+}
+
+/// A call that may not run twice must not go to a further gateway, nor be called not run, after one
+/// may have received it.
+#[tokio::test]
+async fn call_that_is_lost_at_the_other_gateway_is_not_repeated() {
+    run_local(async {
+        let (peer, address) = listen().await;
+        let (further, further_address) = listen().await;
+        let cut_off = Node::start_cut_off(&[address]).await;
+        let mut caller = cut_off.call("/sale/1").await;
+        let (request, stream) = accept(&peer).await;
+        assert!(request.contains("x-azuretally-relayed: 2,127.0.0.1\r\n"), "{request}");
+        let timeout_ms = request.split("x-azuretally-timeout-ms: ").nth(1);
+        let timeout_ms = timeout_ms.and_then(|t| t.lines().next()?.parse::<u64>().ok());
+        assert!(timeout_ms.is_some_and(|ms| (500..=1_000).contains(&ms)), "{request}");
+        cut_off.meet(&[further_address]);
+        drop(stream);
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        assert!(response.contains("x-azuretally-outcome: unknown"), "{response}");
+        let more = timeout(Duration::from_millis(200), further.accept()).await;
+        assert!(more.is_err(), "the call was sent again");
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn repeatable_call_that_is_lost_at_one_gateway_goes_to_a_further_one() {
+    run_local(async {
+        let (peer, address) = listen().await;
+        let cut_off = Node::start_cut_off(&[address]).await;
+        let mut caller = cut_off.call("/check/1").await;
+        let (_, stream) = accept(&peer).await;
+        drop(stream);
+        let (_, mut stream) = accept(&peer).await;
+        answer(&mut stream).await;
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+    })
+    .await;
+}
+
+/// Two gateways that each take the other for healthy must not send a call to and fro.
+#[tokio::test]
+async fn relayed_call_is_not_relayed_again() {
+    run_local(async {
+        let (one, two) = (Node::start_cut_off(&[]).await, Node::start_cut_off(&[]).await);
+        one.meet(&[two.calls]);
+        two.meet(&[one.calls]);
+        let mut caller = one.call("/check/1").await;
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        let relayed = |node: &Node| node.gateway.metrics.relayed_calls.get();
+        assert_eq!((relayed(&one), relayed(&two)), (1, 0));
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn call_that_waits_when_its_gateway_is_cut_off_goes_to_another_one() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let (busy, busy_address) = listen().await;
+        let other = Node::start(&[address]).await;
+        let node = Node::start(&[busy_address]).await;
+        node.meet(&[other.calls]);
+        let _first = node.call("/sale/1").await;
+        let (_, _held) = accept(&busy).await;
+        let mut waiting = node.call("/sale/2").await;
+        timeout(TIMEOUT, async {
+            while node.gateway.balancer.borrow().waiting_calls() == 0 {
+                tokio::time::sleep(Duration::from_millis(1)).await;
+            }
+        })
+        .await
+        .expect("the only slot is taken");
+        node.cut_off();
+        let (request, mut stream) = accept(&target).await;
+        assert!(request.starts_with("GET /sale/2 "), "{request}");
+        answer(&mut stream).await;
+        assert!(read_until(&mut waiting, "done").await.starts_with("HTTP/1.1 200"));
+        assert_eq!(node.gateway.balancer.borrow().waiting_calls(), 0);
+    })
+    .await;
+}
+
+/// A gateway that can reach no other one does what it can.
+#[tokio::test]
+async fn call_is_sent_to_a_target_if_no_other_gateway_can_be_reached() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let node = Node::start(&[address]).await;
+        let (gone, gone_address) = listen().await;
+        drop(gone);
+        node.meet(&[gone_address]);
+        node.cut_off();
+        let mut caller = node.call("/sale/1").await;
+        let (_, mut stream) = accept(&target).await;
+        answer(&mut stream).await;
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+    })
+    .await;
+}
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -162,7 +162,9 @@
         let budget = self.budgets.entry(Arc::clone(&call.service)).or_insert_with(|| {
             RetryBudget::new(settings.retry_ratio, settings.retry_slack, settings.retry_window)
         });
-        budget.record_call(now);
+        if !call.relayed {
+            budget.record_call(now);
+        }
         let priority = call.route.priority;
         let top_priority = self.top_priority.entry(Arc::clone(&call.service)).or_insert(priority);
         *top_priority = priority.min(*top_priority);
--- a/crates/policy/src/balance/balancer/reaching.rs
+++ b/crates/policy/src/balance/balancer/reaching.rs
@@ -49,6 +49,12 @@
     /// [`Self::is_cut_off`] has changed. A check that could ask nobody proves nothing.
     pub fn reach_checked(&mut self, now: Timestamp, asked: usize, answered: usize) -> bool {
         let changed = self.reach.check_ended(now, answered > 0 || asked == 0);
+        if changed && !self.reach.is_cut_off() {
+            // The failures were those of this gateway.
+            for target in self.services.values_mut().flat_map(|s| s.targets.values_mut()) {
+                target.end_backoff(now);
+            }
+        }
         self.log_lines.push(format!(
             "reach check asked={asked} answered={answered} cut_off={}",
             self.reach.is_cut_off()
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -80,6 +80,8 @@
     pub caller: IpAddr,
     /// Whether the body is buffered, so that the call can be sent again.
     pub replayable: bool,
+    /// Whether another gateway relayed the call and has counted it for the retry budget.
+    pub relayed: bool,
 }
 
 impl Call {
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -18,6 +18,10 @@
     Ready,
     /// In its planned stop. Final for the process.
     Leaving,
+    /// Cut off from all targets: it accepts calls and relays them to other gateways, but callers are
+    /// directed to it only if no gateway is ready. Gateways of builds before this phase take it for
+    /// silent.
+    Detached,
 }
 
 /// State that a gateway reports about itself.
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -106,6 +106,12 @@
         self.failures.update(now, 1.0, SAMPLE_WEIGHT);
     }
 
+    /// Forgets the failed attempts.
+    pub(super) fn forget_failures(&mut self) {
+        self.failures = DecayingMean::default();
+        self.failure_streak = 0;
+    }
+
     /// Records a refused attempt.
     pub(super) fn record_refusal(&mut self, now: Timestamp) {
         self.refusals.update(now, 1.0, SAMPLE_WEIGHT);
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -9,6 +9,7 @@
 
 mod limits;
 mod ranking;
+mod reach;
 mod reader;
 
 use super::heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
@@ -113,6 +114,7 @@
             next_remote: now,
             next_join: now,
             joins_sent: 0,
+            reach_changed: false,
             slots: 0,
             limit_outbox: LimitOutbox::default(),
             log_lines: Vec::new(),
@@ -139,6 +141,8 @@
     next_join: Timestamp,
     /// Rounds of join messages since the seeds were set.
     joins_sent: usize,
+    /// Whether all gateways that know this one have to learn that its reach has changed.
+    reach_changed: bool,
     /// Concurrent calls that the targets of the local failure domain can run.
     slots: u32,
     limit_outbox: LimitOutbox,
@@ -159,6 +163,10 @@
         if self.own.phase != phase || (reader && self.own.revision != revision) {
             self.next_local = Timestamp::default();
         }
+        if self.own.phase != phase && [self.own.phase, phase].contains(&Phase::Detached) {
+            self.reach_changed = true;
+            self.next_remote = Timestamp::default();
+        }
         self.own.phase = phase;
         self.own.revision = revision;
         self.own.age_ms = age.map(|a| u32::try_from(a.as_millis()).unwrap_or(u32::MAX));
@@ -275,8 +283,15 @@
         }
         if now >= self.next_remote {
             self.next_remote = now + REMOTE_INTERVAL;
-            if self.is_primary() {
-                self.send_heartbeats(self.remote_contacts().into_iter(), &mut outgoing);
+            let hosts = match std::mem::take(&mut self.reach_changed) {
+                true => self.remote_hosts(),
+                false if self.is_primary() || self.own.phase == Phase::Detached => {
+                    self.remote_contacts()
+                }
+                false => Vec::new(),
+            };
+            if !hosts.is_empty() {
+                self.send_heartbeats(hosts.into_iter(), &mut outgoing);
             }
         }
         self.send_limits(now, &mut outgoing);
@@ -307,6 +322,13 @@
             addresses.extend(self.ranked(&self.own.domain).first().map(|h| h.call_address));
             addresses.extend(remote.iter().map(|(_, address)| *address));
         }
+        if addresses.is_empty() {
+            // No gateway is known to reach the targets, which may also be down.
+            let detached = self.detached(domain);
+            let usable =
+                if detached.is_empty() { self.detached(&self.own.domain) } else { detached };
+            addresses.extend(usable.first().map(|h| h.call_address));
+        }
         Directions { addresses, lifetime: self.lifetime }
     }
 
@@ -324,6 +346,13 @@
         self.peers.values().filter(|p| p.heartbeat.domain == self.own.domain)
     }
 
+    /// Returns the live gateways of other failure domains that this one knows.
+    fn remote_hosts(&self) -> Vec<IpAddr> {
+        let alive = self.peers.values().filter(|p| p.alive);
+        let remote = alive.filter(|p| p.heartbeat.domain != self.own.domain);
+        remote.map(|p| p.heartbeat.call_address.ip()).collect()
+    }
+
     fn next_heartbeat(&mut self) -> Heartbeat {
         self.own.sequence += 1;
         self.own.clone()
@@ -400,8 +429,14 @@
         if same && peer.disconnected.is_some_and(|at| now.since(at) < MIN_LOCAL_INTERVAL / 2) {
             return;
         }
-        if heartbeat.phase == Phase::Leaving && peer.heartbeat.phase != Phase::Leaving {
-            self.log_lines.push(format!("peer {host} is leaving"));
+        if heartbeat.phase != peer.heartbeat.phase {
+            match heartbeat.phase {
+                Phase::Leaving => self.log_lines.push(format!("peer {host} is leaving")),
+                Phase::Detached => {
+                    self.log_lines.push(format!("peer {host} is cut off from all targets"));
+                }
+                Phase::Starting | Phase::Ready => {}
+            }
         }
         if !peer.alive || !same {
             self.log_lines.push(format!("peer {host} is back, same process={same}"));
--- a/crates/policy/src/balance/membership/ranking.rs
+++ b/crates/policy/src/balance/membership/ranking.rs
@@ -45,6 +45,13 @@
         rank(all.filter(|h| h.phase == Phase::Ready && &*h.domain == domain).collect())
     }
 
+    /// Returns the gateways of `domain` that are cut off from all targets, by rank.
+    pub(super) fn detached(&self, domain: &str) -> Vec<&Heartbeat> {
+        let peers = self.peers.values().filter(|p| p.alive).map(|p| &p.heartbeat);
+        let all = peers.chain(std::iter::once(&self.own));
+        rank(all.filter(|h| h.phase == Phase::Detached && &*h.domain == domain).collect())
+    }
+
     /// Returns the ready primaries of the other failure domains: as reported by the primary of the
     /// local one, or as observed if this gateway is that primary.
     pub(super) fn remote_primaries(&self) -> Vec<(Arc<str>, SocketAddr)> {
@@ -116,14 +123,15 @@
     gateways
 }
 
-/// Whether a gateway started recently, its capacity subtracted from the maximum, and a hash of its
+/// Whether a gateway is cut off from all targets, whether it started recently, its capacity subtracted from the maximum, and a hash of its
 /// host name.
-type RankKey = (bool, u32, u64);
+type RankKey = (bool, bool, u32, u64);
 
-/// Returns the sort key of a gateway: settled ones first, then by descending capacity, then by a
+/// Returns the sort key of a gateway: those that reach targets first, then settled ones, then by descending capacity, then by a
 /// hash of the host name.
 fn rank_key(heartbeat: &Heartbeat) -> RankKey {
     let mut hash = Xxh3Default::new();
     hash.write(heartbeat.host.as_bytes());
-    (!heartbeat.settled, u32::MAX - heartbeat.capacity, hash.finish())
+    let detached = heartbeat.phase == Phase::Detached;
+    (detached, !heartbeat.settled, u32::MAX - heartbeat.capacity, hash.finish())
 }
--- /dev/null
+++ b/crates/policy/src/balance/membership/reach.rs
@@ -0,0 +1,33 @@
+//! Gateways that are cut off from all targets: who has to check its reach, and where calls are relayed.
+
+use super::Membership;
+use crate::balance::heartbeat::Phase;
+use std::net::SocketAddr;
+
+/// Ranks of the ready gateways that check their reach while others of their domain are cut off:
+/// callers are directed to these next.
+const CHECKED_RANKS: usize = 4;
+
+impl Membership {
+    /// Returns whether gateways of this failure domain are cut off and this one is among the next
+    /// that callers are directed to.
+    pub fn needs_reach_check(&self) -> bool {
+        let is_detached = |p: &super::Peer| p.alive && p.heartbeat.phase == Phase::Detached;
+        self.local_peers().any(is_detached) && {
+            let ranked = self.ranked(&self.own.domain);
+            ranked.iter().take(CHECKED_RANKS).any(|h| h.host == self.own.host)
+        }
+    }
+
+    /// Returns the addresses for calls of ready gateways to which calls can be relayed: those that
+    /// callers of this failure domain are directed to, or the primaries of the others.
+    pub fn relay_peers(&self) -> Vec<SocketAddr> {
+        let mut local = self.ranked(&self.own.domain);
+        local.retain(|h| h.host != self.own.host);
+        local.truncate(self.directed_len(&local));
+        match local.is_empty() {
+            true => self.remote_primaries().into_iter().map(|(_, address)| address).collect(),
+            false => local.into_iter().map(|h| h.call_address).collect(),
+        }
+    }
+}
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -160,6 +160,13 @@
         self.backoff_until = self.backoff_until.max(now + backoff);
     }
 
+    /// Forgets the failures that led to a backoff.
+    pub(super) fn end_backoff(&mut self, now: Timestamp) {
+        self.backoff_until = self.backoff_until.min(now);
+        self.unanswered_probes = 0;
+        self.load.forget_failures();
+    }
+
     /// Returns the largest ratio of elapsed time to [`OVERDUE_AGE`] times the expected duration
     /// over all running calls, at least 1.
     pub(super) fn overdue_ratio(&self, now: Timestamp) -> f64 {
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -121,6 +121,7 @@
             deadline: now + route.timeout,
             caller,
             replayable: true,
+            relayed: false,
         };
         (self.calls, self.balancer.submit(now, call))
     }
--- a/crates/policy/tests/balance/limits.rs
+++ b/crates/policy/tests/balance/limits.rs
@@ -377,6 +377,7 @@
             deadline: now + route.timeout,
             caller: host_ip(1),
             replayable: true,
+            relayed: false,
             route,
         };
         let decision = self.nodes[number].balancer.submit(now, call);
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -8,4 +8,5 @@
 mod limits;
 mod membership;
 mod overload;
+mod reach;
 mod routes;
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -50,6 +50,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct EndedCall {
     pub(crate) id: u64,
+    /// Gateway that the caller used.
+    pub(crate) gateway: usize,
     pub(crate) result: CallResult,
     /// Number of times that targets ran the call.
     pub(crate) runs: u32,
@@ -332,7 +334,14 @@
         let to_ended_call = |(id, call): (&u64, &Call)| {
             let end = call.end?;
             let (runs, unwritten) = (call.runs, call.unwritten);
-            Some(EndedCall { id: *id, result: end.result, runs, age: end.at.elapsed(), unwritten })
+            Some(EndedCall {
+                id: *id,
+                gateway: call.route.gateway,
+                result: end.result,
+                runs,
+                age: end.at.elapsed(),
+                unwritten,
+            })
         };
         state.calls.iter().filter_map(to_ended_call).collect()
     }
--- a/crates/soak/src/logs.rs
+++ b/crates/soak/src/logs.rs
@@ -13,34 +13,39 @@
 /// Time after which a log line must have been written. Gateways buffer lines for 250 ms.
 const WRITE_DELAY: Duration = Duration::from_secs(1);
 
-/// Returns the outcomes that the gateways logged, by call id.
-pub(crate) fn read_outcomes(cluster: &Cluster) -> IndexMap<u64, Vec<String>> {
-    let mut outcomes: IndexMap<u64, Vec<String>> = IndexMap::new();
+/// Outcome of a call that another gateway answered.
+const RELAYED: &str = "relayed";
+
+/// Outcomes that gateways logged, with the number of the gateway, by call id.
+pub(crate) type Outcomes = IndexMap<u64, Vec<(usize, String)>>;
+
+/// Returns the outcomes that the gateways logged.
+pub(crate) fn read_outcomes(cluster: &Cluster) -> Outcomes {
+    let mut outcomes = Outcomes::new();
     for gateway in &cluster.gateways {
         let log = gateway.process.lock().as_ref().map(Process::log);
         for line in log.iter().flat_map(|log| log.lines()).filter_map(LogLine::parse) {
             let call = line.field("id").and_then(|id| id.parse().ok());
             if let (Some(call), Some(outcome)) = (call, line.field("outcome")) {
-                outcomes.entry(call).or_default().push(outcome.to_owned());
+                outcomes.entry(call).or_default().push((gateway.number, outcome.to_owned()));
             }
         }
     }
     outcomes
 }
 
-/// Checks that each call has exactly one log line with its outcome, and that the outcome agrees
-/// with the result that the caller saw. The line may be missing if the gateway did not receive the
+/// Checks that each call has exactly one log line with its outcome at the gateway that its caller
+/// used, and that the outcome agrees with the result that the caller saw. For a relayed call one of
+/// the outcomes at other gateways must agree, if they logged any. The line may be missing if the gateway did not receive the
 /// call, has not written the line yet or was killed before it wrote it.
 ///
 /// `calls` are those that had ended before the logs were read.
-pub(crate) fn compare(
-    checker: &Checker,
-    calls: &[EndedCall],
-    outcomes: &IndexMap<u64, Vec<String>>,
-) {
+pub(crate) fn compare(checker: &Checker, calls: &[EndedCall], outcomes: &Outcomes) {
     let no_outcomes = Vec::new();
     for call in calls {
-        let logged = outcomes.get(&call.id).unwrap_or(&no_outcomes);
+        let all = outcomes.get(&call.id).unwrap_or(&no_outcomes);
+        let (own, others): (Vec<_>, Vec<_>) =
+            all.iter().partition(|(gateway, _)| *gateway == call.gateway);
         let may_be_missing = call.unwritten || call.age < WRITE_DELAY;
         // A call that ran or was answered must have been received by its gateway.
         let received = call.runs > 0
@@ -48,23 +53,33 @@
                 call.result,
                 CallResult::Answered | CallResult::NotRun | CallResult::Unknown
             );
-        let agrees = match (call.result, logged.as_slice()) {
-            (_, []) => may_be_missing || !received,
-            (CallResult::Answered, [outcome]) => outcome == "answered",
-            (CallResult::NotRun, [outcome]) => is_not_run(outcome),
-            (CallResult::Unknown, [outcome]) => !is_not_run(outcome),
-            (CallResult::Cut | CallResult::Unsent | CallResult::GaveUp, [_]) => true,
-            (_, _) => false,
+        let agrees = match own.as_slice() {
+            [] => may_be_missing || !received,
+            [(_, outcome)] if outcome == RELAYED => {
+                others.is_empty() || others.iter().any(|(_, other)| agrees(call.result, other))
+            }
+            [(_, outcome)] => agrees(call.result, outcome),
+            _ => false,
         };
         if !agrees {
             let (id, result) = (call.id, call.result);
             checker.record_violation(format!(
-                "log: call {id} ended as {result:?}, but the logged outcomes are {logged:?}"
+                "log: call {id} ended as {result:?}, but the logged outcomes are {all:?}"
             ));
         }
     }
 }
 
+/// Returns whether a logged outcome agrees with the result that the caller saw.
+fn agrees(result: CallResult, outcome: &str) -> bool {
+    match result {
+        CallResult::Answered => outcome == "answered",
+        CallResult::NotRun => is_not_run(outcome),
+        CallResult::Unknown => !is_not_run(outcome),
+        CallResult::Cut | CallResult::Unsent | CallResult::GaveUp => true,
+    }
+}
+
 /// Returns whether a logged outcome tells that no target ran the call.
 fn is_not_run(outcome: &str) -> bool {
     // A body that a fault delays or discards is refused as slow or malformed.
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,14 +5,14 @@
 
 const USAGE: &str = "Usage: azuretally-soak [--seed N] [--runs N] [--seconds N] [--gateways N]
                        [--targets N] [--callers N] [--network N] [--logs DIR]
-                       [--planned-only] [--partitions]
+                       [--planned-only] [--no-partitions]
 
 Runs seeds N, N + 1, ... and prints a line for each. Exits with 1 when a promise was broken.
 --logs keeps the logs of each seed in DIR/seed-N and replaces those of an earlier run of the seed.
 --network selects the loopback network 127.N.0.0/16, so that concurrent soaks do not collide.
 --planned-only injects no unplanned faults, only stops, restarts, hangups, settings and replaced
 targets.
---partitions cuts off some gateways from all targets at times.";
+--no-partitions cuts off no gateway from all targets, for gateways that cannot be told apart there.";
 
 /// Parsed command line.
 struct Args {
@@ -76,7 +76,7 @@
             Long("callers") => options.callers = parser.value()?.parse()?,
             Long("network") => options.network = parser.value()?.parse()?,
             Long("planned-only") => options.profile = Profile::Planned,
-            Long("partitions") => options.partitions = true,
+            Long("no-partitions") => options.partitions = false,
             Long("logs") => options.output_dir = Some(PathBuf::from(parser.value()?)),
             Long("help") | Short('h') => return Ok(None),
             _ => return Err(arg.unexpected()),
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -59,7 +59,7 @@
             callers: 24,
             network: 77,
             profile: Profile::Mixed,
-            partitions: false,
+            partitions: true,
             output_dir: None,
         }
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -61,7 +61,6 @@
         callers: 48,
         network: 83,
         profile: Profile::Planned,
-        partitions: true,
         ..Options::new(7)
     });
 }
