fix(gateway): end endless bodies with the time limit of their call

What a caller saw: a target that sends a body without end keeps its connection, and that of the caller, open for as long as the caller reads, or, if it reads nothing, until the kernel gives the connection up.

Cause: the time limit of a call ended with the head of its answer. A body of over 128 kB is streamed, and nothing ended that.

Change: a streamed body ends with the caller's own time limit, or the route's if it has none: the connection to the target is closed then, by a timer, since a caller that does not read stops the transfer. The caller sees a truncated body.

--- a/crates/gateway/src/calls/body.rs
+++ b/crates/gateway/src/calls/body.rs
@@ -12,7 +12,9 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
+    time::Duration,
 };
+use tokio_util::task::AbortOnDropHandle;
 
 /// Body of a request to a target.
 pub(super) type RequestBody = Either<Full<Bytes>, PrefixedBody>;
@@ -51,21 +53,31 @@
     remaining: u64,
     /// Set once the end of the body has been read.
     complete: Rc<Cell<bool>>,
-    /// Connection that the body is read from. It is closed when the body is dropped.
-    _connection: Option<Connection>,
+    /// Connection that the body is read from, and the timer that closes it. It is closed when the body
+    /// is dropped.
+    _connection: Option<(Connection, AbortOnDropHandle<()>)>,
 }
 
 impl PrefixedBody {
-    /// Creates a body of `first` followed by `rest`, limited to `limit` bytes in total.
-    pub(super) fn new(
+    /// Creates the body of a call: `first` followed by `rest`, limited to `limit` bytes in total.
+    pub(super) fn of_call(first: Bytes, rest: Incoming, limit: u64) -> Self {
+        let remaining = limit.saturating_sub(first.len() as u64);
+        let complete = Rc::default();
+        Self { first: Some(first), rest, remaining, complete, _connection: None }
+    }
+
+    /// Creates the body of a response: `first` followed by `rest`, which is read from `connection`
+    /// until `time_left` has passed. A body that is longer is truncated.
+    pub(super) fn of_response(
         first: Bytes,
         rest: Incoming,
-        limit: u64,
-        connection: Option<Connection>,
+        connection: Connection,
+        time_left: Duration,
     ) -> Self {
-        let remaining = limit.saturating_sub(first.len() as u64);
-        let complete = Rc::default();
-        Self { first: Some(first), rest, remaining, complete, _connection: connection }
+        // The connection is closed also while the caller does not read, so that the target is free.
+        let timer = connection.close_after(time_left);
+        let body = Self::of_call(first, rest, u64::MAX);
+        Self { _connection: Some((connection, timer)), ..body }
     }
 
     /// Returns a flag that is set once the end of the body has been read.
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -127,7 +127,7 @@
         let body = match buffered.map_err(|e| reject(body_failure(e)))? {
             BufferedBody::Complete(bytes) => CallBody::Buffered(bytes),
             BufferedBody::Partial(first, rest) => {
-                CallBody::Streaming(RefCell::new(Some(PrefixedBody::new(first, rest, limit, None))))
+                CallBody::Streaming(RefCell::new(Some(PrefixedBody::of_call(first, rest, limit))))
             }
         };
         if !gateway.is_reading() {
@@ -152,6 +152,12 @@
         })
     }
 
+    /// Returns until when a response may be forwarded: the caller's own time limit, or that of the
+    /// route if it has none.
+    pub(super) fn body_deadline(&self) -> Timestamp {
+        self.call_headers.timeout.map_or(self.deadline, |limit| self.arrived_at + limit)
+    }
+
     /// Returns the call in the form that the balancer takes.
     pub(super) fn balancer_call(&self) -> Call {
         Call {
--- a/crates/gateway/src/calls/pool.rs
+++ b/crates/gateway/src/calls/pool.rs
@@ -16,7 +16,7 @@
 use tokio::{
     net::{TcpSocket, TcpStream},
     task::spawn_local,
-    time::timeout,
+    time::{sleep, timeout},
 };
 use tokio_util::task::AbortOnDropHandle;
 
@@ -49,7 +49,19 @@
     /// Sends requests on the connection.
     pub(super) sender: SendRequest<RequestBody>,
     address: SocketAddr,
-    _driver: AbortOnDropHandle<()>,
+    driver: AbortOnDropHandle<()>,
+}
+
+impl Connection {
+    /// Closes the connection after `delay`, unless the returned handle is dropped before.
+    pub(super) fn close_after(&self, delay: Duration) -> AbortOnDropHandle<()> {
+        let driver = self.driver.abort_handle();
+        let close = async move {
+            sleep(delay).await;
+            driver.abort();
+        };
+        AbortOnDropHandle::new(spawn_local(close))
+    }
 }
 
 #[derive(Debug)]
@@ -114,7 +126,7 @@
                 log::debug!("calls: connection to {address} ended: {e}");
             }
         });
-        Ok(Connection { sender, address, _driver: AbortOnDropHandle::new(driver) })
+        Ok(Connection { sender, address, driver: AbortOnDropHandle::new(driver) })
     }
 
     /// Adds an idle connection, for which the target announced `idle_timeout`.
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -386,7 +386,8 @@
         let body = match body {
             ReceivedBody::Complete(bytes) => Either::Left(Full::new(bytes)),
             ReceivedBody::Streaming(first, rest, connection) => {
-                Either::Right(PrefixedBody::new(first, rest, u64::MAX, Some(connection)))
+                let left = self.inbound.body_deadline().since(self.gateway.clock.now());
+                Either::Right(PrefixedBody::of_response(first, rest, connection, left))
             }
         };
         let mut response = Response::new(body);
