fix(gateway): bound what targets send without an answer

What callers saw: nothing more than a late failure. But a target that sends interim responses or zeros of a chunk size without end kept the one thread of a gateway busy until the time limit of the call: 138 and 58 MB were read in a second in tests/endless.rs, at no use of memory.

Cause: hyper skips such bytes, so no limit of a head or a body applies.

Change: a connection to a target has an allowance of 64 kB, renewed when a request is sent, when the head of its response has arrived, and with each part of the body. It fails once that is used up.

Result: endless_interim_responses_are_bounded and endless_chunk_size_is_bounded fail without it and pass now.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -4,6 +4,7 @@
 //! targets (`exchange`) and answered. Every call is completed exactly once (`call_guard`). The end of
 //! each connection of a caller is logged and counted (`connection`).
 
+mod allowance;
 mod body;
 mod call_guard;
 mod connection;
--- a/crates/gateway/src/calls/body.rs
+++ b/crates/gateway/src/calls/body.rs
@@ -1,6 +1,6 @@
 //! Bodies of calls and responses.
 
-use super::pool::Connection;
+use super::{allowance::ReadAllowance, pool::Connection};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Either, Full};
@@ -55,7 +55,7 @@
     complete: Rc<Cell<bool>>,
     /// Connection that the body is read from, and the timer that closes it. It is closed when the body
     /// is dropped.
-    _connection: Option<(Connection, AbortOnDropHandle<()>)>,
+    connection: Option<(Connection, AbortOnDropHandle<()>)>,
 }
 
 impl PrefixedBody {
@@ -63,7 +63,7 @@
     pub(super) fn of_call(first: Bytes, rest: Incoming, limit: u64) -> Self {
         let remaining = limit.saturating_sub(first.len() as u64);
         let complete = Rc::default();
-        Self { first: Some(first), rest, remaining, complete, _connection: None }
+        Self { first: Some(first), rest, remaining, complete, connection: None }
     }
 
     /// Creates the body of a response: `first` followed by `rest`, which is read from `connection`
@@ -77,7 +77,7 @@
         // The connection is closed also while the caller does not read, so that the target is free.
         let timer = connection.close_after(time_left);
         let body = Self::of_call(first, rest, u64::MAX);
-        Self { _connection: Some((connection, timer)), ..body }
+        Self { connection: Some((connection, timer)), ..body }
     }
 
     /// Returns a flag that is set once the end of the body has been read.
@@ -105,6 +105,9 @@
             Some(Err(_)) => return Poll::Ready(Some(Err(BodyError::Truncated))),
             Some(Ok(frame)) => frame,
         };
+        if let Some((connection, _)) = &self.connection {
+            connection.allowance.renew();
+        }
         let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
         if bytes > self.remaining {
             return Poll::Ready(Some(Err(BodyError::TooLarge)));
@@ -132,7 +135,8 @@
     Partial(Bytes, Incoming),
 }
 
-/// Reads a body until its end, or until it exceeds `limit` bytes.
+/// Reads a body until its end, or until it exceeds `limit` bytes. Renews the allowance of the
+/// connection that it is read from, if it has one, with each part.
 ///
 /// # Errors
 ///
@@ -140,6 +144,7 @@
 pub(super) async fn buffer_body(
     mut body: Incoming,
     limit: usize,
+    allowance: Option<&ReadAllowance>,
 ) -> Result<BufferedBody, BodyError> {
     if body.is_end_stream() {
         return Ok(BufferedBody::Complete(Bytes::new()));
@@ -150,6 +155,9 @@
     let mut buffer: Vec<u8> = Vec::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Truncated)?;
+        if let Some(allowance) = allowance {
+            allowance.renew();
+        }
         let Ok(data) = frame.into_data() else { continue };
         // Most bodies are a single frame, which needs no copy.
         if buffer.is_empty() && body.is_end_stream() {
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -186,7 +186,9 @@
     {
         return Err(Failure::Broken);
     }
-    let body = match buffer_body(body, MAX_BUFFERED_BYTES).await {
+    connection.allowance.renew();
+    let buffered = buffer_body(body, MAX_BUFFERED_BYTES, Some(&connection.allowance)).await;
+    let body = match buffered {
         Ok(BufferedBody::Complete(bytes)) => {
             pool.release(connection, &head.headers);
             ReceivedBody::Complete(bytes)
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -118,7 +118,7 @@
             return Err(reject(CallFailure::TooLarge));
         }
         let buffered = tokio::select! {
-            buffered = timeout(time_limit, buffer_body(body, MAX_REPLAY_BYTES)) => buffered,
+            buffered = timeout(time_limit, buffer_body(body, MAX_REPLAY_BYTES, None)) => buffered,
             () = gateway.serving_ended() => {
                 return Err(reject(CallFailure::NotRun(STOPPED_RETRY_AFTER)));
             }
--- a/crates/gateway/src/calls/pool.rs
+++ b/crates/gateway/src/calls/pool.rs
@@ -1,6 +1,9 @@
 //! Connections to targets and the pool of idle ones.
 
-use super::body::RequestBody;
+use super::{
+    allowance::{AllowedStream, ReadAllowance},
+    body::RequestBody,
+};
 use crate::{clock::Clock, socket::configure};
 use azuretally_policy::Timestamp;
 use http::{HeaderMap, HeaderName, header::CONNECTION};
@@ -48,6 +51,8 @@
 pub(super) struct Connection {
     /// Sends requests on the connection.
     pub(super) sender: SendRequest<RequestBody>,
+    /// Bytes that the target may send.
+    pub(super) allowance: ReadAllowance,
     address: SocketAddr,
     driver: AbortOnDropHandle<()>,
 }
@@ -102,6 +107,7 @@
                 idle.push(last);
                 return None;
             }
+            last.connection.allowance.renew();
             return Some(last.connection);
         }
         None
@@ -116,6 +122,8 @@
         let stream = timeout(CONNECT_TIMEOUT, open(self.source, address)).await;
         let stream = stream.map_err(|_| ConnectError)?.map_err(|_| ConnectError)?;
         configure(&stream, ACK_TIMEOUT).map_err(|_| ConnectError)?;
+        let allowance = ReadAllowance::new();
+        let stream = AllowedStream::new(stream, allowance.clone());
         let handshake = http1::Builder::new()
             .max_buf_size(READ_BUFFER_BYTES)
             .handshake(TokioIo::new(stream))
@@ -126,7 +134,7 @@
                 log::debug!("calls: connection to {address} ended: {e}");
             }
         });
-        Ok(Connection { sender, address, driver: AbortOnDropHandle::new(driver) })
+        Ok(Connection { sender, allowance, address, driver: AbortOnDropHandle::new(driver) })
     }
 
     /// Adds an idle connection, for which the target announced `idle_timeout`.
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -133,6 +133,16 @@
     assert_head_is_bounded("", "\r\n").await;
 }
 
+#[tokio::test]
+async fn endless_interim_responses_are_bounded() {
+    assert_head_is_bounded("", "HTTP/1.1 103 Early Hints\r\n\r\n").await;
+}
+
+#[tokio::test]
+async fn endless_chunk_size_is_bounded() {
+    assert_unread_body_is_bounded(CHUNKED, "0").await;
+}
+
 #[tokio::test]
 async fn endless_chunk_extension_is_bounded() {
     assert_unread_body_is_bounded(
