fix(gateway): give callers without a time limit a minute for long answers

The fix before ended a streamed body with the route's time limit if the caller named none. A caller that reads a long answer slowly would have got a part of it. Such a body now has 60 s.

--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -30,6 +30,8 @@
 
 /// Bodies up to this size are buffered, so that another attempt can send them again.
 const MAX_REPLAY_BYTES: usize = 256 * 1_024;
+/// Time in which the body of a response must end if the caller names no time limit.
+const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 /// Time after which a caller may retry while the gateway does not know any routes yet.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(300);
 /// Time after which a caller may retry elsewhere if the gateway stops before it has read the call.
@@ -152,10 +154,10 @@
         })
     }
 
-    /// Returns until when a response may be forwarded: the caller's own time limit, or that of the
-    /// route if it has none.
+    /// Returns until when a response may be forwarded: the caller's own time limit, which may be later
+    /// than that of the route, or a fixed time.
     pub(super) fn body_deadline(&self) -> Timestamp {
-        self.call_headers.timeout.map_or(self.deadline, |limit| self.arrived_at + limit)
+        self.arrived_at + self.call_headers.timeout.unwrap_or(MAX_BODY_TIME)
     }
 
     /// Returns the call in the form that the balancer takes.
--- a/crates/gateway/tests/endless.rs
+++ b/crates/gateway/tests/endless.rs
@@ -15,7 +15,7 @@
     time::timeout,
 };
 
-/// Time limit of the routes, after which the caller needs no answer.
+/// Time limit of the calls, after which the caller needs no answer.
 const TIME_LIMIT: Duration = Duration::from_secs(1);
 /// Time after it by which the gateway must have closed the connection to the target.
 const TIME_MARGIN: Duration = Duration::from_millis(500);
--- a/crates/gateway/tests/raw/mod.rs
+++ b/crates/gateway/tests/raw/mod.rs
@@ -81,7 +81,9 @@
 
     pub(crate) async fn call(&self, path: &str) -> TcpStream {
         let mut caller = TcpStream::connect(self.calls).await.expect("the gateway listens");
-        let request = format!("GET {path} HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\n\r\n");
+        let request = format!(
+            "GET {path} HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\nx-azuretally-timeout-ms: 1000\r\n\r\n"
+        );
         caller.write_all(request.as_bytes()).await.expect("request sent");
         caller
     }
