fix(entry): end endless bodies with the time limit of their call

What callers saw: a target that sends a body without end keeps its slot and the caller's connection for as long as the caller reads: in body_that_outlasts_the_time_limit_ends_with_it 15 s and more at a limit of 1 s.

The time limit covers the head and a buffered body; a streamed one had none, and the call ends with it.

The transfer is broken off, the call ends as unknown with the reason time-limit, and the slot is free.

Left: if the caller reads nothing, the body is not polled, and the call lasts until the kernel gives up the caller's connection, 10 s at most.

--- a/crates/entry/src/calls/body.rs
+++ b/crates/entry/src/calls/body.rs
@@ -16,6 +16,7 @@
     },
     task::{Context, Poll, ready},
 };
+use tokio::time::{Sleep, sleep};
 
 /// Body of a request to a target or peer.
 pub(super) type RequestBody = Either<Full<Bytes>, Limited<TrackedBody>>;
@@ -73,13 +74,15 @@
 
 impl Error for TruncatedBody {}
 
-/// An upstream body that is forwarded while it is received. The call ends with the body.
+/// An upstream body that is forwarded while it is received. The call ends with the body, or when that
+/// must end: a body without end would keep its slot at the target.
 #[derive(Debug)]
 pub(super) struct StreamedBody {
     body: Incoming,
     guard: Option<CallGuard>,
     connection: Option<Connection>,
     outcome: Outcome,
+    deadline: Pin<Box<Sleep>>,
 }
 
 impl StreamedBody {
@@ -90,7 +93,17 @@
         connection: Connection,
         outcome: Outcome,
     ) -> Self {
-        Self { body, guard: Some(guard), connection: Some(connection), outcome }
+        let deadline = Box::pin(sleep(guard.body_time_left()));
+        Self { body, guard: Some(guard), connection: Some(connection), outcome, deadline }
+    }
+
+    /// Ends the call without the rest of the body.
+    fn break_off(&mut self, reason: &str) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
+        self.connection = None;
+        if let Some(mut guard) = self.guard.take() {
+            guard.end(Outcome::Unknown, Some(reason));
+        }
+        Poll::Ready(Some(Err(TruncatedBody)))
     }
 
     fn complete(&mut self) {
@@ -111,6 +124,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, TruncatedBody>>> {
+        if self.guard.is_some() && self.deadline.as_mut().poll(cx).is_ready() {
+            return self.break_off("time-limit");
+        }
         match Pin::new(&mut self.body).poll_frame(cx) {
             Poll::Pending => Poll::Pending,
             Poll::Ready(Some(Ok(frame))) => {
@@ -119,12 +135,7 @@
                 }
                 Poll::Ready(Some(Ok(frame)))
             }
-            Poll::Ready(Some(Err(_))) => {
-                if let Some(mut guard) = self.guard.take() {
-                    guard.end(Outcome::Unknown, Some("cut-short"));
-                }
-                Poll::Ready(Some(Err(TruncatedBody)))
-            }
+            Poll::Ready(Some(Err(_))) => self.break_off("cut-short"),
             Poll::Ready(None) => {
                 self.complete();
                 Poll::Ready(None)
--- a/crates/entry/src/calls/call_guard.rs
+++ b/crates/entry/src/calls/call_guard.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Returns the time until the body of the response must end.
+    pub(super) fn body_time_left(&self) -> Duration {
+        self.inbound.body_deadline - self.app.context.clock.now()
+    }
+
     /// Returns the id of the call.
     pub(super) fn call_id(&self) -> CallId {
         self.call
--- a/crates/entry/src/calls/inbound.rs
+++ b/crates/entry/src/calls/inbound.rs
@@ -3,7 +3,8 @@
 use super::{
     body::{RequestBody, TrackedBody},
     limits::{
-        BODY_TIMEOUT, MAX_BODY_BYTES, MAX_BUFFERED_BYTES, MAX_DISCARDED_BYTES, MAX_NAME_BYTES,
+        BODY_TIMEOUT, MAX_BODY_BYTES, MAX_BODY_TIME, MAX_BUFFERED_BYTES, MAX_DISCARDED_BYTES,
+        MAX_NAME_BYTES,
     },
     router::{Route, RouteError, Router},
     service::CallConfig,
@@ -134,6 +135,9 @@
     pub(super) arrival: Timestamp,
     /// Time after which the caller no longer needs the reply.
     pub(super) deadline: Timestamp,
+    /// Time by which the body of the response must end: the caller's own time limit, which may be later
+    /// than that of the class, or [`MAX_BODY_TIME`].
+    pub(super) body_deadline: Timestamp,
     /// Idempotency key. Present if and only if the operation is not idempotent.
     pub(super) key: Option<IdempotencyKey>,
     /// Whether another entry relayed the call.
@@ -174,7 +178,9 @@
             false => Some(read_key(&parts.headers, &context.peer_key)?),
         };
         let limit = config.service.classes[operation.class].timeout;
-        let deadline = arrival + read_timeout(&parts.headers)?.map_or(limit, |t| t.min(limit));
+        let timeout = read_timeout(&parts.headers)?;
+        let deadline = arrival + timeout.map_or(limit, |t| t.min(limit));
+        let body_deadline = arrival + timeout.unwrap_or(MAX_BODY_TIME);
         let caller = read_caller(&parts.headers, client_ip)?;
         let relayed = parts.headers.contains_key(headers::HOPS);
         let body = read_body(body).await?;
@@ -186,6 +192,7 @@
             caller,
             arrival,
             deadline,
+            body_deadline,
             key,
             relayed,
             method,
--- a/crates/testsuite/tests/testsuite/answers.rs
+++ b/crates/testsuite/tests/testsuite/answers.rs
@@ -1,7 +1,7 @@
 //! A caller gets either the complete response to its own request or a failed transfer.
 
 use azuretally_api::record::Outcome;
-use azuretally_standin::target::Faults;
+use azuretally_standin::{proxy, target::Faults};
 use azuretally_testsuite::{
     Call, CallError, Caller, CompletedCall, Fleet, LoadGenerator, Workload,
 };
@@ -81,6 +81,27 @@
     }
 }
 
+/// Guards against a body without end holding the slot of its target for good: the call ends with its
+/// time limit, and what the caller got does not look complete.
+#[tokio::test]
+async fn body_that_outlasts_the_time_limit_ends_with_it() {
+    let fleet = Fleet::builder().entries(1).targets(1).slots(1).links().start().await;
+    let warm_up = Call::get("/till/balance", "warm-up");
+    assert!(fleet.call(&warm_up).await.unwrap().is_answered());
+    fleet.target_links[0]
+        .set_faults(proxy::Faults { drip_bytes_per_s: 200_000, ..proxy::Faults::default() });
+    let limit = Duration::from_millis(1_000);
+    let call = Call::get("/till/balance", "endless").response_bytes(4_000_000).timeout(limit);
+    let start = Instant::now();
+    assert_eq!(fleet.call(&call).await.unwrap_err(), CallError::Broken);
+    let elapsed = start.elapsed();
+    assert!(elapsed < limit + Duration::from_millis(500), "{elapsed:?}");
+    fleet.target_links[0].set_faults(proxy::Faults::default());
+    let call = Call::get("/till/balance", "next").timeout(Duration::from_millis(1_500));
+    let reply = fleet.call(&call).await.unwrap();
+    assert!(reply.is_answered(), "the slot is free: {reply:?}");
+}
+
 /// Guards against a response that arrives after its caller disconnected being sent to the next
 /// caller.
 #[tokio::test]
