perf(policy): compute the assignment of limits once for all targets

The ranking of the gateways was computed for each limited target with each heartbeat that arrives: with 370 limited targets and 150 gateways in a domain some thousand hashes each. It is now computed once, and not at all while no target has named a limit.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -376,8 +376,12 @@
     pub fn exchange_limits(&self) {
         let now = self.clock.now();
         let mut balancer = self.balancer.borrow_mut();
+        if !balancer.has_limits() {
+            return;
+        }
         let mut membership = self.membership.borrow_mut();
-        balancer.assign_limits(now, |domain, target| membership.limit_share(domain, target));
+        let assignment = membership.limit_assignment();
+        balancer.assign_limits(now, |domain, target| assignment.share(domain, target));
         membership.announce_limits(balancer.take_limit_changes(), None);
         membership.set_limits(balancer.limits());
     }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -29,7 +29,7 @@
 pub use heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
-pub use membership::{Membership, MembershipBuilder};
+pub use membership::{LimitAssignment, Membership, MembershipBuilder};
 pub use routes::{
     CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
 };
--- a/crates/policy/src/balance/balancer/limiting.rs
+++ b/crates/policy/src/balance/balancer/limiting.rs
@@ -87,9 +87,14 @@
         (adopted, outdated)
     }
 
-    /// Sets the part of each limit that this gateway may use; `share` gets the failure domain and the
-    /// name of a target.
-    pub fn assign_limits<ShareOf>(&mut self, now: Timestamp, share: ShareOf)
+    /// Returns whether any target names a limit or has named one.
+    pub fn has_limits(&self) -> bool {
+        !self.limited.is_empty()
+    }
+
+    /// Sets the part of each limit that this gateway may use; `share_of` gets the failure domain and
+    /// the name of a target.
+    pub fn assign_limits<ShareOf>(&mut self, now: Timestamp, share_of: ShareOf)
     where
         ShareOf: Fn(&str, &str) -> LimitShare,
     {
@@ -97,7 +102,7 @@
         self.limited.retain(|(service, name)| {
             let target = services.get_mut(service).and_then(|s| s.targets.get_mut(name));
             let Some(target) = target.filter(|t| t.limit.version() > 0) else { return false };
-            target.limit.set_share(now, share(&target.domain, &target.name));
+            target.limit.set_share(now, share_of(&target.domain, &target.name));
             true
         });
     }
--- a/crates/policy/src/balance/limits.rs
+++ b/crates/policy/src/balance/limits.rs
@@ -6,10 +6,10 @@
 //!
 //! The figure is not divided among the gateways: many of them with a small part each could exceed it
 //! together after a pause, and most parts would stay unused. One gateway at a time sends requests to
-//! a limited target, at the full rate ([`Membership::limit_share`]). All gateways tell each other
+//! a limited target, at the full rate ([`LimitAssignment`]). All gateways tell each other
 //! which limits are known, so that the others stop, and learn of the end of a limit.
 //!
-//! [`Membership::limit_share`]: super::Membership::limit_share
+//! [`LimitAssignment`]: super::LimitAssignment
 
 use crate::Timestamp;
 use serde::{Deserialize, Serialize};
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -15,6 +15,7 @@
 use super::heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
 use crate::Timestamp;
 use indexmap::IndexMap;
+pub use limits::LimitAssignment;
 use limits::LimitOutbox;
 use std::{
     net::{IpAddr, SocketAddr},
--- a/crates/policy/src/balance/membership/limits.rs
+++ b/crates/policy/src/balance/membership/limits.rs
@@ -15,6 +15,7 @@
 use std::{
     hash::Hasher,
     net::{IpAddr, SocketAddr},
+    sync::Arc,
     time::Duration,
 };
 use xxhash_rust::xxh3::Xxh3Default;
@@ -67,44 +68,73 @@
     }
 }
 
-impl Membership {
+/// Which limits this gateway may use, by the view that it has of the others.
+///
+/// One of the gateways that callers are directed to uses the limit of a target: one of the target's
+/// failure domain, or a primary of another domain if that one has no ready gateway.
+#[derive(Clone, Debug, Default)]
+pub struct LimitAssignment {
+    own: Option<SocketAddr>,
+    domain: Arc<str>,
+    /// Gateways of the own domain that callers are directed to.
+    local: Vec<SocketAddr>,
+    /// The same as if the gateways that have fallen silent were alive.
+    local_with_silent: Vec<SocketAddr>,
+    /// The primary of the own domain and those of the others.
+    primaries: Vec<SocketAddr>,
+    /// Other domains that have a ready gateway.
+    served_domains: Vec<Arc<str>>,
+    /// Whether any gateway has fallen silent.
+    has_silent: bool,
+}
+
+impl LimitAssignment {
     /// Returns the part of the limit of target `target` in failure domain `domain` that this gateway
     /// may use.
-    ///
-    /// One of the gateways that callers are directed to uses it: one of the target's domain, or a
-    /// primary of another domain if the target's has no ready gateway.
-    pub fn limit_share(&self, domain: &str, target: &str) -> LimitShare {
-        if self.own.phase != Phase::Ready {
-            return LimitShare::None;
-        }
+    pub fn share(&self, domain: &str, target: &str) -> LimitShare {
         let is_own = |candidates: &[SocketAddr]| {
             let first = candidates.iter().max_by_key(|address| rank_for(target, **address));
-            first == Some(&self.own.call_address)
-        };
-        let addresses = |ranked: &[&Heartbeat]| {
-            let directed = ranked.iter().take(self.directed_len(ranked));
-            directed.map(|h| h.call_address).collect::<Vec<SocketAddr>>()
+            self.own.is_some() && first == self.own.as_ref()
         };
-        let local = self.ranked(&self.own.domain);
-        let remote = self.remote_primaries();
-        let mut candidates = addresses(&local);
-        if domain != &*self.own.domain {
-            if remote.iter().any(|(name, _)| &**name == domain) {
-                return LimitShare::None;
-            }
-            candidates.truncate(1);
-            candidates.extend(remote.iter().map(|(_, address)| *address));
+        let is_local = domain == &*self.domain;
+        if !is_local && self.served_domains.iter().any(|served| &**served == domain) {
+            return LimitShare::None;
         }
-        if !is_own(&candidates) {
+        if !is_own(if is_local { &self.local } else { &self.primaries }) {
             return LimitShare::None;
         }
         // A silent gateway may be alive behind a broken link and use the limit as before.
-        let is_contested = match domain == &*self.own.domain {
-            true => !is_own(&addresses(&self.ranked_with_silent(domain))),
-            false => self.peers.values().any(Peer::is_silent),
+        let is_contested = match is_local {
+            true => !is_own(&self.local_with_silent),
+            false => self.has_silent,
         };
         if is_contested { LimitShare::Half } else { LimitShare::Full }
     }
+}
+
+impl Membership {
+    /// Returns which limits of targets this gateway may use now.
+    pub fn limit_assignment(&self) -> LimitAssignment {
+        if self.own.phase != Phase::Ready {
+            return LimitAssignment::default();
+        }
+        let directed = |ranked: &[&Heartbeat]| {
+            let first = ranked.iter().take(self.directed_len(ranked));
+            first.map(|h| h.call_address).collect::<Vec<SocketAddr>>()
+        };
+        let local = directed(&self.ranked(&self.own.domain));
+        let remote = self.remote_primaries();
+        let remote_addresses = remote.iter().map(|(_, address)| *address);
+        LimitAssignment {
+            own: Some(self.own.call_address),
+            domain: Arc::clone(&self.own.domain),
+            primaries: local.iter().copied().take(1).chain(remote_addresses).collect(),
+            local,
+            local_with_silent: directed(&self.ranked_with_silent(&self.own.domain)),
+            served_domains: remote.into_iter().map(|(domain, _)| domain).collect(),
+            has_silent: self.peers.values().any(Peer::is_silent),
+        }
+    }
 
     /// Sets the limits in force that this gateway knows.
     pub fn set_limits(&mut self, in_force: Vec<LimitNotice>) {
--- a/crates/policy/tests/balance/limits.rs
+++ b/crates/policy/tests/balance/limits.rs
@@ -324,7 +324,8 @@
         let mut in_flight = Vec::new();
         for (number, node) in self.nodes.iter_mut().enumerate() {
             let Node { membership, balancer, .. } = node;
-            balancer.assign_limits(now, |domain, target| membership.limit_share(domain, target));
+            let assignment = membership.limit_assignment();
+            balancer.assign_limits(now, |domain, target| assignment.share(domain, target));
             membership.announce_limits(balancer.take_limit_changes(), None);
             membership.set_limits(balancer.limits());
             in_flight.extend(membership.tick(now).into_iter().map(|o| (number, o)));
@@ -470,7 +471,8 @@
         }
         for target in ["target-0", "target-1", "target-2"] {
             for domain in 0..3 {
-                let share = |n: &Node| n.membership.limit_share(&domain_of(domain), target);
+                let share =
+                    |n: &Node| n.membership.limit_assignment().share(&domain_of(domain), target);
                 let shares: Vec<LimitShare> = fleet.nodes.iter().map(share).collect();
                 let full = shares.iter().filter(|s| **s == LimitShare::Full).count();
                 let none = shares.iter().filter(|s| **s == LimitShare::None).count();
--- a/crates/policy/tests/balance/reach.rs
+++ b/crates/policy/tests/balance/reach.rs
@@ -221,7 +221,7 @@
     for at in [0, 3, 6] {
         assert_eq!(fleet.members[at].relay_peers().len(), 2, "at {at}");
     }
-    let shares = fleet.members.iter().map(|m| m.limit_share("domain-0", "target-1"));
+    let shares = fleet.members.iter().map(|m| m.limit_assignment().share("domain-0", "target-1"));
     let used = shares.filter(|s| *s != LimitShare::None).count();
     assert_eq!(used, 1, "a limit of the domain is used by a gateway of another one");
 }
