refactor(gateway): consider a relay before a hedge, and few targets in the check

A hedge that the balancer had started was dropped if the call was relayed at the same moment; its target kept a slot for it until the call ended. The relay is now considered first. With a single target, its failures alone call for a check of the reach. The heartbeat that tests of fleets begin with is made in one place.

--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -261,6 +261,9 @@
                 }
                 () = async { match hedge_in { Some(d) => sleep(d).await, None => pending().await } } => {
                     self.hedge_at = None;
+                    if self.inbound.route.idempotent && self.start_relay() {
+                        continue;
+                    }
                     let now = self.gateway.clock.now();
                     let hedge = self
                         .gateway
@@ -269,9 +272,6 @@
                         .consider_hedge(now, self.inbound.id);
                     self.gateway.forward_probes();
                     self.gateway.target_failed.notify_one();
-                    if self.inbound.route.idempotent && self.start_relay() {
-                        continue;
-                    }
                     match hedge {
                         HedgeDecision::Start(new_attempt) => {
                             self.next_is_hedge = true;
--- a/crates/policy/src/balance/reach.rs
+++ b/crates/policy/src/balance/reach.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexMap;
 use std::{sync::Arc, time::Duration};
 
-/// Targets at which requests have to fail for a suspicion.
+/// Targets at which requests have to fail for a suspicion, fewer if there are not as many.
 const SUSPECT_TARGETS: usize = 2;
 /// Time after which a failure no longer counts.
 const FAILURE_TTL: Duration = Duration::from_secs(1);
@@ -63,12 +63,20 @@
         self.failures.insert(Arc::clone(target), now);
     }
 
-    /// Returns when the next check is due, [`Timestamp::MAX`] if there is no reason for one.
-    /// `peers_cut_off` tells that peers are cut off, so that callers come here instead.
-    pub(super) fn check_due(&self, now: Timestamp, peers_cut_off: bool) -> Timestamp {
+    /// Returns when the next check is due, [`Timestamp::MAX`] if there is no reason for one. `targets`
+    /// is the number of all targets. `peers_cut_off` tells that peers are cut off, so that callers come
+    /// here instead.
+    pub(super) fn check_due(
+        &self,
+        now: Timestamp,
+        targets: usize,
+        peers_cut_off: bool,
+    ) -> Timestamp {
         let recent = self.failures.values().filter(|at| now.since(**at) <= FAILURE_TTL).count();
         let is_proven = self.proven.is_some_and(|at| now.since(at) <= PROOF_TTL);
-        let is_open = self.cut_off || self.contradictions > 0 || recent >= SUSPECT_TARGETS;
+        let is_open = self.cut_off
+            || self.contradictions > 0
+            || recent >= SUSPECT_TARGETS.min(targets.max(1));
         match !self.is_checking && (is_open || (peers_cut_off && !is_proven)) {
             true => self.next_check,
             false => Timestamp::MAX,
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -4,8 +4,8 @@
     Timestamp,
     balance::{
         Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Call, Catalog, Change,
-        Decision, LimitField, LoadReport, NewAttempt, Probe, ProbeResult, Route, Share, Source,
-        TargetRecord,
+        Decision, Heartbeat, LimitField, LoadReport, NewAttempt, Phase, Probe, ProbeResult, Route,
+        Share, Source, TargetRecord,
     },
 };
 use std::{
@@ -151,3 +151,21 @@
 pub(crate) fn idle_report(slowdown: f64) -> LoadReport {
     LoadReport { running: 0, waiting: 0, slots: 2, slowdown: Some(slowdown) }
 }
+
+/// Returns what gateway `number` in failure domain `domain` reports at its start.
+pub(crate) fn first_heartbeat(number: usize, domain: Arc<str>, ip: IpAddr) -> Heartbeat {
+    Heartbeat {
+        host: Arc::from(format!("gateway-{number}")),
+        domain,
+        incarnation: 1,
+        sequence: 0,
+        call_address: SocketAddr::new(ip, 80),
+        capacity: 200,
+        phase: Phase::Starting,
+        settled: false,
+        revision: 0,
+        age_ms: None,
+        reader: false,
+        remote_primaries: Vec::new(),
+    }
+}
--- a/crates/policy/tests/balance/limits.rs
+++ b/crates/policy/tests/balance/limits.rs
@@ -1,13 +1,15 @@
 //! Limits that targets name: how gateways learn of them, share them and keep to them.
 
-use crate::fixture::{Fixture, LOCAL, expect_start, idle_report, ms, record, route, settings};
+use crate::fixture::{
+    Fixture, LOCAL, expect_start, first_heartbeat, idle_report, ms, record, route, settings,
+};
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
     balance::{
         Attempt, AttemptOutcome, AttemptResult, Balancer, Call, Catalog, Change, Decision,
-        GiveUpReason, Heartbeat, LimitField, LimitNotice, LimitShare, Membership,
-        MembershipBuilder, Message, Phase, ProbeResult, RequestRate, Source, TargetRecord,
+        GiveUpReason, LimitField, LimitNotice, LimitShare, Membership, MembershipBuilder, Message,
+        Phase, ProbeResult, RequestRate, Source, TargetRecord,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -256,20 +258,7 @@
         });
         catalog.apply(ms(0), 1, changes.collect(), Source::Platform);
         let node = |number| {
-            let own = Heartbeat {
-                host: Arc::from(format!("gateway-{number}")),
-                domain: domain_of(number),
-                incarnation: 1,
-                sequence: 0,
-                call_address: SocketAddr::new(host_ip(number), 80),
-                capacity: 200,
-                phase: Phase::Starting,
-                settled: false,
-                revision: 0,
-                age_ms: None,
-                reader: false,
-                remote_primaries: Vec::new(),
-            };
+            let own = first_heartbeat(number, domain_of(number), host_ip(number));
             let seeds = (0..3).map(host_ip).collect();
             let mut membership = MembershipBuilder::new(own).seeds(seeds).build(ms(0));
             membership.update_status(Phase::Ready, 1, Some(Duration::ZERO), false);
--- a/crates/policy/tests/balance/membership.rs
+++ b/crates/policy/tests/balance/membership.rs
@@ -1,6 +1,6 @@
 //! Discovery of gateways, directions for callers, and the choice of platform readers.
 
-use crate::fixture::ms;
+use crate::fixture::{first_heartbeat, ms};
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
@@ -92,20 +92,11 @@
 
 /// Returns the state that gateway `number` reports at its start.
 fn initial_heartbeat(number: u8, domains: u8) -> Heartbeat {
-    Heartbeat {
-        host: Arc::from(format!("gateway-{number}")),
-        domain: Arc::from(format!("domain-{}", number % domains)),
-        incarnation: 1,
-        sequence: 0,
-        call_address: SocketAddr::new(ip(number), 80),
-        capacity: 200,
-        phase: Phase::Starting,
-        settled: false,
-        revision: 0,
-        age_ms: None,
-        reader: false,
-        remote_primaries: Vec::new(),
-    }
+    first_heartbeat(
+        usize::from(number),
+        Arc::from(format!("domain-{}", number % domains)),
+        ip(number),
+    )
 }
 
 #[test]
--- a/crates/policy/tests/balance/reach.rs
+++ b/crates/policy/tests/balance/reach.rs
@@ -1,11 +1,11 @@
 //! Detection that a gateway is cut off from all targets, and what the fleet makes of it.
 
-use crate::fixture::{Fixture, ms, route};
+use crate::fixture::{Fixture, first_heartbeat, ms, route};
 use azuretally_policy::{
     Timestamp,
     balance::{
-        AttemptOutcome, Decision, Failure, Heartbeat, LimitShare, Membership, MembershipBuilder,
-        Message, Phase, ProbeResult,
+        AttemptOutcome, Decision, Failure, LimitShare, Membership, MembershipBuilder, Message,
+        Phase, ProbeResult,
     },
 };
 use std::{
@@ -54,6 +54,13 @@
     assert!(!fixture.is_check_due(ms(1_100)), "the failures were too long ago");
 }
 
+#[test]
+fn failures_at_the_only_target_call_for_a_check() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.fail_call(ms(0));
+    assert!(fixture.is_check_due(ms(0)));
+}
+
 #[test]
 fn unanswered_probes_call_for_a_check() {
     let mut fixture = Fixture::before_first_answer(6, 0);
@@ -123,20 +130,11 @@
     /// Starts `size` gateways in three failure domains.
     fn new(size: u8) -> Self {
         let member = |number: u8| {
-            let own = Heartbeat {
-                host: Arc::from(format!("gateway-{number}")),
-                domain: Arc::from(format!("domain-{}", number % 3)),
-                incarnation: 1,
-                sequence: 0,
-                call_address: SocketAddr::new(ip(number), 80),
-                capacity: 200,
-                phase: Phase::Starting,
-                settled: false,
-                revision: 0,
-                age_ms: None,
-                reader: false,
-                remote_primaries: Vec::new(),
-            };
+            let own = first_heartbeat(
+                usize::from(number),
+                Arc::from(format!("domain-{}", number % 3)),
+                ip(number),
+            );
             let mut member = MembershipBuilder::new(own).seeds(vec![ip(0), ip(1)]).build(ms(0));
             member.update_status(Phase::Ready, 1, Some(Duration::ZERO), false);
             member
