fix(policy): find gateways to relay to while the own domain is stopping

Cause: only the primary of a domain knows gateways of other domains, and tells the others in its heartbeats. A gateway without any ready peer in its domain knew none to relay to.

Change: a gateway that is cut off sends join messages to the seeds and to the remote gateways that it knows, at once and, while it knows none to relay to, every 500 ms; those that it hears of get a join message too, which is answered at once.

--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -14,7 +14,7 @@
 
 use super::heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
 use crate::Timestamp;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 pub use limits::LimitAssignment;
 use limits::LimitOutbox;
 use std::{
@@ -45,6 +45,9 @@
     Duration::from_secs(1),
     Duration::from_secs(60),
 ];
+/// Maximum interval between join messages while this gateway is cut off from all targets and knows no
+/// gateway to relay calls to.
+const DETACHED_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum interval between join messages while no other gateway is alive.
 const ALONE_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of gateways of the sender's domain in one reply to a join message.
@@ -114,6 +117,7 @@
             next_local: now,
             next_remote: now,
             next_join: now,
+            last_join: now,
             joins_sent: 0,
             reach_changed: false,
             slots: 0,
@@ -140,6 +144,8 @@
     next_remote: Timestamp,
     /// When join messages to the seeds are due next.
     next_join: Timestamp,
+    /// When the latest join messages were sent.
+    last_join: Timestamp,
     /// Rounds of join messages since the seeds were set.
     joins_sent: usize,
     /// Whether all gateways that know this one have to learn that its reach has changed.
@@ -167,6 +173,9 @@
         if self.own.phase != phase && [self.own.phase, phase].contains(&Phase::Detached) {
             self.reach_changed = true;
             self.next_remote = Timestamp::default();
+            // Of the other domains, only their primaries are known, and these to the primary alone.
+            self.joins_sent = 0;
+            self.next_join = Timestamp::default();
         }
         self.own.phase = phase;
         self.own.revision = revision;
@@ -265,12 +274,19 @@
         self.own.settled = settled;
         self.expire_silent(now);
         let mut outgoing = Vec::new();
+        if self.own.phase == Phase::Detached && self.relay_peers().is_empty() {
+            self.next_join = self.next_join.min(self.last_join + DETACHED_INTERVAL);
+        }
         if now >= self.next_join {
             self.send_joins(now, &mut outgoing);
         }
         if !self.unverified.is_empty() {
             let unverified = std::mem::take(&mut self.unverified);
-            self.send_heartbeats(unverified.into_iter(), &mut outgoing);
+            match self.own.phase {
+                // A join message is answered with a heartbeat.
+                Phase::Detached => self.send_joins_to(unverified, &mut outgoing),
+                _ => self.send_heartbeats(unverified.into_iter(), &mut outgoing),
+            }
         }
         if now >= self.next_local {
             self.next_local = now + self.local_interval();
@@ -375,13 +391,20 @@
         let alone = self.peers.values().all(|p| !p.alive);
         let interval = JOIN_INTERVALS[step];
         self.next_join = now + if alone { interval.min(ALONE_INTERVAL) } else { interval };
+        self.last_join = now;
         self.joins_sent += 1;
         let own = self.own.call_address.ip();
-        let seeds: Vec<IpAddr> = self.seeds.iter().copied().filter(|s| *s != own).collect();
-        let heartbeat = self.next_heartbeat();
-        for to in seeds {
-            outgoing.push(Outgoing { to, message: Message::Join(heartbeat.clone()) });
+        let mut hosts: IndexSet<IpAddr> = self.seeds.iter().copied().collect();
+        if self.own.phase == Phase::Detached {
+            hosts.extend(self.remote_contacts());
         }
+        self.send_joins_to(hosts.into_iter().filter(|host| *host != own).collect(), outgoing);
+    }
+
+    fn send_joins_to(&mut self, hosts: Vec<IpAddr>, outgoing: &mut Vec<Outgoing>) {
+        let heartbeat = self.next_heartbeat();
+        let join = |to| Outgoing { to, message: Message::Join(heartbeat.clone()) };
+        outgoing.extend(hosts.into_iter().map(join));
     }
 
     fn peers_for(&self, heartbeat: &Heartbeat) -> Vec<IpAddr> {
--- a/crates/policy/tests/balance/reach.rs
+++ b/crates/policy/tests/balance/reach.rs
@@ -224,6 +224,28 @@
     assert_eq!(used, 1, "a limit of the domain is used by a gateway of another one");
 }
 
+/// A gateway that was never its domain's primary knows no gateway of the other domains.
+#[test]
+fn gateway_that_is_cut_off_finds_others_while_its_domain_is_stopping() {
+    let mut fleet = Fleet::new(9);
+    fleet.run(70_000);
+    let first = fleet.directed(3, 0)[0];
+    let others: Vec<u8> = [0, 3, 6].into_iter().filter(|n| *n != first).collect();
+    fleet.set_phase(&others[1..], Phase::Leaving);
+    fleet.set_phase(&[first], Phase::Leaving);
+    fleet.run(100);
+    fleet.set_phase(&others[..1], Phase::Detached);
+    fleet.run(300);
+    let peers = fleet.members[usize::from(others[0])].relay_peers();
+    assert!(!peers.is_empty(), "gateway {} finds no other one", others[0]);
+    // It keeps knowing one although the others send heartbeats to their primaries alone.
+    for _ in 0..20 {
+        fleet.run(500);
+        let peers = fleet.members[usize::from(others[0])].relay_peers();
+        assert!(!peers.is_empty(), "at {}", fleet.now);
+    }
+}
+
 /// If no gateway reaches the targets, they may be down: callers still need somewhere to go.
 #[test]
 fn callers_are_directed_as_before_if_all_gateways_are_cut_off() {
