fix(gateway): handle relayed calls under the latest settings of both gateways

Cause: a relayed call is handled under the settings of the other gateway, and nothing compared them with those that callers of this one had seen.

Change: a relayed call carries the version of its gateway, and its answer the version that it was handled under. A gateway with earlier settings than either waits up to 300 ms for an update, which comes from its peers within milliseconds in general, and refuses the call as not run otherwise.

Result: relayed_call_waits_until_the_other_gateway_has_the_same_settings and call_is_not_served_under_earlier_settings_than_a_relayed_one fail without the wait and pass now.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -56,8 +56,9 @@
 /// In a target's response: requests per second that the target takes from all gateways together, a
 /// decimal number, for as long as its responses say so. Only the gateway reads it.
 pub const TARGET_LIMIT: &str = "x-target-limit";
-/// In a call that one gateway relays to another: the attempts that are left, a comma, and the address of
-/// the caller. A relayed call is not relayed again.
+/// In a call that one gateway relays to another: the attempts that are left, the version of the settings
+/// that the gateway uses, and the address of the caller, separated by commas. A relayed call is not
+/// relayed again. In the response: the version of the settings under which the call was handled.
 pub const RELAYED: &str = "x-azuretally-relayed";
 /// Set to `1` on a response that was stored for the first call with the same idempotency key.
 pub const REPLAYED: &str = "x-azuretally-replayed";
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -104,8 +104,9 @@
         let relayed = Relayed::take(&mut parts.headers);
         let call_headers = gateway.adapter.parse_call(&parts);
         let reject = |failure| RejectedCall { call_headers: call_headers.clone(), failure };
-        let table =
-            gateway.routes().ok_or_else(|| reject(CallFailure::NotRun(NO_ROUTES_RETRY_AFTER)))?;
+        let min_version = relayed.as_ref().map_or(0, |relayed| relayed.version);
+        let table = gateway.routes_from(min_version).await;
+        let table = table.ok_or_else(|| reject(CallFailure::NotRun(NO_ROUTES_RETRY_AFTER)))?;
         let host = requested_host(&parts.headers, &parts.uri)
             .ok_or_else(|| reject(CallFailure::Malformed))?;
         let route = table.find(&host, parts.uri.path());
@@ -218,7 +219,7 @@
     where
         Adapter: CallAdapter,
     {
-        let relayed = Relayed { attempts, caller: self.caller };
+        let relayed = Relayed { attempts, version: self.version, caller: self.caller };
         let mut request = self.copy_request()?;
         let headers = request.headers_mut();
         headers.insert(RELAYED, HeaderValue::from_str(&relayed.to_string()).ok()?);
@@ -244,6 +245,8 @@
 struct Relayed {
     /// Attempts that are left.
     attempts: u32,
+    /// Version of the settings that the gateway uses.
+    version: u64,
     caller: IpAddr,
 }
 
@@ -251,14 +254,18 @@
     /// Takes the field out of the headers of a call. Returns `None` if it is missing or unreadable.
     fn take(headers: &mut HeaderMap) -> Option<Self> {
         let value = headers.remove(RELAYED)?;
-        let (attempts, caller) = value.to_str().ok()?.split_once(',')?;
-        Some(Self { attempts: attempts.parse().ok()?, caller: caller.parse().ok()? })
+        let mut fields = value.to_str().ok()?.split(',');
+        Some(Self {
+            attempts: fields.next()?.parse().ok()?,
+            version: fields.next()?.parse().ok()?,
+            caller: fields.next()?.parse().ok()?,
+        })
     }
 }
 
 impl Display for Relayed {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        write!(f, "{},{}", self.attempts, self.caller)
+        write!(f, "{},{},{}", self.attempts, self.version, self.caller)
     }
 }
 
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -12,6 +12,7 @@
     adapter::{CallAdapter, CallFailure, PlatformAdapter},
     gateway::Gateway,
 };
+use azuretally_api::headers::RELAYED;
 use azuretally_policy::{
     Timestamp,
     balance::{AttemptOutcome, AttemptResult, Decision, GiveUpReason, HedgeDecision, NewAttempt},
@@ -41,7 +42,11 @@
     let (mut response, body_read) = match InboundCall::read(&gateway, caller, request).await {
         Ok(inbound) => {
             let complete = inbound.body_complete_flag();
-            let response = CallTask::new(gateway, pool, inbound).run().await;
+            let relayed_version = inbound.is_relayed.then_some(inbound.version);
+            let mut response = CallTask::new(gateway, pool, inbound).run().await;
+            if let Some(version) = relayed_version {
+                response.headers_mut().insert(RELAYED, HeaderValue::from(version));
+            }
             (response, complete.is_none_or(|complete| complete.get()))
         }
         Err(rejected) => (rejection_response(&gateway, &rejected), !has_body),
@@ -219,7 +224,11 @@
                 if received.head.status.is_success() || !self.may_have_run() =>
             {
                 self.detail = format!("{} status={}", self.detail, received.head.status.as_u16());
-                self.response = Some(*received);
+                let mut received = *received;
+                let version = received.head.headers.remove(RELAYED);
+                let version = version.and_then(|v| v.to_str().ok()?.parse().ok());
+                self.gateway.record_relayed_version(version.unwrap_or(0));
+                self.response = Some(received);
                 self.has_relayed_response = true;
                 return Decision::Deliver;
             }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -25,7 +25,7 @@
 };
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
-    time::sleep,
+    time::{sleep, timeout},
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
@@ -41,6 +41,9 @@
 /// to. The remainder covers the probes of the other gateways.
 const DIRECTED_PROBE_SHARE: f64 = 0.8;
 
+/// Time for which a call waits for settings that another gateway is known to use.
+const MAX_UPDATE_WAIT: Duration = Duration::from_millis(300);
+
 /// State shared by all tasks of one gateway.
 ///
 /// All tasks run on one thread. A borrow of a [`RefCell`] must not be held across an await point.
@@ -74,6 +77,8 @@
     pub call_queued: Notify,
     /// Notified when a target has not answered, which may call for a check of the reach.
     pub target_failed: Notify,
+    /// Latest version of the settings under which another gateway has answered a relayed call.
+    relayed_version: Cell<u64>,
     /// Whether this gateway is cut off from all targets.
     cut_off: watch::Sender<bool>,
     routes: RefCell<Option<Rc<RouteTable>>>,
@@ -120,6 +125,7 @@
             changed: Notify::new(),
             call_queued: Notify::new(),
             target_failed: Notify::new(),
+            relayed_version: Cell::new(0),
             cut_off: watch::Sender::default(),
             routes: RefCell::default(),
             reading_end: Cell::new(Timestamp::MAX),
@@ -142,6 +148,34 @@
         self.routes.borrow().clone()
     }
 
+    /// Returns the routes in force, of `min_version` at least and of what other gateways have answered
+    /// relayed calls under. Waits for an update if they are older, and returns `None` if it does not
+    /// arrive in time or no settings have arrived at all.
+    pub async fn routes_from(&self, min_version: u64) -> Option<Rc<RouteTable>> {
+        let min_version = min_version.max(self.relayed_version.get());
+        let is_current = |table: &Rc<RouteTable>| table.published().version >= min_version;
+        let table = self.routes()?;
+        if is_current(&table) {
+            return Some(table);
+        }
+        let update = async {
+            loop {
+                let changed = self.changed.notified();
+                if let Some(table) = self.routes().filter(is_current) {
+                    return table;
+                }
+                changed.await;
+            }
+        };
+        timeout(MAX_UPDATE_WAIT, update).await.ok()
+    }
+
+    /// Records that another gateway has answered a relayed call under settings `version`. This one must
+    /// not serve later calls under earlier ones.
+    pub fn record_relayed_version(&self, version: u64) {
+        self.relayed_version.set(version.max(self.relayed_version.get()));
+    }
+
     /// Reads and serves calls for the times of a planned stop only. Waiting calls that cannot be
     /// answered by then are given up at once.
     pub fn serve_until_stop(&self, times: &StopTimes) {
--- a/crates/gateway/tests/raw/mod.rs
+++ b/crates/gateway/tests/raw/mod.rs
@@ -17,7 +17,7 @@
 /// Timeout for each expected event.
 pub(crate) const TIMEOUT: Duration = Duration::from_secs(3);
 
-fn published() -> PublishedSettings {
+pub(crate) fn published() -> PublishedSettings {
     let route = |name: &str, idempotent| Route {
         name: Arc::from(name),
         host: Arc::from("test"),
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -4,8 +4,8 @@
 mod raw;
 mod stub;
 
-use azuretally_policy::balance::{Heartbeat, Message, Phase};
-use raw::{Node, TIMEOUT, accept, listen, read_until, run_local};
+use azuretally_policy::balance::{Change, Heartbeat, Message, Phase, PublishedSettings, Source};
+use raw::{Node, TIMEOUT, accept, listen, published, read_until, run_local};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
     io::AsyncWriteExt,
@@ -105,7 +105,7 @@
         let cut_off = Node::start_cut_off(&[address]).await;
         let mut caller = cut_off.call("/sale/1").await;
         let (request, stream) = accept(&peer).await;
-        assert!(request.contains("x-azuretally-relayed: 2,127.0.0.1\r\n"), "{request}");
+        assert!(request.contains("x-azuretally-relayed: 2,1,127.0.0.1\r\n"), "{request}");
         let timeout_ms = request.split("x-azuretally-timeout-ms: ").nth(1);
         let timeout_ms = timeout_ms.and_then(|t| t.lines().next()?.parse::<u64>().ok());
         assert!(timeout_ms.is_some_and(|ms| (500..=1_000).contains(&ms)), "{request}");
@@ -196,3 +196,69 @@
     })
     .await;
 }
+
+impl Node {
+    /// Lets settings of `version` arrive.
+    fn publish(&self, version: u64) {
+        let now = self.gateway.clock.now();
+        let settings = Change::Published(PublishedSettings { version, ..published() });
+        self.gateway.catalog.borrow_mut().apply(now, version, vec![settings], Source::Platform);
+        self.gateway.apply_catalog(Source::Platform);
+    }
+}
+
+/// The settings must not go back for the callers of a gateway whose calls are relayed: another one may
+/// learn of a change later.
+#[tokio::test]
+async fn relayed_call_waits_until_the_other_gateway_has_the_same_settings() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let other = Node::start(&[address]).await;
+        let cut_off = Node::start_cut_off(&[other.calls]).await;
+        cut_off.publish(2);
+        let mut caller = cut_off.call("/check/1").await;
+        let early = timeout(Duration::from_millis(150), target.accept()).await;
+        assert!(early.is_err(), "the call went to a target under earlier settings");
+        other.publish(2);
+        let (_, mut stream) = accept(&target).await;
+        answer(&mut stream).await;
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+        cut_off.publish(3);
+        let mut caller = cut_off.call("/check/2").await;
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("x-azuretally-outcome: not-run"), "{response}");
+    })
+    .await;
+}
+
+/// The same for a gateway that learns of a change later than the one that answered for it.
+#[tokio::test]
+async fn call_is_not_served_under_earlier_settings_than_a_relayed_one() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let (own_target, own_address) = listen().await;
+        let other = Node::start(&[address]).await;
+        other.publish(2);
+        let node = Node::start(&[own_address]).await;
+        node.meet(&[other.calls]);
+        node.cut_off();
+        let mut caller = node.call("/check/1").await;
+        let (_, mut stream) = accept(&target).await;
+        answer(&mut stream).await;
+        let response = read_until(&mut caller, "done").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(!response.contains("x-azuretally-relayed"), "{response}");
+        for _ in 0..2 {
+            node.gateway.reach_checked(4, 1);
+        }
+        let mut caller = node.call("/check/2").await;
+        let early = timeout(Duration::from_millis(150), own_target.accept()).await;
+        assert!(early.is_err(), "the call went to a target under earlier settings");
+        node.publish(2);
+        let (_, mut stream) = accept(&own_target).await;
+        answer(&mut stream).await;
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+    })
+    .await;
+}
