--- a/crates/policy/src/balance/membership/ranking.rs
+++ b/crates/policy/src/balance/membership/ranking.rs
@@ -45,13 +45,6 @@
         rank(all.filter(|h| h.phase == Phase::Ready && &*h.domain == domain).collect())
     }
 
-    /// Returns the gateways of `domain` that are cut off from all targets, by rank.
-    pub(super) fn detached(&self, domain: &str) -> Vec<&Heartbeat> {
-        let peers = self.peers.values().filter(|p| p.alive).map(|p| &p.heartbeat);
-        let all = peers.chain(std::iter::once(&self.own));
-        rank(all.filter(|h| h.phase == Phase::Detached && &*h.domain == domain).collect())
-    }
-
     /// Returns the ready primaries of the other failure domains: as reported by the primary of the
     /// local one, or as observed if this gateway is that primary.
     pub(super) fn remote_primaries(&self) -> Vec<(Arc<str>, SocketAddr)> {
@@ -118,7 +111,7 @@
 }
 
 /// Sorts gateways by rank.
-fn rank(mut gateways: Vec<&Heartbeat>) -> Vec<&Heartbeat> {
+pub(super) fn rank(mut gateways: Vec<&Heartbeat>) -> Vec<&Heartbeat> {
     gateways.sort_by_key(|h| rank_key(h));
     gateways
 }
--- a/crates/policy/src/balance/membership/reach.rs
+++ b/crates/policy/src/balance/membership/reach.rs
@@ -1,18 +1,28 @@
 //! Gateways that are cut off from all targets: who has to check its reach, and where calls are relayed.
 
-use super::Membership;
-use crate::balance::heartbeat::Phase;
-use std::net::SocketAddr;
+use super::{
+    super::heartbeat::{Heartbeat, Phase},
+    Membership, Peer,
+    ranking::rank,
+};
+use std::{iter, net::SocketAddr};
 
 /// Ranks of the ready gateways that check their reach while others of their domain are cut off:
 /// callers are directed to these next.
 const CHECKED_RANKS: usize = 4;
 
 impl Membership {
+    /// Returns the gateways of `domain` that are cut off from all targets, by rank.
+    pub(super) fn detached(&self, domain: &str) -> Vec<&Heartbeat> {
+        let peers = self.peers.values().filter(|p| p.alive).map(|p| &p.heartbeat);
+        let all = peers.chain(iter::once(&self.own));
+        rank(all.filter(|h| h.phase == Phase::Detached && &*h.domain == domain).collect())
+    }
+
     /// Returns whether gateways of this failure domain are cut off and this one is among the next
     /// that callers are directed to.
     pub fn needs_reach_check(&self) -> bool {
-        let is_detached = |p: &super::Peer| p.alive && p.heartbeat.phase == Phase::Detached;
+        let is_detached = |p: &Peer| p.alive && p.heartbeat.phase == Phase::Detached;
         self.local_peers().any(is_detached) && {
             let ranked = self.ranked(&self.own.domain);
             ranked.iter().take(CHECKED_RANKS).any(|h| h.host == self.own.host)
