refactor(gateway): send relayed calls with the loop of the exchange with targets

relay.rs had its own copy of the loop that takes an idle or opens a new connection and tries again if nothing was sent. The exchange with targets and the relay now call one piece, Upstream::send.

The copy lacked one guard of the original: after a pause of the process of over 0.5 s between the decision and the send, the relay would have passed on a time limit from before the pause. Such a relay now counts as not sent. That is the one change of behaviour; no test pauses a process there. New connections to other gateways still don't count as those to targets.

Ruled out: merging AllowedStream with CallerStream, whose delegations are alike. Their reads and ends differ, and the rest is what the trait asks.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -1,7 +1,7 @@
 //! A single attempt to send a call to a target.
 
 use super::{
-    body::{BufferedBody, buffer_body},
+    body::{BufferedBody, RequestBody, buffer_body},
     inbound::InboundCall,
     pool::{Connection, ConnectionPool},
 };
@@ -14,9 +14,9 @@
     balance::{Attempt, AttemptOutcome, Failure, LimitField, LoadReport, NewAttempt},
 };
 use bytes::Bytes;
-use http::{Response, header::CONTENT_ENCODING, response};
+use http::{Request, Response, header::CONTENT_ENCODING, response};
 use hyper::body::Incoming;
-use std::{rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 /// Size up to which a response body is read completely before the caller gets any part of it, so
 /// that a truncated response can be replaced by that of another target.
@@ -136,34 +136,63 @@
     let timeout = inbound.deadline.since(gateway.clock.now());
     let target_request = TargetRequest { target: new_attempt.target.clone(), timeout };
     let adapter = &gateway.adapter;
-    let decided_at = gateway.clock.now();
-    let mut request = inbound.build_request(adapter, &target_request).ok_or(Failure::Broken)?;
-    for _ in 0..MAX_SEND_TRIES {
-        let idle = pool.take(new_attempt.address, !inbound.route.idempotent);
-        let mut connection = match idle {
-            Some(connection) => connection,
-            None => {
-                gateway.metrics.target_connections.inc();
-                pool.connect(new_attempt.address).await.map_err(|_| Failure::Connect)?
+    let request = inbound.build_request(adapter, &target_request).ok_or(Failure::Broken)?;
+    let address = new_attempt.address;
+    let upstream = Upstream { gateway, pool, inbound, address, is_target: true };
+    let (response, connection) = upstream.send(request, sent).await?;
+    receive(adapter, pool, inbound, response, connection).await
+}
+
+/// Target or other gateway that a call is sent to.
+#[derive(Debug)]
+pub(super) struct Upstream<'a, Adapter> {
+    pub(super) gateway: &'a Gateway<Adapter>,
+    pub(super) pool: &'a ConnectionPool,
+    pub(super) inbound: &'a InboundCall,
+    pub(super) address: SocketAddr,
+    /// Whether it is a target, whose new connections are counted.
+    pub(super) is_target: bool,
+}
+
+impl<Adapter> Upstream<'_, Adapter>
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    /// Sends `request` on an idle or a new connection and waits for the head of the response. If that
+    /// fails, `sent` tells whether a part of the request may have been received.
+    pub(super) async fn send(
+        &self,
+        mut request: Request<RequestBody>,
+        sent: &mut bool,
+    ) -> Result<(Response<Incoming>, Connection), Failure> {
+        let Self { gateway, pool, inbound, address, .. } = *self;
+        let decided_at = gateway.clock.now();
+        for _ in 0..MAX_SEND_TRIES {
+            let idle = pool.take(address, !inbound.route.idempotent);
+            let mut connection = match idle {
+                Some(connection) => connection,
+                None => {
+                    if self.is_target {
+                        gateway.metrics.target_connections.inc();
+                    }
+                    pool.connect(address).await.map_err(|_| Failure::Connect)?
+                }
+            };
+            // After a pause of the process, the decision may be out of date.
+            let now = gateway.clock.now();
+            let is_old = now.since(decided_at) > MAX_DECISION_AGE;
+            if now >= inbound.deadline || is_old || !gateway.is_serving() {
+                return Err(Failure::Connect);
             }
-        };
-        // After a pause of the process, the decision may be out of date.
-        let now = gateway.clock.now();
-        let is_old = now.since(decided_at) > MAX_DECISION_AGE;
-        if now >= inbound.deadline || is_old || !gateway.is_serving() {
-            return Err(Failure::Connect);
-        }
-        *sent = true;
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => return receive(adapter, pool, inbound, response, connection).await,
-            Err(mut error) => match error.take_message() {
-                Some(unsent) => request = unsent,
-                None => return Err(Failure::Broken),
-            },
+            *sent = true;
+            match connection.sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, connection)),
+                Err(mut error) => request = error.take_message().ok_or(Failure::Broken)?,
+            }
+            *sent = false;
         }
-        *sent = false;
+        Err(Failure::Connect)
     }
-    Err(Failure::Connect)
 }
 
 /// Receives the body of `response`, as a whole if it is short, and returns the connection to the
--- a/crates/gateway/src/calls/relay.rs
+++ b/crates/gateway/src/calls/relay.rs
@@ -1,21 +1,16 @@
 //! Relays a call to another gateway while this one is cut off from all targets.
 
 use super::{
-    body::RequestBody,
-    exchange::{ReceivedResponse, receive},
+    exchange::{ReceivedResponse, Upstream, receive},
     inbound::InboundCall,
-    pool::{Connection, ConnectionPool},
+    pool::ConnectionPool,
 };
 use crate::{
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
 };
-use http::Request;
 use std::{net::SocketAddr, rc::Rc};
 
-/// Maximum number of connections tried for one relay, since idle ones may turn out to be closed.
-const MAX_SEND_TRIES: usize = 3;
-
 /// How the relay of a call to one gateway ended.
 #[derive(Debug)]
 pub(super) enum RelayOutcome {
@@ -41,43 +36,21 @@
 {
     let timeout = inbound.deadline.since(gateway.clock.now());
     let request = inbound.build_relay_request(&gateway.adapter, attempts, timeout);
-    let Some(mut request) = request else { return RelayOutcome::Unsent };
-    for _ in 0..MAX_SEND_TRIES {
-        let idle = pool.take(peer, !inbound.route.idempotent);
-        let connection = match idle {
-            Some(connection) => connection,
-            None => match pool.connect(peer).await {
-                Ok(connection) => connection,
-                Err(_) => return RelayOutcome::Unsent,
-            },
-        };
-        if gateway.clock.now() >= inbound.deadline || !gateway.is_serving() {
-            return RelayOutcome::Unsent;
-        }
-        match send(&gateway, &pool, &inbound, connection, request).await {
-            Ok(outcome) => return outcome,
-            Err(unsent) => request = unsent,
-        }
-    }
-    RelayOutcome::Unsent
-}
-
-/// Sends the request on `connection`. Returns it if nothing was sent.
-async fn send<Adapter>(
-    gateway: &Gateway<Adapter>,
-    pool: &ConnectionPool,
-    inbound: &InboundCall,
-    mut connection: Connection,
-    request: Request<RequestBody>,
-) -> Result<RelayOutcome, Request<RequestBody>>
-where
-    Adapter: CallAdapter + PlatformAdapter,
-{
-    match connection.sender.try_send_request(request).await {
-        Ok(response) => {
-            let received = receive(&gateway.adapter, pool, inbound, response, connection).await;
-            Ok(received.map_or(RelayOutcome::Broken, |(_, r)| RelayOutcome::Answered(Box::new(r))))
+    let Some(request) = request else { return RelayOutcome::Unsent };
+    let upstream = Upstream {
+        gateway: &gateway,
+        pool: &pool,
+        inbound: &inbound,
+        address: peer,
+        is_target: false,
+    };
+    let mut sent = false;
+    match upstream.send(request, &mut sent).await {
+        Ok((response, connection)) => {
+            let received = receive(&gateway.adapter, &pool, &inbound, response, connection).await;
+            received.map_or(RelayOutcome::Broken, |(_, r)| RelayOutcome::Answered(Box::new(r)))
         }
-        Err(mut error) => error.take_message().map_or(Ok(RelayOutcome::Broken), Err),
+        Err(_) if sent => RelayOutcome::Broken,
+        Err(_) => RelayOutcome::Unsent,
     }
 }
