perf(policy): look at limits for the reason of a refusal only when there is one

start_or_queue asked for the limits of a service for each call that could not start at once, to name the reason of a refusal that most don't get.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -385,10 +385,11 @@
             return self.give_up(now, id, GiveUpReason::QueueFull);
         }
         let wait = self.queue_seconds(now, id);
-        let limited = self.services.get(&name).is_some_and(|s| s.limit_wait(now, 0).is_some());
         let left = self.calls.get(&id).map_or(Duration::ZERO, |s| s.call.deadline.since(now));
         if wait + self.typical_seconds(id) > left.as_secs_f64() * MAX_WAIT_FRACTION {
-            let reason = if limited { GiveUpReason::Limited } else { GiveUpReason::Deadline };
+            let service = self.services.get(&name);
+            let is_limited = service.is_some_and(|s| s.limit_wait(now, 0).is_some());
+            let reason = if is_limited { GiveUpReason::Limited } else { GiveUpReason::Deadline };
             return self.give_up(now, id, reason);
         }
         if self.misses_drain(now, id, wait) {
