feat(gateway): read, log and count the era of the platform and data that is ignored

Of the hypotheses, that the store went back to a copy cannot be told from the others: the era, by which the store says so, was read by nobody, and what a gateway ignored left no line.

Now a change of the era is logged (`control: platform era=2 before=1`), and data that is older than what was known before the request (`control: platform data of revision=90 ignored, known=100`); ignored data is counted (`azuretally_platform_reads_total{outcome="ignored"}`), and the era and the revision in force are gauges. What is done with the data does not change. The client of the control plane returns whole responses, since the era is a header.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -141,6 +141,28 @@
     field
 }
 
+/// What the headers of a response of the platform say about the era of its data.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum EraField {
+    /// The platform names no era.
+    #[default]
+    Absent,
+    /// The value is not a whole number above 0.
+    Unreadable,
+    /// The era of the data.
+    Named(u64),
+}
+
+/// Parses the era that the platform names in the header `name`.
+pub fn era_field<Name>(headers: &HeaderMap, name: Name) -> EraField
+where
+    Name: AsHeaderName,
+{
+    let Some(value) = headers.get(name) else { return EraField::Absent };
+    let parsed = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    parsed.filter(|era| *era > 0).map_or(EraField::Unreadable, EraField::Named)
+}
+
 /// Returns the value of a header, or `None` if it is missing or not visible ASCII.
 pub fn header_text<Name>(headers: &HeaderMap, name: Name) -> Option<&str>
 where
@@ -251,6 +273,9 @@
 
 /// Builds requests to the platform and parses the settings and target records that it publishes.
 pub trait PlatformAdapter: 'static {
+    /// Parses the era of the platform's data from the headers of any response.
+    fn parse_era(&self, headers: &HeaderMap) -> EraField;
+
     /// Returns the path of one page of the full list, starting after the cursor `after`.
     fn list_path(&self, after: Option<&str>) -> String;
 
--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -1,11 +1,13 @@
 //! Reads the platform's store while the membership makes this gateway a reader.
 
 use crate::{
-    adapter::{CallAdapter, PlatformAdapter, PlatformUpdate, ReadError},
+    adapter::{CallAdapter, EraField, PlatformAdapter, PlatformUpdate, ReadError},
     gateway::Gateway,
     http::Client,
 };
 use azuretally_policy::balance::Source;
+use bytes::Bytes;
+use http::Response;
 use std::{rc::Rc, time::Duration};
 use tokio::time::sleep;
 
@@ -97,15 +99,13 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
+    let known = gateway.catalog.borrow().revision();
     let mut list = PlatformUpdate::default();
     let mut after: Option<String> = None;
     for _ in 0..MAX_PAGES {
         let path = gateway.adapter.list_path(after.as_deref());
-        let (status, body) = client
-            .get(&path, REQUEST_TIMEOUT)
-            .await
-            .map_err(|e| ReadError::Transport(e.as_str()))?;
-        let page = gateway.adapter.parse_list(status, &body)?;
+        let response = get(gateway, client, &path).await?;
+        let page = gateway.adapter.parse_list(response.status(), response.body())?;
         // Pages are not a consistent snapshot: changes after the first page are polled again.
         list.revision = if after.is_none() { page.revision } else { list.revision };
         list.changes.extend(page.changes);
@@ -123,6 +123,7 @@
     }
     let now = gateway.clock.now();
     log::info!("control: list revision={} unreadable={}", list.revision, list.unreadable);
+    report_old_data(gateway, list.revision, known);
     let changed =
         gateway.catalog.borrow_mut().relist(now, list.revision, list.changes, Source::Platform);
     apply_if_changed(gateway, changed);
@@ -138,9 +139,9 @@
 {
     let after = gateway.catalog.borrow().revision();
     let path = gateway.adapter.changes_path(after, LONG_POLL_WAIT);
-    let (status, body) =
-        client.get(&path, REQUEST_TIMEOUT).await.map_err(|e| ReadError::Transport(e.as_str()))?;
-    let update = gateway.adapter.parse_changes(status, &body)?;
+    let response = get(gateway, client, &path).await?;
+    let update = gateway.adapter.parse_changes(response.status(), response.body())?;
+    report_old_data(gateway, update.revision, after);
     let now = gateway.clock.now();
     if update.unreadable > 0 {
         log::info!("control: revision={} unreadable={}", update.revision, update.unreadable);
@@ -151,6 +152,40 @@
     Ok(())
 }
 
+/// Logs and counts data that the catalog ignores, since the revision `known` before the request was
+/// later.
+fn report_old_data<Adapter>(gateway: &Gateway<Adapter>, revision: u64, known: u64) {
+    if revision < known {
+        log::info!("control: platform data of revision={revision} ignored, known={known}");
+        gateway.metrics.record_platform_read("ignored");
+    }
+}
+
+/// Sends a request to the platform, and logs a change of the era that it names.
+async fn get<Adapter>(
+    gateway: &Gateway<Adapter>,
+    client: &mut Client,
+    path: &str,
+) -> Result<Response<Bytes>, ReadError>
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
+    let response = client.get(path, REQUEST_TIMEOUT).await;
+    let response = response.map_err(|e| ReadError::Transport(e.as_str()))?;
+    match gateway.adapter.parse_era(response.headers()) {
+        EraField::Named(era) => {
+            let era = i64::try_from(era).unwrap_or(i64::MAX);
+            let before = gateway.metrics.platform_era.set(era);
+            if before != era {
+                log::info!("control: platform era={era} before={before}");
+            }
+        }
+        EraField::Unreadable => log::info!("control: platform names an unreadable era"),
+        EraField::Absent => {}
+    }
+    Ok(response)
+}
+
 /// Applies the catalog if it changed; otherwise only reports its age to the membership.
 fn apply_if_changed<Adapter>(gateway: &Gateway<Adapter>, changed: bool)
 where
@@ -161,4 +196,6 @@
     } else {
         gateway.refresh_membership();
     }
+    let revision = gateway.catalog.borrow().revision();
+    gateway.metrics.platform_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
 }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -54,12 +54,12 @@
 {
     let known = gateway.catalog.borrow().revision();
     let path = format!("{SYNC_PATH}?{AFTER_QUERY}{known}");
-    let (status, body) = Client::new(address).get(&path, FETCH_TIMEOUT).await?;
-    if !status.is_success() {
+    let response = Client::new(address).get(&path, FETCH_TIMEOUT).await?;
+    if !response.status().is_success() {
         return Err(ClientError::Broken);
     }
     let decoded: (Option<Duration>, CatalogUpdate) =
-        postcard::from_bytes(&body).map_err(|_| ClientError::Broken)?;
+        postcard::from_bytes(response.body()).map_err(|_| ClientError::Broken)?;
     let (Some(age), update) = decoded else { return Err(ClientError::Broken) };
     let now = gateway.clock.now();
     let source = Source::Peer(age);
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -2,7 +2,7 @@
 
 use crate::socket::{CallerStream, accept_backlog, configure};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header::HOST};
+use http::{Request, Response, header::HOST};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::{
     body::Incoming, client::conn::http1 as client, server::conn::http1 as server,
@@ -188,7 +188,7 @@
         &mut self,
         path: &str,
         limit: Duration,
-    ) -> Result<(StatusCode, Bytes), ClientError> {
+    ) -> Result<Response<Bytes>, ClientError> {
         let mut connection = match self.connection.take() {
             Some(connection) if connection.sender.is_ready() => connection,
             _ => connect(self.address).await?,
@@ -218,7 +218,7 @@
     connection: &mut Connection,
     address: SocketAddr,
     path: &str,
-) -> Result<(StatusCode, Bytes), ClientError> {
+) -> Result<Response<Bytes>, ClientError> {
     let request = Request::get(path)
         .header(HOST, address.to_string())
         .body(Empty::new())
@@ -227,5 +227,6 @@
         connection.sender.send_request(request).await.map_err(|_| ClientError::Broken)?;
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES).collect().await;
-    Ok((head.status, body.map_err(|_| ClientError::Broken)?.to_bytes()))
+    let body = body.map_err(|_| ClientError::Broken)?.to_bytes();
+    Ok(Response::from_parts(head, body))
 }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,7 +64,7 @@
 /// Labels of a platform read.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PlatformReadLabels {
-    /// Outcome of the read: `ok` or `failed`.
+    /// Outcome of the read: `ok`, `failed`, or `ignored` if its data is older than what is known.
     pub outcome: String,
 }
 
@@ -101,6 +101,10 @@
     pub remote_bytes: Counter,
     /// Version of the published settings in force.
     pub settings_version: Gauge,
+    /// Era that the platform last named.
+    pub platform_era: Gauge,
+    /// Platform revision of the data in force.
+    pub platform_revision: Gauge,
     /// Gateways that are alive, this one included.
     pub alive_gateways: Gauge,
 }
@@ -134,6 +138,8 @@
             caller_connections: Family::default(),
             remote_bytes: Counter::default(),
             settings_version: Gauge::default(),
+            platform_era: Gauge::default(),
+            platform_revision: Gauge::default(),
             alive_gateways: Gauge::default(),
             registry: Registry::default(),
         };
@@ -171,6 +177,10 @@
         registry.register_with_unit("far", help, Unit::Bytes, metrics.remote_bytes.clone());
         let help = "Version of the published settings in force";
         registry.register("settings_version", help, metrics.settings_version.clone());
+        let help = "Era that the platform last named";
+        registry.register("platform_era", help, metrics.platform_era.clone());
+        let help = "Platform revision of the data in force";
+        registry.register("platform_revision", help, metrics.platform_revision.clone());
         registry.register("living_gateways", "Gateways that live", metrics.alive_gateways.clone());
         Self { registry, ..metrics }
     }
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -5,9 +5,9 @@
 
 use crate::{
     adapter::{
-        CallAdapter, CallFailure, CallHeaders, DirectionsQuery, PlatformAdapter, PlatformUpdate,
-        ProbeResponse, ReadError, ResponseKind, TargetRequest, TargetResponse, header_text,
-        json_directions, limit_field, load_report,
+        CallAdapter, CallFailure, CallHeaders, DirectionsQuery, EraField, PlatformAdapter,
+        PlatformUpdate, ProbeResponse, ReadError, ResponseKind, TargetRequest, TargetResponse,
+        era_field, header_text, json_directions, limit_field, load_report,
     },
     settings::Settings,
 };
@@ -158,6 +158,10 @@
 }
 
 impl PlatformAdapter for NativeAdapter {
+    fn parse_era(&self, fields: &HeaderMap) -> EraField {
+        era_field(fields, headers::PLATFORM_ERA)
+    }
+
     fn list_path(&self, _after: Option<&str>) -> String {
         LIST_PATH.to_owned()
     }
