fix(gateway): follow a platform that is restored from a copy

Cause: the order of all data was the platform's bare revision. After a restore from a copy the platform counts from an earlier revision again, so all that it listed or reported was dropped until its counter had passed the known one, while each dropped read still confirmed the age of the data.

Why it works: data is ordered by era, then revision (`Revision`), in the catalog, in removals, in updates and heartbeats between gateways, and in the choice of readers. An answer of a later era, a poll answered 410 and data older than what was known lead to a list at once; changes of another era are never applied. Settings keep the order of their version in all eras and are taken from peers that know later ones, so a gateway that starts on the copy gets those that the copy lacks. Only data that is used confirms its age.

Gateways of earlier builds: the era and the settings version stand behind the message in heartbeats and updates, which earlier builds ignore. What they send bears no era; it is neither later nor a confirmation for a gateway that knows one, which reads the platform itself beside them.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -213,6 +213,8 @@
     /// The platform has discarded the changes after the requested revision, so that a full list is
     /// needed.
     Compacted,
+    /// The platform was restored from a copy since its data was read, so that a full list is needed.
+    Restored,
     /// The platform responded with an error status.
     Status(StatusCode),
     /// The response body could not be decoded.
@@ -225,6 +227,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Compacted => f.write_str("changes after the known revision have been discarded"),
+            Self::Restored => f.write_str("the platform went back to an earlier revision"),
             Self::Status(status) => write!(f, "unexpected status {status}"),
             Self::Decode(reason) => write!(f, "answer not understood: {reason}"),
             Self::Transport(reason) => f.write_str(reason),
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,6 +1,7 @@
 //! Control plane of a gateway: platform reads, heartbeats, catalog updates between gateways,
 //! directions, readiness and metrics.
 
+pub mod codec;
 mod peers;
 mod platform;
 mod servers;
--- /dev/null
+++ b/crates/gateway/src/control/codec.rs
@@ -0,0 +1,110 @@
+//! Encoding of the messages between gateways.
+//!
+//! What was added to a message later stands behind it, so that gateways of earlier builds, which ignore
+//! the rest of a message, can read it. What a message of an earlier build lacks has its default value.
+
+use azuretally_policy::balance::{CatalogUpdate, HeartbeatExtension, Message, Revision};
+use postcard::{take_from_bytes, to_allocvec, to_extend};
+use std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+};
+
+/// Encodes a message for one datagram.
+///
+/// # Errors
+///
+/// Returns the error of the encoder.
+pub fn encode_message(message: &Message) -> Result<Vec<u8>, postcard::Error> {
+    let bytes = to_allocvec(message)?;
+    match message {
+        Message::Heartbeat(heartbeat) | Message::Join(heartbeat) => {
+            to_extend(&heartbeat.extension, bytes)
+        }
+        Message::Peers(_) | Message::Limits(_) => Ok(bytes),
+    }
+}
+
+/// Decodes the message of a datagram.
+///
+/// # Errors
+///
+/// Returns the error of the decoder if the datagram holds no message.
+pub fn decode_message(bytes: &[u8]) -> Result<Message, postcard::Error> {
+    let (mut message, rest) = take_from_bytes::<Message>(bytes)?;
+    if let Message::Heartbeat(heartbeat) | Message::Join(heartbeat) = &mut message
+        && !rest.is_empty()
+    {
+        (heartbeat.extension, _) = take_from_bytes::<HeartbeatExtension>(rest)?;
+    }
+    Ok(message)
+}
+
+/// What a gateway knows when it asks another one for an update, as a query string.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SyncQuery {
+    /// Platform revision up to which its data is complete.
+    pub revision: Revision,
+    /// Version of its settings, `None` from earlier builds.
+    pub settings: Option<u64>,
+}
+
+impl SyncQuery {
+    /// Parses a query string. What is missing or unreadable is unknown.
+    pub fn parse(query: &str) -> Self {
+        let field = |name: &str| {
+            let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+            pairs.find(|(n, _)| *n == name).and_then(|(_, value)| value.parse().ok())
+        };
+        let number = field("after").unwrap_or(0);
+        let revision = Revision::new(field("era").unwrap_or(0), number);
+        Self { revision, settings: field("settings") }
+    }
+}
+
+impl Display for SyncQuery {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        write!(f, "after={}", self.revision.number)?;
+        // Earlier builds read a query with further fields as one for everything.
+        if self.revision.era != 0 {
+            write!(f, "&era={}", self.revision.era)?;
+            if let Some(settings) = self.settings {
+                write!(f, "&settings={settings}")?;
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Answer to a [`SyncQuery`].
+#[derive(Clone, Debug, PartialEq)]
+pub struct SyncAnswer {
+    /// Age of the data of the gateway that answers, `None` if it has none.
+    pub age: Option<Duration>,
+    /// Era of the data; 0 if the platform names none.
+    pub era: u64,
+    /// What is later than the asking gateway's data.
+    pub update: CatalogUpdate,
+}
+
+impl SyncAnswer {
+    /// Encodes the answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the encoder.
+    pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
+        to_extend(&self.era, to_allocvec(&(&self.age, &self.update))?)
+    }
+
+    /// Decodes an answer.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the decoder.
+    pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
+        let ((age, update), rest) = take_from_bytes(bytes)?;
+        let era = if rest.is_empty() { 0 } else { take_from_bytes(rest)?.0 };
+        Ok(Self { age, era, update })
+    }
+}
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,6 +1,10 @@
 //! Heartbeats between gateways, and detection of failed peers.
 
-use super::servers::LIVENESS_PATH;
+use super::{
+    codec::{decode_message, encode_message},
+    servers::LIVENESS_PATH,
+    sync::known_data,
+};
 use crate::{
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
@@ -71,7 +75,7 @@
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
                 Ok((bytes, from)) => {
-                    let message = postcard::from_bytes(&buffer[..bytes]);
+                    let message = decode_message(&buffer[..bytes]);
                     handle_message(&gateway, &socket, from.ip(), message).await;
                 }
                 Err(e) => log::debug!("control: cannot receive heartbeat: {e}"),
@@ -116,14 +120,15 @@
     Adapter: CallAdapter + PlatformAdapter,
 {
     let now = gateway.clock.now();
-    let (revision, age) = {
+    let (known, age) = {
         let catalog = gateway.catalog.borrow();
-        (catalog.revision(), catalog.age(now))
+        (known_data(&catalog), catalog.age(now))
     };
+    let revision = known.revision;
     let membership = gateway.membership.borrow();
-    let has_newer = membership.newer_peer(now, revision, age).is_some();
+    let has_newer = membership.newer_peer(now, known, age).is_some();
     if let Some(age) = membership.confirmed_age(now, revision)
-        && revision > 0
+        && !revision.is_unknown()
     {
         let source = Source::Peer(age);
         gateway.catalog.borrow_mut().apply(now, revision, Vec::new(), source);
@@ -159,7 +164,7 @@
 {
     let port = gateway.settings().listen.heartbeats.port();
     for Outgoing { to, message } in outgoing {
-        let bytes = match postcard::to_allocvec(message) {
+        let bytes = match encode_message(message) {
             Ok(bytes) => bytes,
             Err(e) => {
                 log::error!("control: cannot encode heartbeat: {e}");
--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -5,7 +5,7 @@
     gateway::Gateway,
     http::Client,
 };
-use azuretally_policy::balance::Source;
+use azuretally_policy::balance::{Revision, Source};
 use bytes::Bytes;
 use http::Response;
 use std::{rc::Rc, time::Duration};
@@ -52,11 +52,11 @@
         if client.address() != address {
             client = Client::new(address);
         }
-        let known = gateway.catalog.borrow().revision() > 0;
-        let result = if list_complete && known {
-            poll_changes(&gateway, &mut client).await.map(|()| true)
-        } else {
-            read_all(&gateway, &mut client).await
+        let known = !gateway.catalog.borrow().revision().is_unknown();
+        let polls = list_complete && known;
+        let result = match polls {
+            true => poll_changes(&gateway, &mut client).await.map(|()| true),
+            false => read_all(&gateway, &mut client).await,
         };
         match result {
             Ok(complete) => {
@@ -71,7 +71,12 @@
             Err(e) => {
                 gateway.metrics.record_platform_read("failed");
                 log::info!("control: platform read failed: {e}");
-                list_complete &= e != ReadError::Compacted;
+                let needs_list = matches!(e, ReadError::Compacted | ReadError::Restored);
+                list_complete &= !needs_list;
+                // The platform has answered a poll, so the list can be read at once.
+                if polls && needs_list {
+                    continue;
+                }
                 failures += 1;
                 let delay = BACKOFF.0 * (1 << failures.min(MAX_DOUBLINGS));
                 let jitter = MIN_JITTER + JITTER_WIDTH * rand::random::<f64>();
@@ -90,8 +95,9 @@
     gateway.membership.borrow().is_reader(now, age)
 }
 
-/// Reads the full list and applies it to the catalog. Returns `false` without applying anything if,
-/// between two pages, a gateway ranked before this one turned out to read the platform.
+/// Reads the full list and applies it to the catalog. Returns `false` if it has to be read again: if,
+/// between two pages, a gateway ranked before this one turned out to read the platform, or if the data
+/// is older than what is known.
 async fn read_all<Adapter>(
     gateway: &Gateway<Adapter>,
     client: &mut Client,
@@ -101,11 +107,15 @@
 {
     let known = gateway.catalog.borrow().revision();
     let mut list = PlatformUpdate::default();
+    let mut era = None;
     let mut after: Option<String> = None;
     for _ in 0..MAX_PAGES {
         let path = gateway.adapter.list_path(after.as_deref());
-        let response = get(gateway, client, &path).await?;
-        let page = gateway.adapter.parse_list(response.status(), response.body())?;
+        let answer = get(gateway, client, &path).await?;
+        let page = gateway.adapter.parse_list(answer.response.status(), answer.response.body())?;
+        if *era.get_or_insert(answer.era) != answer.era {
+            return Err(ReadError::Restored);
+        }
         // Pages are not a consistent snapshot: changes after the first page are polled again.
         list.revision = if after.is_none() { page.revision } else { list.revision };
         list.changes.extend(page.changes);
@@ -122,12 +132,13 @@
         }
     }
     let now = gateway.clock.now();
-    log::info!("control: list revision={} unreadable={}", list.revision, list.unreadable);
-    report_old_data(gateway, list.revision, known);
+    let revision = Revision::new(era.unwrap_or(known.era), list.revision);
+    log::info!("control: list revision={revision} unreadable={}", list.unreadable);
+    let is_old = report_old_data(gateway, revision, known);
     let changed =
-        gateway.catalog.borrow_mut().relist(now, list.revision, list.changes, Source::Platform);
+        gateway.catalog.borrow_mut().relist(now, revision, list.changes, Source::Platform);
     apply_if_changed(gateway, changed);
-    Ok(true)
+    Ok(!is_old)
 }
 
 async fn poll_changes<Adapter>(
@@ -137,28 +148,49 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    let after = gateway.catalog.borrow().revision();
-    let path = gateway.adapter.changes_path(after, LONG_POLL_WAIT);
-    let response = get(gateway, client, &path).await?;
-    let update = gateway.adapter.parse_changes(response.status(), response.body())?;
-    report_old_data(gateway, update.revision, after);
+    let known = gateway.catalog.borrow().revision();
+    let path = gateway.adapter.changes_path(known.number, LONG_POLL_WAIT);
+    let answer = get(gateway, client, &path).await?;
+    // The changes after a revision of another era say nothing.
+    if answer.era > known.era {
+        return Err(ReadError::Restored);
+    }
+    let update = gateway.adapter.parse_changes(answer.response.status(), answer.response.body())?;
+    let revision = Revision::new(answer.era, update.revision);
+    if report_old_data(gateway, revision, known) {
+        return Err(ReadError::Restored);
+    }
     let now = gateway.clock.now();
     if update.unreadable > 0 {
-        log::info!("control: revision={} unreadable={}", update.revision, update.unreadable);
+        log::info!("control: revision={revision} unreadable={}", update.unreadable);
     }
     let changed =
-        gateway.catalog.borrow_mut().apply(now, update.revision, update.changes, Source::Platform);
+        gateway.catalog.borrow_mut().apply(now, revision, update.changes, Source::Platform);
     apply_if_changed(gateway, changed);
     Ok(())
 }
 
 /// Logs and counts data that the catalog ignores, since the revision `known` before the request was
-/// later.
-fn report_old_data<Adapter>(gateway: &Gateway<Adapter>, revision: u64, known: u64) {
-    if revision < known {
+/// later. Returns whether that is so.
+fn report_old_data<Adapter>(
+    gateway: &Gateway<Adapter>,
+    revision: Revision,
+    known: Revision,
+) -> bool {
+    let is_old = revision < known;
+    if is_old {
         log::info!("control: platform data of revision={revision} ignored, known={known}");
         gateway.metrics.record_platform_read("ignored");
     }
+    is_old
+}
+
+/// Response of the platform with the era of its data.
+#[derive(Debug)]
+struct PlatformAnswer {
+    /// The present era if the response names none.
+    era: u64,
+    response: Response<Bytes>,
 }
 
 /// Sends a request to the platform, and logs a change of the era that it names.
@@ -166,24 +198,29 @@
     gateway: &Gateway<Adapter>,
     client: &mut Client,
     path: &str,
-) -> Result<Response<Bytes>, ReadError>
+) -> Result<PlatformAnswer, ReadError>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
     let response = client.get(path, REQUEST_TIMEOUT).await;
     let response = response.map_err(|e| ReadError::Transport(e.as_str()))?;
-    match gateway.adapter.parse_era(response.headers()) {
+    let present = gateway.catalog.borrow().revision().era;
+    let era = match gateway.adapter.parse_era(response.headers()) {
         EraField::Named(era) => {
-            let era = i64::try_from(era).unwrap_or(i64::MAX);
-            let before = gateway.metrics.platform_era.set(era);
-            if before != era {
+            let gauge = i64::try_from(era).unwrap_or(i64::MAX);
+            let before = gateway.metrics.platform_era.set(gauge);
+            if before != gauge {
                 log::info!("control: platform era={era} before={before}");
             }
+            era
         }
-        EraField::Unreadable => log::info!("control: platform names an unreadable era"),
-        EraField::Absent => {}
-    }
-    Ok(response)
+        EraField::Unreadable => {
+            log::info!("control: platform names an unreadable era; assumed era={present}");
+            present
+        }
+        EraField::Absent => present,
+    };
+    Ok(PlatformAnswer { era, response })
 }
 
 /// Applies the catalog if it changed; otherwise only reports its age to the membership.
@@ -196,6 +233,6 @@
     } else {
         gateway.refresh_membership();
     }
-    let revision = gateway.catalog.borrow().revision();
-    gateway.metrics.platform_revision.set(i64::try_from(revision).unwrap_or(i64::MAX));
+    let number = gateway.catalog.borrow().revision().number;
+    gateway.metrics.platform_revision.set(i64::try_from(number).unwrap_or(i64::MAX));
 }
--- a/crates/gateway/src/control/servers.rs
+++ b/crates/gateway/src/control/servers.rs
@@ -1,5 +1,6 @@
 //! HTTP servers for directions, readiness, catalog synchronization and metrics.
 
+use super::codec::{SyncAnswer, SyncQuery};
 use crate::{
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
@@ -15,10 +16,8 @@
 use std::{future::ready, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::net::TcpListener;
 
-/// Path that returns the catalog changes after a revision, given as `?after=REV`.
+/// Path that returns the catalog changes after what a [`SyncQuery`] says.
 pub(super) const SYNC_PATH: &str = "/news";
-/// Start of the query string of [`SYNC_PATH`]; the revision follows.
-pub(super) const AFTER_QUERY: &str = "after=";
 /// Path whose requests are never answered: a peer holds a request open and learns from the closed
 /// connection that this process has ended.
 pub(super) const LIVENESS_PATH: &str = "/life";
@@ -139,13 +138,16 @@
     Adapter: CallAdapter + PlatformAdapter,
 {
     let now = gateway.clock.now();
-    let query = request.uri().query().unwrap_or_default();
-    let after = query.strip_prefix(AFTER_QUERY).and_then(|a| a.parse().ok()).unwrap_or(0);
-    let (age, update) = {
+    let query = SyncQuery::parse(request.uri().query().unwrap_or_default());
+    let answer = {
         let catalog = gateway.catalog.borrow();
-        (catalog.age(now), catalog.update_since(after))
+        SyncAnswer {
+            age: catalog.age(now),
+            era: catalog.revision().era,
+            update: catalog.update_since(query.revision, query.settings),
+        }
     };
-    match postcard::to_allocvec(&(age, update)) {
+    match answer.encode() {
         Ok(bytes) => {
             let mut response = Response::new(Bytes::from(bytes));
             let content_type = http::HeaderValue::from_static("application/octet-stream");
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -1,12 +1,15 @@
 //! Fetches catalog updates from a peer that has a newer revision than this gateway.
 
-use super::servers::{AFTER_QUERY, SYNC_PATH};
+use super::{
+    codec::{SyncAnswer, SyncQuery},
+    servers::SYNC_PATH,
+};
 use crate::{
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
     http::{Client, ClientError},
 };
-use azuretally_policy::balance::{CatalogUpdate, Source};
+use azuretally_policy::balance::{Catalog, KnownData, Source};
 use std::{
     net::{IpAddr, SocketAddr},
     rc::Rc,
@@ -16,7 +19,7 @@
 
 /// Timeout for the response of a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay after a failed fetch.
+/// Delay after a fetch that failed or brought nothing new.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Fetches updates whenever a peer has a newer revision, until the task is dropped.
@@ -31,9 +34,14 @@
             continue;
         };
         let address = SocketAddr::new(peer, gateway.settings().listen.news.port());
-        if let Err(e) = fetch(&gateway, address).await {
-            log::info!("control: update from peer {address} failed: {}", e.as_str());
-            sleep(RETRY_DELAY).await;
+        match fetch(&gateway, address).await {
+            Ok(true) => {}
+            // The peer has gone back on what its heartbeat says, or its build is too old to tell.
+            Ok(false) => sleep(RETRY_DELAY).await,
+            Err(e) => {
+                log::info!("control: update from peer {address} failed: {}", e.as_str());
+                sleep(RETRY_DELAY).await;
+            }
         }
     }
 }
@@ -45,33 +53,46 @@
     let now = gateway.clock.now();
     let catalog = gateway.catalog.borrow();
     let membership = gateway.membership.borrow();
-    membership.newer_peer(now, catalog.revision(), catalog.age(now)).map(|(_, ip)| ip)
+    membership.newer_peer(now, known_data(&catalog), catalog.age(now)).map(|(_, ip)| ip)
+}
+
+/// Returns what this gateway knows, target heartbeats included.
+pub(super) fn known_data(catalog: &Catalog) -> KnownData {
+    KnownData { revision: catalog.revision(), settings: catalog.settings_version() }
 }
 
-async fn fetch<Adapter>(gateway: &Gateway<Adapter>, address: SocketAddr) -> Result<(), ClientError>
+/// Fetches an update. Returns whether this gateway knows more than before.
+async fn fetch<Adapter>(
+    gateway: &Gateway<Adapter>,
+    address: SocketAddr,
+) -> Result<bool, ClientError>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    let known = gateway.catalog.borrow().revision();
-    let path = format!("{SYNC_PATH}?{AFTER_QUERY}{known}");
+    let known = known_data(&gateway.catalog.borrow());
+    let query = SyncQuery { revision: known.revision, settings: Some(known.settings) };
+    let path = format!("{SYNC_PATH}?{query}");
     let response = Client::new(address).get(&path, FETCH_TIMEOUT).await?;
     if !response.status().is_success() {
         return Err(ClientError::Broken);
     }
-    let decoded: (Option<Duration>, CatalogUpdate) =
-        postcard::from_bytes(response.body()).map_err(|_| ClientError::Broken)?;
-    let (Some(age), update) = decoded else { return Err(ClientError::Broken) };
+    let answer = SyncAnswer::decode(response.body()).map_err(|_| ClientError::Broken)?;
+    let SyncAnswer { age: Some(age), era, update } = answer else {
+        return Err(ClientError::Broken);
+    };
     let now = gateway.clock.now();
     let source = Source::Peer(age);
-    let changed = gateway.catalog.borrow_mut().apply_update(now, update, source);
-    let revision = gateway.catalog.borrow().revision();
+    let changed = gateway.catalog.borrow_mut().apply_update(now, era, update, source);
+    let latest = known_data(&gateway.catalog.borrow());
     log::debug!(
-        "control: update from peer {address} after={known} revision={revision} changed={changed}"
+        "control: update from peer {address} after={} revision={} changed={changed}",
+        known.revision,
+        latest.revision,
     );
     if changed {
         gateway.apply_catalog(source);
     } else {
         gateway.refresh_membership();
     }
-    Ok(())
+    Ok(latest != known)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,8 +10,8 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Balancer, BalancerSettings, Catalog, Decision, Heartbeat, LimitNotice, Membership,
-        MembershipBuilder, Phase, Probe, RouteTable, Source, TrafficSplit,
+        Balancer, BalancerSettings, Catalog, Decision, Heartbeat, HeartbeatExtension, KnownData,
+        LimitNotice, Membership, MembershipBuilder, Phase, Probe, RouteTable, Source, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -314,7 +314,11 @@
         }
         let age = catalog.age(now);
         let reader = membership.is_reader(now, age);
-        membership.update_status(phase, catalog.content_revision(), age, reader);
+        let known = KnownData {
+            revision: catalog.content_revision(),
+            settings: catalog.settings_version(),
+        };
+        membership.update_status(phase, known, age, reader);
     }
 
     /// Returns all metrics in text format, with the retry budgets as of now.
@@ -473,6 +477,7 @@
         age_ms: None,
         reader: false,
         remote_primaries: Vec::new(),
+        extension: HeartbeatExtension::default(),
     };
     MembershipBuilder::new(own)
         .seeds(settings.seed_hosts())
--- /dev/null
+++ b/crates/gateway/tests/codec.rs
@@ -0,0 +1,104 @@
+//! Messages between gateways of different builds.
+#![allow(clippy::expect_used)]
+
+use azuretally_gateway::control::codec::{SyncAnswer, SyncQuery, decode_message, encode_message};
+use azuretally_policy::balance::{
+    CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, Revision, Snapshot,
+};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        host: Arc::from("gateway-1"),
+        domain: Arc::from("a"),
+        incarnation: 1_700_000_000_000,
+        sequence: 9,
+        call_address: SocketAddr::from(([10, 0, 0, 1], 80)),
+        capacity: 200,
+        phase: Phase::Ready,
+        settled: true,
+        revision: 90,
+        age_ms: Some(12),
+        reader: true,
+        remote_primaries: vec![(Arc::from("b"), SocketAddr::from(([10, 0, 0, 2], 80)))],
+        extension: HeartbeatExtension { era: 2, settings: 7 },
+    }
+}
+
+#[test]
+fn extension_of_a_heartbeat_is_sent_behind_the_message() {
+    for message in [Message::Heartbeat(heartbeat()), Message::Join(heartbeat())] {
+        let bytes = encode_message(&message).expect("encoded");
+        assert_eq!(decode_message(&bytes).expect("decoded"), message);
+    }
+}
+
+/// An earlier build decodes the message alone, and sends nothing behind its own.
+#[test]
+fn heartbeats_are_understood_between_builds() {
+    let message = Message::Heartbeat(heartbeat());
+    let earlier =
+        Message::Heartbeat(Heartbeat { extension: HeartbeatExtension::default(), ..heartbeat() });
+    let bytes = encode_message(&message).expect("encoded");
+    let read: Message = postcard::from_bytes(&bytes).expect("an earlier build reads it");
+    assert_eq!(read, earlier);
+    let bytes = postcard::to_allocvec(&earlier).expect("encoded");
+    assert_eq!(decode_message(&bytes).expect("decoded"), earlier);
+}
+
+#[test]
+fn damaged_datagrams_are_errors() {
+    let message = Message::Heartbeat(heartbeat());
+    let complete = encode_message(&message).expect("encoded");
+    let without_extension = postcard::to_allocvec(&message).expect("encoded").len();
+    for length in 0..complete.len() {
+        let read = decode_message(&complete[..length]);
+        assert_eq!(read.is_ok(), length == without_extension, "{length} bytes");
+    }
+}
+
+#[test]
+fn other_messages_have_no_extension() {
+    let message = Message::Peers(vec![IpAddr::from([10, 0, 0, 1])]);
+    let bytes = encode_message(&message).expect("encoded");
+    assert_eq!(bytes, postcard::to_allocvec(&message).expect("encoded"));
+    assert_eq!(decode_message(&bytes).expect("decoded"), message);
+}
+
+#[test]
+fn queries_are_read_as_they_were_written() {
+    let written = [
+        (Revision::new(0, 5), Some(3), "after=5"),
+        (Revision::new(2, 5), Some(3), "after=5&era=2&settings=3"),
+        (Revision::new(2, 5), None, "after=5&era=2"),
+    ];
+    for (revision, settings, text) in written {
+        let query = SyncQuery { revision, settings };
+        assert_eq!(query.to_string(), text);
+        let settings = settings.filter(|_| revision.era != 0);
+        assert_eq!(SyncQuery::parse(text), SyncQuery { revision, settings });
+    }
+    let nothing = SyncQuery { revision: Revision::default(), settings: None };
+    for text in ["", "after", "after=", "after=-1", "after=x&era=y&settings=z", "era=", "&&=&"] {
+        assert_eq!(SyncQuery::parse(text), nothing, "{text}");
+    }
+}
+
+#[test]
+fn answers_are_understood_between_builds() {
+    let update = CatalogUpdate::Full(Snapshot { revision: 5, ..Snapshot::default() });
+    let age = Some(Duration::from_millis(20));
+    let answer = SyncAnswer { age, era: 2, update: update.clone() };
+    let bytes = answer.encode().expect("encoded");
+    assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), answer);
+    let read: (Option<Duration>, CatalogUpdate) =
+        postcard::from_bytes(&bytes).expect("an earlier build reads it");
+    assert_eq!(read, (age, update.clone()));
+    let bytes = postcard::to_allocvec(&(age, &update)).expect("encoded");
+    assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), SyncAnswer { age, era: 0, update });
+    assert!(SyncAnswer::decode(&bytes[..1]).is_err());
+}
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -14,6 +14,8 @@
 mod membership;
 mod reach;
 mod refusals;
+mod restore;
+mod revision;
 mod routes;
 mod service;
 mod split;
@@ -26,10 +28,11 @@
     GiveUpReason, HedgeDecision, NewAttempt, Probe, ProbeResult,
 };
 pub use catalog::{Catalog, CatalogUpdate, Change, ListedTarget, Snapshot, Source, TargetRecord};
-pub use heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
+pub use heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase};
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
-pub use membership::{LimitAssignment, Membership, MembershipBuilder};
+pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
+pub use revision::Revision;
 pub use routes::{
     CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
 };
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -4,8 +4,13 @@
 //! that revision and never reverts to an earlier one, whichever source delivers it. Targets that
 //! disappear right after an outage of the platform are kept for a grace period: their records may
 //! have expired only because the targets could not renew them.
+//!
+//! The first data of a later era is that of a copy, which lacks the latest changes until they are
+//! written again. Settings are ordered by their own version in all eras. Targets that the copy lacks
+//! are kept for the grace period, and records of the copy that are known to be outdated are not used
+//! ([`RestoredRecords`]).
 
-use super::routes::PublishedSettings;
+use super::{restore::RestoredRecords, revision::Revision, routes::PublishedSettings};
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
@@ -57,7 +62,7 @@
     /// When this gateway read the record.
     pub read: Timestamp,
     /// Platform revision at which the record was read.
-    pub revision: u64,
+    pub revision: Revision,
     /// Set while the record is missing but kept for the grace period.
     pub missing_since: Option<Timestamp>,
 }
@@ -77,7 +82,7 @@
 /// Complete contents of a catalog, sent to a peer.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// Platform revision up to which the data is complete.
+    /// Number of the platform revision up to which the data is complete.
     pub revision: u64,
     /// Current settings.
     pub published: Option<PublishedSettings>,
@@ -85,14 +90,14 @@
     pub targets: Vec<TargetRecord>,
 }
 
-/// Update sent to a peer that knows everything up to some revision.
+/// Update sent to a peer that knows everything up to some revision. The era is sent beside it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum CatalogUpdate {
     /// Complete contents of the catalog.
     Full(Snapshot),
     /// Changes since the peer's revision.
     Changes {
-        /// Platform revision up to which the data is complete.
+        /// Number of the platform revision up to which the data is complete.
         revision: u64,
         /// Changes to apply.
         changes: Vec<Change>,
@@ -108,35 +113,49 @@
     Peer(Duration),
 }
 
+/// Target that the platform no longer lists.
+#[derive(Clone, Debug)]
+struct RemovedTarget {
+    /// Revision of the removal.
+    revision: Revision,
+    name: Arc<str>,
+    /// Start time of its last process, if that was known.
+    started: Option<u64>,
+}
+
 /// Settings and targets as one gateway knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
-    revision: u64,
+    revision: Revision,
     /// Revision of the last change other than a target heartbeat.
-    content_revision: u64,
+    content_revision: Revision,
+    /// Number of changes other than target heartbeats.
+    content_changes: u64,
     published: Option<Arc<PublishedSettings>>,
     /// Platform revision at which the settings were read.
-    settings_revision: u64,
+    settings_revision: Revision,
     targets: IndexMap<Arc<str>, ListedTarget>,
-    /// Removed targets with the revision of their removal, the latest at the end.
-    removed: VecDeque<(u64, Arc<str>)>,
-    /// Revision since which removed targets are remembered.
-    removed_since: u64,
+    /// Removed targets, the latest at the end.
+    removed: VecDeque<RemovedTarget>,
+    /// Revision since which removed targets are remembered for peers.
+    removed_since: Revision,
     /// When the platform last confirmed the data.
     confirmed: Option<Timestamp>,
     /// End of the grace period for missing records.
     grace_until: Timestamp,
+    /// Records that a restored platform lists although they are known to be outdated.
+    outdated: RestoredRecords,
     log_lines: Vec<String>,
 }
 
 impl Catalog {
     /// Returns the platform revision up to which the data is complete.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
     /// Returns the revision of the last change other than a target heartbeat.
-    pub fn content_revision(&self) -> u64 {
+    pub fn content_revision(&self) -> Revision {
         self.content_revision
     }
 
@@ -145,6 +164,11 @@
         self.published.as_ref()
     }
 
+    /// Returns the version of the current settings, 0 if there are none.
+    pub fn settings_version(&self) -> u64 {
+        self.published.as_ref().map_or(0, |p| p.version)
+    }
+
     /// Returns all known targets, including those that are leaving.
     pub fn targets(&self) -> impl Iterator<Item = &ListedTarget> {
         self.targets.values()
@@ -161,28 +185,34 @@
     }
 
     /// Applies changes up to `revision`. Returns whether anything other than target heartbeats
-    /// changed.
+    /// changed. Changes of another era are ignored: what came before them is not known.
     pub fn apply(
         &mut self,
         now: Timestamp,
-        revision: u64,
+        revision: Revision,
         changes: Vec<Change>,
         source: Source,
     ) -> bool {
-        self.confirm(now, source);
-        if revision <= self.revision {
+        if revision.era != self.revision.era || revision < self.revision {
             return false;
         }
-        let before = self.content_revision;
+        self.confirm(now, source);
+        let before = self.content_changes;
+        let is_later = revision > self.revision;
         self.revision = revision;
         for change in changes {
             match change {
                 Change::Published(published) => self.apply_settings(published),
-                Change::Target(record) => self.apply_record(now, record),
+                // Settings have an order of their own; all else is known.
+                _ if !is_later => {}
+                Change::Target(record) => {
+                    self.outdated.take(&record.name);
+                    self.apply_record(now, record);
+                }
                 Change::Gone(name) => self.remove_target(now, &name),
             }
         }
-        self.content_revision != before
+        self.content_changes != before
     }
 
     /// Replaces the contents with everything that the platform lists at `revision`. Returns whether
@@ -190,11 +220,12 @@
     pub fn relist(
         &mut self,
         now: Timestamp,
-        revision: u64,
+        revision: Revision,
         changes: Vec<Change>,
         source: Source,
     ) -> bool {
-        let mut snapshot = Snapshot { revision, published: None, targets: Vec::new() };
+        let mut snapshot =
+            Snapshot { revision: revision.number, published: None, targets: Vec::new() };
         for change in changes {
             match change {
                 Change::Published(published) => snapshot.published = Some(published),
@@ -202,39 +233,62 @@
                 Change::Gone(_) => {}
             }
         }
-        self.apply_snapshot(now, snapshot, source)
+        self.apply_snapshot(now, revision.era, snapshot, source)
     }
 
-    /// Replaces the contents with a snapshot. Returns whether anything other than target heartbeats
-    /// changed.
-    pub fn apply_snapshot(&mut self, now: Timestamp, snapshot: Snapshot, source: Source) -> bool {
-        self.confirm(now, source);
-        if snapshot.revision < self.revision || (self.revision > 0 && snapshot.revision == 0) {
-            return false;
+    /// Replaces the contents with a snapshot of `era`. Returns whether anything other than target
+    /// heartbeats changed.
+    pub fn apply_snapshot(
+        &mut self,
+        now: Timestamp,
+        era: u64,
+        snapshot: Snapshot,
+        source: Source,
+    ) -> bool {
+        let revision = Revision::new(era, snapshot.revision);
+        let before = self.content_changes;
+        if revision < self.revision || (revision.is_unknown() && !self.revision.is_unknown()) {
+            // A gateway that read the copy may lack settings that others know from an earlier era.
+            if let Some(published) = snapshot.published {
+                self.apply_settings(published);
+            }
+            return self.content_changes != before;
         }
-        let before = self.content_revision;
-        if self.revision == 0 {
-            // Targets removed before the first snapshot are not known here.
-            self.removed_since = snapshot.revision;
+        self.confirm(now, source);
+        let is_restored = era > self.revision.era && !self.revision.is_unknown();
+        // Of the targets that were removed up to this snapshot, only those known here are remembered.
+        self.removed_since = revision;
+        if is_restored {
+            self.begin_era(now, revision);
         }
-        self.revision = snapshot.revision;
+        self.revision = revision;
         let listed: IndexSet<&Arc<str>> = snapshot.targets.iter().map(|r| &r.name).collect();
-        let missing: Vec<Arc<str>> =
-            self.targets.keys().filter(|name| !listed.contains(name)).cloned().collect();
+        let known = self.targets.keys().chain(self.outdated.names());
+        let missing: Vec<Arc<str>> = known.filter(|name| !listed.contains(name)).cloned().collect();
         for name in missing {
             self.remove_target(now, &name);
         }
         for record in snapshot.targets {
-            self.apply_record(now, record);
+            if self.outdated.contains(&record) || (is_restored && self.is_outdated(&record)) {
+                self.outdated.insert(record);
+            } else {
+                self.apply_record(now, record);
+            }
         }
         if let Some(published) = snapshot.published {
             self.apply_settings(published);
         }
-        self.content_revision != before
+        self.content_changes != before
     }
 
-    /// Drops missing targets whose grace period is over. Returns whether there were any.
+    /// Drops missing targets whose grace period is over, and uses the records of a restored platform
+    /// that were not removed in time. Returns whether there were any.
     pub fn tick(&mut self, now: Timestamp) -> bool {
+        let still_listed = self.outdated.take_due(now);
+        let released = !still_listed.is_empty();
+        for record in still_listed {
+            self.apply_record(now, record);
+        }
         let until = self.grace_until;
         let count = self.targets.len();
         let log_lines = &mut self.log_lines;
@@ -246,16 +300,16 @@
             !expired
         });
         if self.targets.len() == count {
-            return false;
+            return released;
         }
-        self.content_revision = self.revision;
+        self.record_change();
         true
     }
 
     /// Returns the complete contents, except targets that are missing.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
-            revision: self.revision,
+            revision: self.revision.number,
             published: self.published.as_deref().cloned(),
             targets: self
                 .targets
@@ -266,43 +320,96 @@
         }
     }
 
-    /// Returns the update for a peer that knows everything up to `revision`.
-    pub fn update_since(&self, revision: u64) -> CatalogUpdate {
-        if revision == 0 || revision < self.removed_since {
+    /// Returns the update for a peer that knows everything up to `revision`, and has settings
+    /// `version` if it says so.
+    pub fn update_since(&self, revision: Revision, version: Option<u64>) -> CatalogUpdate {
+        let is_other_era = revision.era != self.revision.era;
+        if revision.is_unknown() || is_other_era || revision < self.removed_since {
             return CatalogUpdate::Full(self.snapshot());
         }
         let mut changes = Vec::new();
-        if let Some(published) = &self.published
-            && self.settings_revision > revision
-        {
+        let is_later = |published: &PublishedSettings| match version {
+            Some(version) => published.version > version,
+            None => self.settings_revision > revision,
+        };
+        if let Some(published) = self.published.as_ref().filter(|p| is_later(p)) {
             changes.push(Change::Published(published.as_ref().clone()));
         }
         let present =
             |name: &Arc<str>| self.targets.get(name).is_some_and(|l| l.missing_since.is_none());
-        let removed = self.removed.iter().filter(|(at, name)| *at > revision && !present(name));
-        changes.extend(removed.map(|(_, name)| Change::Gone(Arc::clone(name))));
+        let removed = self.removed.iter().filter(|r| r.revision > revision);
+        let names = removed.map(|r| &r.name).filter(|name| !present(name));
+        changes.extend(names.map(|name| Change::Gone(Arc::clone(name))));
         let listed = self.targets.values().filter(|l| l.revision > revision);
         let listed = listed.filter(|l| l.missing_since.is_none());
         changes.extend(listed.map(|l| Change::Target(TargetRecord::clone(&l.record))));
-        CatalogUpdate::Changes { revision: self.revision, changes }
+        CatalogUpdate::Changes { revision: self.revision.number, changes }
     }
 
-    /// Applies an update from a peer. Returns whether anything other than target heartbeats
+    /// Applies an update of `era` from a peer. Returns whether anything other than target heartbeats
     /// changed.
-    pub fn apply_update(&mut self, now: Timestamp, update: CatalogUpdate, source: Source) -> bool {
+    pub fn apply_update(
+        &mut self,
+        now: Timestamp,
+        era: u64,
+        update: CatalogUpdate,
+        source: Source,
+    ) -> bool {
         match update {
-            CatalogUpdate::Full(snapshot) => self.apply_snapshot(now, snapshot, source),
+            CatalogUpdate::Full(snapshot) => self.apply_snapshot(now, era, snapshot, source),
             CatalogUpdate::Changes { revision, changes } => {
-                self.apply(now, revision, changes, source)
+                self.apply(now, Revision::new(era, revision), changes, source)
+            }
+        }
+    }
+
+    /// Begins the era of `revision`: the records of targets that its first data lacks may only have to
+    /// be written again.
+    fn begin_era(&mut self, now: Timestamp, revision: Revision) {
+        self.log_lines.push(format!(
+            "platform was restored from a copy, revision={revision} before={}; missing targets are \
+             kept for a grace period",
+            self.revision
+        ));
+        self.grace_until = now + RETURN_GRACE;
+        self.outdated.begin(now);
+        self.revision = revision;
+        self.record_change();
+    }
+
+    /// Returns whether `record` of a restored platform is known to be outdated: its process was
+    /// removed, is leaving, or was replaced by a later one.
+    fn is_outdated(&self, record: &TargetRecord) -> bool {
+        match self.targets.get(&record.name) {
+            Some(listed) => {
+                let known = &listed.record;
+                let same_process = known.started == record.started;
+                (same_process && known.leaving && !record.leaving) || known.started > record.started
+            }
+            None => {
+                let mut removed = self.removed.iter();
+                removed.any(|r| r.name == record.name && r.started >= record.started)
             }
         }
     }
 
-    fn remember_removed(&mut self, name: &Arc<str>) {
-        self.removed.push_back((self.revision, Arc::clone(name)));
+    fn record_change(&mut self) {
+        self.content_revision = self.revision;
+        self.content_changes += 1;
+    }
+
+    /// Remembers a removed target, also one that is not known here: peers that have read a copy may use
+    /// its record.
+    fn remember_removed(&mut self, name: &Arc<str>, started: Option<u64>) {
+        let known = self.removed.iter().position(|r| r.name == *name);
+        let before = known.and_then(|index| self.removed.remove(index));
+        let started = started.max(before.and_then(|r| r.started));
+        let name = Arc::clone(name);
+        self.removed.push_back(RemovedTarget { revision: self.revision, name, started });
         if self.removed.len() > MAX_REMOVED {
             let oldest = self.removed.pop_front();
-            self.removed_since = oldest.map_or(self.removed_since, |(at, _)| at);
+            let forgotten = oldest.map_or(self.removed_since, |r| r.revision);
+            self.removed_since = self.removed_since.max(forgotten);
         }
     }
 
@@ -323,7 +430,7 @@
     }
 
     fn apply_settings(&mut self, published: PublishedSettings) {
-        let current = self.published.as_ref().map_or(0, |p| p.version);
+        let current = self.settings_version();
         if published.version <= current {
             if published.version < current {
                 self.log_lines.push(format!(
@@ -340,7 +447,7 @@
         ));
         self.published = Some(Arc::new(published));
         self.settings_revision = self.revision;
-        self.content_revision = self.revision;
+        self.record_change();
     }
 
     fn apply_record(&mut self, now: Timestamp, record: TargetRecord) {
@@ -369,14 +476,13 @@
             missing_since: None,
         };
         self.targets.insert(name, listed);
-        self.content_revision = self.revision;
+        self.record_change();
     }
 
     fn remove_target(&mut self, now: Timestamp, name: &Arc<str>) {
-        if !self.targets.contains_key(name) {
-            return;
-        }
-        self.remember_removed(name);
+        let outdated = self.outdated.take(name).and_then(|r| r.started);
+        let listed = self.targets.get(name).and_then(|l| l.record.started);
+        self.remember_removed(name, outdated.max(listed));
         let Some(listed) = self.targets.get_mut(name) else { return };
         if now < self.grace_until && !listed.record.leaving {
             if listed.missing_since.is_none() {
@@ -387,6 +493,6 @@
         }
         self.targets.swap_remove(name);
         self.log_lines.push(format!("target {name} was removed"));
-        self.content_revision = self.revision;
+        self.record_change();
     }
 }
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Messages between gateways, and the directions that tell callers which gateways to use.
 
-use super::limits::LimitNotice;
+use super::{limits::LimitNotice, revision::Revision};
 use serde::{Deserialize, Serialize};
 use std::{
     net::{IpAddr, SocketAddr},
@@ -45,7 +45,8 @@
     pub phase: Phase,
     /// Whether it has been running long enough to rank equally with other gateways.
     pub settled: bool,
-    /// Platform revision of the last change that it knows, not counting target heartbeats.
+    /// Number of the platform revision of the last change that it knows, not counting target
+    /// heartbeats.
     pub revision: u64,
     /// Age of its platform data in ms, `None` before its first read.
     pub age_ms: Option<u32>,
@@ -54,6 +55,27 @@
     /// Failure domain and call address of the primary gateway of each other domain. Only the
     /// primary of a domain fills this in, for the gateways of its own domain.
     pub remote_primaries: Vec<(Arc<str>, SocketAddr)>,
+    /// What the datagram carries behind the message.
+    #[serde(skip)]
+    pub extension: HeartbeatExtension,
+}
+
+impl Heartbeat {
+    /// Returns the platform revision of the last change that the gateway knows, not counting target
+    /// heartbeats.
+    pub fn known_revision(&self) -> Revision {
+        Revision::new(self.extension.era, self.revision)
+    }
+}
+
+/// Part of a heartbeat that builds before it do not know. It follows the message in a datagram; builds
+/// that do not know it ignore it, and in their datagrams it is missing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeartbeatExtension {
+    /// Era of the platform's data; 0 if the platform names none.
+    pub era: u64,
+    /// Version of the published settings; 0 if there are none.
+    pub settings: u64,
 }
 
 /// Datagram between gateways.
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -12,7 +12,10 @@
 mod reach;
 mod reader;
 
-use super::heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
+use super::{
+    heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase},
+    revision::Revision,
+};
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
 pub use limits::LimitAssignment;
@@ -53,6 +56,15 @@
 /// Maximum number of gateways of the sender's domain in one reply to a join message.
 const MAX_PEERS_SENT: usize = 48;
 
+/// Published data that a gateway knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct KnownData {
+    /// Platform revision, of which the caller says whether target heartbeats count.
+    pub revision: Revision,
+    /// Version of the settings, 0 if there are none.
+    pub settings: u64,
+}
+
 /// Another gateway with its latest heartbeat.
 #[derive(Clone, Debug)]
 struct Peer {
@@ -161,13 +173,14 @@
     pub fn update_status(
         &mut self,
         phase: Phase,
-        revision: u64,
+        known: KnownData,
         age: Option<Duration>,
         reader: bool,
     ) {
+        let KnownData { revision, settings } = known;
         // A change of phase is announced at once. A new revision is announced by platform readers
         // alone: announcements by the others would only repeat it to gateways that have it.
-        if self.own.phase != phase || (reader && self.own.revision != revision) {
+        if self.own.phase != phase || (reader && self.own.known_revision() != revision) {
             self.next_local = Timestamp::default();
         }
         if self.own.phase != phase && [self.own.phase, phase].contains(&Phase::Detached) {
@@ -178,7 +191,8 @@
             self.next_join = Timestamp::default();
         }
         self.own.phase = phase;
-        self.own.revision = revision;
+        self.own.revision = revision.number;
+        self.own.extension = HeartbeatExtension { era: revision.era, settings };
         self.own.age_ms = age.map(|a| u32::try_from(a.as_millis()).unwrap_or(u32::MAX));
         self.own.reader = reader;
     }
--- a/crates/policy/src/balance/membership/ranking.rs
+++ b/crates/policy/src/balance/membership/ranking.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::heartbeat::{Heartbeat, Phase},
-    Membership, Peer,
+    Membership,
 };
 use indexmap::IndexMap;
 use std::{
@@ -91,22 +91,21 @@
 
     /// Returns whether this gateway is the primary of its failure domain.
     pub(super) fn is_primary(&self) -> bool {
-        self.rank_in_domain() == 0
+        self.rank_in_domain(|_| true) == 0
     }
 
-    /// Returns the number of live gateways of the local domain that rank before this one, ready or
-    /// not. Leaving gateways do not count, except that all others rank before a leaving one.
-    pub(super) fn rank_in_domain(&self) -> usize {
+    /// Returns the number of live gateways of the local domain that satisfy `counts` and rank before
+    /// this one, ready or not. Leaving gateways do not count, except that all others rank before a
+    /// leaving one.
+    pub(super) fn rank_in_domain<Counts>(&self, counts: Counts) -> usize
+    where
+        Counts: Fn(&Heartbeat) -> bool,
+    {
         let own = rank_key(&self.own);
-        let before = |p: &&Peer| {
-            p.alive && p.heartbeat.phase != Phase::Leaving && rank_key(&p.heartbeat) < own
-        };
         let leaving = self.own.phase == Phase::Leaving;
-        if leaving {
-            self.local_peers().filter(|p| p.alive).count()
-        } else {
-            self.local_peers().filter(before).count()
-        }
+        let is_before = |h: &Heartbeat| h.phase != Phase::Leaving && rank_key(h) < own;
+        let alive = self.local_peers().filter(|p| p.alive).map(|p| &p.heartbeat);
+        alive.filter(|h| counts(h) && (leaving || is_before(h))).count()
     }
 }
 
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -1,7 +1,10 @@
 //! Choice of the gateways that read the platform, and of the peers from which the others fetch
 //! changes.
 
-use super::{Membership, Peer};
+use super::{
+    super::{heartbeat::Heartbeat, revision::Revision},
+    KnownData, Membership, Peer,
+};
 use crate::Timestamp;
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
@@ -21,36 +24,47 @@
     /// platform. `own_age` is the age of its platform data; without any, the time since its start
     /// counts.
     pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
-        let rank = u32::try_from(self.rank_in_domain()).unwrap_or(u32::MAX);
+        let rank = u32::try_from(self.rank_in_domain(|h| !self.lacks_era(h))).unwrap_or(u32::MAX);
         let age = own_age.unwrap_or_else(|| now.since(self.started));
         // Without platform data no call can be served, so the lowest ranks do not wait for long.
         let delay_rank = if own_age.is_none() { rank.min(MAX_STARTUP_RANK) } else { rank };
         rank == 0 || age > TAKEOVER_AGE.0 + TAKEOVER_AGE.1 * delay_rank
     }
 
-    /// Returns the peer to fetch changes after `revision` from: the one with the latest revision,
-    /// local before remote. `age` is the age of this gateway's data; remote peers are considered
-    /// only if no local gateway has delivered data for a while.
+    /// Returns the peer to fetch what is later than `known` from: the one with the latest revision or,
+    /// among equals, the latest settings, local before remote. `age` is the age of this gateway's data;
+    /// remote peers are considered only if no local gateway has delivered data for a while.
     pub fn newer_peer(
         &self,
         now: Timestamp,
-        revision: u64,
+        known: KnownData,
         age: Option<Duration>,
     ) -> Option<(Arc<str>, IpAddr)> {
         let include_remote = age.unwrap_or_else(|| now.since(self.started)) >= REMOTE_DELAY;
         let local = |p: &Peer| p.heartbeat.domain == self.own.domain;
+        let is_ahead = |h: &Heartbeat| {
+            // Settings have an order of their own, which holds across eras.
+            let has_settings = h.extension.era != 0 && h.extension.settings > known.settings;
+            h.known_revision() > known.revision || has_settings
+        };
         let ahead = self
             .peers
             .values()
-            .filter(|p| p.alive && p.heartbeat.revision > revision && (include_remote || local(p)));
-        let best = ahead.max_by_key(|p| (local(p), p.heartbeat.revision));
+            .filter(|p| p.alive && is_ahead(&p.heartbeat) && (include_remote || local(p)));
+        let best = ahead.max_by_key(|p| {
+            let heartbeat = &p.heartbeat;
+            (local(p), heartbeat.known_revision(), heartbeat.extension.settings)
+        });
         best.map(|p| (Arc::clone(&p.heartbeat.host), p.heartbeat.call_address.ip()))
     }
 
     /// Returns the age of the most recent platform data of a peer that knows of no change after
-    /// `revision`.
-    pub fn confirmed_age(&self, now: Timestamp, revision: u64) -> Option<Duration> {
-        let same = self.peers.values().filter(|p| p.alive && p.heartbeat.revision <= revision);
+    /// `revision` in the same era.
+    pub fn confirmed_age(&self, now: Timestamp, revision: Revision) -> Option<Duration> {
+        let same = self.peers.values().filter(|p| {
+            let known = p.heartbeat.known_revision();
+            p.alive && known.era == revision.era && known <= revision
+        });
         let age = |p: &Peer| {
             let reported = Duration::from_millis(u64::from(p.heartbeat.age_ms?));
             Some(reported + now.since(p.heard))
@@ -58,6 +72,13 @@
         same.filter_map(age).min()
     }
 
+    /// Returns whether a gateway has data that cannot be compared with this one's, since its build
+    /// does not know the era.
+    fn lacks_era(&self, heartbeat: &Heartbeat) -> bool {
+        let own_era = self.own.extension.era;
+        own_era != 0 && heartbeat.extension.era == 0 && heartbeat.age_ms.is_some()
+    }
+
     /// Returns the highest-ranked ready gateway of the failure domain, whose end has to be detected
     /// at once. `None` if that is this gateway, or if no gateway is ready.
     pub fn watched_peer(&self) -> Option<(Arc<str>, IpAddr)> {
--- /dev/null
+++ b/crates/policy/src/balance/revision.rs
@@ -0,0 +1,36 @@
+//! Order of the platform's data.
+
+use std::fmt;
+
+/// Point in the history of the platform's data.
+///
+/// The platform numbers its changes. Each time it is restored from a copy an era begins, in which the
+/// numbers continue from an earlier one. Eras are therefore compared before numbers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Revision {
+    /// Era of the data; 0 if the platform names none, or if nothing is known.
+    pub era: u64,
+    /// Number of the last change; 0 if nothing is known.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Returns the revision with `number` in `era`.
+    pub const fn new(era: u64, number: u64) -> Self {
+        Self { era, number }
+    }
+
+    /// Returns whether nothing is known.
+    pub const fn is_unknown(self) -> bool {
+        self.number == 0
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.era {
+            0 => write!(f, "{}", self.number),
+            era => write!(f, "{era}:{}", self.number),
+        }
+    }
+}
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -9,4 +9,5 @@
 mod membership;
 mod overload;
 mod reach;
+mod restore;
 mod routes;
