fix(gateway): fetch settings that a restored platform lacks from other domains

If all gateways of a failure domain start while a restored platform shows older settings, only gateways of other domains know the confirmed ones. The platform is read each second, so the data is never old enough for remote peers to be asked, and the older settings would be served until the operator wrote again.

A remote peer is now asked if it has later settings but no later revision: then the platform does not bring them. A change that the platform holds is left to the domain's own reader as before, since traffic between domains is dear. The test failed before at its first assertion.

--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -33,7 +33,8 @@
 
     /// Returns the peer to fetch what is later than `known` from: the one with the latest revision or,
     /// among equals, the latest settings, local before remote. `age` is the age of this gateway's data;
-    /// remote peers are considered only if no local gateway has delivered data for a while.
+    /// remote peers are considered only if no local gateway has delivered data for a while, or if they
+    /// have settings that the platform has lost.
     pub fn newer_peer(
         &self,
         now: Timestamp,
@@ -42,15 +43,19 @@
     ) -> Option<(Arc<str>, IpAddr)> {
         let include_remote = age.unwrap_or_else(|| now.since(self.started)) >= REMOTE_DELAY;
         let local = |p: &Peer| p.heartbeat.domain == self.own.domain;
-        let is_ahead = |h: &Heartbeat| {
-            // Settings have an order of their own, which holds across eras.
-            let has_settings = h.extension.era != 0 && h.extension.settings > known.settings;
-            h.known_revision() > known.revision || has_settings
+        let is_ahead = |p: &Peer| {
+            let heartbeat = &p.heartbeat;
+            let has_later = heartbeat.known_revision() > known.revision;
+            // Settings have an order of their own, which holds across eras. If the peer has no later
+            // revision, the platform does not bring its settings.
+            let extension = heartbeat.extension;
+            let has_settings = extension.era != 0 && extension.settings > known.settings;
+            match include_remote || local(p) {
+                true => has_later || has_settings,
+                false => has_settings && !has_later,
+            }
         };
-        let ahead = self
-            .peers
-            .values()
-            .filter(|p| p.alive && is_ahead(&p.heartbeat) && (include_remote || local(p)));
+        let ahead = self.peers.values().filter(|p| p.alive && is_ahead(p));
         let best = ahead.max_by_key(|p| {
             let heartbeat = &p.heartbeat;
             (local(p), heartbeat.known_revision(), heartbeat.extension.settings)
--- a/crates/policy/tests/balance/restore.rs
+++ b/crates/policy/tests/balance/restore.rs
@@ -253,6 +253,23 @@
     assert_eq!(member.confirmed_age(ms(100), own), Some(Duration::ZERO));
 }
 
+/// Guards against settings that revert: if all gateways of a failure domain start on the copy, only those
+/// of other domains know what it lacks. Otherwise a change is left to the domain's own reader.
+#[test]
+fn settings_that_the_copy_lacks_are_fetched_from_other_domains() {
+    let known = KnownData { revision: rev(2, 90), settings: 5 };
+    let is_ahead = |revision, era, settings| {
+        let mut member = member(known.revision);
+        let domain = Arc::from("b");
+        hears(&mut member, Heartbeat { domain, ..heartbeat(1, revision, era, settings) });
+        member.newer_peer(ms(100), known, Some(Duration::ZERO)).is_some()
+    };
+    assert!(is_ahead(90, 2, 6));
+    assert!(is_ahead(100, 1, 6));
+    assert!(!is_ahead(91, 2, 6), "the platform brings them");
+    assert!(!is_ahead(100, 1, 5));
+}
+
 /// A platform that names no era keeps the order of its revisions alone.
 #[test]
 fn gateways_without_eras_compare_revisions() {
