--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -10,4 +10,5 @@
 mod overload;
 mod reach;
 mod restore;
+mod review;
 mod routes;
--- /dev/null
+++ b/crates/policy/tests/balance/review.rs
@@ -0,0 +1,248 @@
+//! Further cases of a platform that is restored from a copy, found by a review.
+
+use crate::fixture::{first_heartbeat, ms, record};
+use azuretally_policy::{
+    Timestamp,
+    balance::{
+        CallerLimits, Catalog, Change, Heartbeat, HeartbeatExtension, KnownData, Membership,
+        MembershipBuilder, Message, PublishedSettings, Revision, Source, TargetRecord,
+    },
+};
+use indexmap::IndexMap;
+use std::{net::IpAddr, sync::Arc, time::Duration};
+
+/// Time after which a record of the copy that was set aside is used if it is still listed.
+const EXPIRY_MS: u64 = 6_000;
+
+fn rev(era: u64, number: u64) -> Revision {
+    Revision::new(era, number)
+}
+
+fn published(version: u64) -> Change {
+    Change::Published(PublishedSettings {
+        version,
+        routes: Vec::new(),
+        services: IndexMap::new(),
+        limits: CallerLimits {
+            head_bytes: 16_384,
+            body_bytes: 1_000_000,
+            head_timeout: Duration::from_secs(3),
+            idle_timeout: Duration::from_secs(15),
+        },
+    })
+}
+
+fn target(number: u8) -> Change {
+    Change::Target(record(number, "a"))
+}
+
+fn leaving(number: u8) -> Change {
+    Change::Target(TargetRecord { leaving: true, ..record(number, "a") })
+}
+
+fn restarted(number: u8) -> Change {
+    Change::Target(TargetRecord { started: Some(2), ..record(number, "a") })
+}
+
+fn gone(number: u8) -> Change {
+    Change::Gone(record(number, "a").name)
+}
+
+/// Returns names and starts of the processes that new calls may use.
+fn usable(catalog: &Catalog) -> Vec<(String, Option<u64>)> {
+    let usable = catalog.targets().filter(|t| !t.record.leaving);
+    usable.map(|t| (t.record.name.to_string(), t.record.started)).collect()
+}
+
+fn process(number: u8, started: u64) -> (String, Option<u64>) {
+    (format!("target-{number}"), Some(started))
+}
+
+/// Catalog that has read a list and changes up to number 100 of era 1.
+fn catalog(listed: Vec<Change>, changes: Vec<Change>) -> Catalog {
+    let mut catalog = Catalog::default();
+    catalog.relist(ms(0), rev(1, 50), listed, Source::Platform);
+    catalog.apply(ms(500), rev(1, 100), changes, Source::Platform);
+    catalog
+}
+
+/// Catalog of a gateway that has all of its data from `reader`.
+fn follower_of(reader: &Catalog, now: Timestamp) -> Catalog {
+    let mut follower = Catalog::default();
+    fetch(&mut follower, reader, now);
+    follower
+}
+
+/// Fetches what `peer` knows, if its heartbeats say that it knows of a later change.
+fn follow(catalog: &mut Catalog, peer: &Catalog, now: Timestamp) {
+    if peer.content_revision() > catalog.revision() {
+        fetch(catalog, peer, now);
+    }
+}
+
+fn fetch(catalog: &mut Catalog, peer: &Catalog, now: Timestamp) {
+    let update = peer.update_since(catalog.revision(), Some(catalog.settings_version()));
+    let source = Source::Peer(Duration::ZERO);
+    catalog.apply_update(now, peer.revision().era, update, source);
+}
+
+/// Guards against calls to a process that has ended: its record of the copy, set aside at the restore,
+/// replaced the live process 6 s later, although a list had shown that it was written again.
+#[test]
+fn process_that_a_second_list_shows_is_not_replaced_by_the_one_of_the_copy() {
+    let mut catalog = catalog(vec![target(1)], vec![restarted(1)]);
+    catalog.relist(ms(1_000), rev(2, 90), vec![target(1)], Source::Platform);
+    assert_eq!(usable(&catalog), [process(1, 2)]);
+    catalog.relist(ms(3_000), rev(2, 95), vec![restarted(1)], Source::Platform);
+    catalog.tick(ms(1_000 + EXPIRY_MS));
+    assert_eq!(usable(&catalog), [process(1, 2)]);
+}
+
+/// The same if another gateway reads the platform since: that gateway sees the live process write
+/// nothing new, so that its peers don't hear of it.
+#[test]
+fn process_that_another_reader_sees_is_not_replaced_by_the_one_of_the_copy() {
+    let mut first = catalog(vec![target(1)], vec![restarted(1)]);
+    first.relist(ms(1_000), rev(2, 90), vec![target(1)], Source::Platform);
+    let mut second = follower_of(&first, ms(1_100));
+    second.apply(ms(2_000), rev(2, 91), vec![restarted(1)], Source::Platform);
+    follow(&mut first, &second, ms(2_100));
+    first.tick(ms(1_000 + EXPIRY_MS));
+    assert_eq!(usable(&first), [process(1, 2)]);
+}
+
+/// Guards against calls to a target whose removal another reader was told of: the removal of a target
+/// that it does not list is no change that its peers hear of.
+#[test]
+fn target_that_another_reader_sees_removed_is_not_used_after_its_expiry() {
+    let mut first = catalog(vec![target(1), target(2)], vec![gone(2)]);
+    first.relist(ms(1_000), rev(2, 90), vec![target(1), target(2)], Source::Platform);
+    let mut second = follower_of(&first, ms(1_100));
+    second.apply(ms(5_500), rev(2, 91), vec![gone(2)], Source::Platform);
+    follow(&mut first, &second, ms(5_600));
+    first.tick(ms(1_000 + EXPIRY_MS));
+    assert_eq!(usable(&first), [process(1, 1)]);
+}
+
+/// Guards against calls to a target that is known to be leaving, and says so again to another reader.
+#[test]
+fn target_that_tells_another_reader_of_its_leaving_is_not_used_after_its_expiry() {
+    let mut first = catalog(vec![target(1), target(2)], vec![leaving(2)]);
+    first.relist(ms(1_000), rev(2, 90), vec![target(1), target(2)], Source::Platform);
+    let mut second = follower_of(&first, ms(1_100));
+    second.apply(ms(2_000), rev(2, 91), vec![leaving(2)], Source::Platform);
+    follow(&mut first, &second, ms(2_100));
+    first.tick(ms(1_000 + EXPIRY_MS));
+    assert_eq!(usable(&first), [process(1, 1)]);
+}
+
+/// Guards against lines that pile up: nothing takes them while nothing changes.
+#[test]
+fn settings_that_are_ignored_again_and_again_leave_one_line() {
+    let mut catalog = catalog(vec![published(6), target(1)], Vec::new());
+    catalog.take_log_lines();
+    for step in 0..100 {
+        let listed = vec![published(5), target(1)];
+        assert!(!catalog.relist(ms(1_000 + step), rev(1, 90), listed, Source::Platform));
+    }
+    assert!(catalog.take_log_lines().len() <= 1);
+}
+
+/// Guards against a false alarm: the first data with an era is not that of a copy.
+#[test]
+fn first_named_era_is_not_reported_as_a_restore() {
+    let mut catalog = Catalog::default();
+    catalog.relist(ms(0), rev(0, 90), vec![published(5), target(1)], Source::Platform);
+    catalog.take_log_lines();
+    catalog.relist(ms(1_000), rev(4, 91), vec![published(5), target(1)], Source::Platform);
+    let lines = catalog.take_log_lines();
+    assert!(!lines.iter().any(|line| line.contains("restored from a copy")), "{lines:?}");
+}
+
+fn heartbeat(number: usize, domain: &str, revision: Revision, settings: u64) -> Heartbeat {
+    let ip = IpAddr::from([10, 0, 0, 1 + number as u8]);
+    Heartbeat {
+        sequence: 1,
+        revision: revision.number,
+        age_ms: Some(0),
+        settled: true,
+        extension: HeartbeatExtension { era: revision.era, settings },
+        ..first_heartbeat(number, Arc::from(domain), ip)
+    }
+}
+
+/// Gateway in domain `a` that knows `data`, confirmed just now, and has heard `peer`.
+fn member(data: KnownData, peer: Heartbeat) -> Membership {
+    let own = heartbeat(0, "a", Revision::default(), 0);
+    let mut member = MembershipBuilder::new(own).build(ms(0));
+    member.update_status(Default::default(), data, Some(Duration::ZERO), false);
+    member.receive(ms(100), peer.call_address.ip(), Message::Heartbeat(peer));
+    member
+}
+
+/// Guards against older settings at a failure domain that starts on the copy: it reads the platform
+/// itself, so its data is never old enough for it to ask other domains.
+#[test]
+fn gateway_started_on_the_copy_gets_later_settings_from_another_domain() {
+    let data = KnownData { revision: rev(2, 90), settings: 5 };
+    let member = member(data, heartbeat(1, "b", rev(2, 90), 6));
+    assert!(member.newer_peer(ms(200), data, Some(Duration::ZERO)).is_some());
+}
+
+/// Guards against the restore being missed at gateways that follow a reader of an earlier build: that
+/// one ignores the restored platform, but goes on saying that its data is new.
+#[test]
+fn later_era_in_another_domain_is_fetched_although_a_reader_of_an_earlier_build_is_near() {
+    let data = KnownData { revision: rev(0, 100), settings: 5 };
+    // It ranks before this gateway.
+    let reader = Heartbeat { capacity: 400, ..heartbeat(1, "a", rev(0, 100), 0) };
+    let mut member = member(data, reader);
+    let remote = heartbeat(2, "b", rev(2, 95), 6);
+    member.receive(ms(100), remote.call_address.ip(), Message::Heartbeat(remote));
+    let age = member.confirmed_age(ms(200), data.revision);
+    let is_followed = member.newer_peer(ms(200), data, age).is_some();
+    assert!(is_followed || member.is_reader(ms(200), age));
+}
+
+/// Guards against settings that are not in force at a gateway that the platform turns away, and whose
+/// peers are of an earlier build: these hand on settings, which have an order of their own.
+#[test]
+fn gateway_that_cannot_read_takes_settings_from_a_peer_of_an_earlier_build() {
+    let data = KnownData { revision: rev(2, 90), settings: 5 };
+    let member = member(data, heartbeat(1, "a", rev(0, 200), 0));
+    assert!(member.newer_peer(ms(5_000), data, Some(Duration::from_secs(5))).is_some());
+}
+
+/// Guards against a process that is not recognized: a host whose clock stands before 1970 gives each
+/// process the same incarnation, so the sequence numbers of a new process seem to go back.
+#[test]
+fn gateway_restarted_with_the_same_incarnation_is_heard() {
+    let data = KnownData { revision: rev(1, 90), settings: 5 };
+    let before = Heartbeat { sequence: 1_000, ..heartbeat(1, "a", rev(1, 90), 5) };
+    let host = Arc::clone(&before.host);
+    let mut member = member(data, before);
+    member.connection_lost(ms(200), &host);
+    for sequence in 1..=10 {
+        let after = Heartbeat { sequence, ..heartbeat(1, "a", rev(1, 90), 5) };
+        let now = ms(1_000 + 400 * sequence);
+        member.receive(now, after.call_address.ip(), Message::Heartbeat(after));
+    }
+    assert_eq!(member.alive_count(), 2);
+}
+
+/// Guards against a datagram of the ended process, delayed on the way, that takes the place of the new
+/// process of the same host.
+#[test]
+fn late_heartbeat_of_an_ended_process_does_not_replace_the_new_one() {
+    let data = KnownData { revision: rev(1, 90), settings: 5 };
+    let member_with = |incarnation, sequence, revision| Heartbeat {
+        incarnation,
+        sequence,
+        ..heartbeat(1, "a", revision, 5)
+    };
+    let mut member = member(data, member_with(1, 50, rev(1, 80)));
+    for late in [member_with(2, 1, rev(1, 90)), member_with(1, 51, rev(1, 200))] {
+        member.receive(ms(300), late.call_address.ip(), Message::Heartbeat(late));
+    }
+    assert_eq!(member.newer_peer(ms(400), data, Some(Duration::ZERO)), None);
+}
