test(gateway): readers that take over after a restore, and late answers, red

Found by a property test in which answers of the platform and of peers arrive in any order: a gateway that has the data of the era from a peer takes the records of its own first list for new ones.

--- a/crates/policy/tests/balance/review.rs
+++ b/crates/policy/tests/balance/review.rs
@@ -1,11 +1,12 @@
 //! Further cases of a platform that is restored from a copy, found by a review.
 
 use crate::fixture::{first_heartbeat, ms, record};
+use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
     balance::{
-        CallerLimits, Catalog, Change, Heartbeat, HeartbeatExtension, KnownData, Membership,
-        MembershipBuilder, Message, PublishedSettings, Revision, Source, TargetRecord,
+        CallerLimits, Catalog, CatalogUpdate, Change, Heartbeat, HeartbeatExtension, KnownData,
+        Membership, MembershipBuilder, Message, PublishedSettings, Revision, Source, TargetRecord,
     },
 };
 use indexmap::IndexMap;
@@ -13,6 +14,8 @@
 
 /// Time after which a record of the copy that was set aside is used if it is still listed.
 const EXPIRY_MS: u64 = 6_000;
+/// Time for random cases of one test.
+const BUDGET_MS: u64 = 2_000;
 
 fn rev(era: u64, number: u64) -> Revision {
     Revision::new(era, number)
@@ -136,6 +139,32 @@
     assert_eq!(usable(&first), [process(1, 1)]);
 }
 
+/// Guards against calls to targets that have left, at a gateway that begins to read the platform after the
+/// restore: it has the data of the era from a peer, so it took the records of its first list for new ones.
+#[test]
+fn reader_that_takes_over_after_the_restore_uses_no_target_that_has_left() {
+    let all = || vec![target(1), target(2), target(3), target(4)];
+    let later = vec![leaving(2), gone(3), restarted(4)];
+    let mut first = catalog(all(), later.clone());
+    let mut second = catalog(all(), later);
+    first.relist(ms(1_000), rev(2, 90), all(), Source::Platform);
+    follow(&mut second, &first, ms(1_100));
+    assert_eq!(usable(&second), [process(1, 1), process(4, 2)]);
+    second.relist(ms(2_000), rev(2, 91), all(), Source::Platform);
+    assert_eq!(usable(&second), [process(1, 1), process(4, 2)]);
+}
+
+/// The same for one that started in the drill, and knows of the leaving from a peer alone.
+#[test]
+fn reader_that_was_told_of_a_leaving_uses_no_target_of_the_copy_that_has_left() {
+    let mut first = catalog(vec![target(1), target(2)], vec![leaving(2)]);
+    first.relist(ms(1_000), rev(2, 90), vec![target(1), target(2)], Source::Platform);
+    let mut second = follower_of(&first, ms(1_100));
+    assert_eq!(usable(&second), [process(1, 1)]);
+    second.relist(ms(2_000), rev(2, 91), vec![target(1), target(2)], Source::Platform);
+    assert_eq!(usable(&second), [process(1, 1)]);
+}
+
 /// Guards against lines that pile up: nothing takes them while nothing changes.
 #[test]
 fn settings_that_are_ignored_again_and_again_leave_one_line() {
@@ -246,3 +275,221 @@
     }
     assert_eq!(member.newer_peer(ms(400), data, Some(Duration::ZERO)), None);
 }
+
+/// What a platform holds.
+#[derive(Clone, Debug, Default)]
+struct Store {
+    revision: Revision,
+    settings: u64,
+    targets: IndexMap<Arc<str>, TargetRecord>,
+    history: Vec<(u64, Change)>,
+}
+
+impl Store {
+    fn write(&mut self, change: Change) {
+        self.revision.number += 1;
+        match &change {
+            Change::Published(published) => self.settings = published.version,
+            Change::Target(record) => {
+                self.targets.insert(Arc::clone(&record.name), record.clone());
+            }
+            Change::Gone(name) => {
+                self.targets.swap_remove(name);
+            }
+        }
+        self.history.push((self.revision.number, change));
+    }
+
+    fn list(&self) -> PlatformAnswer {
+        let targets = self.targets.values().cloned().map(Change::Target);
+        let changes = targets.chain([published(self.settings)]).collect();
+        PlatformAnswer { polled: None, revision: self.revision, changes }
+    }
+
+    /// Answers a poll, or `None` if it does not have the revision.
+    fn poll(&self, known: Revision) -> Option<PlatformAnswer> {
+        if known.number > self.revision.number {
+            return None;
+        }
+        let later = self.history.iter().filter(|(number, _)| *number > known.number);
+        let changes = later.map(|(_, change)| change.clone()).collect();
+        Some(PlatformAnswer { polled: Some(known), revision: self.revision, changes })
+    }
+}
+
+/// Answer of the platform on its way to a gateway.
+#[derive(Clone, Debug)]
+struct PlatformAnswer {
+    /// Revision after which was polled; `None` for a list.
+    polled: Option<Revision>,
+    revision: Revision,
+    changes: Vec<Change>,
+}
+
+/// Gateway with the answers that are on their way to it.
+#[derive(Clone, Debug, Default)]
+struct Gateway {
+    catalog: Catalog,
+    lists_next: bool,
+    from_platform: Option<PlatformAnswer>,
+    from_peer: Option<(u64, CatalogUpdate)>,
+}
+
+impl Gateway {
+    /// Sends a request to the platform, which answers it at once; the answer is on its way.
+    fn ask(&mut self, store: &Store) {
+        if self.from_platform.is_some() {
+            return;
+        }
+        let known = self.catalog.revision();
+        let polls = !known.is_unknown() && !self.lists_next;
+        let answer = if polls { store.poll(known) } else { Some(store.list()) };
+        self.from_platform = answer.or_else(|| Some(store.list()));
+    }
+
+    fn receive_from_platform(&mut self, now: Timestamp) {
+        let Some(answer) = self.from_platform.take() else { return };
+        let PlatformAnswer { polled, revision, changes } = answer;
+        match polled {
+            Some(known) if revision.era > known.era || revision < known => self.lists_next = true,
+            Some(_) => {
+                self.catalog.apply(now, revision, changes, Source::Platform);
+            }
+            None => {
+                self.catalog.relist(now, revision, changes, Source::Platform);
+                self.lists_next = false;
+            }
+        }
+    }
+
+    fn receive_from_peer(&mut self, now: Timestamp) {
+        let Some((era, update)) = self.from_peer.take() else { return };
+        self.catalog.apply_update(now, era, update, Source::Peer(Duration::ZERO));
+    }
+}
+
+/// Any interleaving of changes, restores, starts, and answers that are under way while other data arrives:
+/// nothing reverts, targets that a gateway knows to have left are not used again before their expiry, and
+/// all gateways agree with the platform in the end. Targets don't start again if `restarts` is not set.
+fn answers_arrive_in_any_order(restarts: bool) {
+    const TARGETS: u8 = 5;
+    const GATEWAYS: usize = 3;
+    arbtest(|u| {
+        let mut store = Store { revision: rev(1, 10), ..Store::default() };
+        let mut settings = 1;
+        let mut left = [false; TARGETS as usize];
+        let mut started = [1; TARGETS as usize];
+        let of = |number: u8, started: u64, leaving: bool| {
+            Change::Target(TargetRecord { started: Some(started), leaving, ..record(number, "a") })
+        };
+        store.write(published(settings));
+        (0..TARGETS).for_each(|number| store.write(of(number, 1, false)));
+        let mut copies = vec![store.clone()];
+        let mut gateways = vec![Gateway::default(); GATEWAYS];
+        let mut clock = 0;
+        for _ in 0..100 {
+            clock += u.int_in_range(1..=50)?;
+            let now = ms(clock);
+            let number = u.int_in_range(0..=TARGETS - 1)?;
+            let index = number as usize;
+            let at = u.choose_index(GATEWAYS)?;
+            let before = gateways[at].catalog.clone();
+            match u.int_in_range(0..=13)? {
+                0 => {
+                    settings += 1;
+                    store.write(published(settings));
+                }
+                1 => {
+                    left[index] = true;
+                    store.write(of(number, started[index], true));
+                }
+                2 if left[index] => store.write(gone(number)),
+                3 if restarts && !left[index] => {
+                    started[index] += 1;
+                    store.write(of(number, started[index], false));
+                }
+                4 => copies.push(store.clone()),
+                5 => {
+                    let copy = u.choose(&copies)?;
+                    let revision = rev(store.revision.era + 1, copy.revision.number);
+                    store = Store { revision, ..copy.clone() };
+                }
+                6 if u.ratio(1, 4)? => gateways[at] = Gateway::default(),
+                7 | 8 => gateways[at].ask(&store),
+                9 | 10 => gateways[at].receive_from_platform(now),
+                11 => {
+                    let peer = gateways[u.choose_index(GATEWAYS)?].catalog.clone();
+                    let own = &gateways[at].catalog;
+                    let update = peer.update_since(own.revision(), Some(own.settings_version()));
+                    let is_ahead = peer.content_revision() > own.revision()
+                        || peer.settings_version() > own.settings_version();
+                    if is_ahead && gateways[at].from_peer.is_none() {
+                        gateways[at].from_peer = Some((peer.revision().era, update));
+                    }
+                }
+                _ => gateways[at].receive_from_peer(now),
+            }
+            let after = &gateways[at].catalog;
+            if !after.revision().is_unknown() {
+                assert!(after.revision() >= before.revision());
+                assert!(after.settings_version() >= before.settings_version());
+                let has = |catalog: &Catalog, number: u8| {
+                    let name = record(number, "a").name;
+                    usable(catalog).iter().any(|(n, _)| **n == *name)
+                };
+                for number in (0..TARGETS).filter(|n| left[*n as usize]) {
+                    let name = record(number, "a").name;
+                    let mut known = before.targets();
+                    let was_leaving = known.any(|t| t.record.name == name && t.record.leaving);
+                    assert!(!(was_leaving && has(after, number)), "target {number} is leaving");
+                }
+            }
+        }
+        // The operator and the targets write again what was lost, and answers under way arrive.
+        store.write(published(settings));
+        for number in 0..TARGETS {
+            let index = number as usize;
+            let change = of(number, started[index], false);
+            store.write(if left[index] { gone(number) } else { change });
+        }
+        let now = ms(clock + 100);
+        for gateway in &mut gateways {
+            gateway.receive_from_platform(now);
+            gateway.receive_from_peer(now);
+        }
+        for _ in 0..2 {
+            gateways[0].ask(&store);
+            gateways[0].receive_from_platform(now);
+        }
+        let reader = gateways[0].catalog.clone();
+        for gateway in &mut gateways[1..] {
+            let own = &mut gateway.catalog;
+            let is_ahead = reader.content_revision() > own.revision()
+                || reader.settings_version() > own.settings_version();
+            if is_ahead {
+                fetch(own, &reader, now);
+            }
+        }
+        let expected = (0..TARGETS).filter(|n| !left[*n as usize]);
+        let expected: Vec<_> = expected.map(|n| process(n, started[n as usize])).collect();
+        for gateway in &mut gateways {
+            gateway.catalog.tick(ms(clock + 100 + EXPIRY_MS));
+            assert_eq!(gateway.catalog.settings_version(), settings);
+            let mut usable = usable(&gateway.catalog);
+            usable.sort();
+            assert_eq!(usable, expected);
+        }
+        Ok(())
+    })
+    .budget_ms(BUDGET_MS);
+}
+
+#[test]
+fn answers_that_arrive_late_revert_nothing() {
+    answers_arrive_in_any_order(false);
+}
+
+#[test]
+fn answers_that_arrive_late_bring_no_earlier_process_back() {
+    answers_arrive_in_any_order(true);
+}
