fix(policy): keep outdated targets of a restored platform unused at all gateways

- a gateway that had the data of the era from a peer, and then read a list itself, took the records of the copy for new ones;
- a record that was set aside replaced a later process, or the leaving one, 6 s later;
- a removal, or a record written again, that changed nothing at the reader was not announced, so that peers with other knowledge from before the restore never learned of it.

Cause: whether a record is outdated was asked at the first list of an era alone, and gateways that read the copy know different things, while updates assume that equal revisions mean equal data.

For the 6 s after a gateway's first data of an era, each list counts as that of a copy; what was removed in the era itself is not in doubt. In that time the first write of each target, each removal and each list are announced as changes. A record that was set aside is used at the end only if its target is unknown.

Also: older settings that are read again and again are reported once, as nothing took the lines; the first era that a platform names is not reported as a restore.

--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -134,6 +134,8 @@
     published: Option<Arc<PublishedSettings>>,
     /// Platform revision at which the settings were read.
     settings_revision: Revision,
+    /// Version of the last older settings that were reported as ignored.
+    ignored_version: u64,
     targets: IndexMap<Arc<str>, ListedTarget>,
     /// Removed targets, the latest at the end.
     removed: VecDeque<RemovedTarget>,
@@ -207,7 +209,9 @@
                 _ if !is_later => {}
                 Change::Target(record) => {
                     self.outdated.take(&record.name);
-                    self.apply_record(now, record);
+                    // Peers may know an earlier process from the copy, although this one is known here.
+                    let is_first = self.outdated.confirm(now, &record.name);
+                    self.apply_record(now, record, is_first);
                 }
                 Change::Gone(name) => self.remove_target(now, &name),
             }
@@ -255,11 +259,14 @@
             return self.content_changes != before;
         }
         self.confirm(now, source);
-        let is_restored = era > self.revision.era && !self.revision.is_unknown();
+        let is_new_era = era > self.revision.era;
         // Of the targets that were removed up to this snapshot, only those known here are remembered.
         self.removed_since = revision;
-        if is_restored {
+        if is_new_era {
             self.begin_era(now, revision);
+        } else if revision > self.revision && self.outdated.is_pending(now) {
+            // The list may lack targets that peers know from the copy.
+            self.record_change();
         }
         self.revision = revision;
         let listed: IndexSet<&Arc<str>> = snapshot.targets.iter().map(|r| &r.name).collect();
@@ -268,11 +275,14 @@
         for name in missing {
             self.remove_target(now, &name);
         }
+        // Until outdated records have expired, also a later list may be that of the copy.
+        let may_be_outdated = self.outdated.is_pending(now);
         for record in snapshot.targets {
-            if self.outdated.contains(&record) || (is_restored && self.is_outdated(&record)) {
+            if self.outdated.contains(&record) || (may_be_outdated && self.is_outdated(&record)) {
                 self.outdated.insert(record);
             } else {
-                self.apply_record(now, record);
+                self.outdated.take(&record.name);
+                self.apply_record(now, record, false);
             }
         }
         if let Some(published) = snapshot.published {
@@ -284,11 +294,14 @@
     /// Drops missing targets whose grace period is over, and uses the records of a restored platform
     /// that were not removed in time. Returns whether there were any.
     pub fn tick(&mut self, now: Timestamp) -> bool {
-        let still_listed = self.outdated.take_due(now);
-        let released = !still_listed.is_empty();
-        for record in still_listed {
-            self.apply_record(now, record);
+        let before = self.content_changes;
+        for record in self.outdated.take_due(now) {
+            // The process that a known target has now is later than the one of the copy, or leaving.
+            if !self.targets.contains_key(&record.name) {
+                self.apply_record(now, record, false);
+            }
         }
+        let released = self.content_changes != before;
         let until = self.grace_until;
         let count = self.targets.len();
         let log_lines = &mut self.log_lines;
@@ -363,17 +376,22 @@
         }
     }
 
-    /// Begins the era of `revision`: the records of targets that its first data lacks may only have to
-    /// be written again.
+    /// Begins the era of `revision`. If data of an earlier one is known, the records of targets that the
+    /// first data lacks may only have to be written again.
     fn begin_era(&mut self, now: Timestamp, revision: Revision) {
+        let before = mem::replace(&mut self.revision, revision);
+        self.outdated.begin(now);
+        if before.is_unknown() {
+            return;
+        }
+        let what = match before.era {
+            0 => "platform names an era",
+            _ => "platform was restored from a copy",
+        };
         self.log_lines.push(format!(
-            "platform was restored from a copy, revision={revision} before={}; missing targets are \
-             kept for a grace period",
-            self.revision
+            "{what}, revision={revision} before={before}; missing targets are kept for a grace period"
         ));
         self.grace_until = now + RETURN_GRACE;
-        self.outdated.begin(now);
-        self.revision = revision;
         self.record_change();
     }
 
@@ -387,7 +405,9 @@
                 (same_process && known.leaving && !record.leaving) || known.started > record.started
             }
             None => {
-                let mut removed = self.removed.iter();
+                // What was removed in the present era and is listed again has been written since.
+                let mut removed =
+                    self.removed.iter().filter(|r| r.revision.era < self.revision.era);
                 removed.any(|r| r.name == record.name && r.started >= record.started)
             }
         }
@@ -432,7 +452,8 @@
     fn apply_settings(&mut self, published: PublishedSettings) {
         let current = self.settings_version();
         if published.version <= current {
-            if published.version < current {
+            if published.version < current && published.version != self.ignored_version {
+                self.ignored_version = published.version;
                 self.log_lines.push(format!(
                     "settings version={} are older than {current}; ignored",
                     published.version
@@ -450,11 +471,16 @@
         self.record_change();
     }
 
-    fn apply_record(&mut self, now: Timestamp, record: TargetRecord) {
+    /// Applies a record, also one that changes nothing if `is_news`.
+    fn apply_record(&mut self, now: Timestamp, record: TargetRecord, is_news: bool) {
         let known = self.targets.get(&record.name);
         let same =
             known.is_some_and(|l| l.record.is_equivalent(&record) && l.missing_since.is_none());
         if same {
+            if is_news && let Some(listed) = self.targets.get_mut(&record.name) {
+                listed.revision = self.revision;
+                self.record_change();
+            }
             return;
         }
         self.log_lines.push(format!(
@@ -483,7 +509,14 @@
         let outdated = self.outdated.take(name).and_then(|r| r.started);
         let listed = self.targets.get(name).and_then(|l| l.record.started);
         self.remember_removed(name, outdated.max(listed));
-        let Some(listed) = self.targets.get_mut(name) else { return };
+        let is_pending = self.outdated.is_pending(now);
+        let Some(listed) = self.targets.get_mut(name) else {
+            // Peers may have set its record aside, and have to learn of the removal.
+            if is_pending {
+                self.record_change();
+            }
+            return;
+        };
         if now < self.grace_until && !listed.record.leaving {
             if listed.missing_since.is_none() {
                 listed.missing_since = Some(now);
