fix(gateway): bear eras that are wrong for a moment, and peers that cannot tell the era

- one list under an era far above the present one made a gateway ignore the platform for good; an era that is more than 64 above the known one now counts as unreadable, from the platform and from peers;
- a platform whose era had gone back was asked for everything at each read; a list that is older than what is known is now a failed read, repeated after a growing delay;
- targets that a copy lacks were kept longer than their time, since its end was looked at only between two reads; it is now looked at each 250 ms, also by gateways that do not read;
- the gauges of era and revision said nothing at gateways that get their data from peers;
- near a reader of an earlier build, which ignores the restored platform and calls its data new, a gateway never heard of the era; a later era is now fetched from any domain;
- a gateway that the platform turns away, with peers of an earlier build alone, got no settings; these are now asked after 1.2 s without other data, twice a second at most.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -215,6 +215,8 @@
     Compacted,
     /// The platform was restored from a copy since its data was read, so that a full list is needed.
     Restored,
+    /// The list is older than what is known.
+    Outdated,
     /// The platform responded with an error status.
     Status(StatusCode),
     /// The response body could not be decoded.
@@ -228,6 +230,7 @@
         match self {
             Self::Compacted => f.write_str("changes after the known revision have been discarded"),
             Self::Restored => f.write_str("the platform went back to an earlier revision"),
+            Self::Outdated => f.write_str("the list is older than what is known"),
             Self::Status(status) => write!(f, "unexpected status {status}"),
             Self::Decode(reason) => write!(f, "answer not understood: {reason}"),
             Self::Transport(reason) => f.write_str(reason),
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -60,6 +60,9 @@
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
     loop {
         let now = gateway.clock.now();
+        if gateway.catalog.borrow_mut().tick(now) {
+            gateway.apply_catalog(Source::Platform);
+        }
         gateway.refresh_membership();
         gateway.exchange_limits();
         let outgoing = gateway.membership.borrow_mut().tick(now);
--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -41,9 +41,6 @@
     let mut failures: u32 = 0;
     let mut list_complete = false;
     loop {
-        if gateway.catalog.borrow_mut().tick(gateway.clock.now()) {
-            gateway.apply_catalog(Source::Platform);
-        }
         if !is_reader(&gateway) {
             sleep(READER_CHECK_INTERVAL).await;
             continue;
@@ -71,7 +68,8 @@
             Err(e) => {
                 gateway.metrics.record_platform_read("failed");
                 log::info!("control: platform read failed: {e}");
-                let needs_list = matches!(e, ReadError::Compacted | ReadError::Restored);
+                let needs_list =
+                    matches!(e, ReadError::Compacted | ReadError::Restored | ReadError::Outdated);
                 list_complete &= !needs_list;
                 // The platform has answered a poll, so the list can be read at once.
                 if polls && needs_list {
@@ -95,9 +93,8 @@
     gateway.membership.borrow().is_reader(now, age)
 }
 
-/// Reads the full list and applies it to the catalog. Returns `false` if it has to be read again: if,
-/// between two pages, a gateway ranked before this one turned out to read the platform, or if the data
-/// is older than what is known.
+/// Reads the full list and applies it to the catalog. Returns `false` without applying anything if,
+/// between two pages, a gateway ranked before this one turned out to read the platform.
 async fn read_all<Adapter>(
     gateway: &Gateway<Adapter>,
     client: &mut Client,
@@ -138,7 +135,10 @@
     let changed =
         gateway.catalog.borrow_mut().relist(now, revision, list.changes, Source::Platform);
     apply_if_changed(gateway, changed);
-    Ok(!is_old)
+    match is_old {
+        true => Err(ReadError::Outdated),
+        false => Ok(true),
+    }
 }
 
 async fn poll_changes<Adapter>(
@@ -204,22 +204,18 @@
 {
     let response = client.get(path, REQUEST_TIMEOUT).await;
     let response = response.map_err(|e| ReadError::Transport(e.as_str()))?;
-    let present = gateway.catalog.borrow().revision().era;
+    let known = gateway.catalog.borrow().revision();
     let era = match gateway.adapter.parse_era(response.headers()) {
-        EraField::Named(era) => {
-            let gauge = i64::try_from(era).unwrap_or(i64::MAX);
-            let before = gateway.metrics.platform_era.set(gauge);
-            if before != gauge {
-                log::info!("control: platform era={era} before={before}");
-            }
-            era
-        }
-        EraField::Unreadable => {
-            log::info!("control: platform names an unreadable era; assumed era={present}");
-            present
+        EraField::Named(era) if Revision::new(era, 0).may_follow(known) => era,
+        EraField::Absent => known.era,
+        EraField::Named(_) | EraField::Unreadable => {
+            log::info!("control: platform names an unusable era; assumed era={}", known.era);
+            known.era
         }
-        EraField::Absent => present,
     };
+    if era != known.era {
+        log::info!("control: platform era={era} before={}", known.era);
+    }
     Ok(PlatformAnswer { era, response })
 }
 
@@ -233,6 +229,4 @@
     } else {
         gateway.refresh_membership();
     }
-    let number = gateway.catalog.borrow().revision().number;
-    gateway.metrics.platform_revision.set(i64::try_from(number).unwrap_or(i64::MAX));
 }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -19,8 +19,10 @@
 
 /// Timeout for the response of a peer.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(500);
-/// Delay after a fetch that failed or brought nothing new.
+/// Delay after a failed fetch.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
+/// Delay after a fetch that brought nothing new.
+const REPEAT_DELAY: Duration = Duration::from_millis(500);
 
 /// Fetches updates whenever a peer has a newer revision, until the task is dropped.
 pub(super) async fn run<Adapter>(gateway: Rc<Gateway<Adapter>>)
@@ -37,7 +39,7 @@
         match fetch(&gateway, address).await {
             Ok(true) => {}
             // The peer has gone back on what its heartbeat says, or its build is too old to tell.
-            Ok(false) => sleep(RETRY_DELAY).await,
+            Ok(false) => sleep(REPEAT_DELAY).await,
             Err(e) => {
                 log::info!("control: update from peer {address} failed: {}", e.as_str());
                 sleep(RETRY_DELAY).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,8 @@
     Timestamp,
     balance::{
         Balancer, BalancerSettings, Catalog, Decision, Heartbeat, HeartbeatExtension, KnownData,
-        LimitNotice, Membership, MembershipBuilder, Phase, Probe, RouteTable, Source, TrafficSplit,
+        LimitNotice, Membership, MembershipBuilder, Phase, Probe, Revision, RouteTable, Source,
+        TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -314,6 +315,10 @@
         }
         let age = catalog.age(now);
         let reader = membership.is_reader(now, age);
+        let gauge = |number| i64::try_from(number).unwrap_or(i64::MAX);
+        let Revision { era, number } = catalog.revision();
+        self.metrics.platform_era.set(gauge(era));
+        self.metrics.platform_revision.set(gauge(number));
         let known = KnownData {
             revision: catalog.content_revision(),
             settings: catalog.settings_version(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -101,7 +101,7 @@
     pub remote_bytes: Counter,
     /// Version of the published settings in force.
     pub settings_version: Gauge,
-    /// Era that the platform last named.
+    /// Era of the data in force.
     pub platform_era: Gauge,
     /// Platform revision of the data in force.
     pub platform_revision: Gauge,
@@ -177,7 +177,7 @@
         registry.register_with_unit("far", help, Unit::Bytes, metrics.remote_bytes.clone());
         let help = "Version of the published settings in force";
         registry.register("settings_version", help, metrics.settings_version.clone());
-        let help = "Era that the platform last named";
+        let help = "Era of the platform's data in force";
         registry.register("platform_era", help, metrics.platform_era.clone());
         let help = "Platform revision of the data in force";
         registry.register("platform_revision", help, metrics.platform_revision.clone());
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -251,7 +251,8 @@
     ) -> bool {
         let revision = Revision::new(era, snapshot.revision);
         let before = self.content_changes;
-        if revision < self.revision || (revision.is_unknown() && !self.revision.is_unknown()) {
+        let is_older = revision < self.revision || !revision.may_follow(self.revision);
+        if is_older || (revision.is_unknown() && !self.revision.is_unknown()) {
             // A gateway that read the copy may lack settings that others know from an earlier era.
             if let Some(published) = snapshot.published {
                 self.apply_settings(published);
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -41,19 +41,27 @@
         known: KnownData,
         age: Option<Duration>,
     ) -> Option<(Arc<str>, IpAddr)> {
-        let include_remote = age.unwrap_or_else(|| now.since(self.started)) >= REMOTE_DELAY;
+        let age = age.unwrap_or_else(|| now.since(self.started));
+        let include_remote = age >= REMOTE_DELAY;
         let local = |p: &Peer| p.heartbeat.domain == self.own.domain;
         let is_ahead = |p: &Peer| {
             let heartbeat = &p.heartbeat;
-            let has_later = heartbeat.known_revision() > known.revision;
+            let revision = heartbeat.known_revision();
+            if !revision.may_follow(known.revision) {
+                return false;
+            }
+            let has_later = revision > known.revision;
             // Settings have an order of their own, which holds across eras. If the peer has no later
             // revision, the platform does not bring its settings.
             let extension = heartbeat.extension;
             let has_settings = extension.era != 0 && extension.settings > known.settings;
-            match include_remote || local(p) {
-                true => has_later || has_settings,
-                false => has_settings && !has_later,
+            // The domain's own reader may be of a build that ignores a later era.
+            let has_later_era = !known.revision.is_unknown() && revision.era > known.revision.era;
+            if include_remote || local(p) {
+                // A gateway of an earlier build does not say which settings it has.
+                return has_later || has_settings || (include_remote && self.lacks_era(heartbeat));
             }
+            has_later_era || (has_settings && !has_later)
         };
         let ahead = self.peers.values().filter(|p| p.alive && is_ahead(p));
         let best = ahead.max_by_key(|p| {
--- a/crates/policy/src/balance/revision.rs
+++ b/crates/policy/src/balance/revision.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+/// Restores of the platform that a running gateway may have missed.
+const MAX_ERA_STEP: u64 = 64;
+
 /// Point in the history of the platform's data.
 ///
 /// The platform numbers its changes. Each time it is restored from a copy an era begins, in which the
@@ -20,6 +23,12 @@
         Self { era, number }
     }
 
+    /// Returns whether data of this revision may come after that of `known`: a higher era that no gateway
+    /// can have missed so many restores for is an error.
+    pub const fn may_follow(self, known: Self) -> bool {
+        known.era == 0 || self.era <= known.era.saturating_add(MAX_ERA_STEP)
+    }
+
     /// Returns whether nothing is known.
     pub const fn is_unknown(self) -> bool {
         self.number == 0
