fix(policy): recognize processes of gateways whose numbers go back

- a gateway restarted on a host whose clock stands before 1970 has the incarnation of the process before it, so its heartbeats counted as old until their number had passed; of a dead gateway they now count;
- a late datagram of a process that has been replaced took the place of the new one until its next heartbeat; the incarnation that was replaced last is now remembered.

--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -522,6 +522,8 @@
             if listed.missing_since.is_none() {
                 listed.missing_since = Some(now);
                 self.log_lines.push(format!("target {name} is missing after an outage; kept"));
+                // Peers that started since the outage keep nothing.
+                self.record_change();
             }
             return;
         }
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -74,9 +74,15 @@
     /// When its connection broke; only a later heartbeat revives it.
     disconnected: Option<Timestamp>,
     alive: bool,
+    /// Incarnation of the process before the present one on its host.
+    former: Option<u64>,
 }
 
 impl Peer {
+    fn new(now: Timestamp, heartbeat: Heartbeat, former: Option<u64>) -> Self {
+        Self { heartbeat, heard: now, disconnected: None, alive: true, former }
+    }
+
     /// Returns whether its heartbeats have stopped without a sign that its process ended.
     fn is_silent(&self) -> bool {
         !self.alive && self.disconnected.is_none() && self.heartbeat.phase != Phase::Leaving
@@ -452,15 +458,19 @@
             if local {
                 self.log_lines.push(format!("peer {host} domain={} discovered", heartbeat.domain));
             }
-            self.peers
-                .insert(host, Peer { heartbeat, heard: now, disconnected: None, alive: true });
+            self.peers.insert(host, Peer::new(now, heartbeat, None));
             if local {
                 self.next_local = Timestamp::default();
             }
             return;
         };
         let same = peer.heartbeat.incarnation == heartbeat.incarnation;
-        if same && heartbeat.sequence <= peer.heartbeat.sequence {
+        // On a host without a proper clock, a new process may have the incarnation of the dead one.
+        if same && peer.alive && heartbeat.sequence <= peer.heartbeat.sequence {
+            return;
+        }
+        // A late datagram of the process that the present one has replaced.
+        if peer.alive && peer.former == Some(heartbeat.incarnation) {
             return;
         }
         // A datagram that was in flight when the process ended does not revive it.
@@ -479,7 +489,8 @@
         if !peer.alive || !same {
             self.log_lines.push(format!("peer {host} is back, same process={same}"));
         }
-        *peer = Peer { heartbeat, heard: now, disconnected: None, alive: true };
+        let former = if same { peer.former } else { Some(peer.heartbeat.incarnation) };
+        *peer = Peer::new(now, heartbeat, former);
     }
 
     fn expire_silent(&mut self, now: Timestamp) {
