test(gateway): restore the platform from a copy below real gateways

Cause: nothing in the tests let the platform go back to an earlier revision, as a platform does that is restored from a copy.

Ruled out: a test of the catalog alone. It shows neither what gateways tell each other nor how long the settings of a whole deployment stay behind.

The change: `restored_platform` runs 6 gateway processes in 3 failure domains above a platform that keeps a history, names its era, is away for 0.4 s and comes back without the last changes. A version is due 2 s after its confirmation; a call to a gateway in touch that is handled under an older one, and any call that a process handles under older settings than an earlier one, is a failure.

--- /dev/null
+++ b/crates/gateway/tests/restored_platform/main.rs
@@ -0,0 +1,25 @@
+//! Gateway processes whose platform is restored from a copy, as callers see them on their sockets.
+//!
+//! A restored platform continues from an earlier revision and gives later ones out again. Gateways
+//! that order its data by the revision alone drop what is new until the counter has passed the old
+//! one.
+#![allow(clippy::expect_used)]
+
+mod caller;
+mod deployment;
+mod eras;
+#[path = "../planned_stop/gateway.rs"]
+#[allow(dead_code)]
+mod gateway;
+mod missing;
+#[path = "../planned_stop/network.rs"]
+mod network;
+mod node;
+mod operator;
+mod overlap;
+mod platform;
+mod restore;
+mod target;
+mod targets;
+mod unreachable;
+mod verdict;
--- /dev/null
+++ b/crates/gateway/tests/restored_platform/target.rs
@@ -0,0 +1,90 @@
+//! Targets that answer with the name of their service and record the calls that they get.
+
+use azuretally_policy::balance::TargetRecord;
+use azuretally_standin::http::{ConnectionAborted, ResponseBody, serve, text_response};
+use http::{HeaderValue, Request, Response, StatusCode};
+use hyper::body::Incoming;
+use parking_lot::Mutex;
+use std::sync::Arc;
+use tokio::{net::TcpListener, time::Instant};
+use tokio_util::sync::CancellationToken;
+
+/// Path at which targets report their load.
+pub(crate) const PROBE_PATH: &str = "/load";
+/// Calls that a target runs concurrently.
+pub(crate) const SLOTS: u32 = 8;
+/// Header that identifies a call.
+pub(crate) const CALL_HEADER: &str = "x-azuretally-call";
+
+/// A service of the published settings.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Service {
+    /// Service to which routes are added.
+    First,
+    /// Service to which routes are moved.
+    Second,
+    /// Service of a single route, without targets at the start.
+    Extra,
+}
+
+impl Service {
+    pub(crate) const ALL: [Self; 3] = [Self::First, Self::Second, Self::Extra];
+
+    /// Returns the published name.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::First => "first",
+            Self::Second => "second",
+            Self::Extra => "extra",
+        }
+    }
+
+    /// Returns the service that is published as `name`.
+    pub(crate) fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|service| service.name() == name)
+    }
+}
+
+/// A target of the tests.
+#[derive(Debug)]
+pub(crate) struct Target {
+    /// Record with which the target is published.
+    pub(crate) record: TargetRecord,
+    /// When calls arrived.
+    arrivals: Mutex<Vec<Instant>>,
+}
+
+impl Target {
+    pub(crate) fn new(record: TargetRecord) -> Self {
+        Self { record, arrivals: Mutex::default() }
+    }
+
+    /// Returns the number of calls that arrived from `from` until `until`.
+    pub(crate) fn calls_between(&self, from: Instant, until: Instant) -> usize {
+        self.arrivals.lock().iter().filter(|at| (from..until).contains(*at)).count()
+    }
+
+    /// Serves calls until `stop` is cancelled.
+    pub(crate) async fn run(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
+        serve(listener, stop, move |request| Arc::clone(&self).handle(request)).await;
+    }
+
+    async fn handle(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<ResponseBody>, ConnectionAborted> {
+        if request.uri().path() != PROBE_PATH {
+            self.arrivals.lock().push(Instant::now());
+        }
+        let mut response = text_response(StatusCode::OK, &self.record.service);
+        let fields = response.headers_mut();
+        if let Some(id) = request.headers().get(CALL_HEADER) {
+            fields.insert(CALL_HEADER, id.clone());
+        }
+        let name = HeaderValue::from_str(&self.record.name).expect("visible characters");
+        fields.insert("x-target", name);
+        let load = HeaderValue::from_str(&format!("0,0,{SLOTS},100")).expect("visible characters");
+        fields.insert("x-target-load", load);
+        Ok(response)
+    }
+}
--- /dev/null
+++ b/crates/gateway/tests/restored_platform/targets.rs
@@ -0,0 +1,65 @@
+//! Targets whose records in the copy are out of date.
+
+use super::{
+    deployment::{AWAY_TIME, Deployment, Plan},
+    operator::CONFIG_BOUND,
+    target::Service,
+};
+use azuretally_policy::balance::{Change, TargetRecord};
+use std::{sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// Time for which gateways use the targets before these change.
+const WARM_UP: Duration = Duration::from_millis(2_000);
+/// Time beyond the bound for which gateways run before the restore.
+const SLACK: Duration = Duration::from_millis(400);
+/// Time until the targets and the operator write again what was lost.
+const REWRITE_DELAY: Duration = Duration::from_secs(2);
+/// Time for which gateways are watched after that.
+const FOLLOW_UP: Duration = Duration::from_secs(2);
+/// Least number of calls of the route whose only target was registered after the copy.
+const LEAST_CALLS: usize = 5;
+
+/// Gateways sent calls to targets that had ended or were leaving, or no longer to targets that had
+/// been registered, since the records of a restored platform were older.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn outdated_records_of_targets_are_not_used() {
+    let mut deployment = Deployment::start(Plan { seed: 11, ..Plan::default() }).await;
+    let removed = deployment.start_target(Service::First, "a");
+    let leaving = deployment.start_target(Service::First, "b");
+    deployment.begin_publishing();
+    sleep(WARM_UP).await;
+    let copy = deployment.platform.revision();
+    let start = deployment.start_time();
+    for target in [&removed, &leaving] {
+        assert!(target.calls_between(start, Instant::now()) > 0, "a target got no call");
+    }
+
+    let gone = Change::Gone(Arc::clone(&removed.record.name));
+    let left = Change::Target(TargetRecord { leaving: true, ..leaving.record.clone() });
+    assert!(deployment.platform.publish(gone.clone()), "the platform is away");
+    assert!(deployment.platform.publish(left.clone()), "the platform is away");
+    let registered = deployment.start_target(Service::Extra, "a");
+    sleep(CONFIG_BOUND + SLACK).await;
+    let changed = Instant::now();
+
+    deployment.platform.leave();
+    sleep(AWAY_TIME).await;
+    let lost = usize::try_from(deployment.platform.revision() - copy).expect("few changes");
+    deployment.operator.restore(lost);
+    sleep(REWRITE_DELAY).await;
+    for change in [gone, left, Change::Target(registered.record.clone())] {
+        assert!(deployment.platform.publish(change), "the platform is away");
+    }
+    sleep(FOLLOW_UP).await;
+
+    let end = Instant::now();
+    let (served, made) = deployment.calls_of(Service::Extra.name(), changed, end);
+    let verdict = deployment.verdict();
+    deployment.shut_down().await;
+    assert_eq!(removed.calls_between(changed, end), 0, "calls to a removed target; {verdict}");
+    assert_eq!(leaving.calls_between(changed, end), 0, "calls to a leaving target; {verdict}");
+    assert!(made >= LEAST_CALLS, "{made} calls; {verdict}");
+    assert_eq!(served, made, "calls for a registered target failed; {verdict}");
+    assert!(verdict.reverted.is_empty(), "{verdict}");
+}
