test(gateway): relay calls across a restore of the platform

Cause: a gateway that is cut off from all targets relays calls and compares versions of the settings with the gateway that handles them, which no test did across a restore.

The change: one gateway's requests to targets stay unanswered (by its source address), and its callers are judged as all others. Refusals by gateways in touch are a failure, except here and in `targets`, where targets change. `AZURETALLY_RESTORE_SEED` sets the seed of the test with starts, kills, freezes and stops.

--- a/crates/gateway/tests/restored_platform/deployment.rs
+++ b/crates/gateway/tests/restored_platform/deployment.rs
@@ -7,12 +7,12 @@
     node::Node,
     operator::Operator,
     platform::{Platform, Variant},
-    target::{SLOTS, Service, Target},
+    target::{CutHosts, SLOTS, Service, Target},
     verdict::Verdict,
 };
 use azuretally_policy::balance::{Change, TargetRecord};
 use azuretally_standin::http::listen;
-use std::{fs, sync::Arc, time::Duration};
+use std::{fs, net::IpAddr, sync::Arc, time::Duration};
 use tempfile::TempDir;
 use tokio::{
     sync::{Semaphore, SemaphorePermit},
@@ -56,6 +56,7 @@
     pub(crate) platform: Arc<Platform>,
     pub(crate) operator: Arc<Operator>,
     records: Arc<Records>,
+    cut_hosts: Arc<CutHosts>,
     plan: Plan,
     start: Instant,
     next_target: u8,
@@ -79,6 +80,7 @@
             operator: Arc::new(Operator::new(Arc::clone(&platform), plan.seed)),
             platform,
             records: Arc::default(),
+            cut_hosts: Arc::default(),
             plan,
             start: Instant::now(),
             next_target: 0,
@@ -137,11 +139,21 @@
         };
         let listener = listen(record.address).expect("a free address");
         assert!(self.platform.publish(Change::Target(record.clone())), "the platform is away");
-        let target = Arc::new(Target::new(record));
+        let target = Arc::new(Target::new(record, Arc::clone(&self.cut_hosts)));
         self.tasks.spawn(Arc::clone(&target).run(listener, self.stop.clone()));
         target
     }
 
+    /// Cuts the gateway `number` off from all targets.
+    pub(crate) fn cut_off(&self, number: u8) {
+        self.cut_hosts.lock().insert(self.host(number), 0);
+    }
+
+    /// Returns the number of requests of the gateway `number` that targets did not answer.
+    pub(crate) fn cut_requests(&self, number: u8) -> usize {
+        self.cut_hosts.lock().get(&self.host(number)).copied().unwrap_or(0)
+    }
+
     /// Begins to publish a new version of the settings at intervals.
     pub(crate) fn begin_publishing(&mut self) {
         self.publishing = CancellationToken::new();
@@ -172,6 +184,15 @@
         Verdict::new(&self.records.lock(), &self.operator, self.start)
     }
 
+    /// Returns the number of calls that were sent to the gateway `number` from `from` until `until` and
+    /// that a target ran.
+    pub(crate) fn served_by(&self, number: u8, from: Instant, until: Instant) -> usize {
+        let records = self.records.lock();
+        let calls = records.iter().filter(|r| r.node.number == number);
+        let calls = calls.filter(|r| (from..until).contains(&r.sent));
+        calls.filter(|r| matches!(r.answer, Answer::Served(_))).count()
+    }
+
     /// Returns the calls of `route` that were sent from `from` until `until`: answered by a target, and
     /// in total.
     pub(crate) fn calls_of(&self, route: &str, from: Instant, until: Instant) -> (usize, usize) {
@@ -192,6 +213,10 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
+    fn host(&self, number: u8) -> IpAddr {
+        self.network.address(FIRST_GATEWAY + number, 0).ip()
+    }
+
     fn start_caller(&mut self, index: usize) {
         let node = Arc::clone(&self.nodes[index].state);
         let (operator, records) = (Arc::clone(&self.operator), Arc::clone(&self.records));
@@ -206,13 +231,14 @@
         let port = if is_refused { CLOSED_PORT } else { PLATFORM_PORT };
         let text = format!(
             "host = \"gateway-{number}\"\nfailure_domain = \"{}\"\nplatform = \"{}\"\n\
-             seeds = [{}]\n\
+             seeds = [{}]\ntarget_source = \"{}\"\n\
              [listen]\ncalls = \"{}\"\nreadiness = \"{}\"\ndirections = \"{}\"\n\
              news = \"{}\"\nheartbeats = \"{}\"\n\
              [size]\ncores = 0.2\nmemory_mb = 260\ndescriptors = 4100\n",
             DOMAINS[usize::from(number) % DOMAINS.len()],
             self.network.address(PLATFORM_HOST, port),
             seeds.join(", "),
+            self.host(number),
             at(7_000),
             at(7_001),
             at(7_002),
--- a/crates/gateway/tests/restored_platform/main.rs
+++ b/crates/gateway/tests/restored_platform/main.rs
@@ -18,6 +18,7 @@
 mod operator;
 mod overlap;
 mod platform;
+mod relayed;
 mod restore;
 mod target;
 mod targets;
--- a/crates/gateway/tests/restored_platform/overlap.rs
+++ b/crates/gateway/tests/restored_platform/overlap.rs
@@ -7,7 +7,7 @@
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_pcg::Pcg64;
 use rustix::process::Signal;
-use std::{mem, time::Duration};
+use std::{env, mem, time::Duration};
 use tokio::time::sleep;
 
 /// Time for which settings are published before the first restore.
@@ -24,6 +24,9 @@
 const SPREAD_MS: u64 = 1_500;
 /// Range of the length of a freeze, in ms.
 const FREEZE_MS: (u64, u64) = (600, 1_500);
+/// Environment variable with the seed of the disturbances.
+const SEED_VARIABLE: &str = "AZURETALLY_RESTORE_SEED";
+const DEFAULT_SEED: u64 = 6;
 /// Least number of calls that must be judged of each gateway.
 const LEAST_CALLS: usize = 10;
 
@@ -66,13 +69,16 @@
 
 /// Gateways that were started, killed, frozen or stopped during restores brought back old settings or
 /// stayed with them.
+///
+/// `AZURETALLY_RESTORE_SEED` sets the seed.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn restores_beside_starts_kills_freezes_and_stops_leave_no_old_settings() {
-    const SEED: u64 = 6;
-    let mut deployment = Deployment::start(Plan { seed: SEED, ..Plan::default() }).await;
+    let text = env::var(SEED_VARIABLE).ok();
+    let seed = text.and_then(|text| text.parse().ok()).unwrap_or(DEFAULT_SEED);
+    let mut deployment = Deployment::start(Plan { seed, ..Plan::default() }).await;
     deployment.begin_publishing();
     sleep(WARM_UP).await;
-    let mut random = Pcg64::seed_from_u64(SEED);
+    let mut random = Pcg64::seed_from_u64(seed);
     let mut delay = || Duration::from_millis(random.random_range(0..SPREAD_MS));
     let delays: [Duration; GATEWAYS as usize] = std::array::from_fn(|_| delay());
     let freeze = Duration::from_millis(random.random_range(FREEZE_MS.0..FREEZE_MS.1));
--- a/crates/gateway/tests/restored_platform/target.rs
+++ b/crates/gateway/tests/restored_platform/target.rs
@@ -1,12 +1,13 @@
 //! Targets that answer with the name of their service and record the calls that they get.
 
 use azuretally_policy::balance::TargetRecord;
-use azuretally_standin::http::{ConnectionAborted, ResponseBody, serve, text_response};
+use azuretally_standin::http::{ConnectionAborted, ResponseBody, serve_connection, text_response};
 use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use indexmap::IndexMap;
 use parking_lot::Mutex;
-use std::sync::Arc;
-use tokio::{net::TcpListener, time::Instant};
+use std::{net::IpAddr, sync::Arc};
+use tokio::{net::TcpListener, task::JoinSet, time::Instant};
 use tokio_util::sync::CancellationToken;
 
 /// Path at which targets report their load.
@@ -52,11 +53,16 @@
     pub(crate) record: TargetRecord,
     /// When calls arrived.
     arrivals: Mutex<Vec<Instant>>,
+    /// Hosts that are cut off from all targets of the test.
+    cut_hosts: Arc<CutHosts>,
 }
 
+/// Hosts whose requests to targets are not answered, with the number of these requests.
+pub(crate) type CutHosts = Mutex<IndexMap<IpAddr, usize>>;
+
 impl Target {
-    pub(crate) fn new(record: TargetRecord) -> Self {
-        Self { record, arrivals: Mutex::default() }
+    pub(crate) fn new(record: TargetRecord, cut_hosts: Arc<CutHosts>) -> Self {
+        Self { record, arrivals: Mutex::default(), cut_hosts }
     }
 
     /// Returns the number of calls that arrived from `from` until `until`.
@@ -66,13 +72,30 @@
 
     /// Serves calls until `stop` is cancelled.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
-        serve(listener, stop, move |request| Arc::clone(&self).handle(request)).await;
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                () = stop.cancelled() => break,
+                Some(_) = connections.join_next() => {}
+                accepted = listener.accept() => if let Ok((stream, peer)) = accepted {
+                    let target = Arc::clone(&self);
+                    let handle = move |request| Arc::clone(&target).handle(request, peer.ip());
+                    connections.spawn(serve_connection(stream, handle));
+                }
+            }
+        }
+        connections.shutdown().await;
     }
 
     async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
+        host: IpAddr,
     ) -> Result<Response<ResponseBody>, ConnectionAborted> {
+        if let Some(requests) = self.cut_hosts.lock().get_mut(&host) {
+            *requests += 1;
+            return Err(ConnectionAborted);
+        }
         if request.uri().path() != PROBE_PATH {
             self.arrivals.lock().push(Instant::now());
         }
