test(gateway): register a target under a revision that is given out again

Cause: a restored platform gives revisions out again. If its counter passes the revision that gateways know before they poll again, they get only the changes after that one, and no 410.

The change: a test that registers the only target of a service first of all after the restore, then lets the counter pass. Calls to the service must be served from 4 s after that.

--- a/crates/gateway/tests/restored_platform/targets.rs
+++ b/crates/gateway/tests/restored_platform/targets.rs
@@ -20,6 +20,13 @@
 /// Least number of calls of the route whose only target was registered after the copy.
 const LEAST_CALLS: usize = 5;
 
+/// Time for which settings are published before a restore with reused revisions.
+const SHORT_WARM_UP: Duration = Duration::from_millis(1_500);
+/// Changes that the copy lacks in that test.
+const LOST_CHANGES: usize = 3;
+/// Time from its registration until a target must get calls.
+const JOIN_BOUND: Duration = Duration::from_secs(4);
+
 /// Gateways sent calls to targets that had ended or were leaving, or no longer to targets that had
 /// been registered, since the records of a restored platform were older.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
@@ -63,3 +70,29 @@
     assert_eq!(served, made, "calls for a registered target failed; {verdict}");
     assert!(verdict.reverted.is_empty(), "{verdict}");
 }
+
+/// A target was never used that had been registered under a revision which gateways knew from before
+/// the restore: the next poll after that revision did not report it again.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn target_registered_under_a_reused_revision_is_used() {
+    let mut deployment = Deployment::start(Plan { seed: 13, ..Plan::default() }).await;
+    deployment.begin_publishing();
+    sleep(SHORT_WARM_UP).await;
+    deployment.end_publishing();
+    sleep(CONFIG_BOUND + SLACK).await;
+    deployment.restore(LOST_CHANGES).await;
+    deployment.start_target(Service::Extra, "a");
+    // The counter passes the revision that gateways know before they poll again.
+    for _ in 0..LOST_CHANGES {
+        deployment.operator.publish_next();
+    }
+    sleep(JOIN_BOUND).await;
+    let due = Instant::now();
+    sleep(FOLLOW_UP).await;
+    let (served, made) = deployment.calls_of(Service::Extra.name(), due, Instant::now());
+    let verdict = deployment.verdict();
+    deployment.shut_down().await;
+    assert!(made >= LEAST_CALLS, "{made} calls; {verdict}");
+    assert_eq!(served, made, "calls for a registered target failed; {verdict}");
+    verdict.assert_settings_current();
+}
