--- a/crates/gateway/tests/restored_platform/platform.rs
+++ b/crates/gateway/tests/restored_platform/platform.rs
@@ -1,5 +1,6 @@
 //! A stand-in for the platform that can be restored from a copy of an earlier state.
 
+use azuretally_api::headers;
 use azuretally_gateway::native::{CHANGES_PATH, LIST_PATH, PublishedChanges};
 use azuretally_policy::balance::Change;
 use azuretally_standin::http::{
@@ -13,9 +14,6 @@
 use tokio::{net::TcpListener, sync::Notify, time::timeout};
 use tokio_util::sync::CancellationToken;
 
-/// Header in which the platform names the era of its data.
-const ERA_HEADER: &str = "x-azuretally-platform-era";
-
 /// What a platform does differently from the usual one.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Variant {
@@ -152,7 +150,7 @@
         let named = named.unwrap_or_else(|| state.era.to_string());
         if !self.variant.is_eraless {
             let value = HeaderValue::from_str(&named).expect("visible characters");
-            response.headers_mut().insert(ERA_HEADER, value);
+            response.headers_mut().insert(headers::PLATFORM_ERA, value);
         }
         response
     }
