test(gateway): watch a target that is registered after wrong eras

By reading: settings are ordered by their own version in all eras, so only targets show that later data is ignored.

Ruled out: a longer time alone.

The change: a target registered after the wrong eras must get its calls from 4 s after that.

--- a/crates/gateway/tests/restored_platform/eras.rs
+++ b/crates/gateway/tests/restored_platform/eras.rs
@@ -4,14 +4,21 @@
     deployment::{Deployment, Plan},
     operator::CONFIG_BOUND,
     platform::Variant,
+    target::Service,
 };
 use std::time::Duration;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// Time for which settings are published before the trouble.
 const WARM_UP: Duration = Duration::from_millis(3_000);
 /// Time for which they are published after it.
 const FOLLOW_UP: Duration = Duration::from_millis(3_500);
+/// Time in which gateways get the wrong eras.
+const FALSE_ERA_TIME: Duration = Duration::from_millis(1_500);
+/// Time from its registration until a target must get calls.
+const JOIN_BOUND: Duration = Duration::from_secs(4);
+/// Time for which calls to that target are watched.
+const WATCH_TIME: Duration = Duration::from_secs(2);
 /// Time for which gateways get along with a platform whose counter is behind.
 const BEHIND_TIME: Duration = Duration::from_millis(1_500);
 /// Changes that the copy lacks.
@@ -46,11 +53,19 @@
     deployment.begin_publishing();
     sleep(WARM_UP).await;
     deployment.platform.name_false_eras(false_eras);
-    sleep(FOLLOW_UP).await;
+    sleep(FALSE_ERA_TIME).await;
+    // Targets show whether later data of the platform is still used: settings have their own order.
+    deployment.start_target(Service::Extra, "a");
+    sleep(JOIN_BOUND).await;
+    let due = Instant::now();
+    sleep(WATCH_TIME).await;
     assert!(deployment.platform.has_named_false_eras(), "too few reads");
+    let (served, made) = deployment.calls_of(Service::Extra.name(), due, Instant::now());
     let verdict = deployment.verdict();
     deployment.shut_down().await;
     verdict.assert_current(LEAST_CALLS);
+    assert!(made > 0, "no calls; {verdict}");
+    assert_eq!(served, made, "calls for a registered target failed; {verdict}");
 }
 
 /// An era that is not a whole number above 0 was taken for a restore.
