--- a/crates/policy/tests/balance/review.rs
+++ b/crates/policy/tests/balance/review.rs
@@ -1,12 +1,13 @@
 //! Further cases of a platform that is restored from a copy, found by a review.
 
-use crate::fixture::{first_heartbeat, ms, record};
+use crate::fixture::{Fixture, expect_start, first_heartbeat, ms, record, route};
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
     balance::{
-        CallerLimits, Catalog, CatalogUpdate, Change, Heartbeat, HeartbeatExtension, KnownData,
-        Membership, MembershipBuilder, Message, PublishedSettings, Revision, Source, TargetRecord,
+        Attempt, AttemptOutcome, AttemptResult, CallerLimits, Catalog, CatalogUpdate, Change,
+        Heartbeat, HeartbeatExtension, KnownData, LimitField, LimitShare, Membership,
+        MembershipBuilder, Message, PublishedSettings, RequestRate, Revision, Source, TargetRecord,
     },
 };
 use indexmap::IndexMap;
@@ -165,6 +166,23 @@
     assert_eq!(usable(&second), [process(1, 1)]);
 }
 
+/// Guards against calls to targets that have left or were replaced, at a gateway that started on the copy and
+/// then follows a reader that had known better: what that reader sees written again is no change to it.
+#[test]
+fn gateway_started_on_the_copy_learns_what_its_reader_had_known_before() {
+    let all = || vec![target(1), target(2), target(3)];
+    let later = || vec![leaving(2), restarted(3)];
+    let mut reader = catalog(all(), later());
+    reader.relist(ms(1_000), rev(2, 90), all(), Source::Platform);
+    let mut started = Catalog::default();
+    started.relist(ms(1_000), rev(2, 90), all(), Source::Platform);
+    reader.apply(ms(2_000), rev(2, 92), later(), Source::Platform);
+    // Any change that is announced lets the other one fetch.
+    reader.apply(ms(2_100), rev(2, 93), vec![published(1)], Source::Platform);
+    follow(&mut started, &reader, ms(2_200));
+    assert_eq!(usable(&started), [process(1, 1), process(3, 2)]);
+}
+
 /// Guards against lines that pile up: nothing takes them while nothing changes.
 #[test]
 fn settings_that_are_ignored_again_and_again_leave_one_line() {
@@ -276,6 +294,35 @@
     assert_eq!(member.newer_peer(ms(400), data, Some(Duration::ZERO)), None);
 }
 
+/// Lets the only target answer a call, which says `limit`.
+fn call(fixture: &mut Fixture, now: Timestamp, limit: LimitField) {
+    let (id, decision) = fixture.submit(now, &route("check", true));
+    expect_start(decision);
+    let attempt = Attempt { call: id, target: Arc::from("target-0") };
+    let outcome = AttemptOutcome::Answered { ok: true, bytes: 100 };
+    let result = AttemptResult { attempt, outcome, report: None, limit };
+    fixture.balancer.attempt_ended(now, &result);
+    fixture.balancer.forget(id);
+}
+
+/// Guards against requests above a limit: a gateway that has started counts the changes of a limit anew, so
+/// what it has just learned from the target looked older than the end of an earlier limit.
+#[test]
+fn limit_heard_by_a_gateway_that_started_is_not_ended_by_what_others_knew_before() {
+    let rate = RequestRate::from_per_second(2.0).unwrap_or_else(|| panic!("a valid rate"));
+    let mut old = Fixture::new(1, 0);
+    call(&mut old, ms(0), LimitField::Named(rate));
+    old.balancer.assign_limits(ms(0), |_, _| LimitShare::Full);
+    call(&mut old, ms(5_000), LimitField::Absent);
+    assert_eq!(old.balancer.limits(), [], "the limit has ended");
+    let mut started = Fixture::new(1, 0);
+    call(&mut started, ms(9_000), LimitField::Named(rate));
+    let (_, later) = old.balancer.merge_limits(ms(9_010), &started.balancer.limits());
+    started.balancer.merge_limits(ms(9_020), &later);
+    let known = |fixture: &Fixture| fixture.balancer.limits().first().and_then(|n| n.rate);
+    assert_eq!((known(&started), known(&old)), (Some(rate), Some(rate)));
+}
+
 /// What a platform holds.
 #[derive(Clone, Debug, Default)]
 struct Store {
@@ -461,19 +508,23 @@
             gateways[0].ask(&store);
             gateways[0].receive_from_platform(now);
         }
+        let end = ms(clock + 100 + EXPIRY_MS);
+        for gateway in &mut gateways {
+            gateway.catalog.tick(end);
+        }
         let reader = gateways[0].catalog.clone();
         for gateway in &mut gateways[1..] {
             let own = &mut gateway.catalog;
             let is_ahead = reader.content_revision() > own.revision()
                 || reader.settings_version() > own.settings_version();
             if is_ahead {
-                fetch(own, &reader, now);
+                fetch(own, &reader, end);
             }
         }
         let expected = (0..TARGETS).filter(|n| !left[*n as usize]);
         let expected: Vec<_> = expected.map(|n| process(n, started[n as usize])).collect();
         for gateway in &mut gateways {
-            gateway.catalog.tick(ms(clock + 100 + EXPIRY_MS));
+            gateway.catalog.tick(ms(clock + 100 + 2 * EXPIRY_MS));
             assert_eq!(gateway.catalog.settings_version(), settings);
             let mut usable = usable(&gateway.catalog);
             usable.sort();
