--- a/crates/gateway/tests/platform_review.rs
+++ b/crates/gateway/tests/platform_review.rs
@@ -61,13 +61,21 @@
     has_target: bool,
     /// Polls after a later revision than this one are answered 410.
     last_known: u64,
+    /// Whether all requests are answered 503.
+    is_away: bool,
 }
 
 impl Platform {
     fn new(era: Option<&str>) -> Arc<Self> {
         let era = era.map(str::to_owned);
-        let state =
-            State { era, revision: 100, settings: 1, has_target: false, last_known: u64::MAX };
+        let state = State {
+            era,
+            revision: 100,
+            settings: 1,
+            has_target: false,
+            last_known: u64::MAX,
+            is_away: false,
+        };
         Arc::new(Self { state: Mutex::new(state), lists: AtomicUsize::new(0) })
     }
 
@@ -93,6 +101,7 @@
         changes.extend(state.has_target.then(|| Change::Target(stub::target(1, 1))));
         let all = PublishedChanges { revision: state.revision, changes };
         let mut response = match request.uri().path() {
+            _ if state.is_away => text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
             LIST_PATH => json_response(&all),
             CHANGES_PATH if after > state.last_known => text_response(StatusCode::GONE, ""),
             CHANGES_PATH if after < state.revision => json_response(&all),
@@ -274,3 +283,53 @@
     let shown = text.lines().find(|line| line.starts_with("azuretally_platform_era "));
     assert_eq!(shown, Some("azuretally_platform_era 2"));
 }
+
+/// Tells the loss of data from the absence of the platform alone, after which settings are in force in time.
+#[tokio::test]
+async fn settings_confirmed_after_the_platform_was_away_are_in_force_in_time() {
+    run_local(async {
+        let fixture = Fixture::start(14, Some("1"), 1_000).await;
+        for (version, away_ms) in [(2, 600), (3, 600), (4, 600), (5, 3_000), (6, 3_000)] {
+            fixture.platform.change(|s| s.is_away = true);
+            sleep(Duration::from_millis(away_ms)).await;
+            fixture.platform.change(|s| {
+                *s = State {
+                    is_away: false,
+                    revision: s.revision + 1,
+                    settings: version,
+                    ..s.clone()
+                }
+            });
+            fixture.wait_for(version).await;
+        }
+    })
+    .await;
+}
+
+/// The same if the platform is restored each time, before the gateway has read the era before it.
+#[tokio::test]
+async fn settings_confirmed_after_restores_in_a_row_are_in_force_in_time() {
+    run_local(async {
+        let fixture = Fixture::start(15, Some("1"), 1_000).await;
+        for (version, era) in [(2, 2), (3, 4), (4, 6), (5, 8)] {
+            for (era, revision) in [(era, 80), (era + 1, 60)] {
+                fixture.platform.change(|s| s.is_away = true);
+                sleep(Duration::from_millis(300)).await;
+                fixture.platform.change(|s| {
+                    *s = State {
+                        era: Some(era.to_string()),
+                        is_away: false,
+                        revision,
+                        last_known: revision,
+                        settings: version - 1,
+                        ..s.clone()
+                    }
+                });
+                sleep(Duration::from_millis(50)).await;
+            }
+            fixture.platform.change(|s| (s.revision, s.last_known, s.settings) = (61, 61, version));
+            fixture.wait_for(version).await;
+        }
+    })
+    .await;
+}
