--- a/crates/api/src/platform.rs
+++ b/crates/api/src/platform.rs
@@ -4,12 +4,21 @@
 //! `?after=REV&wait_ms=N` makes it a long poll: the response waits until the revision exceeds
 //! `REV`, and is 304 if that takes longer than `N` ms. `GET /v1/hosts` works the same way and
 //! returns a [`HostList`], as JSON.
+//!
+//! A platform that may be restored from a copy names its era in all answers
+//! ([`PLATFORM_ERA`](crate::headers::PLATFORM_ERA)), and with each value the era in which the value
+//! was written ([`REVISION_ERA`]). Only that tells a value of the copy from one that was written
+//! since: both may have the same revision and content. Values are ordered by era, then by revision.
+//! `&era=ERA` in a long poll is the era that `REV` belongs to.
 
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// Header field with the revision of the returned value.
 pub const REVISION: &str = "x-revision";
+/// Header field with the era in which the returned value was written, a whole number above 0. Missing
+/// if the platform knows no eras, which counts as 1.
+pub const REVISION_ERA: &str = "x-revision-era";
 /// Path of the settings document.
 pub const SETTINGS_PATH: &str = "/v1/settings";
 /// Path of the host list.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -7,4 +7,4 @@
 
 pub use counts::{Counts, CountsReport};
 pub use server::serve;
-pub use state::{Faults, Platform, WriteError};
+pub use state::{Copied, Faults, Platform, WriteError};
--- a/crates/standin/src/platform/server.rs
+++ b/crates/standin/src/platform/server.rs
@@ -1,9 +1,12 @@
 //! HTTP interface of the platform.
 
-use super::state::{Document, Faults, Platform, Versioned, WriteError};
+use super::state::{Copied, Document, Faults, Platform, Versioned, WriteError};
 use crate::http::{self as web, ConnectionAborted, ResponseBody};
 use ::http::{HeaderValue, Method, Request, Response, StatusCode};
-use azuretally_api::platform::{HOSTS_PATH, HostList, REVISION, SETTINGS_PATH};
+use azuretally_api::{
+    headers::PLATFORM_ERA,
+    platform::{HOSTS_PATH, HostList, REVISION, REVISION_ERA, SETTINGS_PATH},
+};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -18,11 +21,18 @@
 /// Path that sets the faults of the platform.
 const FAULTS_PATH: &str = "/v1/faults";
 
+/// Path that restores the platform from a copy.
+const RESTORE_PATH: &str = "/v1/restore";
+
 /// Serves readers, operators and fault injection until `stop` is cancelled.
 pub async fn serve(platform: Arc<Platform>, listener: TcpListener, stop: CancellationToken) {
     let handler = move |request| {
         let platform = Arc::clone(&platform);
-        async move { handle(&platform, request).await }
+        async move {
+            let mut response = handle(&platform, request).await?;
+            response.headers_mut().insert(PLATFORM_ERA, HeaderValue::from(platform.era()));
+            Ok(response)
+        }
     };
     web::serve(listener, stop, handler).await;
 }
@@ -41,6 +51,7 @@
         (&Method::PUT, HOSTS_PATH) => put_hosts(platform, request).await,
         (&Method::GET, COUNTS_PATH) => Ok(web::json_response(&platform.counts.report())),
         (&Method::POST, FAULTS_PATH) => set_faults(platform, request).await,
+        (&Method::POST, RESTORE_PATH) => restore(platform, request).await,
         _ => Ok(web::text_response(StatusCode::NOT_FOUND, "no such path")),
     }
 }
@@ -53,6 +64,7 @@
     platform.counts.record_call(request.uri().path());
     let parse_param = |name| web::query_param(request, name).and_then(|v| v.parse::<u64>().ok());
     let after = parse_param("after");
+    let after_era = parse_param("era");
     let wait = Duration::from_millis(parse_param("wait_ms").unwrap_or(0));
     let deadline = time::Instant::now() + wait;
     let mut changed = platform.subscribe();
@@ -67,7 +79,12 @@
             continue;
         }
         let visible = platform.visible(document);
-        let newer = visible.filter(|v| faults.ignore_after || after.is_none_or(|a| v.0 > a));
+        let is_newer = |v: &Versioned| match (after_era, after) {
+            (_, None) => true,
+            (None, Some(revision)) => v.revision > revision,
+            (Some(era), Some(revision)) => (v.era, v.revision) > (era, revision),
+        };
+        let newer = visible.filter(|v| faults.ignore_after || is_newer(v));
         if let Some(version) = newer {
             time::sleep(platform.delay()).await;
             return Ok(document_response(&version));
@@ -82,8 +99,9 @@
 }
 
 fn document_response(version: &Versioned) -> Response<ResponseBody> {
-    let mut response = Response::new(ResponseBody::full(version.1.as_bytes().to_vec()));
-    response.headers_mut().insert(REVISION, HeaderValue::from(version.0));
+    let mut response = Response::new(ResponseBody::full(version.text.as_bytes().to_vec()));
+    response.headers_mut().insert(REVISION, HeaderValue::from(version.revision));
+    response.headers_mut().insert(REVISION_ERA, HeaderValue::from(version.era));
     response
 }
 
@@ -135,6 +153,20 @@
     }
 }
 
+async fn restore(
+    platform: &Platform,
+    request: Request<Incoming>,
+) -> Result<Response<ResponseBody>, ConnectionAborted> {
+    match serde_json::from_slice::<Copied>(&read_body(request).await?) {
+        Ok(copied) => {
+            log::info!("platform: restored from {copied:?}");
+            platform.restore(copied);
+            Ok(web::json_response(&copied))
+        }
+        Err(e) => Ok(web::text_response(StatusCode::BAD_REQUEST, &e.to_string())),
+    }
+}
+
 fn revision_response(code: StatusCode, revision: u64) -> Response<ResponseBody> {
     let mut response = web::text_response(code, &format!("revision {revision}\n"));
     response.headers_mut().insert(REVISION, HeaderValue::from(revision));
--- a/crates/standin/src/platform/state.rs
+++ b/crates/standin/src/platform/state.rs
@@ -7,6 +7,9 @@
 use std::{error::Error, fmt, sync::Arc, time::Duration};
 use tokio::sync::watch;
 
+/// Era of the data before the first restore.
+const FIRST_ERA: u64 = 1;
+
 /// Faults of the platform. All are off by default.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -25,6 +28,16 @@
     pub hang: bool,
 }
 
+/// Revisions at which a copy was taken.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Copied {
+    /// Last revision of the settings in the copy.
+    pub settings: u64,
+    /// Last revision of the host list in the copy.
+    pub hosts: u64,
+}
+
 /// Reason for which a write was rejected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteError {
@@ -45,11 +58,19 @@
 
 impl Error for WriteError {}
 
-/// Revision of a document and its text.
-pub(super) type Versioned = (u64, Arc<str>);
+/// Document in one revision.
+#[derive(Clone, Debug)]
+pub(super) struct Versioned {
+    /// Era in which it was written.
+    pub(super) era: u64,
+    pub(super) revision: u64,
+    pub(super) text: Arc<str>,
+}
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct History {
+    /// Rises by one with each restore.
+    era: u64,
     settings: Vec<Versioned>,
     hosts: Vec<Versioned>,
     faults: Faults,
@@ -76,10 +97,16 @@
     pub fn new(settings: &str, hosts: HostList) -> Self {
         let platform = Self {
             counts: Counts::default(),
-            history: RwLock::default(),
+            history: RwLock::new(History {
+                era: FIRST_ERA,
+                settings: Vec::new(),
+                hosts: Vec::new(),
+                faults: Faults::default(),
+            }),
             changed: watch::Sender::new(0),
         };
-        platform.history.write().settings.push((1, Arc::from(settings)));
+        let initial = Versioned { era: FIRST_ERA, revision: 1, text: Arc::from(settings) };
+        platform.history.write().settings.push(initial);
         platform.write_hosts(hosts);
         platform
     }
@@ -91,13 +118,14 @@
     /// Returns [`WriteError::Conflict`] if `expected` is given and is not the current revision.
     pub fn write_settings(&self, text: &str, expected: Option<u64>) -> Result<u64, WriteError> {
         let revision = {
-            let settings = &mut self.history.write().settings;
-            let current = settings.last().map_or(0, |s| s.0);
+            let mut history = self.history.write();
+            let current = history.settings.last().map_or(0, |s| s.revision);
             if expected.is_some_and(|e| e != current) {
                 return Err(WriteError::Conflict { current });
             }
-            settings.push((current + 1, Arc::from(text)));
-            current + 1
+            let (era, revision) = (history.era, current + 1);
+            history.settings.push(Versioned { era, revision, text: Arc::from(text) });
+            revision
         };
         self.notify_readers();
         Ok(revision)
@@ -107,16 +135,34 @@
     /// in `list` is ignored.
     pub fn write_hosts(&self, mut list: HostList) -> u64 {
         let revision = {
-            let hosts = &mut self.history.write().hosts;
-            list.revision = hosts.last().map_or(0, |h| h.0) + 1;
-            let text = serde_json::to_string(&list).unwrap_or_default();
-            hosts.push((list.revision, Arc::from(text)));
-            list.revision
+            let mut history = self.history.write();
+            let (era, revision) = (history.era, history.hosts.last().map_or(0, |h| h.revision) + 1);
+            list.revision = revision;
+            let text = Arc::from(serde_json::to_string(&list).unwrap_or_default());
+            history.hosts.push(Versioned { era, revision, text });
+            revision
         };
         self.notify_readers();
         revision
     }
 
+    /// Goes back to a copy that was taken at the revisions in `copied`, which begins a new era. Later
+    /// revisions are lost and are given out again.
+    pub fn restore(&self, copied: Copied) {
+        {
+            let mut history = self.history.write();
+            history.era += 1;
+            history.settings.retain(|s| s.revision <= copied.settings);
+            history.hosts.retain(|h| h.revision <= copied.hosts);
+        }
+        self.notify_readers();
+    }
+
+    /// Returns the era of the data.
+    pub(super) fn era(&self) -> u64 {
+        self.history.read().era
+    }
+
     /// Replaces the active faults and wakes all waiting reads.
     pub fn set_faults(&self, faults: Faults) {
         self.history.write().faults = faults;
@@ -140,7 +186,7 @@
             Document::Settings => (&history.settings, history.faults.stale_revision),
             Document::Hosts => (&history.hosts, history.faults.stale_hosts),
         };
-        versions.iter().rev().find(|v| max_revision.is_none_or(|n| v.0 <= n)).cloned()
+        versions.iter().rev().find(|v| max_revision.is_none_or(|n| v.revision <= n)).cloned()
     }
 
     pub(super) fn subscribe(&self) -> watch::Receiver<u64> {
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -15,7 +15,7 @@
 };
 use azuretally_standin::{
     http::listen,
-    platform::{CountsReport, Faults as PlatformFaults},
+    platform::{Copied, CountsReport, Faults as PlatformFaults},
     proxy::Link,
     target::{Faults as TargetFaults, GroupReport},
 };
@@ -178,6 +178,11 @@
         self.post(self.platform_address(), "/v1/faults", &faults).await;
     }
 
+    /// Restores the platform from a copy, which begins a new era of its data.
+    pub async fn restore_platform(&self, copied: Copied) {
+        self.post(self.platform_address(), "/v1/restore", &copied).await;
+    }
+
     /// Returns the read requests that the platform counted.
     pub async fn platform_counts(&self) -> CountsReport {
         let address = self.platform_address();
