fix(record): name the era of settings whose revision a restored platform gave out again

Cause: lines of the record name settings by revision alone, and the audit keeps one entry for each revision of an incarnation. After a restore of the platform two documents can have one revision; the calls of both were judged by the classes of the later one (found by reading, then by the test).

Lines of settings and calls name the era unless it is the first, so that lines without a restore stay the same, byte for byte and in their hashes.

The test was seen red with the era ignored: a PriorityInversion of "urgent" and "patient", which had changed places in the second document. Also a process test, green from the start: a target that still drains, and that the first list written after a restore shows as live, gets no calls from entries that have seen it drain.

--- a/crates/api/src/record.rs
+++ b/crates/api/src/record.rs
@@ -33,6 +33,10 @@
 pub struct CallRecord {
     /// Revision of the settings under which the call was handled.
     pub revision: u64,
+    /// Era of the platform in which the settings were written, if it is not the first. The platform
+    /// gives the same revision again after it was restored from a copy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
     /// Name of the service.
     pub service: String,
     /// Name of the operation.
@@ -81,6 +85,10 @@
 pub struct SettingsRecord {
     /// Revision of the settings.
     pub revision: u64,
+    /// Era of the platform in which the settings were written, if it is not the first. The platform
+    /// gives the same revision again after it was restored from a copy.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<u64>,
     /// Name of the active preset.
     pub preset: String,
     /// Classes of the preset, highest priority first.
--- a/crates/audit/tests/testsuite/main.rs
+++ b/crates/audit/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 fn call(class: &str, key: &str, arrival_us: u64, dispatch_us: u64) -> RecordEntry {
     RecordEntry::Call(Box::new(CallRecord {
         revision: 3,
+        era: None,
         service: "till".to_owned(),
         operation: "sale".to_owned(),
         class: class.to_owned(),
@@ -41,7 +42,7 @@
     let counts = CallCounts { taken: 2, answered: 2, in_time: 2, ..CallCounts::default() };
     let entries = [
         RecordEntry::Start { failure_domain: "a".to_owned() },
-        RecordEntry::Settings(SettingsRecord { revision: 3, preset, classes }),
+        RecordEntry::Settings(SettingsRecord { revision: 3, era: None, preset, classes }),
         call("urgent", "sale-1", 0, 90_000),
         call("patient", "sale-2", 100_000, 100_500),
         RecordEntry::End(counts),
--- a/crates/entry/src/calls/call_guard.rs
+++ b/crates/entry/src/calls/call_guard.rs
@@ -6,6 +6,7 @@
 use azuretally_policy::{
     Timestamp,
     dispatch::{CallId, Event, FailureKind, LoadReport},
+    fleet::PublishedRevision,
 };
 use opentelemetry::trace::SpanContext;
 use std::{sync::Arc, time::Duration};
@@ -155,7 +156,8 @@
         if let Some(mut span) = self.span.take() {
             span.set_attribute("outcome", outcome.as_str().to_owned());
             span.set_attribute("reason", reason.unwrap_or_default().to_owned());
-            span.set_attribute("revision", self.inbound.config.service.revision.to_string());
+            let revision = PublishedRevision::from_code(self.inbound.config.service.revision);
+            span.set_attribute("revision", revision.number().to_string());
         }
         self.app.context.records.push(self.record(now, outcome, reason));
     }
@@ -164,8 +166,10 @@
         let inbound = &self.inbound;
         let config = &inbound.config.service;
         let operation = &config.operations[inbound.config.operation];
+        let revision = PublishedRevision::from_code(config.revision);
         CallRecord {
-            revision: config.revision,
+            revision: revision.number(),
+            era: revision.later_era(),
             service: config.service.to_string(),
             operation: operation.name.to_string(),
             class: config.classes[operation.class].name.to_string(),
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -19,6 +19,7 @@
 use azuretally_policy::{
     Timestamp,
     dispatch::{Call, CallId, Event, FailureKind, LoadReport, RefusalReason, TargetRefusal},
+    fleet::PublishedRevision,
 };
 use futures_util::{
     StreamExt,
@@ -60,7 +61,7 @@
             return Ok(response);
         }
     };
-    let revision = inbound.config.service.revision;
+    let revision = PublishedRevision::from_code(inbound.config.service.revision).number();
     let inbound = Arc::new(inbound);
     let guard = CallGuard::new(Arc::clone(&app), Arc::clone(&inbound));
     let reply = match &inbound.key {
--- a/crates/entry/src/control/view_builder.rs
+++ b/crates/entry/src/control/view_builder.rs
@@ -47,8 +47,7 @@
         let settings = accepted.map(|a| Arc::clone(&a.value));
         if let Some(accepted) = accepted.filter(|a| a.revision != self.revision.code()) {
             self.revision = PublishedRevision::from_code(accepted.revision);
-            let number = self.revision.number();
-            self.configs = service_configs(&accepted.value, number, &context.local.host);
+            self.configs = service_configs(&accepted.value, accepted.revision, &context.local.host);
         }
         let services = match &settings {
             Some(settings) => self.services(settings, fleet, &entries, now),
--- a/crates/entry/src/record/recorder.rs
+++ b/crates/entry/src/record/recorder.rs
@@ -75,7 +75,7 @@
         let Some(settings) = &view.settings else { return };
         if view.revision != self.revision {
             self.revision = view.revision;
-            self.append(RecordEntry::Settings(settings_record(view.revision.number(), settings)));
+            self.append(RecordEntry::Settings(settings_record(view.revision, settings)));
         }
     }
 
@@ -103,10 +103,11 @@
     }
 }
 
-fn settings_record(revision: u64, settings: &PublishedSettings) -> SettingsRecord {
+fn settings_record(revision: PublishedRevision, settings: &PublishedSettings) -> SettingsRecord {
     let classes = settings.active_preset().map(|p| p.classes.as_slice()).unwrap_or_default();
     SettingsRecord {
-        revision,
+        revision: revision.number(),
+        era: revision.later_era(),
         preset: settings.preset.to_string(),
         classes: classes
             .iter()
--- a/crates/entry/tests/record_sink.rs
+++ b/crates/entry/tests/record_sink.rs
@@ -7,6 +7,7 @@
 fn call(end_us: u64) -> CallRecord {
     CallRecord {
         revision: 1,
+        era: None,
         service: "till".to_owned(),
         operation: "balance".to_owned(),
         class: "urgent".to_owned(),
--- a/crates/policy/examples/record_cost.rs
+++ b/crates/policy/examples/record_cost.rs
@@ -13,6 +13,7 @@
     let at = i * 100 + 10_000_000_000;
     CallRecord {
         revision: 1_200,
+        era: None,
         service: "till".to_owned(),
         operation: "sale".to_owned(),
         class: "urgent".to_owned(),
--- a/crates/policy/src/dispatch/config.rs
+++ b/crates/policy/src/dispatch/config.rs
@@ -33,7 +33,7 @@
 /// Configuration of one service under the active preset.
 #[derive(Clone, Debug)]
 pub struct ServiceConfig {
-    /// Revision of the settings.
+    /// Code of the [`PublishedRevision`](crate::fleet::PublishedRevision) of the settings.
     pub revision: u64,
     /// Name of the service.
     pub service: Arc<str>,
--- a/crates/policy/src/fleet/revision.rs
+++ b/crates/policy/src/fleet/revision.rs
@@ -44,6 +44,11 @@
         (self.code >> NUMBER_BITS) + FIRST_ERA
     }
 
+    /// Returns the era if it is not the first, as in record lines.
+    pub fn later_era(self) -> Option<u64> {
+        Some(self.era()).filter(|era| *era != FIRST_ERA)
+    }
+
     /// Returns the number that the platform gave to the document, or 0 before the first document.
     pub const fn number(self) -> u64 {
         self.code & ((1 << NUMBER_BITS) - 1)
--- a/crates/policy/src/record/incarnation.rs
+++ b/crates/policy/src/record/incarnation.rs
@@ -25,7 +25,8 @@
     /// Location and hash of each line, by sequence number.
     lines: IndexMap<u64, (Location, String)>,
     calls: Vec<(Location, CallRecord)>,
-    settings: IndexMap<u64, SettingsRecord>,
+    /// Settings, by era and revision.
+    settings: IndexMap<(Option<u64>, u64), SettingsRecord>,
     /// Counters of the last line that has any.
     counts: CallCounts,
     /// Number of calls with a line, by outcome: answered, not run, unknown.
@@ -60,9 +61,9 @@
         self.calls.iter().map(|(location, call)| (location, call))
     }
 
-    /// Returns the settings of a revision.
-    pub(super) fn settings(&self, revision: u64) -> Option<&SettingsRecord> {
-        self.settings.get(&revision)
+    /// Returns the settings under which a call was handled.
+    pub(super) fn settings(&self, call: &CallRecord) -> Option<&SettingsRecord> {
+        self.settings.get(&(call.era, call.revision))
     }
 
     /// Checks one line and, if it is new, adds its entry.
@@ -121,7 +122,7 @@
         match entry {
             RecordEntry::Start { .. } => {}
             RecordEntry::Settings(settings) => {
-                self.settings.insert(settings.revision, settings);
+                self.settings.insert((settings.era, settings.revision), settings);
             }
             RecordEntry::Call(call) => self.add_call(location, *call, report),
             RecordEntry::Lost { calls } => {
@@ -147,7 +148,7 @@
             Outcome::Unknown => 2,
         };
         self.call_lines[index] += 1;
-        match self.settings.get(&call.revision) {
+        match self.settings(&call) {
             None => report(FindingKind::MissingSettings(call.revision)),
             Some(settings) if settings.classes.iter().all(|c| c.name != call.class) => {
                 report(FindingKind::UnknownClass(call.class.clone()));
--- a/crates/policy/src/record/order.rs
+++ b/crates/policy/src/record/order.rs
@@ -31,17 +31,18 @@
 /// Reports each call that was dispatched before a waiting call of a higher class. Calls are
 /// compared only with calls of the same service and revision of the settings.
 pub(super) fn check(incarnation: &Incarnation, findings: &mut Vec<Finding>) {
-    let mut groups: IndexMap<(&str, u64), Vec<QueuedCall<'_>>> = IndexMap::new();
+    let mut groups: IndexMap<(&str, Option<u64>, u64), Vec<QueuedCall<'_>>> = IndexMap::new();
     for (location, call) in incarnation.calls() {
-        let Some(settings) = incarnation.settings(call.revision) else { continue };
+        let Some(settings) = incarnation.settings(call) else { continue };
         let Some(rank) = settings.classes.iter().position(|c| c.name == call.class) else {
             continue;
         };
-        let group = groups.entry((&call.service, call.revision)).or_default();
+        let group = groups.entry((&call.service, call.era, call.revision)).or_default();
         group.push(QueuedCall { location, call, rank });
     }
-    for ((_, revision), group) in groups {
-        let Some(settings) = incarnation.settings(revision) else { continue };
+    for group in groups.into_values() {
+        let settings = group.first().and_then(|queued| incarnation.settings(queued.call));
+        let Some(settings) = settings else { continue };
         check_group(&settings.classes, &group, findings);
     }
 }
--- a/crates/policy/tests/record.rs
+++ b/crates/policy/tests/record.rs
@@ -24,6 +24,7 @@
     };
     RecordEntry::Settings(SettingsRecord {
         revision: 7,
+        era: None,
         preset: "ordinary".to_owned(),
         classes: vec![class("urgent", 0.0, None), class("patient", 0.0, Some(5_000))],
     })
@@ -32,6 +33,7 @@
 fn call(class: &str, arrival_us: u64, dispatch_us: Option<u64>, end_us: u64) -> CallRecord {
     CallRecord {
         revision: 7,
+        era: None,
         service: "till".to_owned(),
         operation: "balance".to_owned(),
         class: class.to_owned(),
@@ -199,3 +201,37 @@
     let counted = FindingKind::CounterMismatch { outcome: "answered", counted: 1, lines: 0 };
     assert_eq!(kinds, [FindingKind::UnbalancedCounters { taken: 3, accounted: 1 }, counted]);
 }
+
+/// Guards against calls that are judged by other settings with the same revision, which a platform
+/// gives out again after it was restored from a copy.
+#[test]
+fn settings_with_the_same_revision_in_another_era_are_told_apart() {
+    let settings = |era, names: [&str; 2]| {
+        let class = |name: &str| ClassRecord {
+            name: name.to_owned(),
+            timeout_ms: 500,
+            floor_percent: 0.0,
+            still_ms: None,
+        };
+        let (preset, classes) = ("ordinary".to_owned(), names.map(class).to_vec());
+        RecordEntry::Settings(SettingsRecord { revision: 7, era, preset, classes })
+    };
+    let calls = |era, names: [&str; 2]| {
+        let [higher, lower] = names;
+        let higher = call(higher, 0, Some(100_000), 110_000);
+        let lower = call(lower, 10_000, Some(200_000), 210_000);
+        [higher, lower].map(|c| RecordEntry::Call(Box::new(CallRecord { era, ..c })))
+    };
+    let (first, second) = (["urgent", "patient"], ["patient", "urgent"]);
+    let counts = CallCounts { taken: 4, answered: 4, ..CallCounts::default() };
+    let mut entries = vec![RecordEntry::Start { failure_domain: "a".to_owned() }];
+    entries.push(settings(None, first));
+    entries.extend(calls(None, first));
+    entries.push(settings(Some(2), second));
+    entries.extend(calls(Some(2), second));
+    entries.push(RecordEntry::End(counts));
+    let mut chain = HashChain::new("entry-1", "0011223344556677");
+    let lines: Vec<String> =
+        entries.into_iter().map(|e| serde_json::to_string(&chain.append(e)).unwrap()).collect();
+    assert_eq!(verify(&[&lines], None), []);
+}
--- a/crates/testsuite/tests/testsuite/restored.rs
+++ b/crates/testsuite/tests/testsuite/restored.rs
@@ -1,7 +1,10 @@
 //! A platform that is restored from an earlier copy: what it published before stays in force until
 //! something is published after the restore, which is then in force in time.
 
-use azuretally_standin::{platform::Copied, target::GroupReport};
+use azuretally_standin::{
+    platform::Copied,
+    target::{Faults, GroupReport},
+};
 use azuretally_testsuite::{
     Call, DEFAULT_TIMEOUT, Entry, Fleet, LoadGenerator, Workload, eventually,
 };
@@ -145,3 +148,20 @@
     let outcomes = fleet.verify(&load.finish().await).await;
     assert_eq!(outcomes.indeterminate(), 0, "{outcomes:?}");
 }
+
+// Guards against calls to a target that still drains but is live in the first list that the platform
+// writes after a restore, since the copy is older than its leaving.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_target_that_is_live_in_a_list_written_after_a_restore_gets_no_calls() {
+    let mut fleet = Fleet::builder().start().await;
+    let load = LoadGenerator::start(&fleet, WORKLOAD);
+    time::sleep(Duration::from_millis(300)).await;
+    fleet.set_target_faults(Some(1), Faults { drain: true, ..Faults::default() }).await;
+    time::sleep(IN_FORCE_BOUND).await;
+    fleet.publish_hosts(&["till-1"], &[]).await;
+    time::sleep(IN_FORCE_BOUND).await;
+    fleet.restore_platform(Copied { settings: 1, hosts: 1 }).await;
+    fleet.publish_hosts(&["till-2"], &[]).await;
+    assert_get_no_calls(&fleet, &["till-1", "till-2"]).await;
+    fleet.verify(&load.finish().await).await;
+}
