test(soak): restore the platform from copies of an earlier time

The platform of the soak never lost what it had confirmed, so the soak could not show what gateways do when their platform is restored from a copy: revisions go back and are given out again.

The platform now names its era in all answers, refuses with 410 the changes after a revision that it does not have, and is restored at times: it is away for 0.1 to 1 s, waiting polls are cut, and it comes back from a copy 1 to 10 s old or from one with nothing but the first settings. What was written since is written again within 0.2 to 2 s, targets in random order, removals too. Some restores overlap, also with all other faults; writes during a restore wait for its end. Restores are drawn after all other faults, so a seed injects the same other faults as before. They are on by default on the command line (`--no-restores`), but not in `Options::new`, so the cases that exist run as they did.

Checks: a settings version that was lost counts as published again when it is written again. The bound of a leaving target now applies whenever the platform has been calm for 3 s, as that of settings does; it used not to apply to any target that was listed before the last disturbance. A process that must have known within the bound that a target leaves must not send it anything later, whatever the platform shows.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -60,6 +60,10 @@
 /// that the gateway uses, and the address of the caller, separated by commas. A relayed call is not
 /// relayed again. In the response: the version of the settings under which the call was handled.
 pub const RELAYED: &str = "x-azuretally-relayed";
+/// In all responses of the platform to a gateway: era of its data, a whole number above 0. It rises by
+/// one each time the platform is restored from a copy, after which its revisions continue from an
+/// earlier one. Missing if the platform knows no eras.
+pub const PLATFORM_ERA: &str = "x-azuretally-platform-era";
 /// Set to `1` on a response that was stored for the first call with the same idempotency key.
 pub const REPLAYED: &str = "x-azuretally-replayed";
 /// Path at which a caller queries the outcome of an idempotency key. A key that has not run yet is
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -68,6 +68,14 @@
     pub(crate) served: u64,
 }
 
+/// When the platform recorded that a target is leaving or gone.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    first: Instant,
+    /// `None` while a copy from which the platform was restored lists the target as before.
+    listed: Option<Instant>,
+}
+
 #[derive(Debug, Default)]
 struct State {
     calls: IndexMap<u64, Call>,
@@ -81,8 +89,8 @@
     stopping: IndexSet<usize>,
     /// All planned stops of the run.
     stops: Vec<Stop>,
-    /// Targets that are leaving or gone, with the time at which the platform recorded it.
-    leaving_since: IndexMap<String, Instant>,
+    /// Targets that are leaving or gone.
+    leaving: IndexMap<String, Leaving>,
     /// Settings versions with the time at which each was published.
     published: Vec<(u64, Instant)>,
     /// Highest settings version seen in effect, by gateway and incarnation.
@@ -91,8 +99,10 @@
     arrivals: IndexMap<String, VecDeque<(Instant, bool)>>,
     /// Limits of targets, and the requests that they got.
     limits: LimitChecks,
-    /// Time of the last disturbance of the platform.
-    last_outage: Option<Instant>,
+    /// Times of the disturbances of the platform.
+    outages: Vec<Instant>,
+    /// Gateways that are cut off from all targets, whose calls others send to targets.
+    detached: Vec<usize>,
     violations: Vec<String>,
     /// Number of calls by result.
     counts: IndexMap<&'static str, u64>,
@@ -160,12 +170,12 @@
                 "refused: call {id} ran at {target} after it was reported as not run"
             ));
         }
-        let since = state.leaving_since.get(target).copied();
-        if let Some(since) = since.filter(|at| now - *at > LEAVING_BOUND)
+        if let Some(leaving) = state.leaving.get(target).copied()
             && state.is_settled(gateway, now)
-            && state.is_platform_settled(since)
+            && (state.is_leaving_due(leaving, now)
+                || state.has_known_leaving(leaving, gateway, now))
         {
-            let delay = now - since;
+            let delay = now - leaving.first;
             state.add_violation(format!(
                 "leaving: call {id} ran at {target} {delay:?} after its listing as leaving or gone"
             ));
@@ -375,12 +385,36 @@
 
     /// Records that the platform is disturbed.
     pub(crate) fn record_outage(&self) {
-        self.state.lock().last_outage = Some(Instant::now());
+        self.state.lock().outages.push(Instant::now());
     }
 
     /// Records that the platform lists a target as leaving or has removed it.
     pub(crate) fn record_leaving(&self, target: &str) {
-        self.state.lock().leaving_since.insert(target.to_owned(), Instant::now());
+        let now = Instant::now();
+        let new = Leaving { first: now, listed: Some(now) };
+        let mut state = self.state.lock();
+        state.leaving.entry(target.to_owned()).or_insert(new).listed.get_or_insert(now);
+    }
+
+    /// Records that the platform was restored from a copy with settings version `version`, which
+    /// lists the targets `listed` as neither leaving nor gone.
+    pub(crate) fn record_restore<'a, Names>(&self, version: u64, listed: Names)
+    where
+        Names: Iterator<Item = &'a str>,
+    {
+        let mut state = self.state.lock();
+        state.outages.push(Instant::now());
+        state.published.retain(|(published, _)| *published <= version);
+        for name in listed {
+            if let Some(leaving) = state.leaving.get_mut(name) {
+                leaving.listed = None;
+            }
+        }
+    }
+
+    /// Records which gateways are cut off from all targets.
+    pub(crate) fn record_detached(&self, numbers: &[usize]) {
+        self.state.lock().detached = numbers.to_vec();
     }
 
     /// Records that the platform published a settings version.
@@ -427,7 +461,28 @@
     }
 
     fn is_platform_settled(&self, at: Instant) -> bool {
-        self.last_outage.is_none_or(|outage| at > outage + SETTLE_TIME)
+        self.outages.last().is_none_or(|outage| at > *outage + SETTLE_TIME)
+    }
+
+    /// Returns whether all gateways must know by now what the platform has recorded of a target.
+    fn is_leaving_due(&self, leaving: Leaving, now: Instant) -> bool {
+        leaving.listed.is_some_and(|at| now > at + LEAVING_BOUND) && self.is_platform_settled(now)
+    }
+
+    /// Returns whether the process of a gateway must have known of a leaving target within the bound
+    /// of the first listing, so that nothing the platform shows later may bring the target back.
+    fn has_known_leaving(&self, leaving: Leaving, gateway: usize, now: Instant) -> bool {
+        let (since, due) = (leaving.first - SETTLE_TIME, leaving.first + LEAVING_BOUND);
+        let in_time = |at: &Instant| (since..=due).contains(at);
+        let at_gateway = |times: &IndexMap<usize, Vec<Instant>>, from, until| {
+            let mut times = times.get(&gateway).into_iter().flatten();
+            times.any(|at| (from..=until).contains(at))
+        };
+        now > due
+            && !self.detached.contains(&gateway)
+            && !self.outages.iter().any(in_time)
+            && !at_gateway(&self.faults, since, due)
+            && !at_gateway(&self.starts, since, now)
     }
 
     /// Records an arrival at a target and checks the retry budget of the service.
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -26,6 +26,9 @@
 /// No target of the main service is replaced while it has this many or fewer.
 const MIN_MAIN_TARGETS: usize = 4;
 
+/// Time for which a target goes on serving after it was listed as leaving or gone.
+pub(crate) const LEAVING_TIME: Duration = Duration::from_millis(2_500);
+
 /// Starts faults until `end` and returns once all of them are over.
 pub(crate) async fn inject(cluster: &Arc<Cluster>, seed: u64, end: Instant) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -81,7 +84,7 @@
             }
             10 => {
                 let (random_index, announced) = (rng.random_range(0..1_000), rng.random());
-                drop(active.spawn(replace_target(cluster, random_index, announced)));
+                drop(active.spawn(replace_target(cluster, random_index, announced, LEAVING_TIME)));
             }
             _ => {
                 cluster.publish_next();
@@ -193,8 +196,14 @@
 }
 
 /// Replaces a random target of the main service unless too few are left. With `announced`, the
-/// platform first lists it as leaving, so that gateways drain it.
-pub(crate) async fn replace_target(cluster: Arc<Cluster>, random_index: usize, announced: bool) {
+/// platform first lists it as leaving, so that gateways drain it. It goes on serving for `rest`
+/// after its removal.
+pub(crate) async fn replace_target(
+    cluster: Arc<Cluster>,
+    random_index: usize,
+    announced: bool,
+    rest: Duration,
+) {
     let main = cluster.main_targets();
     if main.len() <= MIN_MAIN_TARGETS {
         return;
@@ -209,10 +218,10 @@
     cluster.add_target(&record.service).await;
     if announced {
         cluster.platform.put_target(TargetRecord { leaving: true, ..record.clone() });
-        sleep(Duration::from_millis(2_500)).await;
+        sleep(LEAVING_TIME).await;
     }
     cluster.platform.remove_target(&record.name);
-    sleep(Duration::from_millis(2_500)).await;
+    sleep(rest).await;
     target.stop.cancel();
     link.set_faults(Faults { cut: true, ..Faults::default() });
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -19,6 +19,7 @@
 mod planned;
 mod platform;
 mod process;
+mod restores;
 mod run;
 mod stops;
 mod targets;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,14 +5,15 @@
 
 const USAGE: &str = "Usage: azuretally-soak [--seed N] [--runs N] [--seconds N] [--gateways N]
                        [--targets N] [--callers N] [--network N] [--logs DIR]
-                       [--planned-only] [--no-partitions]
+                       [--planned-only] [--no-partitions] [--no-restores]
 
 Runs seeds N, N + 1, ... and prints a line for each. Exits with 1 when a promise was broken.
 --logs keeps the logs of each seed in DIR/seed-N and replaces those of an earlier run of the seed.
 --network selects the loopback network 127.N.0.0/16, so that concurrent soaks do not collide.
 --planned-only injects no unplanned faults, only stops, restarts, hangups, settings and replaced
 targets.
---no-partitions cuts off no gateway from all targets, for gateways that cannot be told apart there.";
+--no-partitions cuts off no gateway from all targets, for gateways that cannot be told apart there.
+--no-restores restores the platform from no copies. Neither does --planned-only.";
 
 /// Parsed command line.
 struct Args {
@@ -63,7 +64,7 @@
 /// Parses the command line. Returns `None` if help is requested.
 fn parse_args() -> Result<Option<Args>, lexopt::Error> {
     use lexopt::prelude::*;
-    let mut options = Options::new(1);
+    let mut options = Options { restores: true, ..Options::new(1) };
     let mut runs = 1;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -75,7 +76,11 @@
             Long("targets") => options.targets = parser.value()?.parse()?,
             Long("callers") => options.callers = parser.value()?.parse()?,
             Long("network") => options.network = parser.value()?.parse()?,
-            Long("planned-only") => options.profile = Profile::Planned,
+            Long("planned-only") => {
+                options.profile = Profile::Planned;
+                options.restores = false;
+            }
+            Long("no-restores") => options.restores = false,
             Long("no-partitions") => options.partitions = false,
             Long("logs") => options.output_dir = Some(PathBuf::from(parser.value()?)),
             Long("help") | Short('h') => return Ok(None),
--- a/crates/soak/src/partitions.rs
+++ b/crates/soak/src/partitions.rs
@@ -147,11 +147,13 @@
 async fn cut(cluster: &Arc<Cluster>, numbers: &[usize], mode: CutMode, duration: Duration) {
     let began = Instant::now();
     let gateways = numbers.iter().map(|n| cluster.gateways[*n].calls_address.ip()).collect();
+    cluster.checker.record_detached(numbers);
     cluster.partitions.cut.send_replace(Some(Cut { mode, gateways }));
     sleep(duration).await;
     cluster.partitions.cut.send_replace(None);
     let ended = Instant::now();
     sleep(END_MARGIN).await;
+    cluster.checker.record_detached(&[]);
     check(&cluster.checker, numbers, began + CONTACT_TIME, ended, mode);
 }
 
--- a/crates/soak/src/planned.rs
+++ b/crates/soak/src/planned.rs
@@ -3,7 +3,7 @@
 
 use crate::{
     cluster::{Cluster, Gateway},
-    faults::{replace_target, suspend_gateway},
+    faults::{LEAVING_TIME, replace_target, suspend_gateway},
     stops::Stop,
     workload::Profile,
 };
@@ -85,7 +85,8 @@
             }
             4 => {
                 let (random_index, announced) = (rng.random_range(0..1_000), rng.random());
-                active.spawn(replace_target(Arc::clone(cluster), random_index, announced));
+                let cluster = Arc::clone(cluster);
+                active.spawn(replace_target(cluster, random_index, announced, LEAVING_TIME));
             }
             _ => cluster.publish_next(),
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,7 +1,7 @@
 //! Runs the soak for one seed.
 
 use crate::{
-    callers::Caller, cluster::Cluster, faults, limits, logs, partitions, planned,
+    callers::Caller, cluster::Cluster, faults, limits, logs, partitions, planned, restores,
     stops::StopCounts, workload::Profile,
 };
 use indexmap::IndexMap;
@@ -43,6 +43,8 @@
     pub profile: Profile,
     /// Whether gateways are cut off from all targets at times.
     pub partitions: bool,
+    /// Whether the platform is restored from copies at times.
+    pub restores: bool,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -60,6 +62,7 @@
             network: 77,
             profile: Profile::Mixed,
             partitions: true,
+            restores: false,
             output_dir: None,
         }
     }
@@ -116,7 +119,13 @@
             faults::inject(&cluster, fault_seed, end).await;
         }
     };
-    tokio::join!(faults, planned, limits, partitions);
+    let restores_seed = rng.random();
+    let restores = async {
+        if options.restores {
+            restores::inject(&cluster, restores_seed, end).await;
+        }
+    };
+    tokio::join!(faults, planned, limits, partitions, restores);
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -64,3 +64,15 @@
         ..Options::new(7)
     });
 }
+
+/// Settings and targets that leave must be in effect in time although the platform is restored from
+/// a copy: gateways once took all that it listed under an earlier revision for old.
+#[test]
+fn restored_platform_is_followed() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(10),
+        network: 84,
+        restores: true,
+        ..Options::new(21)
+    });
+}
