test(soak): send calls that crash each target that runs them

Targets of the soak crashed by chance, never by what they ran, so the soak could not show that a call which ends each of its targets goes on reaching further ones.

Two such calls now come for 10 to 20 s, each with the same method, path and body and a new id, every 0.3 to 1 s at any gateway. One may run twice, the other may not. The target that begins to run it ends after 50 to 110 ms: connections break and listeners close. 1 to 3 s later another process takes its place, with the same or another name and address; the record lapses 2 s after the crash. A proper call of its own path goes beside each.

Checks, over all gateways: from 3 s after its third crash a call reaches targets at most three times more, sends of gateways with a fault or a start in the last 3 s aside; once all these calls must be known, the others are served at nine tenths of the share before the first crash and after the last call; and at the end each gateway serves the proper calls that were sent beside, within three tries.

--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -62,6 +62,11 @@
 /// Next call id; unique within the process.
 static NEXT_CALL_ID: AtomicU64 = AtomicU64::new(1);
 
+/// Returns a call id that is unique within the process.
+pub(crate) fn new_call_id() -> u64 {
+    NEXT_CALL_ID.fetch_add(1, Ordering::SeqCst)
+}
+
 /// How a caller uses connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Habit {
@@ -224,7 +229,7 @@
             incarnation,
         };
         Call {
-            id: NEXT_CALL_ID.fetch_add(1, Ordering::SeqCst),
+            id: new_call_id(),
             operation,
             route,
             started_at: Instant::now(),
--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -1,6 +1,7 @@
 //! Records what callers and targets observe and checks it against the guarantees of the gateways.
 
 use crate::{
+    crashes::{CRASH_ROUTE, CrashChecks},
     limits::LimitChecks,
     stops::{self, Call, CallEnd, Route, Stop, StopCounts},
 };
@@ -99,6 +100,8 @@
     arrivals: IndexMap<String, VecDeque<(Instant, bool)>>,
     /// Limits of targets, and the requests that they got.
     limits: LimitChecks,
+    /// Calls that crash targets.
+    crashes: CrashChecks,
     /// Times of the disturbances of the platform.
     outages: Vec<Instant>,
     /// Gateways that are cut off from all targets, whose calls others send to targets.
@@ -129,13 +132,29 @@
         }
     }
 
-    /// Records that a target has received a call.
-    pub(crate) fn record_receipt(&self, id: u64) {
-        if let Some(call) = self.state.lock().calls.get_mut(&id) {
-            call.holders += 1;
+    /// Records that a target has received a call, one that crashes targets if it has a number
+    /// `crash`. Checks that gateways without a fault stop sending these.
+    pub(crate) fn record_receipt(&self, id: u64, crash: Option<u64>) {
+        let mut state = self.state.lock();
+        let Some(call) = state.calls.get_mut(&id) else { return };
+        call.holders += 1;
+        let gateway = call.route.gateway;
+        if let Some(crash) = crash
+            && state.is_settled(gateway, Instant::now())
+        {
+            let violation = state.crashes.record_receipt(crash);
+            violation.into_iter().for_each(|violation| state.add_violation(violation));
         }
     }
 
+    /// Changes what is recorded of the calls that crash targets.
+    pub(crate) fn change_crashes<Change, Result>(&self, change: Change) -> Result
+    where
+        Change: FnOnce(&mut CrashChecks) -> Result,
+    {
+        change(&mut self.state.lock().crashes)
+    }
+
     /// Records that a target no longer has a call. `broken_off` tells whether the target ended the
     /// connection by itself instead of answering.
     pub(crate) fn record_release(&self, id: u64, broken_off: bool) {
@@ -218,7 +237,8 @@
         for call in state.calls.values().filter(|c| (from..until).contains(&c.sent_at)) {
             let Some(end) = call.end else { continue };
             let left = end.result == CallResult::GaveUp && !end.timed_out;
-            if left || is_disturbed(call.route.gateway, call.sent_at) {
+            let is_crash = call.route.operation == CRASH_ROUTE;
+            if left || is_crash || is_disturbed(call.route.gateway, call.sent_at) {
                 continue;
             }
             let is_cut = numbers.contains(&call.route.gateway);
@@ -388,6 +408,11 @@
         self.state.lock().outages.push(Instant::now());
     }
 
+    /// Records that the platform lists a target as neither leaving nor gone.
+    pub(crate) fn record_listed(&self, target: &str) {
+        self.state.lock().leaving.shift_remove(target);
+    }
+
     /// Records that the platform lists a target as leaving or has removed it.
     pub(crate) fn record_leaving(&self, target: &str) {
         let now = Instant::now();
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -3,11 +3,12 @@
 use crate::{
     callers::HOST_NAME,
     checker::{BUDGET_SLACK, Checker},
+    crashes,
     partitions::Partitions,
     platform::Platform,
     process::Process,
     run::Options,
-    targets::{PROBE_PATH, Target},
+    targets::{Crash, PROBE_PATH, Target},
     workload::{MOVING, Operation, Workload},
 };
 use azuretally_policy::balance::{
@@ -25,7 +26,7 @@
     },
     time::Duration,
 };
-use tokio::{net::TcpListener, task::JoinSet};
+use tokio::{net::TcpListener, sync::mpsc, task::JoinSet};
 use tokio_util::sync::CancellationToken;
 
 /// Prefix of the names of the services behind the moving route. Each settings version routes to a
@@ -78,6 +79,8 @@
     pub(crate) target: Arc<Target>,
     pub(crate) record: TargetRecord,
     pub(crate) link: Arc<Link>,
+    /// Closes the listeners and connections before the target.
+    closed: CancellationToken,
 }
 
 /// Gateways, targets and platform of one run.
@@ -94,6 +97,8 @@
     pub(crate) version: AtomicU64,
     pub(crate) stop: CancellationToken,
     tasks: Mutex<JoinSet<()>>,
+    /// Sends the numbers of targets that crash.
+    crashed: mpsc::UnboundedSender<u64>,
     directory: PathBuf,
     /// Number of targets added so far.
     target_count: AtomicU32,
@@ -119,6 +124,7 @@
             let links = GatewayLinks::new(options, number, platform_address, &mut tasks, &stop);
             gateways.push(Gateway::new(options, &workload, number, directory, links));
         }
+        let (crashed, crashed_targets) = mpsc::unbounded_channel();
         let cluster = Arc::new(Self {
             checker,
             workload,
@@ -129,6 +135,7 @@
             version: AtomicU64::new(0),
             stop,
             tasks: Mutex::new(tasks),
+            crashed,
             directory: directory.to_owned(),
             target_count: AtomicU32::new(0),
         });
@@ -141,6 +148,8 @@
                 cluster.add_target(&format!("{MOVING_PREFIX}{version}")).await;
             }
         }
+        let replaced = Arc::clone(&cluster);
+        cluster.spawn(crashes::replace_crashed(replaced, options.seed, crashed_targets));
         cluster.publish_next();
         for number in 0..cluster.gateways.len() {
             cluster.start_gateway(number);
@@ -166,8 +175,19 @@
         *gateway.process.lock() = Some(Process::start(&gateway.settings, log));
     }
 
-    /// Starts a target of `service` behind a link and registers it with the platform.
+    /// Starts a target of `service` with a name and an address of its own.
     pub(crate) async fn add_target(&self, service: &str) {
+        self.start_target(service, None, None).await;
+    }
+
+    /// Starts a target of `service` behind a link and registers it with the platform. A name and an
+    /// address may be those of a target that has crashed.
+    pub(crate) async fn start_target(
+        &self,
+        service: &str,
+        name: Option<Arc<str>>,
+        address: Option<SocketAddr>,
+    ) {
         let number = self.target_count.fetch_add(1, Ordering::SeqCst);
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
@@ -177,25 +197,31 @@
             .await
             .expect("failed to bind a loopback port");
         let link_address = link_listener.local_addr().expect("bound");
-        let outer_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("failed to bind a loopback port");
+        let outer_listener = match address.map(listen) {
+            Some(Ok(listener)) => listener,
+            // Another socket may have the port by now.
+            _ => TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
+                .await
+                .expect("failed to bind a loopback port"),
+        };
         let address = outer_listener.local_addr().expect("bound");
         let link = Arc::new(Link::new(target_address));
-        let name: Arc<str> = Arc::from(format!("target-{number}"));
+        let name = name.unwrap_or_else(|| Arc::from(format!("target-{number}")));
+        let closed = self.stop.child_token();
         let service: Arc<str> = Arc::from(service);
         let target = Arc::new(Target::new(
             Arc::clone(&name),
             Arc::clone(&service),
             self.workload,
             Arc::clone(&self.checker),
+            Crash { number: u64::from(number), sender: self.crashed.clone() },
         ));
         {
             let mut tasks = self.tasks.lock();
             tasks.spawn(Arc::clone(&target).run(listener));
-            tasks.spawn(Arc::clone(&link).run(link_listener, self.stop.clone()));
+            tasks.spawn(Arc::clone(&link).run(link_listener, closed.clone()));
             let partitions = Arc::clone(&self.partitions);
-            tasks.spawn(partitions.forward(outer_listener, link_address, self.stop.clone()));
+            tasks.spawn(partitions.forward(outer_listener, link_address, closed.clone()));
         }
         let record = TargetRecord {
             name,
@@ -209,7 +235,17 @@
             warmup: Duration::ZERO,
         };
         self.platform.put_target(record.clone());
-        self.targets.lock().push(TargetLink { target, record, link });
+        self.targets.lock().push(TargetLink { target, record, link, closed });
+    }
+
+    /// Closes all that belongs to a target that has crashed, by its start number. Returns its last
+    /// record and whether it was leaving.
+    pub(crate) fn close_target(&self, number: u64) -> Option<(TargetRecord, bool)> {
+        let mut targets = self.targets.lock();
+        let old = targets.iter_mut().find(|t| t.record.started == Some(number))?;
+        old.closed.cancel();
+        let was_leaving = std::mem::replace(&mut old.record.leaving, true);
+        Some((old.record.clone(), was_leaving))
     }
 
     /// Ends all processes and tasks that the run started.
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -12,6 +12,7 @@
 mod checker;
 mod cluster;
 mod connection;
+mod crashes;
 mod faults;
 mod limits;
 mod logs;
@@ -25,6 +26,7 @@
 mod targets;
 mod workload;
 
+pub use crashes::CrashCounts;
 pub use run::{Options, Report, run};
 pub use stops::StopCounts;
 pub use workload::Profile;
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -114,6 +114,20 @@
         self.write(&mut self.store.lock(), Change::Gone(Arc::clone(name)));
     }
 
+    /// Removes the record of a target that has crashed, unless it is that of a later process.
+    pub(crate) fn let_lapse(&self, record: &TargetRecord) {
+        let mut store = self.store.lock();
+        let lost = store.lost.get(&Some(Arc::clone(&record.name)));
+        let started = |change: &Change| match change {
+            Change::Target(record) => record.started,
+            _ => None,
+        };
+        let listed = store.targets.get(&record.name).and_then(|listed| listed.started);
+        if listed == record.started || lost.and_then(started) == record.started {
+            self.write(&mut store, Change::Gone(Arc::clone(&record.name)));
+        }
+    }
+
     /// Aborts all requests until as many calls of [`Platform::restore`].
     pub(crate) fn begin_restore(&self) {
         self.away.send_modify(|count| *count += 1);
@@ -155,7 +169,7 @@
         match &change {
             Change::Published(published) => self.checker.record_published(published.version),
             Change::Target(record) if record.leaving => self.checker.record_leaving(&record.name),
-            Change::Target(_) => {}
+            Change::Target(record) => self.checker.record_listed(&record.name),
             Change::Gone(name) => self.checker.record_leaving(name),
         }
         store.apply(change);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,8 +1,12 @@
 //! Runs the soak for one seed.
 
 use crate::{
-    callers::Caller, cluster::Cluster, faults, limits, logs, partitions, planned, restores,
-    stops::StopCounts, workload::Profile,
+    callers::Caller,
+    cluster::Cluster,
+    crashes::{self, CrashCounts},
+    faults, limits, logs, partitions, planned, restores,
+    stops::StopCounts,
+    workload::Profile,
 };
 use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
@@ -45,6 +49,8 @@
     pub partitions: bool,
     /// Whether the platform is restored from copies at times.
     pub restores: bool,
+    /// Whether some calls crash each target that runs them.
+    pub crashes: bool,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -63,6 +69,7 @@
             profile: Profile::Mixed,
             partitions: true,
             restores: false,
+            crashes: false,
             output_dir: None,
         }
     }
@@ -77,6 +84,8 @@
     pub counts: IndexMap<&'static str, u64>,
     /// Calls around planned stops.
     pub stops: StopCounts,
+    /// Calls that crash targets, and the others beside them.
+    pub crashes: CrashCounts,
     /// Fraction of calls answered in the last seconds of the run.
     pub answered_share: f64,
 }
@@ -125,7 +134,14 @@
             restores::inject(&cluster, restores_seed, end).await;
         }
     };
-    tokio::join!(faults, planned, limits, partitions, restores);
+    let crashes_seed = rng.random();
+    let began = Instant::now();
+    let crashes = async {
+        if options.crashes {
+            crashes::inject(&cluster, crashes_seed, end).await;
+        }
+    };
+    tokio::join!(faults, planned, limits, partitions, restores, crashes);
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
@@ -133,6 +149,11 @@
             "recovery: {answered_share:.2} of the calls are answered after the last fault"
         ));
     }
+    let mut crash_counts = CrashCounts::default();
+    if options.crashes {
+        crash_counts = crashes::check_others(&cluster.checker, began);
+        crashes::check_proper_calls(&cluster).await;
+    }
     for gateway in &cluster.gateways {
         let exited = gateway.process.lock().as_mut().is_none_or(|p| !p.is_running());
         if exited {
@@ -148,5 +169,5 @@
     let counts = cluster.checker.counts();
     cluster.shut_down().await;
     let violations = cluster.checker.violations();
-    Report { violations, counts, stops, answered_share }
+    Report { violations, counts, stops, crashes: crash_counts, answered_share }
 }
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     checker::Checker,
+    crashes::{CRASH_MS, crash_number},
     workload::{ID_SPREAD, Workload},
 };
 use azuretally_api::headers;
@@ -18,7 +19,11 @@
     },
     time::Duration,
 };
-use tokio::{net::TcpListener, sync::Semaphore, time::sleep};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, mpsc},
+    time::sleep,
+};
 use tokio_util::sync::CancellationToken;
 
 /// Path at which targets report their load.
@@ -53,6 +58,14 @@
     Fail,
 }
 
+/// Where a target reports that it crashes.
+#[derive(Debug)]
+pub(crate) struct Crash {
+    /// Start number of the target.
+    pub(crate) number: u64,
+    pub(crate) sender: mpsc::UnboundedSender<u64>,
+}
+
 /// A stand-in for one target process.
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -68,6 +81,7 @@
     /// Calls received, used to select every second or third one.
     received_calls: AtomicU32,
     checker: Arc<Checker>,
+    crash: Crash,
     /// Shuts the target down.
     pub(crate) stop: CancellationToken,
 }
@@ -78,6 +92,7 @@
         service: Arc<str>,
         workload: Workload,
         checker: Arc<Checker>,
+        crash: Crash,
     ) -> Self {
         Self {
             name,
@@ -89,6 +104,7 @@
             in_flight: AtomicU32::new(0),
             received_calls: AtomicU32::new(0),
             checker,
+            crash,
             stop: CancellationToken::new(),
         }
     }
@@ -99,6 +115,10 @@
 
     /// Names another limit from now on, or none.
     pub(crate) fn set_limit(&self, limit: Option<f64>) {
+        // The name may belong to another process by now.
+        if self.stop.is_cancelled() {
+            return;
+        }
         self.checker.record_limit(&self.name, limit);
         *self.limit.lock() = limit;
     }
@@ -126,7 +146,8 @@
             return Ok(self.with_headers(answer, call));
         }
         self.checker.record_request(Some(id), &self.name);
-        let mut held = HeldCall::new(&self, id);
+        let crash = crash_number(request.uri().path());
+        let mut held = HeldCall::new(&self, id, crash);
         let service_time = self.workload.service_time(id, request.uri().path());
         request.into_body().collect().await.map_err(|_| ConnectionAborted)?;
         let call_index = self.received_calls.fetch_add(1, Ordering::SeqCst);
@@ -144,6 +165,13 @@
         let _in_flight_guard = InFlightGuard::new(&self.in_flight);
         let Ok(_slot) = self.slots.acquire().await else { return Err(ConnectionAborted) };
         self.checker.record_run(id, &self.name, &self.service);
+        if let Some(crash) = crash {
+            let span = CRASH_MS.end() - CRASH_MS.start() + 1;
+            sleep(Duration::from_millis(CRASH_MS.start() + id.wrapping_mul(ID_SPREAD) % span))
+                .await;
+            self.end_by_crash(crash);
+            return Err(ConnectionAborted);
+        }
         let factor = if mode == TargetMode::Slow { 5 } else { 1 };
         sleep(service_time * factor).await;
         let breaks_off = matches!(
@@ -176,6 +204,17 @@
         Ok(self.with_headers(Response::new(answer), Some(answer_id)))
     }
 
+    /// Ends the target, as the call with number `call` does.
+    fn end_by_crash(&self, call: u64) {
+        self.set_limit(None);
+        if !self.stop.is_cancelled() {
+            self.checker.change_crashes(|crashes| crashes.record_crash(call));
+            self.stop.cancel();
+            // Nothing takes the place of a target after the end of the run.
+            let _ = self.crash.sender.send(self.crash.number);
+        }
+    }
+
     /// Adds the load, the target name and the call id to the headers of an answer.
     fn with_headers(
         &self,
@@ -219,8 +258,8 @@
 }
 
 impl<'a> HeldCall<'a> {
-    fn new(target: &'a Target, id: u64) -> Self {
-        target.checker.record_receipt(id);
+    fn new(target: &'a Target, id: u64, crash: Option<u64>) -> Self {
+        target.checker.record_receipt(id, crash);
         Self { target, id, is_broken_off: false }
     }
 }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -76,3 +76,17 @@
         ..Options::new(21)
     });
 }
+
+/// A call that crashes each target that runs it must be stopped after three targets: gateways once
+/// took each of its arrivals for a new call.
+#[test]
+fn crashing_call_is_stopped() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(20),
+        targets: 16,
+        network: 85,
+        profile: Profile::Planned,
+        crashes: true,
+        ..Options::new(13)
+    });
+}
