--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -489,9 +489,14 @@
         self.outages.last().is_none_or(|outage| at > *outage + SETTLE_TIME)
     }
 
-    /// Returns whether all gateways must know by now what the platform has recorded of a target.
+    /// Returns whether all gateways must know by now what the platform has recorded of a target. What
+    /// it recorded while it had not settled counts from when it has.
     fn is_leaving_due(&self, leaving: Leaving, now: Instant) -> bool {
-        leaving.listed.is_some_and(|at| now > at + LEAVING_BOUND) && self.is_platform_settled(now)
+        let Some(listed) = leaving.listed else { return false };
+        let calm = listed - SETTLE_TIME..=listed;
+        let was_settled = !self.outages.iter().any(|outage| calm.contains(outage));
+        now > listed + LEAVING_BOUND
+            && self.is_platform_settled(if was_settled { now } else { now - LEAVING_BOUND })
     }
 
     /// Returns whether the process of a gateway must have known of a leaving target within the bound
