--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -8,12 +8,17 @@
 use azuretally_api::headers::RELAYED;
 use azuretally_policy::{
     Timestamp,
-    balance::{Call, Route},
+    balance::{Call, CallDigest, DigestParts, Route},
 };
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderName, HeaderValue, Method, Request, Uri,
-    header::{CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING, UPGRADE},
+    header::{
+        AUTHORIZATION, CONNECTION, CONTENT_LENGTH, EXPECT, HOST, TE, TRAILER, TRANSFER_ENCODING,
+        UPGRADE,
+    },
+    request,
+    uri::PathAndQuery,
 };
 use http_body::Body;
 use http_body_util::{Either, Full};
@@ -70,6 +75,8 @@
     pub(super) arrived_at: Timestamp,
     /// Time by which the caller must have a response.
     pub(super) deadline: Timestamp,
+    /// Hash of the content.
+    pub(super) digest: CallDigest,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -127,7 +134,9 @@
             }
         };
         let buffered = buffered.map_err(|_| reject(CallFailure::SlowBody))?;
-        let body = match buffered.map_err(|e| reject(body_failure(e)))? {
+        let buffered = buffered.map_err(|e| reject(body_failure(e)))?;
+        let digest = digest(&parts, &host, &buffered);
+        let body = match buffered {
             BufferedBody::Complete(bytes) => CallBody::Buffered(bytes),
             BufferedBody::Partial(first, rest) => {
                 CallBody::Streaming(RefCell::new(Some(PrefixedBody::of_call(first, rest, limit))))
@@ -146,6 +155,7 @@
             is_relayed: relayed.is_some(),
             arrived_at,
             deadline: arrived_at + time_limit,
+            digest,
             method: parts.method,
             uri: parts.uri,
             headers,
@@ -269,6 +279,25 @@
     }
 }
 
+/// Returns the digest of a call. Of a body that is streamed, only the beginning counts.
+fn digest(head: &request::Parts, host: &str, body: &BufferedBody) -> CallDigest {
+    let (bytes, rest) = match body {
+        BufferedBody::Complete(bytes) => (bytes, Some(0)),
+        BufferedBody::Partial(first, rest) => (first, rest.size_hint().exact()),
+    };
+    let body_length = rest.map(|rest| bytes.len() as u64 + rest);
+    // Where the buffered part ends depends on how the body arrived.
+    let bytes = &bytes[..bytes.len().min(MAX_REPLAY_BYTES)];
+    CallDigest::new(&DigestParts {
+        method: head.method.as_str(),
+        host,
+        path: head.uri.path_and_query().map_or("", PathAndQuery::as_str),
+        authorization: head.headers.get(AUTHORIZATION).map_or(&[], HeaderValue::as_bytes),
+        body: bytes,
+        body_length,
+    })
+}
+
 fn body_failure(e: BodyError) -> CallFailure {
     match e {
         BodyError::TooLarge => CallFailure::TooLarge,
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -320,7 +320,7 @@
         };
         log::info!(
             "calls: sent id={} target={} near={} attempt={} kind={kind} waited_ms={} expected_ms={} \
-             report_ms={} left_ms={} caller={} belief_ms={} limit={}",
+             report_ms={} left_ms={} caller={} belief_ms={} limit={} digest={}",
             inbound.log_id(),
             new_attempt.target,
             new_attempt.same_domain,
@@ -332,6 +332,7 @@
             inbound.caller,
             self.gateway.catalog.borrow().age(now).unwrap_or_default().as_millis(),
             new_attempt.limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string()),
+            inbound.digest,
         );
         self.gateway.metrics.record_attempt(&inbound.service, kind);
         if new_attempt.limit.is_some() {
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod load;
 mod membership;
+mod quarantine;
 mod reach;
 mod refusals;
 mod routes;
@@ -30,6 +31,7 @@
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{LimitAssignment, Membership, MembershipBuilder};
+pub use quarantine::{CallDigest, DigestParts};
 pub use routes::{
     CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
 };
