fix(gateway): stop sending a call that has crashed three targets

What callers saw: a call crashes each target that begins to run it and comes again, at any gateway. Each arrival was sent to one target and then a second one, so two such calls ended 49 and 52 targets, and over a tenth of the calls of the same service were not served for seconds.

Calls are now recognized by a digest of their content. An attempt that broke off calls for a check of its target on new connections: if the target accepts no exchange, twice, while another target answers, its process has ended under the call. Of several calls that ran there, only those that are suspected most get this evidence. It is withdrawn when the same process answers later. After three processes, without one answer to the call in between, the call is refused by all gateways, as not run unless it may have run. While a call is suspected it gets no hedge, a gateway sends one of its content at a time, and none is sent a third time after two broken attempts.

What is known of a call is a semilattice (epoch, set of processes, withdrawn ones), so lost and reordered notices do no harm.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -8,6 +8,7 @@
 mod body;
 mod call_guard;
 mod connection;
+mod crash;
 mod exchange;
 mod inbound;
 mod pool;
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -182,6 +182,7 @@
             caller: self.caller,
             replayable: self.is_buffered(),
             relayed: self.is_relayed,
+            digest: self.digest,
         }
     }
 
--- a/crates/gateway/src/calls/reach.rs
+++ b/crates/gateway/src/calls/reach.rs
@@ -63,7 +63,7 @@
 }
 
 /// Returns whether a target answers on a new connection.
-async fn ask<Adapter>(
+pub(super) async fn ask<Adapter>(
     gateway: Rc<Gateway<Adapter>>,
     pool: Rc<ConnectionPool>,
     target: Probe,
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -1,6 +1,8 @@
 //! Listens for callers and drains their connections on a planned stop.
 
-use super::{connection::CallerConnection, pool::ConnectionPool, probe, reach, task::handle_call};
+use super::{
+    connection::CallerConnection, crash, pool::ConnectionPool, probe, reach, task::handle_call,
+};
 use crate::{
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
@@ -84,12 +86,14 @@
         let probes = std::mem::replace(&mut self.probes, closed);
         let probe_task = probe::run(Rc::clone(&gateway), Rc::clone(&self.pool), probes);
         let reach_task = reach::run(Rc::clone(&gateway), Rc::clone(&self.pool));
+        let crash_task = crash::run(Rc::clone(&gateway), Rc::clone(&self.pool));
         let maintenance = run_maintenance(Rc::clone(&gateway), Rc::clone(&self.pool));
         tokio::select! {
             () = self.accept_and_drain() => {}
             () = maintenance => {}
             () = probe_task => {}
             () = reach_task => {}
+            () = crash_task => {}
         }
         gateway.shutdown.cancel();
     }
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -199,6 +199,9 @@
         if self.relay.is_some() || inbound.is_relayed || self.relays >= MAX_RELAYS {
             return false;
         }
+        if self.gateway.balancer.borrow().is_quarantined(&inbound.digest) {
+            return false;
+        }
         let peers = self.gateway.relay_peers();
         let attempts = inbound.route.attempts.saturating_sub(self.sent_attempts);
         if peers.is_empty() || attempts == 0 {
@@ -374,6 +377,7 @@
                 self.sent_attempts -= u32::from(!sent);
                 self.may_have_run |= sent;
                 self.gateway.target_failed.notify_one();
+                self.gateway.attempt_broken.notify_one();
             }
             AttemptOutcome::Answered { .. } => self.may_have_run = true,
             AttemptOutcome::Refused | AttemptOutcome::Moved => {}
@@ -411,6 +415,9 @@
     }
 
     fn fail(mut self, failure: CallFailure, reason: GiveUpReason) -> Response<ResponseBody> {
+        if reason == GiveUpReason::Quarantined {
+            self.gateway.metrics.quarantined_calls.inc();
+        }
         let id = self.inbound.call_headers.id.as_deref();
         let response = self.gateway.adapter.failure_response(failure, id);
         let detail = match failure {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -58,6 +58,7 @@
         let now = gateway.clock.now();
         gateway.refresh_membership();
         gateway.exchange_limits();
+        gateway.exchange_calls();
         let outgoing = gateway.membership.borrow_mut().tick(now);
         send(&gateway, &socket, &outgoing).await;
         apply_membership_changes(&gateway);
@@ -103,6 +104,7 @@
             unknown if unknown.is_empty() => Vec::new(),
             unknown => vec![Outgoing { to: from, message: Message::Limits(unknown) }],
         },
+        Message::Calls(notices) => gateway.merge_calls(from, &notices),
         message => gateway.membership.borrow_mut().receive(now, from, message),
     };
     send(gateway, socket, &outgoing).await;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,8 +10,9 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Balancer, BalancerSettings, Catalog, Decision, Heartbeat, LimitNotice, Membership,
-        MembershipBuilder, Phase, Probe, RouteTable, Source, TrafficSplit,
+        Balancer, BalancerSettings, CallNotice, Catalog, CrashCheck, CrashEvidence, Decision,
+        Heartbeat, LimitNotice, Membership, MembershipBuilder, Outgoing, Phase, Probe, RouteTable,
+        Source, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -77,6 +78,8 @@
     pub call_queued: Notify,
     /// Notified when a target has not answered, which may call for a check of the reach.
     pub target_failed: Notify,
+    /// Notified when an attempt broke off, which may call for a check of its target.
+    pub attempt_broken: Notify,
     /// Latest version of the settings under which another gateway has answered a relayed call.
     relayed_version: Cell<u64>,
     /// Whether this gateway is cut off from all targets.
@@ -125,6 +128,7 @@
             changed: Notify::new(),
             call_queued: Notify::new(),
             target_failed: Notify::new(),
+            attempt_broken: Notify::new(),
             relayed_version: Cell::new(0),
             cut_off: watch::Sender::default(),
             routes: RefCell::default(),
@@ -368,7 +372,8 @@
         for line in self.balancer.borrow_mut().take_log_lines() {
             log::info!("control: {line}");
         }
-        if self.balancer.borrow().has_limit_changes() {
+        let balancer = self.balancer.borrow();
+        if balancer.has_limit_changes() || balancer.has_call_changes() {
             self.changed.notify_waiters();
         }
     }
@@ -429,6 +434,48 @@
         outdated
     }
 
+    /// Returns the checks of targets at which attempts broke off that have to be made now.
+    pub fn take_crash_checks(&self) -> Vec<CrashCheck> {
+        let checks = self.balancer.borrow_mut().take_crash_checks(self.clock.now());
+        self.report_target_changes();
+        checks
+    }
+
+    /// Records the result of a check whether the process of a target has ended.
+    pub fn crash_checked(&self, check: &CrashCheck, evidence: CrashEvidence) {
+        let now = self.clock.now();
+        if self.balancer.borrow_mut().crash_checked(now, check.process, evidence) {
+            self.metrics.target_crashes.inc();
+        }
+        self.report_target_changes();
+        self.dispatch_waiting();
+    }
+
+    /// Reviews the calls that are suspected of crashing targets, and passes changes on to the
+    /// membership.
+    pub fn exchange_calls(&self) {
+        let now = self.clock.now();
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.review_crashes(now);
+        let mut membership = self.membership.borrow_mut();
+        membership.announce_calls(balancer.take_call_changes(now), None);
+        if let Some(notices) = balancer.take_call_notices(now) {
+            let count = i64::try_from(balancer.quarantined_count()).unwrap_or(i64::MAX);
+            self.metrics.quarantined_digests.set(count);
+            membership.set_calls(notices);
+        }
+    }
+
+    /// Adopts what the gateway at `from` knows of calls that crash targets, and returns messages with
+    /// what it does not know yet.
+    pub fn merge_calls(&self, from: IpAddr, notices: &[CallNotice]) -> Vec<Outgoing> {
+        let now = self.clock.now();
+        let (adopted, unknown) = self.balancer.borrow_mut().merge_calls(now, notices);
+        self.membership.borrow_mut().announce_calls(adopted, Some(from));
+        self.report_target_changes();
+        Membership::call_replies(from, unknown)
+    }
+
     /// Passes the probes that the balancer requested to the probe task.
     pub fn forward_probes(&self) {
         for probe in self.balancer.borrow_mut().take_probes() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -38,8 +38,8 @@
 pub struct AttemptLabels {
     /// Service of the target.
     pub service: String,
-    /// Reason for the attempt, or outcome of a probe: `first`, `again`, `hedge`, `probe` or
-    /// `probe-failed`.
+    /// Reason for the attempt, or kind or outcome of a probe: `first`, `again`, `hedge`, `probe`,
+    /// `probe-failed`, `reach-check` or `crash-check`.
     pub kind: String,
 }
 
@@ -86,6 +86,12 @@
     pub limited_requests: Family<AttemptLabels, Counter>,
     /// Calls relayed to other gateways.
     pub relayed_calls: Counter,
+    /// Calls refused because several targets ended while they ran calls of the same content.
+    pub quarantined_calls: Counter,
+    /// Processes of targets that ended while they ran calls of this gateway.
+    pub target_crashes: Counter,
+    /// Contents of calls that are quarantined.
+    pub quarantined_digests: Gauge,
     /// Platform reads.
     pub platform_reads: Family<PlatformReadLabels, Counter>,
     /// Calls that are queued for a target.
@@ -127,6 +133,9 @@
             attempts: Family::default(),
             limited_requests: Family::default(),
             relayed_calls: Counter::default(),
+            quarantined_calls: Counter::default(),
+            target_crashes: Counter::default(),
+            quarantined_digests: Gauge::default(),
             platform_reads: Family::default(),
             waiting_calls: Gauge::default(),
             retry_budget: Family::default(),
@@ -148,6 +157,12 @@
         );
         let help = "Calls relayed to other gateways";
         registry.register("relayed_calls", help, metrics.relayed_calls.clone());
+        let help = "Calls refused because calls of the same content crashed targets";
+        registry.register("quarantined_calls", help, metrics.quarantined_calls.clone());
+        let help = "Processes of targets that ended while they ran calls of this gateway";
+        registry.register("target_crashes", help, metrics.target_crashes.clone());
+        let help = "Contents of calls that are quarantined";
+        registry.register("quarantined_digests", help, metrics.quarantined_digests.clone());
         registry.register(
             "platform_reads",
             "Reads of the platform",
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -4,8 +4,8 @@
 
 use azuretally_gateway::{gateway::Gateway, native::NativeAdapter};
 use azuretally_policy::balance::{
-    Attempt, AttemptOutcome, AttemptResult, Call, Change, Decision, LimitField, LoadReport, Route,
-    Share, Source,
+    Attempt, AttemptOutcome, AttemptResult, Call, CallDigest, Change, Decision, LimitField,
+    LoadReport, Route, Share, Source,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::sync::mpsc;
@@ -31,6 +31,7 @@
         caller: std::net::Ipv4Addr::LOCALHOST.into(),
         replayable: true,
         relayed: false,
+        digest: CallDigest::default(),
         route: Arc::new(route),
     }
 }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod call;
 mod catalog;
+mod crashes;
 mod heartbeat;
 mod limits;
 mod load;
@@ -27,11 +28,12 @@
     GiveUpReason, HedgeDecision, NewAttempt, Probe, ProbeResult,
 };
 pub use catalog::{Catalog, CatalogUpdate, Change, ListedTarget, Snapshot, Source, TargetRecord};
+pub use crashes::{CrashCheck, CrashEvidence};
 pub use heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{LimitAssignment, Membership, MembershipBuilder};
-pub use quarantine::{CallDigest, DigestParts};
+pub use quarantine::{CallDigest, CallNotice, DigestParts, ProcessId};
 pub use routes::{
     CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
 };
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -6,6 +6,7 @@
 //! answered before its deadline is given up at once, so that its caller can retry. While the gateway
 //! drains, the same holds for the time at which it stops.
 
+mod crashes;
 mod learning;
 mod limiting;
 mod reaching;
@@ -18,7 +19,9 @@
         NewAttempt, Probe,
     },
     catalog::{Catalog, ListedTarget},
+    crashes::{AccusedProcess, BrokenTarget},
     limits::LimitNotice,
+    quarantine::{CallDigest, ProcessId, Quarantine},
     reach::ReachTracker,
     refusals::RefusalTracker,
     service::{Candidate, Choice, ChoiceRequest, DRAIN_MARGIN, Service},
@@ -73,6 +76,8 @@
     forced_hedge: Timestamp,
     /// Whether a target may have run the call.
     may_have_run: bool,
+    /// Attempts that broke off without an answer.
+    broken: u32,
 }
 
 /// Makes the decisions on all calls at one gateway. Performs no I/O.
@@ -94,6 +99,19 @@
     /// Limits that this gateway has learned from answers and not announced yet.
     limit_changes: Vec<LimitNotice>,
     reach: ReachTracker,
+    quarantine: Quarantine,
+    /// Targets at which attempts broke off and that have not been checked yet.
+    broken: IndexMap<ProcessId, BrokenTarget>,
+    /// Processes whose end calls are suspected of.
+    accused: IndexMap<ProcessId, AccusedProcess>,
+    /// Calls of which this gateway has learned something and not announced it yet.
+    call_changes: IndexSet<CallDigest>,
+    /// Whether what is known of calls has changed since it was last returned as a whole.
+    has_news: bool,
+    /// When the times in it are brought up to date.
+    next_refresh: Timestamp,
+    /// When calls that have not come again are forgotten.
+    next_expiry: Timestamp,
     log_lines: Vec<String>,
     /// When the gateway stops, [`Timestamp::MAX`] if it does not.
     drain_end: Timestamp,
@@ -117,6 +135,13 @@
             limited: IndexSet::new(),
             limit_changes: Vec::new(),
             reach: ReachTracker::default(),
+            quarantine: Quarantine::default(),
+            broken: IndexMap::new(),
+            accused: IndexMap::new(),
+            call_changes: IndexSet::new(),
+            has_news: false,
+            next_refresh: Timestamp::default(),
+            next_expiry: Timestamp::default(),
             log_lines: Vec::new(),
             drain_end: Timestamp::MAX,
             random: Pcg64Mcg::seed_from_u64(seed),
@@ -183,8 +208,14 @@
             unsent: 0,
             forced_hedge: Timestamp::MAX,
             may_have_run: false,
+            broken: 0,
         };
+        let digest = state.call.digest;
         self.calls.insert(id, state);
+        if self.quarantine.is_quarantined(&digest) {
+            self.quarantine.record_repeat(now, &digest);
+            return self.give_up(now, id, GiveUpReason::Quarantined);
+        }
         self.start_or_queue(now, id)
     }
 
@@ -193,6 +224,7 @@
         let id = result.attempt.call;
         let running = self.remove_running(&result.attempt);
         self.record_result(now, result, running);
+        self.record_evidence(now, result, running);
         let Some(state) = self.calls.get_mut(&id) else { return Decision::Wait };
         state.running = state.running.saturating_sub(u32::from(running.is_some()));
         match result.outcome {
@@ -296,6 +328,7 @@
         for id in ids {
             let reason = self
                 .miss_reason(now, id, wait)
+                .or_else(|| self.is_call_quarantined(id).then_some(GiveUpReason::Quarantined))
                 .or_else(|| self.misses_limits(now, id, ahead).then_some(GiveUpReason::Limited));
             if let Some(reason) = reason {
                 self.dequeue(&service, id);
@@ -303,6 +336,9 @@
                 decisions.push((id, decision));
                 continue;
             }
+            if self.is_held(id) {
+                continue;
+            }
             wait += self.base_seconds(id) / capacity;
             ahead += 1;
             if full || deferred >= MAX_DEFERRED {
@@ -425,6 +461,9 @@
 
     /// Chooses a slot, and requests the probes that are needed for the choice.
     fn choose(&mut self, now: Timestamp, id: u64, good_only: bool) -> Choice {
+        if self.is_held(id) {
+            return Choice::Full;
+        }
         let Some(state) = self.calls.get(&id) else { return Choice::Full };
         let Some(service) = self.services.get_mut(&state.call.service) else { return Choice::Full };
         let waiting = self.queues.get(&state.call.service).map_or(0, Vec::len);
@@ -469,6 +508,7 @@
             scale: candidate.scale,
             known: candidate.is_measured(),
             limit_version: target.limit.version(),
+            process: target.process,
         });
         target.limit.take(now);
         state.tried.push(Arc::clone(&target.name));
--- /dev/null
+++ b/crates/policy/src/balance/balancer/crashes.rs
@@ -0,0 +1,336 @@
+//! Calls that crash targets: evidence from attempts and checks, and what follows for other calls.
+
+use super::{
+    super::{
+        call::{Attempt, AttemptOutcome, AttemptResult, Call, Failure, Probe},
+        crashes::{
+            AccusedProcess, BrokenTarget, CrashCheck, CrashEvidence, GATHER_TIME, MAX_CHECKS,
+            WITNESSES,
+        },
+        quarantine::{CRASH_LIMIT, CallDigest, CallNotice, ProcessId},
+        target::{RunningAttempt, Target},
+    },
+    Balancer,
+};
+use crate::Timestamp;
+use indexmap::IndexSet;
+use rand::seq::IteratorRandom;
+use std::{sync::Arc, time::Duration};
+
+/// Time after an answer in the name of a process that was thought to have ended, after which its end
+/// is withdrawn if the platform names no later process: a new one of the same name may have answered.
+const WITHDRAWAL_DELAY: Duration = Duration::from_secs(2);
+/// Interval at which calls that have not come again are forgotten.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
+/// Interval at which the times in notices of calls are brought up to date.
+const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// Broken attempts of one call after which it is not sent again while it is suspected.
+const MAX_BROKEN: u32 = 2;
+
+impl Balancer {
+    /// Returns whether a call of this content must be sent to no target.
+    pub fn is_quarantined(&self, digest: &CallDigest) -> bool {
+        self.quarantine.is_quarantined(digest)
+    }
+
+    /// Returns the number of calls that are quarantined.
+    pub fn quarantined_count(&self) -> usize {
+        self.quarantine.quarantined_count()
+    }
+
+    /// Returns when [`Self::take_crash_checks`] is due, [`Timestamp::MAX`] if no attempt broke off.
+    pub fn crash_checks_due(&self) -> Timestamp {
+        if self.broken.values().filter(|b| b.is_checking).count() >= MAX_CHECKS {
+            return Timestamp::MAX;
+        }
+        let waiting = self.broken.values().filter(|b| !b.is_checking);
+        waiting.map(|b| b.since + GATHER_TIME).min().unwrap_or(Timestamp::MAX)
+    }
+
+    /// Returns the checks that have to be made now. [`Self::crash_checked`] has to follow for each.
+    pub fn take_crash_checks(&mut self, now: Timestamp) -> Vec<CrashCheck> {
+        let mut checks = Vec::new();
+        let due = |b: &BrokenTarget| !b.is_checking && now >= b.since + GATHER_TIME;
+        let processes: Vec<ProcessId> =
+            self.broken.iter().filter(|(_, b)| due(b)).map(|(process, _)| *process).collect();
+        for process in processes {
+            if self.broken.values().filter(|b| b.is_checking).count() >= MAX_CHECKS {
+                break;
+            }
+            let Some(broken) = self.broken.get(&process) else { continue };
+            let (service, name, since) =
+                (Arc::clone(&broken.service), Arc::clone(&broken.name), broken.since);
+            let target = self.services.get(&service).and_then(|s| s.targets.get(&name));
+            let Some(target) = target.filter(|t| t.is_usable()) else {
+                self.broken.swap_remove(&process);
+                continue;
+            };
+            if target.process != process {
+                self.crash_checked(now, process, CrashEvidence::Gone);
+                continue;
+            }
+            // All connections end with the process.
+            if target.running.iter().any(|r| r.process == process && r.since <= since) {
+                self.broken.swap_remove(&process);
+                continue;
+            }
+            let probe = probe_of(&service, target);
+            let witnesses = self.choose_witnesses(process);
+            checks.push(CrashCheck { process, target: probe, witnesses });
+            if let Some(broken) = self.broken.get_mut(&process) {
+                broken.is_checking = true;
+            }
+        }
+        checks
+    }
+
+    /// Records the result of a check. Returns whether a process has ended while it ran calls.
+    pub fn crash_checked(
+        &mut self,
+        now: Timestamp,
+        process: ProcessId,
+        evidence: CrashEvidence,
+    ) -> bool {
+        let Some(broken) = self.broken.swap_remove(&process) else { return false };
+        if evidence != CrashEvidence::Gone || self.is_cut_off() {
+            return false;
+        }
+        // Other calls only ran beside the one that is suspected already.
+        let counts = broken.digests.iter().map(|digest| self.quarantine.crash_count(digest));
+        let most = counts.max().unwrap_or(0);
+        for digest in broken.digests {
+            if self.quarantine.crash_count(&digest) < most {
+                continue;
+            }
+            self.quarantine.record(now, digest, process);
+            let count = self.quarantine.crash_count(&digest);
+            self.log_lines.push(format!(
+                "call digest={digest} crashed target {}, {count} of {CRASH_LIMIT}",
+                broken.name
+            ));
+            self.note_suspicion(digest, most, "check");
+            self.note_change(digest);
+        }
+        self.accuse(now, process);
+        true
+    }
+
+    /// Returns what is known of the calls that have changed since the last call, to be announced to
+    /// the other gateways.
+    pub fn take_call_changes(&mut self, now: Timestamp) -> Vec<CallNotice> {
+        let changed = std::mem::take(&mut self.call_changes);
+        changed.iter().filter_map(|digest| self.quarantine.notice(now, digest)).collect()
+    }
+
+    /// Returns whether [`Self::take_call_changes`] has something to return.
+    pub fn has_call_changes(&self) -> bool {
+        !self.call_changes.is_empty()
+    }
+
+    /// Returns what is known of all calls that are suspected or were.
+    pub fn call_notices(&self, now: Timestamp) -> Vec<CallNotice> {
+        self.quarantine.notices(now)
+    }
+
+    /// Like [`Self::call_notices`], but `None` if that has not changed since the last call of this
+    /// method.
+    pub fn take_call_notices(&mut self, now: Timestamp) -> Option<Vec<CallNotice>> {
+        if !self.has_news && (self.quarantine.is_empty() || now < self.next_refresh) {
+            return None;
+        }
+        self.has_news = false;
+        self.next_refresh = now + REFRESH_INTERVAL;
+        Some(self.call_notices(now))
+    }
+
+    /// Adopts what another gateway knows of calls. Returns what was news, and what the other gateway
+    /// does not know yet.
+    pub fn merge_calls(
+        &mut self,
+        now: Timestamp,
+        notices: &[CallNotice],
+    ) -> (Vec<CallNotice>, Vec<CallNotice>) {
+        let (mut adopted, mut unknown) = (Vec::new(), Vec::new());
+        for notice in notices {
+            let digest = notice.digest;
+            let before = self.quarantine.crash_count(&digest);
+            let comparison = self.quarantine.merge(now, notice);
+            let merged = self.quarantine.notice(now, &digest);
+            if comparison.is_news {
+                for (process, withdrawn) in &notice.crashes {
+                    if !withdrawn {
+                        self.accuse(now, *process);
+                    }
+                }
+                self.has_news = true;
+                self.note_suspicion(digest, before, "peer");
+                adopted.extend(merged.clone());
+            }
+            if comparison.is_behind {
+                unknown.extend(merged);
+            }
+        }
+        (adopted, unknown)
+    }
+
+    /// Withdraws the ends of processes that turned out to be alive, and forgets calls that have not
+    /// come again.
+    pub fn review_crashes(&mut self, now: Timestamp) {
+        let answered =
+            |a: &AccusedProcess| a.answered.is_some_and(|at| now.since(at) >= WITHDRAWAL_DELAY);
+        let due: Vec<ProcessId> =
+            self.accused.iter().filter(|(_, a)| answered(a)).map(|(process, _)| *process).collect();
+        for process in due {
+            self.accused.swap_remove(&process);
+            let targets = self.services.values().flat_map(|s| s.targets.values());
+            if !targets.into_iter().any(|t| t.process == process && t.is_usable()) {
+                continue;
+            }
+            for digest in self.quarantine.withdraw(process) {
+                self.log_lines.push(format!("call digest={digest} crash withdrawn"));
+                self.note_change(digest);
+            }
+        }
+        if now >= self.next_expiry {
+            self.next_expiry = now + EXPIRY_INTERVAL;
+            self.has_news |= self.quarantine.expire(now);
+            let accused: IndexSet<ProcessId> = self.quarantine.accused().collect();
+            self.accused.retain(|process, _| accused.contains(process));
+        }
+    }
+
+    /// Returns the number of processes that ended under the call, with those that are not checked yet.
+    pub(super) fn suspicion(&self, digest: &CallDigest) -> usize {
+        if self.quarantine.is_empty() && self.broken.is_empty() {
+            return 0;
+        }
+        let unchecked = self.broken.iter().filter(|(process, broken)| {
+            broken.digests.contains(digest) && !self.quarantine.has_crash(digest, process)
+        });
+        self.quarantine.crash_count(digest) + unchecked.count()
+    }
+
+    /// Returns whether the call must wait: it would exceed the limit if the checks in progress confirm
+    /// the suspicion, or another call of this content is at a target.
+    pub(super) fn is_held(&self, id: u64) -> bool {
+        let Some(state) = self.calls.get(&id) else { return false };
+        let digest = &state.call.digest;
+        match self.suspicion(digest) {
+            0 => false,
+            CRASH_LIMIT.. => true,
+            _ => self
+                .calls
+                .iter()
+                .any(|(other, s)| *other != id && s.running > 0 && s.call.digest == *digest),
+        }
+    }
+
+    /// Returns whether the call is refused because it is quarantined.
+    pub(super) fn is_call_quarantined(&self, id: u64) -> bool {
+        self.calls.get(&id).is_some_and(|s| self.quarantine.is_quarantined(&s.call.digest))
+    }
+
+    /// Returns whether a call that broke off may be sent once more.
+    pub(super) fn may_repeat(&self, call: &Call, broken: u32) -> bool {
+        let suspicion = self.suspicion(&call.digest);
+        suspicion < CRASH_LIMIT && (broken < MAX_BROKEN || suspicion < MAX_BROKEN as usize)
+    }
+
+    /// Records what the end of an attempt says about the process of its target.
+    pub(super) fn record_evidence(
+        &mut self,
+        now: Timestamp,
+        result: &AttemptResult,
+        running: Option<RunningAttempt>,
+    ) {
+        let Attempt { call, target: name } = &result.attempt;
+        let Some(running) = running else { return };
+        match result.outcome {
+            AttemptOutcome::Answered { .. } => {
+                self.record_sign(now, running.process, running.since);
+                let Some(state) = self.calls.get(call) else { return };
+                let digest = state.call.digest;
+                for broken in self.broken.values_mut() {
+                    broken.digests.swap_remove(&digest);
+                }
+                if self.quarantine.acquit(&digest) {
+                    self.log_lines.push(format!("call digest={digest} acquitted"));
+                    self.note_change(digest);
+                }
+            }
+            AttemptOutcome::Refused => self.record_sign(now, running.process, running.since),
+            AttemptOutcome::Failed { failure: Failure::Broken, sent: true } => {
+                let Some(state) = self.calls.get_mut(call) else { return };
+                let (digest, service) = (state.call.digest, Arc::clone(&state.call.service));
+                let target = self.services.get(&service).and_then(|s| s.targets.get(name));
+                if !target.is_some_and(Target::is_usable) || self.reach.is_cut_off() {
+                    return;
+                }
+                // A gateway that stops sends targets nothing that it does not have to.
+                if self.drain_end != Timestamp::MAX {
+                    return;
+                }
+                state.broken += 1;
+                let broken = self.broken.entry(running.process).or_insert_with(|| BrokenTarget {
+                    service,
+                    name: Arc::clone(name),
+                    since: now,
+                    digests: IndexSet::new(),
+                    is_checking: false,
+                });
+                broken.digests.insert(digest);
+            }
+            AttemptOutcome::Moved | AttemptOutcome::Failed { .. } => {}
+        }
+    }
+
+    /// Records that a request which was sent at `sent` has been answered in the name of `process`.
+    pub(super) fn record_sign(&mut self, now: Timestamp, process: ProcessId, sent: Timestamp) {
+        if self.broken.get(&process).is_some_and(|broken| sent > broken.since) {
+            self.broken.swap_remove(&process);
+        }
+        if let Some(accused) = self.accused.get_mut(&process).filter(|a| sent > a.since) {
+            accused.answered.get_or_insert(now);
+        }
+    }
+
+    fn note_change(&mut self, digest: CallDigest) {
+        self.has_news = true;
+        self.call_changes.insert(digest);
+    }
+
+    fn accuse(&mut self, now: Timestamp, process: ProcessId) {
+        let accused = AccusedProcess { since: now, answered: None };
+        self.accused.entry(process).or_insert(accused);
+    }
+
+    fn note_suspicion(&mut self, digest: CallDigest, before: usize, source: &str) {
+        let count = self.quarantine.crash_count(&digest);
+        if before < CRASH_LIMIT && count >= CRASH_LIMIT {
+            self.log_lines.push(format!("call digest={digest} quarantined source={source}"));
+        }
+        if before >= CRASH_LIMIT && count < CRASH_LIMIT {
+            self.log_lines.push(format!("call digest={digest} released source={source}"));
+        }
+    }
+
+    fn choose_witnesses(&mut self, process: ProcessId) -> Vec<Probe> {
+        // A check would use up a limit.
+        let is_askable =
+            |t: &Target| t.is_usable() && t.process != process && t.limit.rate().is_none();
+        let targets = self.services.iter().flat_map(|(name, service)| {
+            let askable = service.targets.values().filter(|t| is_askable(t));
+            askable.map(move |target| probe_of(name, target))
+        });
+        targets.sample(&mut self.random, WITNESSES)
+    }
+}
+
+fn probe_of(service: &Arc<str>, target: &Target) -> Probe {
+    Probe {
+        service: Arc::clone(service),
+        target: Arc::clone(&target.name),
+        address: target.address,
+        limit: target.limit.rate(),
+    }
+}
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -23,7 +23,7 @@
             ProbeResult::NoAnswer => {}
         }
         let Some(target) = service.targets.get_mut(&probe.target) else { return };
-        target.probe_sent = None;
+        let (process, sent) = (target.process, target.probe_sent.take());
         match result {
             ProbeResult::Report(report) => {
                 let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
@@ -36,6 +36,9 @@
                 self.reach.record_failure(now, &probe.target);
             }
         }
+        if let Some(sent) = sent.filter(|_| result != ProbeResult::NoAnswer) {
+            self.record_sign(now, process, sent);
+        }
     }
 
     /// Records a failure of each target that has not answered the call for far longer than
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -18,6 +18,8 @@
 const REFUSED_RETRY_AFTER: f64 = 0.005;
 /// Retry delay if the service has no usable target.
 const NO_TARGET_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Retry delay of a call that is quarantined.
+const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Fraction of the local slots in use above which no hedge is started.
 const HEDGE_MAX_USAGE: f64 = 0.6;
 /// Extra attempts that hedges leave in the budget for retries.
@@ -50,6 +52,9 @@
         if state.running != 1 || !route.idempotent || !state.call.replayable {
             return HedgeDecision::Never;
         }
+        if self.suspicion(&state.call.digest) > 0 {
+            return HedgeDecision::Never;
+        }
         let Some(service) = self.services.get(&state.call.service) else {
             return HedgeDecision::Never;
         };
@@ -84,6 +89,9 @@
 
     /// Retries a call if its route, its attempts and the retry budget allow it.
     pub(super) fn retry(&mut self, now: Timestamp, id: u64) -> Option<Decision> {
+        if self.is_call_quarantined(id) {
+            return Some(self.abandon(now, id, GiveUpReason::Quarantined));
+        }
         let state = self.calls.get(&id)?;
         let route = &state.call.route;
         let allowed = !state.may_have_run || route.idempotent;
@@ -91,6 +99,9 @@
         if !allowed || !state.call.replayable || state.sent >= route.attempts {
             return None;
         }
+        if !self.may_repeat(&state.call, state.broken) {
+            return None;
+        }
         if state.unsent >= MAX_UNSENT || self.miss_reason(now, id, 0.0).is_some() {
             return None;
         }
@@ -125,6 +136,7 @@
     pub(super) fn give_up(&mut self, now: Timestamp, id: u64, reason: GiveUpReason) -> Decision {
         let may_have_run = self.calls.get(&id).is_some_and(|s| s.may_have_run);
         let retry_after = match reason {
+            GiveUpReason::Quarantined => QUARANTINE_RETRY_AFTER,
             GiveUpReason::NoTarget => self.jittered_delay(NO_TARGET_RETRY_AFTER.as_secs_f64()),
             GiveUpReason::Limited => {
                 let seconds = self.queue_seconds(now, id);
@@ -141,7 +153,8 @@
                 self.jittered_delay(seconds)
             }
         };
-        if !may_have_run && let Some(state) = self.calls.get(&id).filter(|s| !s.came_back) {
+        let may_return = !may_have_run && reason != GiveUpReason::Quarantined;
+        if may_return && let Some(state) = self.calls.get(&id).filter(|s| !s.came_back) {
             let refusals = self.refusals.entry(Arc::clone(&state.call.service)).or_default();
             refusals.record(now, state.call.origin(), retry_after, state.call.objective);
         }
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -3,6 +3,7 @@
 use super::{
     limits::{LimitField, RequestRate},
     load::LoadReport,
+    quarantine::CallDigest,
     refusals::Origin,
     routes::Route,
 };
@@ -82,6 +83,8 @@
     pub replayable: bool,
     /// Whether another gateway relayed the call and has counted it for the retry budget.
     pub relayed: bool,
+    /// Hash of its content.
+    pub digest: CallDigest,
 }
 
 impl Call {
@@ -138,6 +141,8 @@
     Lost,
     /// It cannot be answered before the gateway stops.
     Stopping,
+    /// Several targets ended while they ran a call of the same content.
+    Quarantined,
 }
 
 impl GiveUpReason {
@@ -151,6 +156,7 @@
             Self::Refused => "refused",
             Self::Lost => "lost",
             Self::Stopping => "stopping",
+            Self::Quarantined => "quarantined",
         }
     }
 }
--- /dev/null
+++ b/crates/policy/src/balance/crashes.rs
@@ -0,0 +1,64 @@
+//! Targets at which attempts broke off, until a check tells whether their process has ended.
+//!
+//! A broken attempt alone proves nothing: connections are reset, answers are lost and links are cut.
+//! An end of the process is recorded only if the target accepts no new exchange either, twice, while
+//! another target answers.
+
+use super::{
+    call::Probe,
+    quarantine::{CallDigest, ProcessId},
+};
+use crate::Timestamp;
+use indexmap::IndexSet;
+use std::{sync::Arc, time::Duration};
+
+/// Time after the first broken attempt in which the others at the same target break off too if its
+/// process has ended.
+pub(super) const GATHER_TIME: Duration = Duration::from_millis(20);
+/// Checks that may be in progress.
+pub(super) const MAX_CHECKS: usize = 8;
+/// Other targets that a check asks, to tell whether this gateway reaches any.
+pub(super) const WITNESSES: usize = 4;
+
+/// Check whether the process of a target has ended.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashCheck {
+    /// Process that may have ended.
+    pub process: ProcessId,
+    /// How to ask it.
+    pub target: Probe,
+    /// Other targets to ask, none if there are no others.
+    pub witnesses: Vec<Probe>,
+}
+
+/// Result of a check whether the process of a target has ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashEvidence {
+    /// The target answered, or accepts connections.
+    Alive,
+    /// The target answered nothing on new connections, or another process uses its address.
+    Gone,
+    /// No other target answered either, so that nothing is proved.
+    Unproved,
+}
+
+/// Target at which attempts broke off.
+#[derive(Clone, Debug)]
+pub(super) struct BrokenTarget {
+    pub(super) service: Arc<str>,
+    pub(super) name: Arc<str>,
+    /// When the first attempt broke off.
+    pub(super) since: Timestamp,
+    /// Calls whose attempts broke off.
+    pub(super) digests: IndexSet<CallDigest>,
+    pub(super) is_checking: bool,
+}
+
+/// Process whose end calls are suspected of.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AccusedProcess {
+    /// When its end became known.
+    pub(super) since: Timestamp,
+    /// When a later request was answered in its name.
+    pub(super) answered: Option<Timestamp>,
+}
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -1,6 +1,6 @@
 //! Messages between gateways, and the directions that tell callers which gateways to use.
 
-use super::limits::LimitNotice;
+use super::{limits::LimitNotice, quarantine::CallNotice};
 use serde::{Deserialize, Serialize};
 use std::{
     net::{IpAddr, SocketAddr},
@@ -68,6 +68,9 @@
     Peers(Vec<IpAddr>),
     /// Limits of targets. Gateways of builds before this message ignore it.
     Limits(Vec<LimitNotice>),
+    /// Calls under which processes of targets ended. Gateways of builds before this message ignore
+    /// it.
+    Calls(Vec<CallNotice>),
 }
 
 /// Message with its receiver.
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -8,15 +8,20 @@
 //! gateways may do the same work.
 
 mod limits;
+mod notices;
 mod ranking;
 mod reach;
 mod reader;
 
-use super::heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
+use super::{
+    heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase},
+    limits::LimitNotice,
+    quarantine::CallNotice,
+};
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
 pub use limits::LimitAssignment;
-use limits::LimitOutbox;
+use notices::NoticeOutbox;
 use std::{
     net::{IpAddr, SocketAddr},
     sync::Arc,
@@ -121,7 +126,8 @@
             joins_sent: 0,
             reach_changed: false,
             slots: 0,
-            limit_outbox: LimitOutbox::default(),
+            limit_outbox: NoticeOutbox::default(),
+            call_outbox: NoticeOutbox::default(),
             log_lines: Vec::new(),
         }
     }
@@ -152,7 +158,8 @@
     reach_changed: bool,
     /// Concurrent calls that the targets of the local failure domain can run.
     slots: u32,
-    limit_outbox: LimitOutbox,
+    limit_outbox: NoticeOutbox<LimitNotice>,
+    call_outbox: NoticeOutbox<CallNotice>,
     log_lines: Vec<String>,
 }
 
@@ -237,7 +244,8 @@
                 let known = self.peers_for(&heartbeat);
                 self.record_heartbeat(now, heartbeat);
                 let own = Message::Heartbeat(self.next_heartbeat());
-                let mut replies = self.limits_for(to);
+                let mut replies = self.limit_outbox.all_for(to);
+                replies.extend(self.call_outbox.all_for(to));
                 replies.push(Outgoing { to, message: Message::Peers(known) });
                 replies.push(Outgoing { to, message: own });
                 replies
@@ -249,8 +257,8 @@
                 }
                 Vec::new()
             }
-            // The balancer knows the limits.
-            Message::Limits(_) => Vec::new(),
+            // The balancer knows the limits and the calls.
+            Message::Limits(_) | Message::Calls(_) => Vec::new(),
         }
     }
 
@@ -311,7 +319,7 @@
                 self.send_heartbeats(hosts.into_iter(), &mut outgoing);
             }
         }
-        self.send_limits(now, &mut outgoing);
+        self.send_notices(now, &mut outgoing);
         outgoing
     }
 
@@ -321,7 +329,8 @@
             return Timestamp::default();
         }
         let heartbeats = self.next_local.min(self.next_remote);
-        heartbeats.min(self.next_join).min(self.limit_outbox.next_due())
+        let notices = self.limit_outbox.next_due().min(self.call_outbox.next_due());
+        heartbeats.min(self.next_join).min(notices)
     }
 
     /// Returns directions for callers of `domain`: its highest-ranked gateways, or those of other
--- a/crates/policy/src/balance/quarantine.rs
+++ b/crates/policy/src/balance/quarantine.rs
@@ -1,8 +1,32 @@
-//! Recognition of calls that come again.
+//! Calls that crash the targets which run them.
+//!
+//! Such a call comes again with the same content, at any gateway. Each gateway records which processes
+//! of targets ended while they ran a call, and all gateways tell each other. A call under which enough
+//! processes ended, without one answer in between, is quarantined: it is sent to no target any more.
+//!
+//! What is known of a call forms a semilattice, so notices may be lost, repeated and reordered: the
+//! higher epoch wins, and within an epoch the union of the crashes, of which withdrawn ones stay
+//! withdrawn.
 
-use std::fmt::{self, Display, Formatter};
+use crate::Timestamp;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::BTreeMap,
+    fmt::{self, Display, Formatter},
+    time::Duration,
+};
 use xxhash_rust::xxh3::Xxh3Default;
 
+/// Processes that must have ended while they ran a call before it is quarantined.
+pub(super) const CRASH_LIMIT: usize = 3;
+/// Calls that are remembered.
+const MAX_CALLS: usize = 4_096;
+/// Processes that are remembered for one call, withdrawn ones included.
+const MAX_PROCESSES: usize = 16;
+/// Time after the last crash or refused repeat at which a call is forgotten.
+const MEMORY_TIME: Duration = Duration::from_secs(24 * 3_600);
+
 /// Parts of a call by which it is recognized when it comes again.
 ///
 /// The address of the caller is none of them: the same call may come from several addresses, and for a
@@ -24,7 +48,9 @@
 }
 
 /// Hash of the content of a call, the same at all gateways.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct CallDigest(u128);
 
 impl CallDigest {
@@ -47,3 +73,215 @@
         write!(f, "{:016x}", self.0 >> 64)
     }
 }
+
+/// Identifies one process of a target: a hash of its name and start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct ProcessId(u64);
+
+impl ProcessId {
+    /// Returns the id of the process of target `name` that started at `started`, as in its record.
+    pub fn new(name: &str, started: Option<u64>) -> Self {
+        let mut hash = Xxh3Default::new();
+        hash.update(&started.map_or([0; 9], |at| {
+            let mut bytes = [1; 9];
+            bytes[1..].copy_from_slice(&at.to_le_bytes());
+            bytes
+        }));
+        hash.update(name.as_bytes());
+        Self(hash.digest())
+    }
+}
+
+/// What a gateway knows about a call that may crash targets, in the form sent to other gateways.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallNotice {
+    /// The call.
+    pub digest: CallDigest,
+    /// Number of times that a target answered the call after processes had ended under it.
+    pub epoch: u32,
+    /// Processes that ended while they ran the call, with whether that was withdrawn because the
+    /// process was seen alive.
+    pub crashes: BTreeMap<ProcessId, bool>,
+    /// Seconds until the call is forgotten unless it comes again.
+    pub left_s: u32,
+}
+
+impl CallNotice {
+    fn crash_count(&self) -> usize {
+        count(&self.crashes)
+    }
+}
+
+fn count(crashes: &BTreeMap<ProcessId, bool>) -> usize {
+    crashes.values().filter(|withdrawn| !**withdrawn).count()
+}
+
+/// What is known of one call.
+#[derive(Clone, Debug)]
+struct Suspect {
+    epoch: u32,
+    crashes: BTreeMap<ProcessId, bool>,
+    /// When the call is forgotten unless it comes again.
+    expires: Timestamp,
+}
+
+/// Result of the comparison of a notice with what is known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Comparison {
+    /// The notice was news, at least in part, and has been adopted.
+    pub(super) is_news: bool,
+    /// The sender does not know all that is known here.
+    pub(super) is_behind: bool,
+}
+
+/// Calls under which processes of targets ended.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Quarantine {
+    suspects: IndexMap<CallDigest, Suspect>,
+}
+
+impl Quarantine {
+    pub(super) fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Returns the number of processes that ended while they ran the call.
+    pub(super) fn crash_count(&self, digest: &CallDigest) -> usize {
+        self.suspects.get(digest).map_or(0, |s| count(&s.crashes))
+    }
+
+    /// Returns whether the end of `process` is known to have happened under the call.
+    pub(super) fn has_crash(&self, digest: &CallDigest, process: &ProcessId) -> bool {
+        self.suspects.get(digest).is_some_and(|s| s.crashes.contains_key(process))
+    }
+
+    /// Returns whether the call must be sent to no target.
+    pub(super) fn is_quarantined(&self, digest: &CallDigest) -> bool {
+        self.crash_count(digest) >= CRASH_LIMIT
+    }
+
+    /// Returns the number of calls that are quarantined.
+    pub(super) fn quarantined_count(&self) -> usize {
+        self.suspects.values().filter(|s| count(&s.crashes) >= CRASH_LIMIT).count()
+    }
+
+    /// Records that `process` ended while it ran the call.
+    pub(super) fn record(&mut self, now: Timestamp, digest: CallDigest, process: ProcessId) {
+        self.make_room(&digest);
+        let expires = now + MEMORY_TIME;
+        let new = Suspect { epoch: 0, crashes: BTreeMap::new(), expires };
+        let suspect = self.suspects.entry(digest).or_insert(new);
+        suspect.expires = expires;
+        suspect.crashes.entry(process).or_insert(false);
+        limit_len(&mut suspect.crashes);
+    }
+
+    /// Records that a quarantined call came again.
+    pub(super) fn record_repeat(&mut self, now: Timestamp, digest: &CallDigest) {
+        if let Some(suspect) = self.suspects.get_mut(digest) {
+            suspect.expires = now + MEMORY_TIME;
+        }
+    }
+
+    /// Records that a target answered the call. Returns whether it had been suspected.
+    pub(super) fn acquit(&mut self, digest: &CallDigest) -> bool {
+        let Some(suspect) = self.suspects.get_mut(digest) else { return false };
+        if suspect.crashes.is_empty() {
+            return false;
+        }
+        suspect.epoch += 1;
+        suspect.crashes.clear();
+        true
+    }
+
+    /// Withdraws the end of `process`, which is alive. Returns the calls that were suspected of it.
+    pub(super) fn withdraw(&mut self, process: ProcessId) -> Vec<CallDigest> {
+        let mut changed = Vec::new();
+        for (digest, suspect) in &mut self.suspects {
+            if let Some(withdrawn @ false) = suspect.crashes.get_mut(&process) {
+                *withdrawn = true;
+                changed.push(*digest);
+            }
+        }
+        changed
+    }
+
+    /// Returns the processes whose end any call is suspected of.
+    pub(super) fn accused(&self) -> impl Iterator<Item = ProcessId> {
+        let crashes = self.suspects.values().flat_map(|s| &s.crashes);
+        crashes.filter(|(_, withdrawn)| !**withdrawn).map(|(process, _)| *process)
+    }
+
+    /// Adopts what another gateway knows of a call.
+    pub(super) fn merge(&mut self, now: Timestamp, notice: &CallNotice) -> Comparison {
+        let expires = now + Duration::from_secs(u64::from(notice.left_s)).min(MEMORY_TIME);
+        if notice.left_s == 0 {
+            return Comparison { is_news: false, is_behind: false };
+        }
+        self.make_room(&notice.digest);
+        let unknown = Suspect { epoch: 0, crashes: BTreeMap::new(), expires };
+        let suspect = self.suspects.entry(notice.digest).or_insert(unknown);
+        suspect.expires = suspect.expires.max(expires);
+        let before = (suspect.epoch, suspect.crashes.clone());
+        if notice.epoch > suspect.epoch {
+            suspect.epoch = notice.epoch;
+            suspect.crashes.clear();
+        }
+        if notice.epoch == suspect.epoch {
+            for (process, withdrawn) in &notice.crashes {
+                *suspect.crashes.entry(*process).or_insert(false) |= withdrawn;
+            }
+            limit_len(&mut suspect.crashes);
+        }
+        let after = (suspect.epoch, &suspect.crashes);
+        Comparison {
+            is_news: after != (before.0, &before.1),
+            is_behind: after != (notice.epoch, &notice.crashes),
+        }
+    }
+
+    /// Returns what is known of the call.
+    pub(super) fn notice(&self, now: Timestamp, digest: &CallDigest) -> Option<CallNotice> {
+        let suspect = self.suspects.get(digest)?;
+        Some(CallNotice {
+            digest: *digest,
+            epoch: suspect.epoch,
+            crashes: suspect.crashes.clone(),
+            left_s: u32::try_from(suspect.expires.since(now).as_secs()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Returns what is known of all calls, quarantined ones first.
+    pub(super) fn notices(&self, now: Timestamp) -> Vec<CallNotice> {
+        let mut all: Vec<CallNotice> =
+            self.suspects.keys().filter_map(|digest| self.notice(now, digest)).collect();
+        all.sort_by_key(|notice| std::cmp::Reverse(notice.crash_count()));
+        all
+    }
+
+    /// Forgets the calls that have not come again for a long time. Returns whether there were any.
+    pub(super) fn expire(&mut self, now: Timestamp) -> bool {
+        let before = self.suspects.len();
+        self.suspects.retain(|_, s| now < s.expires);
+        self.suspects.len() < before
+    }
+
+    /// Forgets the call that matters least if another one does not fit.
+    fn make_room(&mut self, digest: &CallDigest) {
+        if self.suspects.len() < MAX_CALLS || self.suspects.contains_key(digest) {
+            return;
+        }
+        let rank = |s: &Suspect| (count(&s.crashes).min(CRASH_LIMIT), s.expires);
+        let least = self.suspects.iter().min_by_key(|(_, s)| rank(s)).map(|(digest, _)| *digest);
+        if let Some(least) = least {
+            self.suspects.swap_remove(&least);
+        }
+    }
+}
+
+/// Keeps the processes with the lowest ids, so that all gateways keep the same ones.
+fn limit_len(crashes: &mut BTreeMap<ProcessId, bool>) {
+    while crashes.len() > MAX_PROCESSES {
+        crashes.pop_last();
+    }
+}
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -1,6 +1,6 @@
 //! State of one target at this gateway.
 
-use super::{catalog::ListedTarget, limits::TargetLimit, load::TargetLoad};
+use super::{catalog::ListedTarget, limits::TargetLimit, load::TargetLoad, quarantine::ProcessId};
 use crate::Timestamp;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -37,6 +37,8 @@
     pub(super) known: bool,
     /// Version of the target's limit that was known at the start.
     pub(super) limit_version: u64,
+    /// Process that runs it.
+    pub(super) process: ProcessId,
 }
 
 /// Target with its running attempts, load and backoff state.
@@ -45,6 +47,7 @@
     pub(super) name: Arc<str>,
     pub(super) address: SocketAddr,
     pub(super) started: Option<u64>,
+    pub(super) process: ProcessId,
     pub(super) slots: u32,
     pub(super) leaving: bool,
     pub(super) domain: Arc<str>,
@@ -75,6 +78,7 @@
             name: Arc::clone(&record.name),
             address: record.address,
             started: record.started,
+            process: ProcessId::new(&record.name, record.started),
             slots: record.slots.max(1),
             leaving: record.leaving,
             domain: Arc::clone(&record.failure_domain),
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -3,9 +3,9 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Call, Catalog, Change,
-        Decision, Heartbeat, LimitField, LoadReport, NewAttempt, Phase, Probe, ProbeResult, Route,
-        Share, Source, TargetRecord,
+        Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Call, CallDigest,
+        Catalog, Change, Decision, Heartbeat, LimitField, LoadReport, NewAttempt, Phase, Probe,
+        ProbeResult, Route, Share, Source, TargetRecord,
     },
 };
 use std::{
@@ -122,6 +122,7 @@
             caller,
             replayable: true,
             relayed: false,
+            digest: CallDigest::default(),
         };
         (self.calls, self.balancer.submit(now, call))
     }
--- a/crates/policy/tests/balance/limits.rs
+++ b/crates/policy/tests/balance/limits.rs
@@ -7,9 +7,9 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Attempt, AttemptOutcome, AttemptResult, Balancer, Call, Catalog, Change, Decision,
-        GiveUpReason, LimitField, LimitNotice, LimitShare, Membership, MembershipBuilder, Message,
-        Phase, ProbeResult, RequestRate, Source, TargetRecord,
+        Attempt, AttemptOutcome, AttemptResult, Balancer, Call, CallDigest, Catalog, Change,
+        Decision, GiveUpReason, LimitField, LimitNotice, LimitShare, Membership, MembershipBuilder,
+        Message, Phase, ProbeResult, RequestRate, Source, TargetRecord,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -368,6 +368,7 @@
             caller: host_ip(1),
             replayable: true,
             relayed: false,
+            digest: CallDigest::default(),
             route,
         };
         let decision = self.nodes[number].balancer.submit(now, call);
