fix(policy): let gateways sleep that repeat no notices

A gateway that callers are not directed to never sets the time of its next repeat, so while any limit was in force it was due at once, and its control loop never slept.

What it cost real gateways was not measured.

--- a/crates/policy/src/balance/membership/notices.rs
+++ b/crates/policy/src/balance/membership/notices.rs
@@ -176,6 +176,8 @@
             return;
         }
         let Some(interval) = to.repeat_interval else {
+            self.next_local = now + MIN_REPEAT_INTERVAL;
+            self.next_remote = now + MIN_REPEAT_INTERVAL;
             return;
         };
         let page = self.next_page();
--- a/crates/policy/tests/balance/limits.rs
+++ b/crates/policy/tests/balance/limits.rs
@@ -451,6 +451,23 @@
     }
 }
 
+/// A gateway that callers are not directed to was due at any time, so its loop never slept while a
+/// limit was in force.
+#[test]
+fn gateway_that_repeats_no_limits_is_not_due_at_once() {
+    let mut fleet = Fleet::new(16, 6, 1);
+    fleet.run(4_000);
+    fleet.limit = Some(4.0);
+    fleet.run(4_000);
+    fleet.now += 5;
+    fleet.exchange_messages();
+    for node in &fleet.nodes {
+        assert!(!node.balancer.limits().is_empty());
+        let due = node.membership.next_tick();
+        assert!(due > ms(fleet.now), "{due:?} at {}", fleet.now);
+    }
+}
+
 #[test]
 fn each_target_is_assigned_to_one_gateway() {
     for size in [2, 16, 300] {
