fix(policy): excuse calls that only ran beside one that crashes targets

A call at one gateway and a crashing one at another are sent again to the same targets, so three may end under both.

A call is excused if all processes that ended under it also ended under quarantined calls under which more did. The rule is computed from what all gateways share, so they agree on it. A crashing call that is excused by chance ends a process alone with its next run, and is quarantined at once then.

--- a/crates/policy/src/balance/balancer/crashes.rs
+++ b/crates/policy/src/balance/balancer/crashes.rs
@@ -108,9 +108,9 @@
                 "call digest={digest} crashed target {}, {count} of {CRASH_LIMIT}",
                 broken.name
             ));
-            self.note_suspicion(digest, most, "check");
             self.note_change(digest);
         }
+        self.settle_quarantine("check");
         self.accuse(now, process);
         true
     }
@@ -153,7 +153,6 @@
         let (mut adopted, mut unknown) = (Vec::new(), Vec::new());
         for notice in notices {
             let digest = notice.digest;
-            let before = self.quarantine.crash_count(&digest);
             let comparison = self.quarantine.merge(now, notice);
             let merged = self.quarantine.notice(now, &digest);
             if comparison.is_news {
@@ -163,13 +162,15 @@
                     }
                 }
                 self.has_news = true;
-                self.note_suspicion(digest, before, "peer");
                 adopted.extend(merged.clone());
             }
             if comparison.is_behind {
                 unknown.extend(merged);
             }
         }
+        if !adopted.is_empty() {
+            self.settle_quarantine("peer");
+        }
         (adopted, unknown)
     }
 
@@ -190,10 +191,14 @@
                 self.log_lines.push(format!("call digest={digest} crash withdrawn"));
                 self.note_change(digest);
             }
+            self.settle_quarantine("answer");
         }
         if now >= self.next_expiry {
             self.next_expiry = now + EXPIRY_INTERVAL;
-            self.has_news |= self.quarantine.expire(now);
+            if self.quarantine.expire(now) {
+                self.has_news = true;
+                self.settle_quarantine("expiry");
+            }
             let accused: IndexSet<ProcessId> = self.quarantine.accused().collect();
             self.accused.retain(|process, _| accused.contains(process));
         }
@@ -256,6 +261,7 @@
                 if self.quarantine.acquit(&digest) {
                     self.log_lines.push(format!("call digest={digest} acquitted"));
                     self.note_change(digest);
+                    self.settle_quarantine("answer");
                 }
             }
             AttemptOutcome::Refused => self.record_sign(now, running.process, running.since),
@@ -304,13 +310,11 @@
         self.accused.entry(process).or_insert(accused);
     }
 
-    fn note_suspicion(&mut self, digest: CallDigest, before: usize, source: &str) {
-        let count = self.quarantine.crash_count(&digest);
-        if before < CRASH_LIMIT && count >= CRASH_LIMIT {
-            self.log_lines.push(format!("call digest={digest} quarantined source={source}"));
-        }
-        if before >= CRASH_LIMIT && count < CRASH_LIMIT {
-            self.log_lines.push(format!("call digest={digest} released source={source}"));
+    /// Decides anew which calls are quarantined.
+    fn settle_quarantine(&mut self, source: &str) {
+        for (digest, is_quarantined) in self.quarantine.settle() {
+            let change = if is_quarantined { "quarantined" } else { "released" };
+            self.log_lines.push(format!("call digest={digest} {change} source={source}"));
         }
     }
 
--- a/crates/policy/src/balance/quarantine.rs
+++ b/crates/policy/src/balance/quarantine.rs
@@ -6,7 +6,8 @@
 //!
 //! What is known of a call forms a semilattice, so notices may be lost, repeated and reordered: the
 //! higher epoch wins, and within an epoch the union of the crashes, of which withdrawn ones stay
-//! withdrawn.
+//! withdrawn. What follows is computed from that alone: a call is excused if all processes that ended
+//! under it also ended under calls which more processes ended under. It only ran beside these.
 
 use crate::Timestamp;
 use indexmap::IndexMap;
@@ -23,7 +24,7 @@
 /// Calls that are remembered.
 const MAX_CALLS: usize = 4_096;
 /// Processes that are remembered for one call, withdrawn ones included.
-const MAX_PROCESSES: usize = 16;
+const MAX_PROCESSES: usize = 24;
 /// Time after the last crash or refused repeat at which a call is forgotten.
 const MEMORY_TIME: Duration = Duration::from_secs(24 * 3_600);
 
@@ -113,7 +114,12 @@
 }
 
 fn count(crashes: &BTreeMap<ProcessId, bool>) -> usize {
-    crashes.values().filter(|withdrawn| !**withdrawn).count()
+    ended(crashes).count()
+}
+
+/// Returns the processes whose end has not been withdrawn.
+fn ended(crashes: &BTreeMap<ProcessId, bool>) -> impl Iterator<Item = ProcessId> {
+    crashes.iter().filter(|(_, withdrawn)| !**withdrawn).map(|(process, _)| *process)
 }
 
 /// What is known of one call.
@@ -123,6 +129,20 @@
     crashes: BTreeMap<ProcessId, bool>,
     /// When the call is forgotten unless it comes again.
     expires: Timestamp,
+    /// Whether the call only ran beside others that crashed the targets.
+    is_excused: bool,
+    is_quarantined: bool,
+}
+
+impl Suspect {
+    fn new(expires: Timestamp) -> Self {
+        let crashes = BTreeMap::new();
+        Self { epoch: 0, crashes, expires, is_excused: false, is_quarantined: false }
+    }
+
+    fn crash_count(&self) -> usize {
+        if self.is_excused { 0 } else { count(&self.crashes) }
+    }
 }
 
 /// Result of the comparison of a notice with what is known.
@@ -147,7 +167,7 @@
 
     /// Returns the number of processes that ended while they ran the call.
     pub(super) fn crash_count(&self, digest: &CallDigest) -> usize {
-        self.suspects.get(digest).map_or(0, |s| count(&s.crashes))
+        self.suspects.get(digest).map_or(0, Suspect::crash_count)
     }
 
     /// Returns whether the end of `process` is known to have happened under the call.
@@ -157,25 +177,52 @@
 
     /// Returns whether the call must be sent to no target.
     pub(super) fn is_quarantined(&self, digest: &CallDigest) -> bool {
-        self.crash_count(digest) >= CRASH_LIMIT
+        self.suspects.get(digest).is_some_and(|s| s.is_quarantined)
     }
 
     /// Returns the number of calls that are quarantined.
     pub(super) fn quarantined_count(&self) -> usize {
-        self.suspects.values().filter(|s| count(&s.crashes) >= CRASH_LIMIT).count()
+        self.suspects.values().filter(|s| s.is_quarantined).count()
     }
 
     /// Records that `process` ended while it ran the call.
     pub(super) fn record(&mut self, now: Timestamp, digest: CallDigest, process: ProcessId) {
         self.make_room(&digest);
         let expires = now + MEMORY_TIME;
-        let new = Suspect { epoch: 0, crashes: BTreeMap::new(), expires };
-        let suspect = self.suspects.entry(digest).or_insert(new);
+        let suspect = self.suspects.entry(digest).or_insert_with(|| Suspect::new(expires));
         suspect.expires = expires;
         suspect.crashes.entry(process).or_insert(false);
         limit_len(&mut suspect.crashes);
     }
 
+    /// Decides anew which calls are quarantined, after a change. Returns those for which the decision is
+    /// another one now, with that decision.
+    pub(super) fn settle(&mut self) -> Vec<(CallDigest, bool)> {
+        // The most processes that ended under a quarantined call, for each of these processes.
+        let mut most: IndexMap<ProcessId, usize> = IndexMap::new();
+        for suspect in self.suspects.values() {
+            let len = count(&suspect.crashes);
+            if len >= CRASH_LIMIT {
+                for process in ended(&suspect.crashes) {
+                    let entry = most.entry(process).or_default();
+                    *entry = len.max(*entry);
+                }
+            }
+        }
+        let mut changed = Vec::new();
+        for (digest, suspect) in &mut self.suspects {
+            let len = count(&suspect.crashes);
+            suspect.is_excused =
+                ended(&suspect.crashes).all(|p| most.get(&p).is_some_and(|most| *most > len));
+            let is_quarantined = len >= CRASH_LIMIT && !suspect.is_excused;
+            if suspect.is_quarantined != is_quarantined {
+                suspect.is_quarantined = is_quarantined;
+                changed.push((*digest, is_quarantined));
+            }
+        }
+        changed
+    }
+
     /// Records that a quarantined call came again.
     pub(super) fn record_repeat(&mut self, now: Timestamp, digest: &CallDigest) {
         if let Some(suspect) = self.suspects.get_mut(digest) {
@@ -208,8 +255,7 @@
 
     /// Returns the processes whose end any call is suspected of.
     pub(super) fn accused(&self) -> impl Iterator<Item = ProcessId> {
-        let crashes = self.suspects.values().flat_map(|s| &s.crashes);
-        crashes.filter(|(_, withdrawn)| !**withdrawn).map(|(process, _)| *process)
+        self.suspects.values().flat_map(|s| ended(&s.crashes))
     }
 
     /// Adopts what another gateway knows of a call.
@@ -219,8 +265,7 @@
             return Comparison { is_news: false, is_behind: false };
         }
         self.make_room(&notice.digest);
-        let unknown = Suspect { epoch: 0, crashes: BTreeMap::new(), expires };
-        let suspect = self.suspects.entry(notice.digest).or_insert(unknown);
+        let suspect = self.suspects.entry(notice.digest).or_insert_with(|| Suspect::new(expires));
         suspect.expires = suspect.expires.max(expires);
         let before = (suspect.epoch, suspect.crashes.clone());
         if notice.epoch > suspect.epoch {
@@ -271,7 +316,7 @@
         if self.suspects.len() < MAX_CALLS || self.suspects.contains_key(digest) {
             return;
         }
-        let rank = |s: &Suspect| (count(&s.crashes).min(CRASH_LIMIT), s.expires);
+        let rank = |s: &Suspect| (s.is_quarantined, s.crash_count(), s.expires);
         let least = self.suspects.iter().min_by_key(|(_, s)| rank(s)).map(|(digest, _)| *digest);
         if let Some(least) = least {
             self.suspects.swap_remove(&least);
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -8,5 +8,6 @@
 mod limits;
 mod membership;
 mod overload;
+mod quarantine;
 mod reach;
 mod routes;
--- /dev/null
+++ b/crates/policy/tests/balance/quarantine.rs
@@ -0,0 +1,811 @@
+//! Calls that crash targets: how gateways recognize them, tell each other and stop sending them.
+
+use crate::fixture::{Fixture, LOCAL, expect_start, first_heartbeat, ms, record, route, settings};
+use arbtest::arbtest;
+use azuretally_policy::{
+    Timestamp,
+    balance::{
+        Attempt, AttemptOutcome, AttemptResult, Balancer, Call, CallDigest, CallNotice, Catalog,
+        Change, CrashEvidence, Decision, DigestParts, Failure, GiveUpReason, HedgeDecision,
+        LimitField, Membership, MembershipBuilder, Message, Phase, ProbeResult, ProcessId, Source,
+        TargetRecord,
+    },
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::{
+    collections::BTreeMap,
+    net::{IpAddr, Ipv4Addr},
+    sync::Arc,
+    time::Duration,
+};
+
+const ANSWERED: AttemptOutcome = AttemptOutcome::Answered { ok: true, bytes: 100 };
+const BROKEN: AttemptOutcome = AttemptOutcome::Failed { failure: Failure::Broken, sent: true };
+/// Time after the third crash from which hardly any further send is allowed, in ms.
+const CONTACT_MS: u64 = 3_000;
+/// Sends that are allowed later than that, over all gateways.
+const MAX_LATE_SENDS: usize = 3;
+/// Time in which a check of a target that has ended gives its result, in ms.
+const CHECK_MS: u64 = 300;
+/// Time for which a crashing call runs, in ms.
+const RUN_MS: u64 = 60;
+/// Time after the start of a gateway in which callers hear of it: half the lifetime of directions.
+const DIRECTION_MS: u64 = 500;
+/// Time after which a target that crashed is back as a new process, in ms.
+const RESTART_MS: u64 = 1_200;
+
+fn digest_of(path: &str) -> CallDigest {
+    CallDigest::new(&DigestParts { method: "GET", host: "host", path, ..DigestParts::default() })
+}
+
+impl Fixture {
+    /// Submits a repeatable call with the content of `path`.
+    fn submit_path(&mut self, now: Timestamp, id: u64, path: &str) -> Decision {
+        let route = route("check", true);
+        let call = Call {
+            id,
+            service: Arc::clone(&route.shares[0].service),
+            objective: now + route.objective,
+            deadline: now + route.timeout,
+            caller: IpAddr::V4(Ipv4Addr::LOCALHOST),
+            replayable: true,
+            relayed: false,
+            digest: digest_of(path),
+            route,
+        };
+        self.balancer.submit(now, call)
+    }
+
+    /// Lets the call crash a target at `at`, which a check confirms with `evidence`.
+    fn crash(&mut self, at: u64, id: u64, path: &str, evidence: CrashEvidence) -> Arc<str> {
+        let start = expect_start(self.submit_path(ms(at), id, path));
+        self.end_attempt(ms(at + 1), id, &start.target, BROKEN, None);
+        self.balancer.forget(id);
+        self.check_broken(at + 1, evidence);
+        start.target
+    }
+
+    /// Makes the checks that attempts which broke off at `at` call for.
+    fn check_broken(&mut self, at: u64, evidence: CrashEvidence) {
+        for check in self.balancer.take_crash_checks(ms(at + 20)) {
+            self.balancer.crash_checked(ms(at + CHECK_MS), check.process, evidence);
+        }
+    }
+
+    fn replace(&mut self, now: u64, target: &str) {
+        let number = target.trim_start_matches("target-").parse().unwrap_or_default();
+        let again = TargetRecord { started: Some(now), ..record(number, LOCAL) };
+        self.apply_changes(ms(now), vec![Change::Target(again)]);
+    }
+}
+
+fn expect_quarantined(decision: Decision) {
+    let Decision::GiveUp { reason, not_run, retry_after } = decision else {
+        panic!("{decision:?}")
+    };
+    assert_eq!((reason, not_run), (GiveUpReason::Quarantined, true));
+    assert!(retry_after >= Duration::from_secs(30), "{retry_after:?}");
+}
+
+#[test]
+fn call_is_refused_after_three_targets_ended_under_it() {
+    let mut fixture = Fixture::new(6, 0);
+    for id in 1..=3 {
+        fixture.crash(id * 1_000, id, "/bad", CrashEvidence::Gone);
+    }
+    expect_quarantined(fixture.submit_path(ms(5_000), 10, "/bad"));
+    expect_start(fixture.submit_path(ms(5_000), 11, "/good"));
+    assert_eq!(fixture.balancer.quarantined_count(), 1);
+    let day = 24 * 3_600 * 1_000;
+    fixture.balancer.review_crashes(ms(day - 1_000));
+    expect_quarantined(fixture.submit_path(ms(day - 1_000), 12, "/bad"));
+    fixture.balancer.review_crashes(ms(2 * day - 2_000));
+    expect_quarantined(fixture.submit_path(ms(2 * day - 2_000), 13, "/bad"));
+    fixture.balancer.review_crashes(ms(3 * day));
+    expect_start(fixture.submit_path(ms(3 * day), 14, "/bad"));
+}
+
+/// A process that ends while several calls run under it is evidence once, however often it counts.
+#[test]
+fn one_process_counts_once() {
+    let mut fixture = Fixture::new(1, 0);
+    for id in 1..=5 {
+        fixture.crash(id * 5_000, id, "/bad", CrashEvidence::Gone);
+    }
+    expect_start(fixture.submit_path(ms(40_000), 10, "/bad"));
+}
+
+#[test]
+fn resets_lost_answers_and_cut_links_are_no_crashes() {
+    for evidence in [CrashEvidence::Alive, CrashEvidence::Unproved] {
+        let mut fixture = Fixture::new(6, 0);
+        for id in 1..=6 {
+            fixture.crash(id * 5_000, id, "/call", evidence);
+        }
+        expect_start(fixture.submit_path(ms(40_000), 10, "/call"));
+        assert_eq!(fixture.balancer.call_notices(ms(40_000)), Vec::new(), "{evidence:?}");
+    }
+}
+
+#[test]
+fn gateway_that_is_cut_off_records_no_crash() {
+    let mut fixture = Fixture::new(6, 0);
+    let start = expect_start(fixture.submit_path(ms(0), 1, "/call"));
+    fixture.end_attempt(ms(1), 1, &start.target, BROKEN, None);
+    let checks = fixture.balancer.take_crash_checks(ms(21));
+    assert_eq!(checks.len(), 1);
+    assert_eq!(checks[0].witnesses.len(), 4);
+    for _ in 0..2 {
+        fixture.balancer.reach_checked(ms(100), 4, 0);
+    }
+    fixture.balancer.crash_checked(ms(300), checks[0].process, CrashEvidence::Gone);
+    assert_eq!(fixture.balancer.call_notices(ms(300)), Vec::new());
+}
+
+#[test]
+fn target_that_was_leaving_is_no_evidence() {
+    let mut fixture = Fixture::new(2, 0);
+    let start = expect_start(fixture.submit_path(ms(0), 1, "/call"));
+    let number = if &*start.target == "target-0" { 0 } else { 1 };
+    let leaving = TargetRecord { leaving: true, ..record(number, LOCAL) };
+    fixture.apply_changes(ms(1), vec![Change::Target(leaving)]);
+    fixture.end_attempt(ms(2), 1, &start.target, BROKEN, None);
+    assert_eq!(fixture.balancer.take_crash_checks(ms(30)), Vec::new());
+}
+
+/// If the process had ended, all its connections would have broken off.
+#[test]
+fn target_that_goes_on_with_another_call_is_not_checked() {
+    let mut fixture = Fixture::new(1, 0);
+    let start = expect_start(fixture.submit_path(ms(0), 1, "/call"));
+    expect_start(fixture.submit_path(ms(0), 2, "/other"));
+    fixture.end_attempt(ms(5), 1, &start.target, BROKEN, None);
+    assert_eq!(fixture.balancer.take_crash_checks(ms(30)), Vec::new());
+    assert_eq!(fixture.balancer.crash_checks_due(), Timestamp::MAX);
+}
+
+#[test]
+fn crash_is_withdrawn_if_the_process_answers_later() {
+    let mut fixture = Fixture::new(6, 0);
+    let crashed: Vec<Arc<str>> =
+        (1..=3).map(|id| fixture.crash(id * 1_000, id, "/call", CrashEvidence::Gone)).collect();
+    expect_quarantined(fixture.submit_path(ms(5_000), 10, "/call"));
+    // With all slots taken, the targets that were thought to have ended are in use as well.
+    for id in 101..=112 {
+        let path = format!("/other/{id}");
+        let start = expect_start(fixture.submit_path(ms(20_000), id, &path));
+        if crashed.contains(&start.target) {
+            fixture.end_attempt(ms(20_050), id, &start.target, ANSWERED, None);
+        }
+    }
+    fixture.balancer.review_crashes(ms(21_000));
+    expect_quarantined(fixture.submit_path(ms(21_000), 11, "/call"));
+    fixture.balancer.review_crashes(ms(23_000));
+    expect_start(fixture.submit_path(ms(23_000), 12, "/call"));
+}
+
+/// A new process may answer under the name of the one that ended before the platform says so.
+#[test]
+fn answer_of_the_next_process_of_the_same_name_withdraws_nothing() {
+    let mut fixture = Fixture::new(1, 0);
+    for id in 1..=3 {
+        let target = fixture.crash(id * 10_000, id, "/call", CrashEvidence::Gone);
+        let later = id * 10_000 + 5_000;
+        let start = expect_start(fixture.submit_path(ms(later), 100 + id, "/other"));
+        fixture.end_attempt(ms(later + 50), 100 + id, &start.target, ANSWERED, None);
+        fixture.balancer.forget(100 + id);
+        fixture.replace(later + 1_000, &target);
+        fixture.balancer.review_crashes(ms(later + 3_000));
+    }
+    expect_quarantined(fixture.submit_path(ms(60_000), 10, "/call"));
+}
+
+#[test]
+fn answer_to_the_call_acquits_it() {
+    let mut fixture = Fixture::new(6, 0);
+    for round in 0..4 {
+        for id in 1..=2 {
+            let id = round * 10 + id;
+            fixture.crash(id * 5_000, id, "/call", CrashEvidence::Gone);
+        }
+        let (now, id) = (ms(round * 50_000 + 40_000), round * 10 + 9);
+        let start = expect_start(fixture.submit_path(now, id, "/call"));
+        fixture.end_attempt(now, id, &start.target, ANSWERED, None);
+        fixture.balancer.forget(id);
+    }
+    assert_eq!(fixture.balancer.quarantined_count(), 0);
+    assert_eq!(fixture.balancer.call_notices(ms(0))[0].epoch, 4);
+}
+
+#[test]
+fn call_that_ran_beside_a_suspected_one_is_not_suspected() {
+    let mut fixture = Fixture::new(4, 0);
+    fixture.crash(1_000, 1, "/bad", CrashEvidence::Gone);
+    let bad = expect_start(fixture.submit_path(ms(5_000), 2, "/bad"));
+    let beside = (10..20).find(|id| {
+        expect_start(fixture.submit_path(ms(5_000), *id, &format!("/good/{id}"))).target
+            == bad.target
+    });
+    let beside = beside.unwrap_or_else(|| panic!("no call at {}", bad.target));
+    fixture.end_attempt(ms(5_050), 2, &bad.target, BROKEN, None);
+    fixture.end_attempt(ms(5_050), beside, &bad.target, BROKEN, None);
+    fixture.check_broken(5_050, CrashEvidence::Gone);
+    let notices = fixture.balancer.call_notices(ms(6_000));
+    assert_eq!(notices.len(), 1, "{notices:?}");
+    assert_eq!((notices[0].digest, notices[0].crashes.len()), (digest_of("/bad"), 2));
+}
+
+#[test]
+fn first_broken_attempt_is_repeated_at_once_and_no_third_one_follows() {
+    let mut fixture = Fixture::new(6, 0);
+    // The retry budget comes from earlier calls.
+    for _ in 0..100 {
+        let (id, decision) = fixture.submit(ms(0), &route("other", true));
+        let start = expect_start(decision);
+        fixture.end_attempt(ms(0), id, &start.target, ANSWERED, None);
+        fixture.balancer.forget(id);
+    }
+    let first = expect_start(fixture.submit_path(ms(100), 1_001, "/bad"));
+    let second = expect_start(fixture.end_attempt(ms(160), 1_001, &first.target, BROKEN, None));
+    assert_ne!(first.target, second.target);
+    assert_eq!(fixture.balancer.consider_hedge(ms(500), 1_001), HedgeDecision::Never);
+    let decision = fixture.end_attempt(ms(220), 1_001, &second.target, BROKEN, None);
+    assert!(
+        matches!(decision, Decision::GiveUp { not_run: false, .. }),
+        "the call may have run: {decision:?}"
+    );
+}
+
+#[test]
+fn suspected_call_waits_while_another_of_its_content_is_at_a_target() {
+    let mut fixture = Fixture::new(6, 0);
+    fixture.crash(1_000, 1, "/call", CrashEvidence::Gone);
+    let start = expect_start(fixture.submit_path(ms(5_000), 2, "/call"));
+    assert_eq!(fixture.submit_path(ms(5_001), 3, "/call"), Decision::Wait);
+    expect_start(fixture.submit_path(ms(5_001), 4, "/other"));
+    assert_eq!(fixture.balancer.dispatch_waiting(ms(5_010)), Vec::new());
+    fixture.end_attempt(ms(5_050), 2, &start.target, ANSWERED, None);
+    fixture.balancer.forget(2);
+    let decisions = fixture.balancer.dispatch_waiting(ms(5_050));
+    assert!(matches!(decisions[..], [(3, Decision::Start(_))]), "{decisions:?}");
+}
+
+#[test]
+fn waiting_call_is_refused_once_it_is_quarantined() {
+    let mut fixture = Fixture::new(6, 0);
+    fixture.crash(1_000, 1, "/bad", CrashEvidence::Gone);
+    expect_start(fixture.submit_path(ms(5_000), 2, "/bad"));
+    assert_eq!(fixture.submit_path(ms(5_000), 3, "/bad"), Decision::Wait);
+    fixture.balancer.merge_calls(ms(5_010), &[notice("/bad", 0, &[(7, false), (8, false)])]);
+    let [(3, decision)] = &fixture.balancer.dispatch_waiting(ms(5_020))[..] else {
+        panic!("the call goes on waiting")
+    };
+    expect_quarantined(decision.clone());
+}
+
+fn process(number: u64) -> ProcessId {
+    ProcessId::new("target", Some(number))
+}
+
+fn notice(path: &str, epoch: u32, crashes: &[(u64, bool)]) -> CallNotice {
+    CallNotice {
+        digest: digest_of(path),
+        epoch,
+        crashes: crashes
+            .iter()
+            .map(|(number, is_withdrawn)| (process(*number), *is_withdrawn))
+            .collect(),
+        left_s: 1_000,
+    }
+}
+
+/// Retries of a call that ran beside the crashing one went to the same targets, so that three ended under
+/// it as well.
+#[test]
+fn call_that_only_ran_beside_crashing_ones_is_not_quarantined() {
+    let mut balancer = Fixture::new(1, 0).balancer;
+    let live = |numbers: &[u64]| numbers.iter().map(|n| (*n, false)).collect::<Vec<_>>();
+    let mut quarantined = |path, numbers: &[u64]| {
+        balancer.merge_calls(ms(0), &[notice(path, 0, &live(numbers))]);
+        ["/bad", "/worse", "/beside"].map(|path| balancer.is_quarantined(&digest_of(path)))
+    };
+    assert_eq!(quarantined("/beside", &[1, 2, 3]), [false, false, true]);
+    assert_eq!(quarantined("/bad", &[1, 2]), [false, false, true]);
+    assert_eq!(quarantined("/bad", &[1, 2, 3, 4]), [true, false, false], "it ran beside /bad");
+    // A call under which a process ended that no other one explains is not excused.
+    assert_eq!(quarantined("/worse", &[3, 4, 5, 6, 7]), [true, true, false]);
+    assert_eq!(quarantined("/beside", &[8]), [true, true, true]);
+}
+
+fn known(balancer: &Balancer) -> BTreeMap<CallDigest, CallNotice> {
+    balancer.call_notices(ms(0)).into_iter().map(|notice| (notice.digest, notice)).collect()
+}
+
+/// Messages are lost, repeated and reordered, so neither order nor number of notices may matter.
+#[test]
+fn merging_notices_is_commutative_and_idempotent() {
+    arbtest(|input| {
+        let mut notices = Vec::new();
+        for _ in 0..input.int_in_range(1..=12)? {
+            let path = *input.choose(&["/a", "/b", "/c"])?;
+            let mut crashes = Vec::new();
+            for _ in 0..input.int_in_range(0..=8)? {
+                crashes.push((input.int_in_range(0..=40)?, input.arbitrary()?));
+            }
+            notices.push(notice(path, input.int_in_range(0..=2)?, &crashes));
+        }
+        let mut in_order = Fixture::new(1, 0).balancer;
+        for notice in &notices {
+            in_order.merge_calls(ms(0), std::slice::from_ref(notice));
+        }
+        let mut shuffled = Fixture::new(1, 0).balancer;
+        let mut order: Vec<usize> = (0..notices.len()).chain(0..notices.len()).collect();
+        for at in 0..order.len() {
+            order.swap(at, input.int_in_range(0..=at)?);
+        }
+        for at in order {
+            shuffled.merge_calls(ms(0), std::slice::from_ref(&notices[at]));
+        }
+        assert_eq!(known(&in_order), known(&shuffled));
+        let (adopted, unknown) = in_order.merge_calls(ms(0), &shuffled.call_notices(ms(0)));
+        assert_eq!((adopted, unknown), (Vec::new(), Vec::new()));
+        Ok(())
+    })
+    .budget_ms(2_000);
+}
+
+#[test]
+fn quarantined_calls_are_forgotten_last() {
+    let mut balancer = Fixture::new(1, 0).balancer;
+    let quarantined = notice("/bad", 0, &[(1, false), (2, false), (3, false)]);
+    balancer.merge_calls(ms(0), &[quarantined]);
+    for number in 0..10_000 {
+        balancer.merge_calls(ms(number), &[notice(&format!("/{number}"), 0, &[(1, false)])]);
+    }
+    let all = balancer.call_notices(ms(10_000));
+    assert_eq!(all.len(), 4_096);
+    assert!(balancer.is_quarantined(&digest_of("/bad")));
+    assert!(all.iter().any(|n| n.digest == digest_of("/9999")), "the latest one is remembered");
+    assert!(!all.iter().any(|n| n.digest == digest_of("/0")), "the earliest one is forgotten");
+}
+
+#[test]
+fn each_part_of_a_call_changes_its_digest() {
+    let parts = DigestParts {
+        method: "GET",
+        host: "host",
+        path: "/a?b",
+        authorization: b"c",
+        body: b"d",
+        body_length: Some(1),
+    };
+    let variants = [
+        parts,
+        DigestParts { method: "PUT", ..parts },
+        DigestParts { host: "hos", path: "t/a?b", ..parts },
+        DigestParts { path: "/a?c", ..parts },
+        DigestParts { authorization: b"", ..parts },
+        DigestParts { authorization: b"", body: b"cd", ..parts },
+        DigestParts { body_length: None, ..parts },
+        DigestParts { body_length: Some(2), ..parts },
+    ];
+    let digests: std::collections::BTreeSet<CallDigest> =
+        variants.iter().map(CallDigest::new).collect();
+    assert_eq!(digests.len(), variants.len());
+    assert_eq!(CallDigest::new(&parts), CallDigest::new(&parts.clone()));
+}
+
+/// Gateway of a simulated fleet.
+struct Node {
+    membership: Membership,
+    balancer: Balancer,
+    /// Whether it is cut off from the other gateways.
+    cut: bool,
+    /// From when callers are directed to it.
+    directed_from: u64,
+}
+
+/// Target of a simulated fleet: the start of its process, and until when it is down.
+#[derive(Clone, Copy)]
+struct SimTarget {
+    started: u64,
+    down_until: u64,
+}
+
+/// Attempt that is running.
+struct SimAttempt {
+    end: u64,
+    node: usize,
+    id: u64,
+    target: usize,
+    /// Start of the process that runs it.
+    started: u64,
+}
+
+/// Check whether a process has ended.
+struct SimCheck {
+    end: u64,
+    node: usize,
+    process: ProcessId,
+    target: usize,
+    started: u64,
+}
+
+/// Gateways that send calls to targets, of which one call crashes each target that runs it.
+struct Fleet {
+    nodes: Vec<Node>,
+    targets: Vec<SimTarget>,
+    catalog: Catalog,
+    revision: u64,
+    /// Simulated time, in ms.
+    now: u64,
+    /// Fraction of the messages between gateways that are lost.
+    loss: f64,
+    /// Fraction of the attempts whose connection is reset by a target that lives on.
+    resets: f64,
+    running: Vec<SimAttempt>,
+    checks: Vec<SimCheck>,
+    /// Content of the calls at gateways, and how often their caller may come back.
+    contents: BTreeMap<u64, (String, u32)>,
+    /// Callers that come back: when, with what content, and how often after that.
+    returning: Vec<(u64, String, u32)>,
+    /// Sends of the crashing call by gateways that are in touch with the others.
+    bad_sends: Vec<u64>,
+    /// When the crashing call ended a target.
+    crashes: Vec<u64>,
+    /// Contents of other calls that broke off.
+    disturbed: Vec<String>,
+    served: u64,
+    calls: u64,
+    random: Pcg64Mcg,
+}
+
+const BAD: &str = "/bad";
+
+fn host_ip(number: usize) -> IpAddr {
+    let [.., high, low] = number.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(10, 2, high, low))
+}
+
+fn domain_of(number: usize) -> Arc<str> {
+    Arc::from(format!("domain-{}", number % 3))
+}
+
+fn target_record(number: usize, started: u64) -> TargetRecord {
+    let known = record(u8::try_from(number).unwrap_or_default(), &domain_of(number));
+    TargetRecord { started: Some(started), ..known }
+}
+
+impl Fleet {
+    fn new(size: usize, targets: usize, seed: u64) -> Self {
+        let mut fleet = Self {
+            nodes: Vec::new(),
+            targets: vec![SimTarget { started: 1, down_until: 0 }; targets],
+            catalog: Catalog::default(),
+            revision: 0,
+            now: 0,
+            loss: 0.0,
+            resets: 0.0,
+            running: Vec::new(),
+            checks: Vec::new(),
+            contents: BTreeMap::new(),
+            returning: Vec::new(),
+            bad_sends: Vec::new(),
+            crashes: Vec::new(),
+            disturbed: Vec::new(),
+            served: 0,
+            calls: 0,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        };
+        for number in 0..targets {
+            fleet.list(number);
+        }
+        for _ in 0..size {
+            fleet.start_node();
+        }
+        fleet
+    }
+
+    /// Publishes the present process of a target.
+    fn list(&mut self, number: usize) {
+        self.revision += 1;
+        let record = target_record(number, self.targets[number].started);
+        let now = ms(self.now);
+        self.catalog.apply(now, self.revision, vec![Change::Target(record)], Source::Platform);
+        for node in &mut self.nodes {
+            node.balancer.set_targets(now, &self.catalog);
+        }
+    }
+
+    fn start_node(&mut self) {
+        let (number, now) = (self.nodes.len(), ms(self.now));
+        let own = first_heartbeat(number, domain_of(number), host_ip(number));
+        let seeds = (0..3).map(host_ip).collect();
+        let mut membership = MembershipBuilder::new(own).seeds(seeds).build(now);
+        membership.update_status(Phase::Ready, 1, Some(Duration::ZERO), false);
+        let mut balancer = Balancer::new(domain_of(number), settings(), number as u64);
+        balancer.set_targets(now, &self.catalog);
+        let probe = azuretally_policy::balance::Probe {
+            service: Arc::from("service"),
+            target: Arc::from("target-0"),
+            address: record(0, LOCAL).address,
+            limit: None,
+        };
+        balancer.probe_ended(now, &probe, ProbeResult::NoReport);
+        let directed_from = if self.now == 0 { 0 } else { self.now + DIRECTION_MS };
+        self.nodes.push(Node { membership, balancer, cut: false, directed_from });
+    }
+
+    /// Runs for `millis` while calls arrive at random gateways. If `is_bad`, the crashing call is one
+    /// of them.
+    fn run(&mut self, millis: u64, is_bad: bool) {
+        let end = self.now + millis;
+        while self.now < end {
+            self.now += 5;
+            self.restart_targets();
+            self.exchange_messages();
+            self.end_attempts();
+            self.end_checks();
+            if is_bad && self.random.random_bool(0.05) {
+                self.call_anywhere(BAD.to_owned(), 2);
+            }
+            if self.random.random_bool(0.3) {
+                let path = format!("/good/{}", self.calls);
+                self.call_anywhere(path, 2);
+            }
+            let (due, returning) = std::mem::take(&mut self.returning)
+                .into_iter()
+                .partition::<Vec<_>, _>(|(at, ..)| *at <= self.now);
+            self.returning = returning;
+            for (_, path, returns) in due {
+                self.call_anywhere(path, returns);
+            }
+            for node in 0..self.nodes.len() {
+                for (id, decision) in self.nodes[node].balancer.dispatch_waiting(ms(self.now)) {
+                    self.handle(node, id, decision);
+                }
+            }
+        }
+    }
+
+    fn restart_targets(&mut self) {
+        for number in 0..self.targets.len() {
+            let target = self.targets[number];
+            if target.down_until > 0 && target.down_until <= self.now {
+                self.targets[number] = SimTarget { started: self.now, down_until: 0 };
+                self.list(number);
+            }
+        }
+    }
+
+    fn exchange_messages(&mut self) {
+        let now = ms(self.now);
+        let mut in_flight = Vec::new();
+        for (number, node) in self.nodes.iter_mut().enumerate() {
+            let Node { membership, balancer, .. } = node;
+            balancer.review_crashes(now);
+            membership.announce_calls(balancer.take_call_changes(now), None);
+            if let Some(notices) = balancer.take_call_notices(now) {
+                membership.set_calls(notices);
+            }
+            in_flight.extend(membership.tick(now).into_iter().map(|o| (number, o)));
+        }
+        while let Some((from, outgoing)) = in_flight.pop() {
+            let to = (0..self.nodes.len()).find(|n| host_ip(*n) == outgoing.to);
+            let Some(to) = to.filter(|to| !self.nodes[*to].cut && !self.nodes[from].cut) else {
+                continue;
+            };
+            if self.random.random_bool(self.loss) {
+                continue;
+            }
+            let Node { membership, balancer, .. } = &mut self.nodes[to];
+            let replies = match outgoing.message {
+                Message::Calls(notices) => {
+                    let (adopted, unknown) = balancer.merge_calls(now, &notices);
+                    membership.announce_calls(adopted, Some(host_ip(from)));
+                    Membership::call_replies(host_ip(from), unknown)
+                }
+                message => membership.receive(now, host_ip(from), message),
+            };
+            in_flight.extend(replies.into_iter().map(|o| (to, o)));
+        }
+    }
+
+    fn end_attempts(&mut self) {
+        let now = self.now;
+        let (ended, running) =
+            std::mem::take(&mut self.running).into_iter().partition::<Vec<_>, _>(|a| a.end <= now);
+        self.running = running;
+        for attempt in ended {
+            let target = self.targets[attempt.target];
+            let is_same = target.started == attempt.started && target.down_until == 0;
+            let is_bad = self.contents.get(&attempt.id).is_some_and(|(path, _)| path == BAD);
+            if is_bad && is_same {
+                self.crashes.push(now);
+                self.targets[attempt.target].down_until = now + RESTART_MS;
+                for other in &mut self.running {
+                    if other.target == attempt.target {
+                        other.end = now + 5;
+                    }
+                }
+            }
+            let outcome = match is_same && !is_bad && !self.random.random_bool(self.resets) {
+                true => ANSWERED,
+                false => BROKEN,
+            };
+            self.end_attempt(&attempt, outcome);
+        }
+    }
+
+    fn end_attempt(&mut self, attempt: &SimAttempt, outcome: AttemptOutcome) {
+        let now = ms(self.now);
+        let target = Arc::from(format!("target-{}", attempt.target));
+        let result = AttemptResult {
+            attempt: Attempt { call: attempt.id, target },
+            outcome,
+            report: None,
+            limit: LimitField::Absent,
+        };
+        if outcome == BROKEN
+            && let Some((path, _)) = self.contents.get(&attempt.id).filter(|(path, _)| path != BAD)
+        {
+            self.disturbed.push(path.clone());
+        }
+        let balancer = &mut self.nodes[attempt.node].balancer;
+        let decision = balancer.attempt_ended(now, &result);
+        for check in balancer.take_crash_checks(now) {
+            let name = check.target.target.trim_start_matches("target-");
+            let target: usize = name.parse().unwrap_or_default();
+            self.checks.push(SimCheck {
+                end: self.now + CHECK_MS,
+                node: attempt.node,
+                process: check.process,
+                target,
+                started: self.targets[target].started,
+            });
+        }
+        self.handle(attempt.node, attempt.id, decision);
+    }
+
+    fn end_checks(&mut self) {
+        let now = ms(self.now);
+        for node in 0..self.nodes.len() {
+            for check in self.nodes[node].balancer.take_crash_checks(now) {
+                let name = check.target.target.trim_start_matches("target-");
+                let target: usize = name.parse().unwrap_or_default();
+                let started = self.targets[target].started;
+                let (end, process) = (self.now + CHECK_MS, check.process);
+                self.checks.push(SimCheck { end, node, process, target, started });
+            }
+        }
+        let (ended, checks) = std::mem::take(&mut self.checks)
+            .into_iter()
+            .partition::<Vec<_>, _>(|c| c.end <= self.now);
+        self.checks = checks;
+        for check in ended {
+            let target = self.targets[check.target];
+            let is_alive = target.started == check.started && target.down_until == 0;
+            let evidence = if is_alive { CrashEvidence::Alive } else { CrashEvidence::Gone };
+            self.nodes[check.node].balancer.crash_checked(now, check.process, evidence);
+        }
+    }
+
+    fn call_anywhere(&mut self, path: String, returns: u32) {
+        let ready = self.nodes.iter().filter(|n| n.directed_from <= self.now).count();
+        let node = self.random.random_range(0..ready);
+        self.calls += 1;
+        let id = self.calls;
+        let route = route("check", true);
+        let now = ms(self.now);
+        let call = Call {
+            id,
+            service: Arc::clone(&route.shares[0].service),
+            objective: now + route.objective,
+            deadline: now + route.timeout,
+            caller: host_ip(1),
+            replayable: true,
+            relayed: false,
+            digest: digest_of(&path),
+            route,
+        };
+        self.contents.insert(id, (path, returns));
+        let decision = self.nodes[node].balancer.submit(now, call);
+        self.handle(node, id, decision);
+    }
+
+    fn handle(&mut self, node: usize, id: u64, decision: Decision) {
+        let Some((path, returns)) = self.contents.get(&id).cloned() else { return };
+        match decision {
+            Decision::Wait => return,
+            Decision::Start(start) => {
+                let target = start.target.trim_start_matches("target-").parse().unwrap_or(0);
+                let SimTarget { started, down_until } = self.targets[target];
+                let mut attempt = SimAttempt { end: self.now + RUN_MS, node, id, target, started };
+                if down_until > 0 {
+                    let failure = Failure::Connect;
+                    let outcome = AttemptOutcome::Failed { failure, sent: false };
+                    self.end_attempt(&attempt, outcome);
+                    return;
+                }
+                if path == BAD && !self.nodes[node].cut {
+                    self.bad_sends.push(self.now);
+                }
+                if path != BAD {
+                    attempt.end = self.now + self.random.random_range(20..120);
+                }
+                self.running.push(attempt);
+                return;
+            }
+            Decision::Deliver => self.served += u64::from(path != BAD),
+            Decision::GiveUp { .. } if returns > 0 => {
+                let at = self.now + self.random.random_range(100..400);
+                self.returning.push((at, path, returns - 1));
+            }
+            Decision::GiveUp { .. } => {}
+        }
+        self.contents.remove(&id);
+        self.nodes[node].balancer.forget(id);
+    }
+
+    /// Returns how often the crashing call was sent later than the bound after its third crash.
+    fn late_sends(&self) -> usize {
+        let Some(third) = self.crashes.get(2) else { return 0 };
+        self.bad_sends.iter().filter(|at| **at > third + CONTACT_MS).count()
+    }
+}
+
+/// A call that had ended three targets was sent to more of them, by all gateways, as long as it came.
+#[test]
+fn fleet_stops_sending_a_call_that_crashed_three_targets() {
+    arbtest(|input| {
+        let size: usize = *input.choose(&[1, 2, 3, 7, 16])?;
+        let mut fleet = Fleet::new(size, 24, input.arbitrary()?);
+        fleet.loss = f64::from(input.int_in_range(0_u32..=20)?) / 100.0;
+        fleet.resets = f64::from(input.int_in_range(0_u32..=3)?) / 100.0;
+        fleet.run(2_000, false);
+        let cut = input.int_in_range(0..=size - 1)?;
+        fleet.nodes[cut].cut = size > 1 && input.arbitrary()?;
+        fleet.run(5_000, true);
+        fleet.nodes[cut].cut = false;
+        // With fewer gateways, all messages to the new one may be lost.
+        if size >= 3 {
+            fleet.start_node();
+        }
+        fleet.run(6_000, true);
+        assert!(fleet.crashes.len() >= 3, "the call was sent {:?}", fleet.bad_sends);
+        let late = fleet.late_sends();
+        assert!(
+            late <= MAX_LATE_SENDS,
+            "{late} late sends, {} crashes, {size} gateways, {} lost",
+            fleet.crashes.len(),
+            fleet.loss
+        );
+        for node in &fleet.nodes {
+            assert!(node.balancer.is_quarantined(&digest_of(BAD)));
+            assert_eq!(node.balancer.quarantined_count(), 1, "proper calls are quarantined");
+        }
+        for path in std::mem::take(&mut fleet.disturbed) {
+            let before = fleet.served;
+            fleet.call_anywhere(path, 0);
+            fleet.run(300, false);
+            assert!(fleet.served > before);
+        }
+        Ok(())
+    })
+    .budget_ms(4_000);
+}
+
+/// Gateways of other calls are disturbed by resets alone.
+#[test]
+fn fleet_quarantines_no_call_because_of_resets() {
+    for size in [1, 16] {
+        let mut fleet = Fleet::new(size, 6, 1);
+        fleet.resets = 0.2;
+        fleet.run(10_000, false);
+        assert!(fleet.disturbed.len() > 50);
+        for node in &fleet.nodes {
+            assert_eq!(node.balancer.call_notices(ms(fleet.now)), Vec::new());
+        }
+    }
+}
