--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,8 +11,8 @@
     Timestamp,
     balance::{
         Balancer, BalancerSettings, CallNotice, Catalog, CrashCheck, CrashEvidence, Decision,
-        Heartbeat, LimitNotice, Membership, MembershipBuilder, Outgoing, Phase, Probe, RouteTable,
-        Source, TrafficSplit,
+        Heartbeat, HeartbeatExtension, KnownData, LimitNotice, Membership, MembershipBuilder,
+        Outgoing, Phase, Probe, RouteTable, Source, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -318,7 +318,11 @@
         }
         let age = catalog.age(now);
         let reader = membership.is_reader(now, age);
-        membership.update_status(phase, catalog.content_revision(), age, reader);
+        let known = KnownData {
+            revision: catalog.content_revision(),
+            settings: catalog.settings_version(),
+        };
+        membership.update_status(phase, known, age, reader);
     }
 
     /// Returns all metrics in text format, with the retry budgets as of now.
@@ -520,6 +524,7 @@
         age_ms: None,
         reader: false,
         remote_primaries: Vec::new(),
+        extension: HeartbeatExtension::default(),
     };
     MembershipBuilder::new(own)
         .seeds(settings.seed_hosts())
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -16,6 +16,8 @@
 mod quarantine;
 mod reach;
 mod refusals;
+mod restore;
+mod revision;
 mod routes;
 mod service;
 mod split;
@@ -29,11 +31,12 @@
 };
 pub use catalog::{Catalog, CatalogUpdate, Change, ListedTarget, Snapshot, Source, TargetRecord};
 pub use crashes::{CrashCheck, CrashEvidence};
-pub use heartbeat::{Directions, Heartbeat, Message, Outgoing, Phase};
+pub use heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase};
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
-pub use membership::{LimitAssignment, Membership, MembershipBuilder};
+pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
 pub use quarantine::{CallDigest, CallNotice, DigestParts, ProcessId};
+pub use revision::Revision;
 pub use routes::{
     CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
 };
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -10,4 +10,5 @@
 mod overload;
 mod quarantine;
 mod reach;
+mod restore;
 mod routes;
--- a/crates/policy/tests/balance/quarantine.rs
+++ b/crates/policy/tests/balance/quarantine.rs
@@ -1,14 +1,16 @@
 //! Calls that crash targets: how gateways recognize them, tell each other and stop sending them.
 
-use crate::fixture::{Fixture, LOCAL, expect_start, first_heartbeat, ms, record, route, settings};
+use crate::fixture::{
+    Fixture, LOCAL, expect_start, first_heartbeat, known, ms, record, route, settings,
+};
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
     balance::{
         Attempt, AttemptOutcome, AttemptResult, Balancer, Call, CallDigest, CallNotice, Catalog,
         Change, CrashEvidence, Decision, DigestParts, Failure, GiveUpReason, HedgeDecision,
-        LimitField, Membership, MembershipBuilder, Message, Phase, ProbeResult, ProcessId, Source,
-        TargetRecord,
+        LimitField, Membership, MembershipBuilder, Message, Phase, ProbeResult, ProcessId,
+        Revision, Source, TargetRecord,
     },
 };
 use rand::{RngExt, SeedableRng};
@@ -318,7 +320,7 @@
     assert_eq!(quarantined("/beside", &[8]), [true, true, true]);
 }
 
-fn known(balancer: &Balancer) -> BTreeMap<CallDigest, CallNotice> {
+fn all_known(balancer: &Balancer) -> BTreeMap<CallDigest, CallNotice> {
     balancer.call_notices(ms(0)).into_iter().map(|notice| (notice.digest, notice)).collect()
 }
 
@@ -347,7 +349,7 @@
         for at in order {
             shuffled.merge_calls(ms(0), std::slice::from_ref(&notices[at]));
         }
-        assert_eq!(known(&in_order), known(&shuffled));
+        assert_eq!(all_known(&in_order), all_known(&shuffled));
         let (adopted, unknown) = in_order.merge_calls(ms(0), &shuffled.call_notices(ms(0)));
         assert_eq!((adopted, unknown), (Vec::new(), Vec::new()));
         Ok(())
@@ -512,7 +514,12 @@
         self.revision += 1;
         let record = target_record(number, self.targets[number].started);
         let now = ms(self.now);
-        self.catalog.apply(now, self.revision, vec![Change::Target(record)], Source::Platform);
+        self.catalog.apply(
+            now,
+            Revision::new(0, self.revision),
+            vec![Change::Target(record)],
+            Source::Platform,
+        );
         for node in &mut self.nodes {
             node.balancer.set_targets(now, &self.catalog);
         }
@@ -523,7 +530,7 @@
         let own = first_heartbeat(number, domain_of(number), host_ip(number));
         let seeds = (0..3).map(host_ip).collect();
         let mut membership = MembershipBuilder::new(own).seeds(seeds).build(now);
-        membership.update_status(Phase::Ready, 1, Some(Duration::ZERO), false);
+        membership.update_status(Phase::Ready, known(1), Some(Duration::ZERO), false);
         let mut balancer = Balancer::new(domain_of(number), settings(), number as u64);
         balancer.set_targets(now, &self.catalog);
         let probe = azuretally_policy::balance::Probe {
