fix(policy): wait for all attempts at a target to break off before it is checked

If the attempts at a target that ended broke off over 20 ms apart, the first call was dropped as one that met a reset, although it may be the one that crashed the target. Such a target is now looked at every 20 ms, and counts as alive if it still goes on with another attempt after 250 ms. attempts_at_one_target_may_break_off_one_after_the_other covers it.

--- a/crates/policy/src/balance/balancer/crashes.rs
+++ b/crates/policy/src/balance/balancer/crashes.rs
@@ -5,7 +5,7 @@
         call::{Attempt, AttemptOutcome, AttemptResult, Call, Failure, Probe},
         crashes::{
             AccusedProcess, BrokenTarget, CrashCheck, CrashEvidence, GATHER_TIME, MAX_CHECKS,
-            WITNESSES,
+            MAX_GATHER_TIME, WITNESSES,
         },
         quarantine::{CRASH_LIMIT, CallDigest, CallNotice, ProcessId},
         target::{RunningAttempt, Target},
@@ -44,13 +44,13 @@
             return Timestamp::MAX;
         }
         let waiting = self.broken.values().filter(|b| !b.is_checking);
-        waiting.map(|b| b.since + GATHER_TIME).min().unwrap_or(Timestamp::MAX)
+        waiting.map(|b| b.next_look).min().unwrap_or(Timestamp::MAX)
     }
 
     /// Returns the checks that have to be made now. [`Self::crash_checked`] has to follow for each.
     pub fn take_crash_checks(&mut self, now: Timestamp) -> Vec<CrashCheck> {
         let mut checks = Vec::new();
-        let due = |b: &BrokenTarget| !b.is_checking && now >= b.since + GATHER_TIME;
+        let due = |b: &BrokenTarget| !b.is_checking && now >= b.next_look;
         let processes: Vec<ProcessId> =
             self.broken.iter().filter(|(_, b)| due(b)).map(|(process, _)| *process).collect();
         for process in processes {
@@ -71,7 +71,11 @@
             }
             // All connections end with the process.
             if target.running.iter().any(|r| r.process == process && r.since <= since) {
-                self.broken.swap_remove(&process);
+                if now >= since + MAX_GATHER_TIME {
+                    self.broken.swap_remove(&process);
+                } else if let Some(broken) = self.broken.get_mut(&process) {
+                    broken.next_look = now + GATHER_TIME;
+                }
                 continue;
             }
             let probe = probe_of(&service, target);
@@ -282,6 +286,7 @@
                     name: Arc::clone(name),
                     since: now,
                     digests: IndexSet::new(),
+                    next_look: now + GATHER_TIME,
                     is_checking: false,
                 });
                 broken.digests.insert(digest);
--- a/crates/policy/src/balance/crashes.rs
+++ b/crates/policy/src/balance/crashes.rs
@@ -12,9 +12,11 @@
 use indexmap::IndexSet;
 use std::{sync::Arc, time::Duration};
 
-/// Time after the first broken attempt in which the others at the same target break off too if its
-/// process has ended.
+/// Time after the first broken attempt in which the others at the same target mostly break off too if
+/// its process has ended, and interval at which the target is looked at while they have not.
 pub(super) const GATHER_TIME: Duration = Duration::from_millis(20);
+/// Time after which a target that goes on with other attempts counts as alive.
+pub(super) const MAX_GATHER_TIME: Duration = Duration::from_millis(250);
 /// Checks that may be in progress.
 pub(super) const MAX_CHECKS: usize = 8;
 /// Other targets that a check asks, to tell whether this gateway reaches any.
@@ -51,6 +53,8 @@
     pub(super) since: Timestamp,
     /// Calls whose attempts broke off.
     pub(super) digests: IndexSet<CallDigest>,
+    /// When to look whether it has to be checked.
+    pub(super) next_look: Timestamp,
     pub(super) is_checking: bool,
 }
 
--- a/crates/policy/tests/balance/quarantine.rs
+++ b/crates/policy/tests/balance/quarantine.rs
@@ -163,10 +163,24 @@
     let start = expect_start(fixture.submit_path(ms(0), 1, "/call"));
     expect_start(fixture.submit_path(ms(0), 2, "/other"));
     fixture.end_attempt(ms(5), 1, &start.target, BROKEN, None);
-    assert_eq!(fixture.balancer.take_crash_checks(ms(30)), Vec::new());
+    for now in (25..=265).step_by(20) {
+        assert_eq!(fixture.balancer.take_crash_checks(ms(now)), Vec::new());
+    }
     assert_eq!(fixture.balancer.crash_checks_due(), Timestamp::MAX);
 }
 
+#[test]
+fn attempts_at_one_target_may_break_off_one_after_the_other() {
+    let mut fixture = Fixture::new(1, 0);
+    let start = expect_start(fixture.submit_path(ms(0), 1, "/one"));
+    expect_start(fixture.submit_path(ms(0), 2, "/two"));
+    fixture.end_attempt(ms(5), 1, &start.target, BROKEN, None);
+    assert_eq!(fixture.balancer.take_crash_checks(ms(25)), Vec::new());
+    fixture.end_attempt(ms(60), 2, &start.target, BROKEN, None);
+    fixture.check_broken(60, CrashEvidence::Gone);
+    assert_eq!(fixture.balancer.call_notices(ms(500)).len(), 2);
+}
+
 #[test]
 fn crash_is_withdrawn_if_the_process_answers_later() {
     let mut fixture = Fixture::new(6, 0);
