--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -199,6 +199,9 @@
         if self.relay.is_some() || inbound.is_relayed || self.relays >= MAX_RELAYS {
             return false;
         }
+        if self.gateway.balancer.borrow().is_quarantined(&inbound.digest) {
+            return false;
+        }
         let peers = self.gateway.relay_peers();
         let attempts = inbound.route.attempts.saturating_sub(self.sent_attempts);
         if peers.is_empty() || attempts == 0 {
@@ -320,7 +323,7 @@
         };
         log::info!(
             "calls: sent id={} target={} near={} attempt={} kind={kind} waited_ms={} expected_ms={} \
-             report_ms={} left_ms={} caller={} belief_ms={} limit={}",
+             report_ms={} left_ms={} caller={} belief_ms={} limit={} digest={}",
             inbound.log_id(),
             new_attempt.target,
             new_attempt.same_domain,
@@ -332,6 +335,7 @@
             inbound.caller,
             self.gateway.catalog.borrow().age(now).unwrap_or_default().as_millis(),
             new_attempt.limit.map_or_else(|| "-".to_owned(), |limit| limit.to_string()),
+            inbound.digest,
         );
         self.gateway.metrics.record_attempt(&inbound.service, kind);
         if new_attempt.limit.is_some() {
@@ -373,6 +377,7 @@
                 self.sent_attempts -= u32::from(!sent);
                 self.may_have_run |= sent;
                 self.gateway.target_failed.notify_one();
+                self.gateway.attempt_broken.notify_one();
             }
             AttemptOutcome::Answered { .. } => self.may_have_run = true,
             AttemptOutcome::Refused | AttemptOutcome::Moved => {}
@@ -410,6 +415,9 @@
     }
 
     fn fail(mut self, failure: CallFailure, reason: GiveUpReason) -> Response<ResponseBody> {
+        if reason == GiveUpReason::Quarantined {
+            self.gateway.metrics.quarantined_calls.inc();
+        }
         let id = self.inbound.call_headers.id.as_deref();
         let response = self.gateway.adapter.failure_response(failure, id);
         let detail = match failure {
--- a/crates/gateway/src/control/codec.rs
+++ b/crates/gateway/src/control/codec.rs
@@ -21,7 +21,7 @@
         Message::Heartbeat(heartbeat) | Message::Join(heartbeat) => {
             to_extend(&heartbeat.extension, bytes)
         }
-        Message::Peers(_) | Message::Limits(_) => Ok(bytes),
+        Message::Peers(_) | Message::Limits(_) | Message::Calls(_) => Ok(bytes),
     }
 }
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -8,10 +8,12 @@
 mod budget;
 mod call;
 mod catalog;
+mod crashes;
 mod heartbeat;
 mod limits;
 mod load;
 mod membership;
+mod quarantine;
 mod reach;
 mod refusals;
 mod restore;
@@ -28,10 +30,12 @@
     GiveUpReason, HedgeDecision, NewAttempt, Probe, ProbeResult,
 };
 pub use catalog::{Catalog, CatalogUpdate, Change, ListedTarget, Snapshot, Source, TargetRecord};
+pub use crashes::{CrashCheck, CrashEvidence};
 pub use heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase};
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
+pub use quarantine::{CallDigest, CallNotice, DigestParts, ProcessId};
 pub use revision::Revision;
 pub use routes::{
     CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -8,6 +8,7 @@
 mod limits;
 mod membership;
 mod overload;
+mod quarantine;
 mod reach;
 mod restore;
 mod routes;
