--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -3,9 +3,10 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Call, Catalog, Change,
-        Decision, Heartbeat, HeartbeatExtension, KnownData, LimitField, LoadReport, NewAttempt,
-        Phase, Probe, ProbeResult, Revision, Route, Share, Source, TargetRecord,
+        Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Call, CallDigest,
+        Catalog, Change, Decision, Heartbeat, HeartbeatExtension, KnownData, LimitField,
+        LoadReport, NewAttempt, Phase, Probe, ProbeResult, Revision, Route, Share, Source,
+        TargetRecord,
     },
 };
 use std::{
@@ -123,6 +124,7 @@
             caller,
             replayable: true,
             relayed: false,
+            digest: CallDigest::default(),
         };
         (self.calls, self.balancer.submit(now, call))
     }
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -64,3 +64,29 @@
         ..Options::new(7)
     });
 }
+
+/// Settings and targets that leave must be in effect in time although the platform is restored from
+/// a copy: gateways once took all that it listed under an earlier revision for old.
+#[test]
+fn restored_platform_is_followed() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(10),
+        network: 84,
+        restores: true,
+        ..Options::new(21)
+    });
+}
+
+/// A call that crashes each target that runs it must be stopped after three targets: gateways once
+/// took each of its arrivals for a new call.
+#[test]
+fn crashing_call_is_stopped() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(20),
+        targets: 16,
+        network: 85,
+        profile: Profile::Planned,
+        crashes: true,
+        ..Options::new(13)
+    });
+}
