--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -5,7 +5,8 @@
 mod stub;
 
 use azuretally_policy::balance::{
-    Change, Heartbeat, HeartbeatExtension, Message, Phase, PublishedSettings, Revision, Source,
+    CallDigest, CallNotice, Change, DigestParts, Heartbeat, HeartbeatExtension, Message, Phase,
+    ProcessId, PublishedSettings, Revision, Source,
 };
 use raw::{Node, TIMEOUT, accept, listen, published, read_until, run_local};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -182,6 +183,41 @@
     .await;
 }
 
+/// A call that crashes targets must not reach one by way of another gateway.
+#[tokio::test]
+async fn quarantined_call_is_not_relayed() {
+    run_local(async {
+        let (peer, address) = listen().await;
+        let node = Node::start_cut_off(&[address]).await;
+        let parts = DigestParts {
+            method: "GET",
+            host: "test",
+            path: "/check/1",
+            body_length: Some(0),
+            ..DigestParts::default()
+        };
+        let process = |number| (ProcessId::new("target", Some(number)), false);
+        let notice = CallNotice {
+            digest: CallDigest::new(&parts),
+            epoch: 0,
+            crashes: (1..=3).map(process).collect(),
+            left_s: 60,
+        };
+        node.gateway.merge_calls(address.ip(), &[notice]);
+        let mut caller = node.call("/check/1").await;
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(response.contains("x-azuretally-outcome: not-run"), "{response}");
+        assert!(response.contains("retry-after: 60"), "{response}");
+        assert_eq!(node.gateway.metrics.quarantined_calls.get(), 1);
+        let relayed = timeout(Duration::from_millis(200), peer.accept()).await;
+        assert!(relayed.is_err(), "the call was relayed");
+        let _other = node.call("/check/2").await;
+        accept(&peer).await;
+    })
+    .await;
+}
+
 /// A gateway that can reach no other one does what it can.
 #[tokio::test]
 async fn call_is_sent_to_a_target_if_no_other_gateway_can_be_reached() {
--- a/crates/policy/tests/balance/quarantine.rs
+++ b/crates/policy/tests/balance/quarantine.rs
@@ -386,6 +386,31 @@
     assert!(!all.iter().any(|n| n.digest == digest_of("/0")), "the earliest one is forgotten");
 }
 
+/// A gateway that joins gets what is known in datagrams that fit into the buffer of the receiver.
+#[test]
+fn notices_of_calls_fit_into_datagrams() {
+    let mut fleet = Fleet::new(3, 6, 1);
+    fleet.run(3_000, false);
+    let all: Vec<CallNotice> = (0..200)
+        .map(|n| {
+            notice(&format!("/{n}"), u32::MAX, &(0..24).map(|p| (p, false)).collect::<Vec<_>>())
+        })
+        .collect();
+    let now = ms(fleet.now);
+    let node = &mut fleet.nodes[0];
+    node.membership.set_calls(all.clone());
+    node.membership.announce_calls(all.clone(), None);
+    let join = first_heartbeat(9, domain_of(0), host_ip(9));
+    let mut messages = node.membership.receive(now, host_ip(9), Message::Join(join));
+    messages.extend(node.membership.tick(now));
+    messages.extend(Membership::call_replies(host_ip(9), all));
+    let calls = messages.iter().filter(|o| matches!(o.message, Message::Calls(_)));
+    let sizes: Vec<usize> =
+        calls.map(|o| postcard::to_allocvec(&o.message).map_or(0, |b| b.len())).collect();
+    assert!(sizes.len() > 100, "{}", sizes.len());
+    assert!(sizes.iter().all(|size| (1..=1_210).contains(size)), "{sizes:?}");
+}
+
 #[test]
 fn each_part_of_a_call_changes_its_digest() {
     let parts = DigestParts {
