test(gateway): proper calls whose targets end several at once are served again

Cause: a mark for calls that crash targets rests on processes that ended while they ran a call. A popular look-up runs on many targets at a time, and a failure domain of targets may end at once; a rare call may meet three targets that end by chance. Neither is guilty, and neither may be refused for good. The earlier tests end one target at a time among many answers, so they do not show this.

Ruled out: nothing; these guard the fix.

--- a/crates/gateway/tests/crashing_call/deployment.rs
+++ b/crates/gateway/tests/crashing_call/deployment.rs
@@ -44,7 +44,7 @@
 /// Number of targets.
 const TARGETS: u8 = 12;
 /// Failure domains of gateways and targets.
-const DOMAINS: [&str; 3] = ["a", "b", "c"];
+pub(crate) const DOMAINS: [&str; 3] = ["a", "b", "c"];
 /// Service of all targets.
 const SERVICE: &str = "service";
 /// Host numbers of the first gateway, of the first target and of the store.
@@ -90,6 +90,15 @@
         running.get(index).cloned()
     }
 
+    /// Ends the processes whose failure domain is among the first `domains`, all at once.
+    pub(crate) fn end_domains(&self, domains: usize) {
+        let is_ended =
+            |target: &&Arc<Target>| DOMAINS[..domains].contains(&&*target.record.failure_domain);
+        for target in self.current.lock().iter().flatten().filter(is_ended) {
+            target.ended.cancel();
+        }
+    }
+
     /// Runs one process after the other at the address `index`.
     async fn run_place(
         self: Arc<Self>,
--- a/crates/gateway/tests/crashing_call/innocent.rs
+++ b/crates/gateway/tests/crashing_call/innocent.rs
@@ -2,9 +2,9 @@
 
 use super::{
     caller::{Arrival, RepeatedCall},
-    deployment::{Deployment, seed},
+    deployment::{DOMAINS, Deployment, seed},
     repeated::{Outcome, Scenario},
-    target::{Ending, Faults},
+    target::{Ending, Faults, UNLUCKY_PATH},
 };
 use std::{collections::BTreeSet, time::Duration};
 use tokio::time::{Instant, sleep};
@@ -18,6 +18,9 @@
 /// Parts of the calls that targets do not answer.
 const FAULTS: Faults = Faults { reset: 10, lost: 10 };
 
+/// Pauses before the targets of one failure domain end at once, and before all targets do.
+const DOMAIN_PAUSE: Duration = Duration::from_secs(3);
+
 /// Returns the same few look-ups for all callers.
 fn looks() -> impl Iterator<Item = RepeatedCall> {
     (0..LOOKS).map(|n| RepeatedCall::get(&format!("/look/same/{n}")))
@@ -92,3 +95,38 @@
     let outcome = running.join().await;
     assert_all_are_served(deployment, &scenario, &outcome).await;
 }
+
+/// A call that many callers make at the same time was taken for a crashing one when several targets
+/// that ran it ended at once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_whose_targets_end_all_at_once_are_served_again() {
+    let scenario = Scenario::new([], looks().take(1));
+    let deployment = Deployment::start(Ending::Reset, seed()).await;
+    let running = scenario.spawn(&deployment);
+    for domains in [1, 1, DOMAINS.len()] {
+        sleep(DOMAIN_PAUSE).await;
+        deployment.targets.end_domains(domains);
+    }
+    let outcome = running.join().await;
+    let unserved = scenario.unserved(&deployment, 1).await;
+    let text = outcome.describe(&deployment, &[]) + &describe_refusals(&outcome.proper);
+    println!("{text}");
+    deployment.shut_down().await;
+    let unserved: Vec<_> = unserved.iter().map(Arrival::describe).collect();
+    assert!(unserved.is_empty(), "not served at the end: {unserved:?}\n{text}");
+    outcome.assert_proper_calls_are_served(&text);
+}
+
+/// A call whose first three targets ended by chance was refused for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn calls_whose_first_targets_end_by_chance_are_served_again() {
+    let call = RepeatedCall::get(&format!("/look{UNLUCKY_PATH}0"));
+    let scenario = Scenario::new([call], looks());
+    let deployment = Deployment::start(Ending::Reset, seed()).await;
+    let outcome = scenario.spawn(&deployment).join().await;
+    let text = outcome.describe(&deployment, &[]) + &describe_refusals(&outcome.crashing);
+    println!("{text}");
+    deployment.shut_down().await;
+    let last = outcome.crashing.iter().max_by_key(|arrival| arrival.sent);
+    assert!(last.is_some_and(Arrival::is_served), "not served at the end: {last:?}\n{text}");
+}
--- a/crates/gateway/tests/crashing_call/target.rs
+++ b/crates/gateway/tests/crashing_call/target.rs
@@ -32,6 +32,10 @@
 /// Part of a path, and beginning of a body, of calls that crash targets.
 pub(crate) const CRASH_PATH: &str = "/crash/";
 pub(crate) const CRASH_BODY: &[u8] = b"crash";
+/// Part of a path of calls whose targets end by chance while they run them for the first times, and
+/// number of these times.
+pub(crate) const UNLUCKY_PATH: &str = "/unlucky/";
+const UNLUCKY_RUNS: u32 = 3;
 /// Number of bytes of a body that are part of the key of a call.
 const KEY_BYTES: usize = 8;
 /// Time from the start of a call until it crashes its target, in ms.
@@ -62,12 +66,15 @@
     pub(crate) faults: Mutex<Faults>,
     pub(crate) random: Mutex<Pcg64>,
     pub(crate) log: Arc<RunLog>,
+    /// Runs of calls of [`UNLUCKY_PATH`] so far.
+    unlucky: AtomicU32,
 }
 
 impl Behavior {
     pub(crate) fn new(ending: Ending, seed: u64) -> Self {
         let random = Mutex::new(Pcg64::seed_from_u64(seed));
-        Self { ending, faults: Mutex::default(), random, log: Arc::default() }
+        let unlucky = AtomicU32::new(0);
+        Self { ending, faults: Mutex::default(), random, log: Arc::default(), unlucky }
     }
 
     pub(crate) fn random_ms(&self, range: RangeInclusive<u64>) -> Duration {
@@ -160,6 +167,13 @@
             }
             return std::future::pending().await;
         }
+        let is_unlucky = path.contains(UNLUCKY_PATH)
+            && self.behavior.unlucky.fetch_add(1, Ordering::SeqCst) < UNLUCKY_RUNS;
+        if is_unlucky {
+            sleep(self.behavior.random_ms(CRASH_MS)).await;
+            self.ended.cancel();
+            return std::future::pending().await;
+        }
         sleep(self.behavior.random_ms(RUN_MS)).await;
         self.running.fetch_sub(1, Ordering::SeqCst);
         let Faults { reset, lost } = *self.behavior.faults.lock();
