test(gateway): require that proper calls beside crashing ones are served when sent again

Cause: the runs at whole gateways checked the first sends of proper calls alone, so a fix that refuses a few of these calls for good would have passed.

--- a/crates/gateway/tests/crashing_call/repeated.rs
+++ b/crates/gateway/tests/crashing_call/repeated.rs
@@ -186,6 +186,7 @@
     deployment.shut_down().await;
     assert_few_late_sends(&counts, &text);
     outcome.assert_proper_calls_are_served(&text);
+    assert!(outcome.unserved_count() == 0, "not served when sent again\n{text}");
 }
 
 /// Calls that crash their targets were sent to further targets for as long as they came.
