--- a/crates/gateway/src/calls/body.rs
+++ b/crates/gateway/src/calls/body.rs
@@ -135,21 +135,31 @@
     Partial(Bytes, Incoming),
 }
 
-/// Reads a body until its end, or until it exceeds `limit` bytes. Renews the allowance of the
-/// connection that it is read from, if it has one, with each part.
+/// Sizes up to which a body is buffered, in bytes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct BufferLimits {
+    /// Size of a body that is buffered completely.
+    pub(super) complete: usize,
+    /// Bytes that are buffered of a body whose announced length is greater.
+    pub(super) partial: usize,
+}
+
+/// Reads a body until its end, or until it exceeds the limits. Renews the allowance of the connection
+/// that it is read from, if it has one, with each part.
 ///
 /// # Errors
 ///
 /// Returns [`BodyError::Truncated`] if the connection ended before the body did.
 pub(super) async fn buffer_body(
     mut body: Incoming,
-    limit: usize,
+    limits: BufferLimits,
     allowance: Option<&ReadAllowance>,
 ) -> Result<BufferedBody, BodyError> {
     if body.is_end_stream() {
         return Ok(BufferedBody::Complete(Bytes::new()));
     }
-    if body.size_hint().exact().is_some_and(|size| size > limit as u64) {
+    let is_large = body.size_hint().exact().is_some_and(|size| size > limits.complete as u64);
+    if is_large && limits.partial == 0 {
         return Ok(BufferedBody::Partial(Bytes::new(), body));
     }
     let mut buffer: Vec<u8> = Vec::new();
@@ -164,7 +174,7 @@
             return Ok(BufferedBody::Complete(data));
         }
         buffer.extend_from_slice(&data);
-        if buffer.len() > limit {
+        if buffer.len() > limits.complete || (is_large && buffer.len() >= limits.partial) {
             return Ok(BufferedBody::Partial(buffer.into(), body));
         }
     }
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -1,7 +1,7 @@
 //! A single attempt to send a call to a target.
 
 use super::{
-    body::{BufferedBody, RequestBody, buffer_body},
+    body::{BufferLimits, BufferedBody, RequestBody, buffer_body},
     inbound::InboundCall,
     pool::{Connection, ConnectionPool},
 };
@@ -216,7 +216,8 @@
         return Err(Failure::Broken);
     }
     connection.allowance.renew();
-    let buffered = buffer_body(body, MAX_BUFFERED_BYTES, Some(&connection.allowance)).await;
+    let limits = BufferLimits { complete: MAX_BUFFERED_BYTES, partial: 0 };
+    let buffered = buffer_body(body, limits, Some(&connection.allowance)).await;
     let body = match buffered {
         Ok(BufferedBody::Complete(bytes)) => {
             pool.release(connection, &head.headers);
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -1,6 +1,6 @@
 //! Reading calls from callers and building requests to targets.
 
-use super::body::{BodyError, BufferedBody, PrefixedBody, RequestBody, buffer_body};
+use super::body::{BodyError, BufferLimits, BufferedBody, PrefixedBody, RequestBody, buffer_body};
 use crate::{
     adapter::{CallAdapter, CallFailure, CallHeaders, PlatformAdapter, TargetRequest},
     gateway::Gateway,
@@ -35,6 +35,10 @@
 
 /// Bodies up to this size are buffered, so that another attempt can send them again.
 const MAX_REPLAY_BYTES: usize = 256 * 1_024;
+/// Bytes of a longer body with a known length by which its call is recognized when it comes again.
+const MAX_DIGEST_BYTES: usize = 16 * 1_024;
+const BODY_LIMITS: BufferLimits =
+    BufferLimits { complete: MAX_REPLAY_BYTES, partial: MAX_DIGEST_BYTES };
 /// Time in which the body of a response must end if the caller names no time limit.
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 /// Time after which a caller may retry while the gateway does not know any routes yet.
@@ -128,7 +132,7 @@
             return Err(reject(CallFailure::TooLarge));
         }
         let buffered = tokio::select! {
-            buffered = timeout(time_limit, buffer_body(body, MAX_REPLAY_BYTES, None)) => buffered,
+            buffered = timeout(time_limit, buffer_body(body, BODY_LIMITS, None)) => buffered,
             () = gateway.serving_ended() => {
                 return Err(reject(CallFailure::NotRun(STOPPED_RETRY_AFTER)));
             }
@@ -288,7 +292,9 @@
     };
     let body_length = rest.map(|rest| bytes.len() as u64 + rest);
     // Where the buffered part ends depends on how the body arrived.
-    let bytes = &bytes[..bytes.len().min(MAX_REPLAY_BYTES)];
+    let is_large = body_length.is_some_and(|length| length > MAX_REPLAY_BYTES as u64);
+    let limit = if is_large { MAX_DIGEST_BYTES } else { MAX_REPLAY_BYTES };
+    let bytes = &bytes[..bytes.len().min(limit)];
     CallDigest::new(&DigestParts {
         method: head.method.as_str(),
         host,
