test(soak): judge calls beside crashing ones by what refused them

`beside` compared the share of served calls while crashing calls are known with the share before and after the faults. In the mixed profile the first window is the one with all other faults.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -249,6 +249,12 @@
         (cut, others)
     }
 
+    /// Returns whether the call is one that crashes targets, or was sent beside one.
+    pub(crate) fn is_crash_call(&self, id: u64) -> bool {
+        let state = self.state.lock();
+        state.calls.get(&id).is_some_and(|call| call.route.operation == CRASH_ROUTE)
+    }
+
     /// Records that a target refused a call.
     pub(crate) fn record_refusal(&self, id: u64, service: &str) {
         self.state.lock().record_arrival(Instant::now(), id, service);
--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -190,8 +190,12 @@
 }
 
 /// Counts the crashes, and checks that the other calls were served as usual once the calls that
-/// crash targets must be known.
-pub(crate) fn check_others(checker: &Checker, began: Instant) -> CrashCounts {
+/// crash targets must be known. With other faults these shares are counted, but not compared.
+pub(crate) fn check_others(
+    checker: &Checker,
+    began: Instant,
+    has_other_faults: bool,
+) -> CrashCounts {
     let calls = checker.change_crashes(|crashes| crashes.calls.clone());
     let crashes: Vec<_> = calls.values().flat_map(|call| call.crashes.iter().copied()).collect();
     let (Some(first), Some(last)) =
@@ -210,7 +214,8 @@
     let usual = share(&usual.map(|(from, until)| served(from, until))).unwrap_or_default();
     let known_at = calls.values().map(History::known_at).max().flatten();
     let known = known_at.filter(|at| *at < last).and_then(|at| share(&[served(at, last)]));
-    if let Some(known) = known.filter(|known| *known < usual * MIN_SERVED_RATIO) {
+    let is_low = |known: &f64| !has_other_faults && *known < usual * MIN_SERVED_RATIO;
+    if let Some(known) = known.filter(is_low) {
         checker.record_violation(format!(
             "beside: {known:.3} of the other calls were served once the calls that crash targets \
              must be known, {usual:.3} before and after"
--- a/crates/soak/src/logs.rs
+++ b/crates/soak/src/logs.rs
@@ -7,6 +7,7 @@
 };
 use azuretally::core::LogLine;
 use azuretally_gateway::adapter::CallFailure;
+use azuretally_policy::balance::GiveUpReason;
 use indexmap::IndexMap;
 use std::time::Duration;
 
@@ -34,6 +35,25 @@
     outcomes
 }
 
+/// Checks that only calls of the route for calls that crash targets were refused as such.
+pub(crate) fn check_quarantine(cluster: &Cluster) {
+    for gateway in &cluster.gateways {
+        let log = gateway.process.lock().as_ref().map(Process::log);
+        for line in log.iter().flat_map(|log| log.lines()).filter_map(LogLine::parse) {
+            if line.field("reason") != Some(GiveUpReason::Quarantined.as_str()) {
+                continue;
+            }
+            let call = line.field("id").and_then(|id| id.parse().ok());
+            if let Some(call) = call.filter(|call| !cluster.checker.is_crash_call(*call)) {
+                cluster.checker.record_violation(format!(
+                    "innocent: gateway {} refused call {call} as one that crashes targets",
+                    gateway.number
+                ));
+            }
+        }
+    }
+}
+
 /// Checks that each call has exactly one log line with its outcome at the gateway that its caller
 /// used, and that the outcome agrees with the result that the caller saw. For a relayed call one of
 /// the outcomes at other gateways must agree, if they logged any. The line may be missing if the gateway did not receive the
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -151,7 +151,10 @@
     }
     let mut crash_counts = CrashCounts::default();
     if options.crashes {
-        crash_counts = crashes::check_others(&cluster.checker, began);
+        // Unplanned faults, most of them while the calls that crash targets are known, make other calls
+        // fail: targets that refuse every second one, for example.
+        let has_other_faults = options.profile == Profile::Mixed;
+        crash_counts = crashes::check_others(&cluster.checker, began, has_other_faults);
         crashes::check_proper_calls(&cluster).await;
     }
     for gateway in &cluster.gateways {
@@ -164,6 +167,7 @@
     let ended_calls = cluster.checker.ended_calls();
     let outcomes = logs::read_outcomes(&cluster);
     logs::compare(&cluster.checker, &ended_calls, &outcomes);
+    logs::check_quarantine(&cluster);
     let stops = cluster.checker.check_stops(|id| outcomes.contains_key(&id));
     // The end of the processes cuts off the calls in flight.
     let counts = cluster.checker.counts();
