refactor(policy): keep records and updates apart from the catalog; one place for tests of reads

Test cases, bounds and assertions are the same: those of platform_review stand in platform_reads now, those of review in going_back.

--- a/crates/gateway/tests/platform_reads.rs
+++ b/crates/gateway/tests/platform_reads.rs
@@ -10,7 +10,7 @@
     gateway::Gateway,
     native::{CHANGES_PATH, LIST_PATH, NativeAdapter, PublishedChanges},
 };
-use azuretally_policy::balance::{CallerLimits, Change, PublishedSettings};
+use azuretally_policy::balance::{CallerLimits, Change, PublishedSettings, Revision, Source};
 use azuretally_standin::http::{
     ConnectionAborted, ResponseBody, json_response, query_param, serve, text_response,
 };
@@ -18,7 +18,16 @@
 use hyper::body::Incoming;
 use indexmap::IndexMap;
 use parking_lot::Mutex;
-use std::{net::SocketAddr, process, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    process,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
 use tokio::{
     net::TcpListener,
     sync::mpsc,
@@ -31,6 +40,9 @@
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time for which settings that must not change are watched. Some reads of the platform fit into it.
 const STEADY_TIME: Duration = Duration::from_millis(1_500);
+/// Time that targets have to register again after a restore, and what a check of it may be late by.
+const GRACE: Duration = Duration::from_millis(2_300);
+const MAX_LATENESS: Duration = Duration::from_millis(300);
 /// Header in which the platform names its era.
 const ERA: &str = "x-azuretally-platform-era";
 
@@ -38,6 +50,8 @@
 #[derive(Debug)]
 struct Platform {
     state: Mutex<State>,
+    /// Lists that were asked for.
+    lists: AtomicUsize,
 }
 
 #[derive(Clone, Debug)]
@@ -49,14 +63,22 @@
     has_target: bool,
     /// Polls after a later revision than this one are answered 410.
     last_known: u64,
+    /// Whether all requests are answered 503.
+    is_away: bool,
 }
 
 impl Platform {
     fn new(era: Option<&str>) -> Arc<Self> {
         let era = era.map(str::to_owned);
-        let state =
-            State { era, revision: 100, settings: 1, has_target: false, last_known: u64::MAX };
-        Arc::new(Self { state: Mutex::new(state) })
+        let state = State {
+            era,
+            revision: 100,
+            settings: 1,
+            has_target: false,
+            last_known: u64::MAX,
+            is_away: false,
+        };
+        Arc::new(Self { state: Mutex::new(state), lists: AtomicUsize::new(0) })
     }
 
     fn change<Update>(&self, update: Update)
@@ -73,11 +95,15 @@
         let after = query_param(&request, "after").and_then(|a| a.parse().ok()).unwrap_or(0);
         // The wait of a long poll, much shortened.
         sleep(Duration::from_millis(20)).await;
+        if request.uri().path() == LIST_PATH {
+            self.lists.fetch_add(1, Ordering::Relaxed);
+        }
         let state = self.state.lock().clone();
         let mut changes = vec![Change::Published(published(state.settings))];
         changes.extend(state.has_target.then(|| Change::Target(stub::target(1, 1))));
         let all = PublishedChanges { revision: state.revision, changes };
         let mut response = match request.uri().path() {
+            _ if state.is_away => text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
             LIST_PATH => json_response(&all),
             CHANGES_PATH if after > state.last_known => text_response(StatusCode::GONE, ""),
             CHANGES_PATH if after < state.revision => json_response(&all),
@@ -114,14 +140,14 @@
 }
 
 impl Fixture {
-    async fn start(test: u8, era: Option<&str>) -> Self {
+    async fn start(test: u8, era: Option<&str>, read_ms: u64) -> Self {
         let platform = Platform::new(era);
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let [.., high, low] = process::id().to_be_bytes();
         let at = |port| SocketAddr::from(([127, 128 | (test & 63), high, low], port));
         let mut settings = stub::settings();
         settings.platform = listener.local_addr().expect("bound");
-        settings.read_ms = 100;
+        settings.read_ms = read_ms;
         settings.listen.directions = at(9_001);
         settings.listen.readiness = at(9_002);
         settings.listen.news = at(9_003);
@@ -173,6 +199,15 @@
             sleep(Duration::from_millis(10)).await;
         }
     }
+
+    async fn wait_for_targets(&self, count: usize, limit: Duration) -> bool {
+        let listed = async {
+            while self.targets() != count {
+                sleep(Duration::from_millis(10)).await;
+            }
+        };
+        timeout(limit, listed).await.is_ok()
+    }
 }
 
 impl Drop for Fixture {
@@ -189,12 +224,140 @@
     LocalSet::new().run_until(test).await;
 }
 
+/// Guards against a platform that is ignored for good: one list under a wrong era, far above the present
+/// one, and nothing that the platform says later counts.
+#[tokio::test]
+async fn targets_are_followed_after_a_moment_of_wrong_eras() {
+    run_local(async {
+        let fixture = Fixture::start(11, Some("1"), 100).await;
+        fixture.platform.change(|s| s.era = Some("900".to_owned()));
+        sleep(Duration::from_millis(500)).await;
+        fixture.platform.change(|s| {
+            *s = State { era: Some("1".to_owned()), revision: 101, has_target: true, ..s.clone() }
+        });
+        assert!(fixture.wait_for_targets(1, IN_FORCE_TIMEOUT).await);
+    })
+    .await;
+}
+
+/// Guards against calls to a target that has not registered again in time: the end of its grace period
+/// was only looked at between two reads.
+#[tokio::test]
+async fn target_that_the_copy_lacks_is_dropped_in_time() {
+    run_local(async {
+        let fixture = Fixture::start(12, Some("1"), 1_000).await;
+        fixture.platform.change(|s| (s.revision, s.has_target) = (101, true));
+        assert!(fixture.wait_for_targets(1, IN_FORCE_TIMEOUT).await);
+        fixture.platform.change(|s| {
+            *s = State {
+                era: Some("2".to_owned()),
+                revision: 90,
+                last_known: 90,
+                has_target: false,
+                ..s.clone()
+            }
+        });
+        while fixture.gateway.catalog.borrow().revision().era != 2 {
+            sleep(Duration::from_millis(10)).await;
+        }
+        let listed = Instant::now();
+        assert!(fixture.wait_for_targets(0, GRACE * 2).await);
+        let kept = listed.elapsed();
+        assert!(kept <= GRACE + MAX_LATENESS, "kept for {kept:?}");
+    })
+    .await;
+}
+
+/// Guards against lists without end: a platform whose era has gone back was asked for everything at each
+/// read.
+#[tokio::test]
+async fn platform_whose_era_has_gone_back_is_not_listed_at_each_read() {
+    run_local(async {
+        let fixture = Fixture::start(13, Some("7"), 100).await;
+        fixture.platform.change(|s| s.era = Some("6".to_owned()));
+        sleep(Duration::from_millis(500)).await;
+        let before = fixture.platform.lists.load(Ordering::Relaxed);
+        sleep(Duration::from_secs(2)).await;
+        let lists = fixture.platform.lists.load(Ordering::Relaxed) - before;
+        // A failed read is repeated after 1.2 s at most.
+        assert!(lists <= 4, "{lists} lists in 2 s");
+    })
+    .await;
+}
+
+/// Guards against a gauge that says nothing at gateways that get their data from peers.
+#[tokio::test]
+async fn revision_in_force_is_shown_for_data_from_a_peer() {
+    let (probes, _) = mpsc::unbounded_channel();
+    let gateway = Gateway::new(NativeAdapter, stub::settings(), probes);
+    let changes = vec![Change::Published(published(1))];
+    let source = Source::Peer(Duration::ZERO);
+    let now = gateway.clock.now();
+    assert!(gateway.catalog.borrow_mut().relist(now, Revision::new(2, 90), changes, source));
+    gateway.apply_catalog(source);
+    let text = gateway.metrics_text();
+    let shown = text.lines().find(|line| line.starts_with("azuretally_platform_revision "));
+    assert_eq!(shown, Some("azuretally_platform_revision 90"));
+    let shown = text.lines().find(|line| line.starts_with("azuretally_platform_era "));
+    assert_eq!(shown, Some("azuretally_platform_era 2"));
+}
+
+/// Tells the loss of data from the absence of the platform alone, after which settings are in force in time.
+#[tokio::test]
+async fn settings_confirmed_after_the_platform_was_away_are_in_force_in_time() {
+    run_local(async {
+        let fixture = Fixture::start(14, Some("1"), 1_000).await;
+        for (version, away_ms) in [(2, 600), (3, 600), (4, 600), (5, 3_000), (6, 3_000)] {
+            fixture.platform.change(|s| s.is_away = true);
+            sleep(Duration::from_millis(away_ms)).await;
+            fixture.platform.change(|s| {
+                *s = State {
+                    is_away: false,
+                    revision: s.revision + 1,
+                    settings: version,
+                    ..s.clone()
+                }
+            });
+            fixture.wait_for(version).await;
+        }
+    })
+    .await;
+}
+
+/// The same if the platform is restored each time, before the gateway has read the era before it.
+#[tokio::test]
+async fn settings_confirmed_after_restores_in_a_row_are_in_force_in_time() {
+    run_local(async {
+        let fixture = Fixture::start(15, Some("1"), 1_000).await;
+        for (version, era) in [(2, 2), (3, 4), (4, 6), (5, 8)] {
+            for (era, revision) in [(era, 80), (era + 1, 60)] {
+                fixture.platform.change(|s| s.is_away = true);
+                sleep(Duration::from_millis(300)).await;
+                fixture.platform.change(|s| {
+                    *s = State {
+                        era: Some(era.to_string()),
+                        is_away: false,
+                        revision,
+                        last_known: revision,
+                        settings: version - 1,
+                        ..s.clone()
+                    }
+                });
+                sleep(Duration::from_millis(50)).await;
+            }
+            fixture.platform.change(|s| (s.revision, s.last_known, s.settings) = (61, 61, version));
+            fixture.wait_for(version).await;
+        }
+    })
+    .await;
+}
+
 /// Guards against confirmed settings that are not in force: after a restore, everything was ignored
 /// until the platform's revisions had passed those known before.
 #[tokio::test]
 async fn settings_confirmed_after_a_restore_are_in_force_in_time() {
     run_local(async {
-        let fixture = Fixture::start(1, Some("1")).await;
+        let fixture = Fixture::start(1, Some("1"), 100).await;
         fixture.platform.change(|s| {
             *s = State { era: Some("2".to_owned()), revision: 90, last_known: 90, ..s.clone() }
         });
@@ -210,7 +373,7 @@
 #[tokio::test]
 async fn settings_are_not_missed_if_revisions_were_given_out_again() {
     run_local(async {
-        let fixture = Fixture::start(2, Some("1")).await;
+        let fixture = Fixture::start(2, Some("1"), 100).await;
         fixture.platform.change(|s| {
             // The settings were written under revision 95; polls after 100 no longer bring them.
             *s = State { era: Some("2".to_owned()), revision: 100, settings: 2, ..s.clone() }
@@ -223,7 +386,7 @@
 #[tokio::test]
 async fn settings_lost_by_the_platform_stay_in_force() {
     run_local(async {
-        let fixture = Fixture::start(3, Some("1")).await;
+        let fixture = Fixture::start(3, Some("1"), 100).await;
         fixture.platform.change(|s| (s.revision, s.settings) = (101, 3));
         fixture.wait_for(3).await;
         fixture.platform.change(|s| {
@@ -245,7 +408,7 @@
 #[tokio::test]
 async fn unreadable_or_earlier_eras_revert_nothing() {
     run_local(async {
-        let fixture = Fixture::start(4, Some("7")).await;
+        let fixture = Fixture::start(4, Some("7"), 100).await;
         for era in ["", "-1", "8.5", "soon", "99999999999999999999"] {
             fixture.platform.change(|s| {
                 s.era = Some(era.to_owned());
@@ -276,7 +439,7 @@
 #[tokio::test]
 async fn platform_without_eras_is_followed_again_once_its_revisions_pass() {
     run_local(async {
-        let fixture = Fixture::start(5, None).await;
+        let fixture = Fixture::start(5, None, 100).await;
         fixture.platform.change(|s| {
             *s = State { revision: 90, settings: 2, last_known: 90, has_target: true, ..s.clone() }
         });
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -15,6 +15,7 @@
 mod membership;
 mod quarantine;
 mod reach;
+mod records;
 mod refusals;
 mod restore;
 mod revision;
@@ -29,13 +30,14 @@
     Attempt, AttemptOutcome, AttemptResult, BalancerSettings, Call, Decision, Failure,
     GiveUpReason, HedgeDecision, NewAttempt, Probe, ProbeResult,
 };
-pub use catalog::{Catalog, CatalogUpdate, Change, ListedTarget, Snapshot, Source, TargetRecord};
+pub use catalog::{Catalog, ListedTarget, Source};
 pub use crashes::{CrashCheck, CrashEvidence};
 pub use heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase};
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
 pub use quarantine::{CallDigest, CallNotice, DigestParts, ProcessId};
+pub use records::{CatalogUpdate, Change, Snapshot, TargetRecord};
 pub use revision::Revision;
 pub use routes::{
     CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
--- a/crates/policy/src/balance/restore.rs
+++ b/crates/policy/src/balance/restore.rs
@@ -1,6 +1,6 @@
 //! Records of targets that a restored platform lists although they are known to be outdated.
 
-use super::catalog::TargetRecord;
+use super::records::TargetRecord;
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
 use std::{sync::Arc, time::Duration};
--- a/crates/policy/tests/balance/review.rs
+++ b/crates/policy/tests/balance/going_back.rs
@@ -1,4 +1,4 @@
-//! Further cases of a platform that is restored from a copy, found by a review.
+//! Counts of the platform, of gateways and of limits that go back, at gateways that know different things.
 
 use crate::fixture::{Fixture, expect_start, first_heartbeat, ms, record, route};
 use arbtest::arbtest;
