--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -131,6 +131,7 @@
     let now = gateway.clock.now();
     let revision = Revision::new(era.unwrap_or(known.era), list.revision);
     log::info!("control: list revision={revision} unreadable={}", list.unreadable);
+    gateway.metrics.unreadable_records.inc_by(u64::from(list.unreadable));
     let is_old = report_old_data(gateway, revision, known);
     let changed =
         gateway.catalog.borrow_mut().relist(now, revision, list.changes, Source::Platform);
@@ -162,7 +163,8 @@
     }
     let now = gateway.clock.now();
     if update.unreadable > 0 {
-        log::info!("control: revision={revision} unreadable={}", update.unreadable);
+        log::warn!("control: revision={revision} unreadable={}", update.unreadable);
+        gateway.metrics.unreadable_records.inc_by(u64::from(update.unreadable));
     }
     let changed =
         gateway.catalog.borrow_mut().apply(now, revision, update.changes, Source::Platform);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -94,6 +94,8 @@
     pub quarantined_digests: Gauge,
     /// Platform reads.
     pub platform_reads: Family<PlatformReadLabels, Counter>,
+    /// Records of the platform that could not be read, settings among them.
+    pub unreadable_records: Counter,
     /// Calls that are queued for a target.
     pub waiting_calls: Gauge,
     /// Retries and hedges that this gateway's share of the retry budget currently allows.
@@ -141,6 +143,7 @@
             target_crashes: Counter::default(),
             quarantined_digests: Gauge::default(),
             platform_reads: Family::default(),
+            unreadable_records: Counter::default(),
             waiting_calls: Gauge::default(),
             retry_budget: Family::default(),
             target_connections: Counter::default(),
@@ -174,6 +177,8 @@
             "Reads of the platform",
             metrics.platform_reads.clone(),
         );
+        let help = "Records of the platform that could not be read";
+        registry.register("unreadable_records", help, metrics.unreadable_records.clone());
         registry.register(
             "waiting_calls",
             "Calls that wait for a target",
