refactor(gateway): ask targets for both checks with one loop

The check whether the process of a target has ended asked its witnesses with a loop of its own that the check of the reach already had. Both call `reach::any_answers` now. What is asked, counted and decided is the same.

--- a/crates/gateway/src/calls/crash.rs
+++ b/crates/gateway/src/calls/crash.rs
@@ -61,22 +61,11 @@
         return CrashEvidence::Alive;
     }
     sleep(SECOND_LOOK_DELAY).await;
-    let witnessed = async {
-        let mut requests = JoinSet::new();
-        for witness in check.witnesses.iter().cloned() {
-            requests.spawn_local(reach::ask(Rc::clone(gateway), Rc::clone(pool), witness));
-        }
-        while let Some(result) = requests.join_next().await {
-            if result.is_ok_and(|answered| answered) {
-                return true;
-            }
-        }
-        check.witnesses.is_empty()
-    };
+    let witnessed = reach::any_answers(gateway, pool, check.witnesses.clone());
     match tokio::join!(is_alive(gateway, pool, &check.target), witnessed) {
         (true, _) => CrashEvidence::Alive,
-        (false, true) => CrashEvidence::Gone,
-        (false, false) => CrashEvidence::Unproved,
+        (false, witnessed) if witnessed || check.witnesses.is_empty() => CrashEvidence::Gone,
+        (false, _) => CrashEvidence::Unproved,
     }
 }
 
--- a/crates/gateway/src/calls/reach.rs
+++ b/crates/gateway/src/calls/reach.rs
@@ -48,22 +48,36 @@
     let services = table.as_ref().map(|t| &t.published().services);
     targets.retain(|t| services.is_some_and(|s| s.contains_key(&t.service)));
     let asked = targets.len();
+    for target in &targets {
+        gateway.metrics.record_attempt(&target.service, "reach-check");
+    }
+    let answered = usize::from(any_answers(gateway, pool, targets).await);
+    gateway.reach_checked(asked, answered);
+}
+
+/// Asks `targets` at the same time. Returns whether one has answered, as soon as one has.
+pub(super) async fn any_answers<Adapter>(
+    gateway: &Rc<Gateway<Adapter>>,
+    pool: &Rc<ConnectionPool>,
+    targets: Vec<Probe>,
+) -> bool
+where
+    Adapter: CallAdapter + PlatformAdapter,
+{
     let mut requests = JoinSet::new();
     for target in targets {
-        gateway.metrics.record_attempt(&target.service, "reach-check");
         requests.spawn_local(ask(Rc::clone(gateway), Rc::clone(pool), target));
     }
-    let mut answered = 0;
-    while answered == 0
-        && let Some(result) = requests.join_next().await
-    {
-        answered += usize::from(result.is_ok_and(|is_answered| is_answered));
+    while let Some(result) = requests.join_next().await {
+        if result.is_ok_and(|is_answered| is_answered) {
+            return true;
+        }
     }
-    gateway.reach_checked(asked, answered);
+    false
 }
 
 /// Returns whether a target answers on a new connection.
-pub(super) async fn ask<Adapter>(
+async fn ask<Adapter>(
     gateway: Rc<Gateway<Adapter>>,
     pool: Rc<ConnectionPool>,
     target: Probe,
