refactor(soak): read the logs once for both checks

The check of calls refused as quarantined parsed all logs of the gateways a second time. The end of a call that is read for the comparison of outcomes now says that too. Both checks ask for the same as before.

--- a/crates/soak/src/logs.rs
+++ b/crates/soak/src/logs.rs
@@ -17,10 +17,20 @@
 /// Outcome of a call that another gateway answered.
 const RELAYED: &str = "relayed";
 
-/// Outcomes that gateways logged, with the number of the gateway, by call id.
-pub(crate) type Outcomes = IndexMap<u64, Vec<(usize, String)>>;
+/// End of a call that a gateway logged.
+#[derive(Clone, Debug)]
+pub(crate) struct LoggedEnd {
+    /// Number of the gateway.
+    gateway: usize,
+    outcome: String,
+    /// Whether the call was refused as one that crashes targets.
+    is_quarantined: bool,
+}
+
+/// Ends that gateways logged, by call id.
+pub(crate) type Outcomes = IndexMap<u64, Vec<LoggedEnd>>;
 
-/// Returns the outcomes that the gateways logged.
+/// Returns the ends of calls that the gateways logged.
 pub(crate) fn read_outcomes(cluster: &Cluster) -> Outcomes {
     let mut outcomes = Outcomes::new();
     for gateway in &cluster.gateways {
@@ -28,7 +38,13 @@
         for line in log.iter().flat_map(|log| log.lines()).filter_map(LogLine::parse) {
             let call = line.field("id").and_then(|id| id.parse().ok());
             if let (Some(call), Some(outcome)) = (call, line.field("outcome")) {
-                outcomes.entry(call).or_default().push((gateway.number, outcome.to_owned()));
+                let is_quarantined =
+                    line.field("reason") == Some(GiveUpReason::Quarantined.as_str());
+                outcomes.entry(call).or_default().push(LoggedEnd {
+                    gateway: gateway.number,
+                    outcome: outcome.to_owned(),
+                    is_quarantined,
+                });
             }
         }
     }
@@ -36,20 +52,13 @@
 }
 
 /// Checks that only calls of the route for calls that crash targets were refused as such.
-pub(crate) fn check_quarantine(cluster: &Cluster) {
-    for gateway in &cluster.gateways {
-        let log = gateway.process.lock().as_ref().map(Process::log);
-        for line in log.iter().flat_map(|log| log.lines()).filter_map(LogLine::parse) {
-            if line.field("reason") != Some(GiveUpReason::Quarantined.as_str()) {
-                continue;
-            }
-            let call = line.field("id").and_then(|id| id.parse().ok());
-            if let Some(call) = call.filter(|call| !cluster.checker.is_crash_call(*call)) {
-                cluster.checker.record_violation(format!(
-                    "innocent: gateway {} refused call {call} as one that crashes targets",
-                    gateway.number
-                ));
-            }
+pub(crate) fn check_quarantine(checker: &Checker, outcomes: &Outcomes) {
+    for (call, ends) in outcomes {
+        for end in ends.iter().filter(|end| end.is_quarantined && !checker.is_crash_call(*call)) {
+            checker.record_violation(format!(
+                "innocent: gateway {} refused call {call} as one that crashes targets",
+                end.gateway
+            ));
         }
     }
 }
@@ -65,7 +74,7 @@
     for call in calls {
         let all = outcomes.get(&call.id).unwrap_or(&no_outcomes);
         let (own, others): (Vec<_>, Vec<_>) =
-            all.iter().partition(|(gateway, _)| *gateway == call.gateway);
+            all.iter().partition(|end| end.gateway == call.gateway);
         let may_be_missing = call.unwritten || call.age < WRITE_DELAY;
         // A call that ran or was answered must have been received by its gateway.
         let received = call.runs > 0
@@ -75,10 +84,10 @@
             );
         let agrees = match own.as_slice() {
             [] => may_be_missing || !received,
-            [(_, outcome)] if outcome == RELAYED => {
-                others.is_empty() || others.iter().any(|(_, other)| agrees(call.result, other))
+            [end] if end.outcome == RELAYED => {
+                others.is_empty() || others.iter().any(|other| agrees(call.result, &other.outcome))
             }
-            [(_, outcome)] => agrees(call.result, outcome),
+            [end] => agrees(call.result, &end.outcome),
             _ => false,
         };
         if !agrees {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -167,7 +167,7 @@
     let ended_calls = cluster.checker.ended_calls();
     let outcomes = logs::read_outcomes(&cluster);
     logs::compare(&cluster.checker, &ended_calls, &outcomes);
-    logs::check_quarantine(&cluster);
+    logs::check_quarantine(&cluster.checker, &outcomes);
     let stops = cluster.checker.check_stops(|id| outcomes.contains_key(&id));
     // The end of the processes cuts off the calls in flight.
     let counts = cluster.checker.counts();
