refactor(policy): share the platform of the tests of restores

Two test files had the same model of a platform with its history, and three the same settings. They stand in platform.rs now.

--- a/crates/policy/tests/balance/catalog.rs
+++ b/crates/policy/tests/balance/catalog.rs
@@ -1,29 +1,16 @@
 //! Catalog of settings and targets: its contents never go back to an earlier version, whichever
 //! source delivers them, and targets missing after an outage are kept for a grace period.
 
-use crate::fixture::{Fixture, expect_start, ms, record, route};
+use crate::{
+    fixture::{Fixture, expect_start, ms, record, route},
+    platform::published,
+};
 use arbtest::arbtest;
 use azuretally_policy::balance::{
-    CallerLimits, Catalog, Change, Decision, PublishedSettings, Revision, Snapshot, Source,
-    TargetRecord,
+    Catalog, Change, Decision, Revision, Snapshot, Source, TargetRecord,
 };
-use indexmap::IndexMap;
 use std::{sync::Arc, time::Duration};
 
-fn published(version: u64) -> PublishedSettings {
-    PublishedSettings {
-        version,
-        routes: Vec::new(),
-        services: IndexMap::new(),
-        limits: CallerLimits {
-            head_bytes: 16_384,
-            body_bytes: 1_000_000,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    }
-}
-
 /// Returns a revision of a platform that names no era.
 fn rev(number: u64) -> Revision {
     Revision::new(0, number)
--- a/crates/policy/tests/balance/going_back.rs
+++ b/crates/policy/tests/balance/going_back.rs
@@ -1,16 +1,18 @@
 //! Counts of the platform, of gateways and of limits that go back, at gateways that know different things.
 
-use crate::fixture::{Fixture, expect_start, first_heartbeat, ms, record, route};
+use crate::{
+    fixture::{Fixture, expect_start, first_heartbeat, ms, record, route},
+    platform::{Store, published},
+};
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Attempt, AttemptOutcome, AttemptResult, CallerLimits, Catalog, CatalogUpdate, Change,
-        Heartbeat, HeartbeatExtension, KnownData, LimitField, LimitShare, Membership,
-        MembershipBuilder, Message, PublishedSettings, RequestRate, Revision, Source, TargetRecord,
+        Attempt, AttemptOutcome, AttemptResult, Catalog, CatalogUpdate, Change, Heartbeat,
+        HeartbeatExtension, KnownData, LimitField, LimitShare, Membership, MembershipBuilder,
+        Message, RequestRate, Revision, Source, TargetRecord,
     },
 };
-use indexmap::IndexMap;
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 /// Time after which a record of the copy that was set aside is used if it is still listed.
@@ -22,18 +24,8 @@
     Revision::new(era, number)
 }
 
-fn published(version: u64) -> Change {
-    Change::Published(PublishedSettings {
-        version,
-        routes: Vec::new(),
-        services: IndexMap::new(),
-        limits: CallerLimits {
-            head_bytes: 16_384,
-            body_bytes: 1_000_000,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    })
+fn settings_change(version: u64) -> Change {
+    Change::Published(published(version))
 }
 
 fn target(number: u8) -> Change {
@@ -178,7 +170,7 @@
     started.relist(ms(1_000), rev(2, 90), all(), Source::Platform);
     reader.apply(ms(2_000), rev(2, 92), later(), Source::Platform);
     // Any change that is announced lets the other one fetch.
-    reader.apply(ms(2_100), rev(2, 93), vec![published(1)], Source::Platform);
+    reader.apply(ms(2_100), rev(2, 93), vec![settings_change(1)], Source::Platform);
     follow(&mut started, &reader, ms(2_200));
     assert_eq!(usable(&started), [process(1, 1), process(3, 2)]);
 }
@@ -186,10 +178,10 @@
 /// Guards against lines that pile up: nothing takes them while nothing changes.
 #[test]
 fn settings_that_are_ignored_again_and_again_leave_one_line() {
-    let mut catalog = catalog(vec![published(6), target(1)], Vec::new());
+    let mut catalog = catalog(vec![settings_change(6), target(1)], Vec::new());
     catalog.take_log_lines();
     for step in 0..100 {
-        let listed = vec![published(5), target(1)];
+        let listed = vec![settings_change(5), target(1)];
         assert!(!catalog.relist(ms(1_000 + step), rev(1, 90), listed, Source::Platform));
     }
     assert!(catalog.take_log_lines().len() <= 1);
@@ -199,9 +191,9 @@
 #[test]
 fn first_named_era_is_not_reported_as_a_restore() {
     let mut catalog = Catalog::default();
-    catalog.relist(ms(0), rev(0, 90), vec![published(5), target(1)], Source::Platform);
+    catalog.relist(ms(0), rev(0, 90), vec![settings_change(5), target(1)], Source::Platform);
     catalog.take_log_lines();
-    catalog.relist(ms(1_000), rev(4, 91), vec![published(5), target(1)], Source::Platform);
+    catalog.relist(ms(1_000), rev(4, 91), vec![settings_change(5), target(1)], Source::Platform);
     let lines = catalog.take_log_lines();
     assert!(!lines.iter().any(|line| line.contains("restored from a copy")), "{lines:?}");
 }
@@ -323,47 +315,6 @@
     assert_eq!((known(&started), known(&old)), (Some(rate), Some(rate)));
 }
 
-/// What a platform holds.
-#[derive(Clone, Debug, Default)]
-struct Store {
-    revision: Revision,
-    settings: u64,
-    targets: IndexMap<Arc<str>, TargetRecord>,
-    history: Vec<(u64, Change)>,
-}
-
-impl Store {
-    fn write(&mut self, change: Change) {
-        self.revision.number += 1;
-        match &change {
-            Change::Published(published) => self.settings = published.version,
-            Change::Target(record) => {
-                self.targets.insert(Arc::clone(&record.name), record.clone());
-            }
-            Change::Gone(name) => {
-                self.targets.swap_remove(name);
-            }
-        }
-        self.history.push((self.revision.number, change));
-    }
-
-    fn list(&self) -> PlatformAnswer {
-        let targets = self.targets.values().cloned().map(Change::Target);
-        let changes = targets.chain([published(self.settings)]).collect();
-        PlatformAnswer { polled: None, revision: self.revision, changes }
-    }
-
-    /// Answers a poll, or `None` if it does not have the revision.
-    fn poll(&self, known: Revision) -> Option<PlatformAnswer> {
-        if known.number > self.revision.number {
-            return None;
-        }
-        let later = self.history.iter().filter(|(number, _)| *number > known.number);
-        let changes = later.map(|(_, change)| change.clone()).collect();
-        Some(PlatformAnswer { polled: Some(known), revision: self.revision, changes })
-    }
-}
-
 /// Answer of the platform on its way to a gateway.
 #[derive(Clone, Debug)]
 struct PlatformAnswer {
@@ -373,6 +324,19 @@
     changes: Vec<Change>,
 }
 
+impl PlatformAnswer {
+    fn list(store: &Store) -> Self {
+        Self { polled: None, revision: store.revision, changes: store.list() }
+    }
+
+    /// Returns the answer to a poll, or `None` if the platform does not have the revision.
+    fn poll(store: &Store, known: Revision) -> Option<Self> {
+        let (revision, changes) = (store.revision, store.changes_after(known.number));
+        let answer = Self { polled: Some(known), revision, changes };
+        (known.number <= revision.number).then_some(answer)
+    }
+}
+
 /// Gateway with the answers that are on their way to it.
 #[derive(Clone, Debug, Default)]
 struct Gateway {
@@ -390,8 +354,8 @@
         }
         let known = self.catalog.revision();
         let polls = !known.is_unknown() && !self.lists_next;
-        let answer = if polls { store.poll(known) } else { Some(store.list()) };
-        self.from_platform = answer.or_else(|| Some(store.list()));
+        let answer = if polls { PlatformAnswer::poll(store, known) } else { None };
+        self.from_platform = answer.or_else(|| Some(PlatformAnswer::list(store)));
     }
 
     fn receive_from_platform(&mut self, now: Timestamp) {
@@ -422,14 +386,14 @@
     const TARGETS: u8 = 5;
     const GATEWAYS: usize = 3;
     arbtest(|u| {
-        let mut store = Store { revision: rev(1, 10), ..Store::default() };
+        let mut store = Store::new(rev(1, 10));
         let mut settings = 1;
         let mut left = [false; TARGETS as usize];
         let mut started = [1; TARGETS as usize];
         let of = |number: u8, started: u64, leaving: bool| {
             Change::Target(TargetRecord { started: Some(started), leaving, ..record(number, "a") })
         };
-        store.write(published(settings));
+        store.write(settings_change(settings));
         (0..TARGETS).for_each(|number| store.write(of(number, 1, false)));
         let mut copies = vec![store.clone()];
         let mut gateways = vec![Gateway::default(); GATEWAYS];
@@ -444,7 +408,7 @@
             match u.int_in_range(0..=13)? {
                 0 => {
                     settings += 1;
-                    store.write(published(settings));
+                    store.write(settings_change(settings));
                 }
                 1 => {
                     left[index] = true;
@@ -458,8 +422,7 @@
                 4 => copies.push(store.clone()),
                 5 => {
                     let copy = u.choose(&copies)?;
-                    let revision = rev(store.revision.era + 1, copy.revision.number);
-                    store = Store { revision, ..copy.clone() };
+                    store = store.restored_from(copy);
                 }
                 6 if u.ratio(1, 4)? => gateways[at] = Gateway::default(),
                 7 | 8 => gateways[at].ask(&store),
@@ -493,7 +456,7 @@
             }
         }
         // The operator and the targets write again what was lost, and answers under way arrive.
-        store.write(published(settings));
+        store.write(settings_change(settings));
         for number in 0..TARGETS {
             let index = number as usize;
             let change = of(number, started[index], false);
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -9,6 +9,7 @@
 mod limits;
 mod membership;
 mod overload;
+mod platform;
 mod quarantine;
 mod reach;
 mod restore;
--- a/crates/policy/tests/balance/restore.rs
+++ b/crates/policy/tests/balance/restore.rs
@@ -1,36 +1,24 @@
 //! A platform that is restored from a copy: its revisions go back and are given out again, in a later
 //! era. What was confirmed before stays in force until the platform says something later.
 
-use crate::fixture::{first_heartbeat, known, ms, record};
+use crate::{
+    fixture::{first_heartbeat, known, ms, record},
+    platform::{Store, published},
+};
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
     balance::{
-        CallerLimits, Catalog, Change, Heartbeat, HeartbeatExtension, KnownData, Membership,
-        MembershipBuilder, Message, PublishedSettings, Revision, Source, TargetRecord,
+        Catalog, Change, Heartbeat, HeartbeatExtension, KnownData, Membership, MembershipBuilder,
+        Message, Revision, Source, TargetRecord,
     },
 };
-use indexmap::IndexMap;
 use std::{net::IpAddr, sync::Arc, time::Duration};
 
 /// Time after which a missing target is dropped, and an outdated record that is still listed used.
 const GRACE_MS: u64 = 2_300;
 const EXPIRY_MS: u64 = 6_000;
 
-fn published(version: u64) -> PublishedSettings {
-    PublishedSettings {
-        version,
-        routes: Vec::new(),
-        services: IndexMap::new(),
-        limits: CallerLimits {
-            head_bytes: 16_384,
-            body_bytes: 1_000_000,
-            head_timeout: Duration::from_secs(3),
-            idle_timeout: Duration::from_secs(15),
-        },
-    }
-}
-
 fn rev(era: u64, number: u64) -> Revision {
     Revision::new(era, number)
 }
@@ -280,47 +268,14 @@
     assert!(member.confirmed_age(ms(100), rev(0, 100)).is_some());
 }
 
-/// What a platform holds, and what is true of each target.
-#[derive(Clone, Debug, Default)]
-struct Store {
-    revision: Revision,
-    settings: u64,
-    targets: IndexMap<u8, TargetRecord>,
-    history: Vec<(u64, Change)>,
-}
-
-impl Store {
-    fn write(&mut self, change: Change) {
-        self.revision.number += 1;
-        match &change {
-            Change::Published(published) => self.settings = published.version,
-            Change::Target(record) => {
-                let number = number_of(&record.name).unwrap_or_default();
-                self.targets.insert(number, record.clone());
-            }
-            Change::Gone(name) => {
-                self.targets.swap_remove(&number_of(name).unwrap_or_default());
-            }
-        }
-        self.history.push((self.revision.number, change));
-    }
-
-    fn list(&self) -> Vec<Change> {
-        let targets = self.targets.values().cloned().map(Change::Target);
-        targets.chain([Change::Published(published(self.settings))]).collect()
-    }
-
-    /// Lets a gateway poll for changes, or read the list if it cannot.
-    fn read(&self, now: Timestamp, catalog: &mut Catalog) {
-        let known = catalog.revision();
-        if known.is_unknown() || known.era != self.revision.era {
-            catalog.relist(now, self.revision, self.list(), Source::Platform);
-            return;
-        }
-        let later = self.history.iter().filter(|(number, _)| *number > known.number);
-        let changes = later.map(|(_, change)| change.clone()).collect();
-        catalog.apply(now, self.revision, changes, Source::Platform);
+/// Lets a gateway poll for changes, or read the list if it cannot.
+fn read(store: &Store, now: Timestamp, catalog: &mut Catalog) {
+    let known = catalog.revision();
+    if known.is_unknown() || known.era != store.revision.era {
+        catalog.relist(now, store.revision, store.list(), Source::Platform);
+        return;
     }
+    catalog.apply(now, store.revision, store.changes_after(known.number), Source::Platform);
 }
 
 /// Any interleaving of changes, restores, polls, lists, starts and updates between gateways: settings
@@ -331,7 +286,7 @@
     const TARGETS: u8 = 6;
     const GATEWAYS: usize = 4;
     arbtest(|u| {
-        let mut store = Store { revision: rev(1, 10), ..Store::default() };
+        let mut store = Store::new(rev(1, 10));
         let mut latest_settings = 1;
         let mut left = [false; TARGETS as usize];
         store.write(Change::Published(published(latest_settings)));
@@ -359,14 +314,12 @@
                 3 => copies.push(store.clone()),
                 4 => {
                     let copy = u.choose(&copies)?;
-                    // Numbers are given out again; the era is always the next one.
-                    let revision = rev(store.revision.era + 1, copy.revision.number);
-                    store = Store { revision, ..copy.clone() };
+                    store = store.restored_from(copy);
                 }
                 5 => {
                     gateways[gateway] = Catalog::default();
                 }
-                6 | 7 => store.read(now, &mut gateways[gateway]),
+                6 | 7 => read(&store, now, &mut gateways[gateway]),
                 _ => {
                     let peer = gateways[u.choose_index(GATEWAYS)?].clone();
                     let own = &mut gateways[gateway];
@@ -387,7 +340,7 @@
             store.write(if left[number as usize] { gone(number) } else { target(number) });
         }
         let now = ms(clock + 100);
-        store.read(now, &mut gateways[0]);
+        read(&store, now, &mut gateways[0]);
         let reader = gateways[0].clone();
         for catalog in &mut gateways[1..] {
             let version = catalog.settings_version();
