feat(gateway): tell which build a gateway and its peers run

Nothing told which build a gateway runs, so that settings that are stale at gateways of an earlier build during an upgrade looked like those of this one.

Heartbeats carry the generation of the messages between gateways and the version of the program behind the extension; builds before ignore what follows, and without it the generation is 0. There is a gauge of live gateways by generation, a line when a peer of another generation appears or leaves, a warning for each 10 minutes of several generations, and both in the `gateway: start` line.

--- a/crates/gateway/src/control/codec.rs
+++ b/crates/gateway/src/control/codec.rs
@@ -3,7 +3,7 @@
 //! What was added to a message later stands behind it, so that gateways of earlier builds, which ignore
 //! the rest of a message, can read it. What a message of an earlier build lacks has its default value.
 
-use azuretally_policy::balance::{CatalogUpdate, HeartbeatExtension, Message, Revision};
+use azuretally_policy::balance::{Build, CatalogUpdate, HeartbeatExtension, Message, Revision};
 use postcard::{take_from_bytes, to_allocvec, to_extend};
 use std::{
     fmt::{self, Display, Formatter},
@@ -19,7 +19,7 @@
     let bytes = to_allocvec(message)?;
     match message {
         Message::Heartbeat(heartbeat) | Message::Join(heartbeat) => {
-            to_extend(&heartbeat.extension, bytes)
+            to_extend(&heartbeat.build, to_extend(&heartbeat.extension, bytes)?)
         }
         Message::Peers(_) | Message::Limits(_) | Message::Calls(_) => Ok(bytes),
     }
@@ -31,11 +31,14 @@
 ///
 /// Returns the error of the decoder if the datagram holds no message.
 pub fn decode_message(bytes: &[u8]) -> Result<Message, postcard::Error> {
-    let (mut message, rest) = take_from_bytes::<Message>(bytes)?;
-    if let Message::Heartbeat(heartbeat) | Message::Join(heartbeat) = &mut message
-        && !rest.is_empty()
-    {
-        (heartbeat.extension, _) = take_from_bytes::<HeartbeatExtension>(rest)?;
+    let (mut message, mut rest) = take_from_bytes::<Message>(bytes)?;
+    if let Message::Heartbeat(heartbeat) | Message::Join(heartbeat) = &mut message {
+        if !rest.is_empty() {
+            (heartbeat.extension, rest) = take_from_bytes::<HeartbeatExtension>(rest)?;
+        }
+        if !rest.is_empty() {
+            (heartbeat.build, _) = take_from_bytes::<Build>(rest)?;
+        }
     }
     Ok(message)
 }
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -150,8 +150,14 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    let lines = gateway.membership.borrow_mut().take_log_lines();
+    let (lines, warnings) = {
+        let mut membership = gateway.membership.borrow_mut();
+        (membership.take_log_lines(), membership.take_warnings())
+    };
     gateway.update_budget_share();
+    for warning in &warnings {
+        log::warn!("control: {warning}");
+    }
     if lines.is_empty() {
         return;
     }
--- a/crates/gateway/src/daemon.rs
+++ b/crates/gateway/src/daemon.rs
@@ -5,11 +5,12 @@
     adapter::{CallAdapter, PlatformAdapter},
     calls,
     control::{self, ControlServers, HeartbeatSocket},
-    gateway::Gateway,
+    gateway::{Gateway, VERSION},
     logging::{self, LineSink, LogWriter},
     settings::Settings,
     signals::BlockedSignals,
 };
+use azuretally_policy::balance::MESSAGE_GENERATION;
 use error_stack::{Report, ResultExt};
 use std::{
     fs, io,
@@ -49,7 +50,9 @@
     let sink = LineSink::default();
     logging::init(&sink, &settings)?;
     let writer = LogWriter::start(&sink, io::stdout()).change_context(StartError::Log)?;
-    log::info!("gateway: start settings={settings:?}");
+    log::info!(
+        "gateway: start version={VERSION} generation={MESSAGE_GENERATION} settings={settings:?}"
+    );
     let local = LocalSet::new();
     let result = local.block_on(&runtime, serve(path, adapter, settings, signals));
     match &result {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,9 +10,10 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Balancer, BalancerSettings, CallNotice, Catalog, CrashCheck, CrashEvidence, Decision,
-        Heartbeat, HeartbeatExtension, KnownData, LimitNotice, Membership, MembershipBuilder,
-        Outgoing, Phase, Probe, Revision, RouteTable, Source, TrafficSplit,
+        Balancer, BalancerSettings, Build, CallNotice, Catalog, CrashCheck, CrashEvidence,
+        Decision, Heartbeat, HeartbeatExtension, KnownData, LimitNotice, MESSAGE_GENERATION,
+        Membership, MembershipBuilder, Outgoing, Phase, Probe, Revision, RouteTable, Source,
+        TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -42,6 +43,9 @@
 /// to. The remainder covers the probes of the other gateways.
 const DIRECTED_PROBE_SHARE: f64 = 0.8;
 
+/// Version of the gateway program.
+pub(crate) const VERSION: &str = env!("CARGO_PKG_VERSION");
+
 /// Time for which a call waits for settings that another gateway is known to use.
 const MAX_UPDATE_WAIT: Duration = Duration::from_millis(300);
 
@@ -329,12 +333,13 @@
         membership.update_status(phase, known, age, reader);
     }
 
-    /// Returns all metrics in text format, with the retry budgets as of now.
+    /// Returns all metrics in text format, with the retry budgets and the generations as of now.
     pub fn metrics_text(&self) -> String {
         let budgets = self.balancer.borrow_mut().extra_attempts_left(self.clock.now());
         for (service, left) in &budgets {
             self.metrics.set_retry_budget(service, *left);
         }
+        self.metrics.set_generations(&self.membership.borrow().alive_by_generation());
         self.metrics.encode()
     }
 
@@ -529,6 +534,7 @@
         reader: false,
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
+        build: Build { generation: MESSAGE_GENERATION, version: Arc::from(VERSION) },
     };
     MembershipBuilder::new(own)
         .seeds(settings.seed_hosts())
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics in the OpenMetrics text format.
 
+use indexmap::IndexMap;
 use prometheus_client::{
     encoding::{EncodeLabelSet, text::encode},
     metrics::{
@@ -68,6 +69,13 @@
     pub outcome: String,
 }
 
+/// Labels of the number of gateways of a build.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct GenerationLabels {
+    /// Generation of the messages that they send.
+    pub generation: u32,
+}
+
 /// Returns a histogram with exponential buckets from 5 ms to about 15 s.
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_S, BUCKET_GROWTH, BUCKET_COUNT))
@@ -115,6 +123,8 @@
     pub platform_revision: Gauge,
     /// Gateways that are alive, this one included.
     pub alive_gateways: Gauge,
+    /// Gateways that are alive, this one included, by the generation of their messages.
+    pub generations: Family<GenerationLabels, Gauge>,
 }
 
 impl fmt::Debug for Metrics {
@@ -153,6 +163,7 @@
             platform_era: Gauge::default(),
             platform_revision: Gauge::default(),
             alive_gateways: Gauge::default(),
+            generations: Family::default(),
             registry: Registry::default(),
         };
         registry.register("calls", "Calls that ended", metrics.calls.clone());
@@ -202,6 +213,8 @@
         let help = "Platform revision of the data in force";
         registry.register("platform_revision", help, metrics.platform_revision.clone());
         registry.register("living_gateways", "Gateways that live", metrics.alive_gateways.clone());
+        let help = "Gateways that live, by the generation of their messages";
+        registry.register("gateway_generations", help, metrics.generations.clone());
         Self { registry, ..metrics }
     }
 
@@ -252,6 +265,15 @@
         self.retry_budget.get_or_create(&labels).set(remaining);
     }
 
+    /// Sets the numbers of live gateways by generation.
+    pub fn set_generations(&self, counts: &IndexMap<u32, usize>) {
+        self.generations.clear();
+        for (&generation, &count) in counts {
+            let gauge = self.generations.get_or_create(&GenerationLabels { generation });
+            gauge.set(i64::try_from(count).unwrap_or(i64::MAX));
+        }
+    }
+
     /// Counts a platform read.
     pub fn record_platform_read(&self, outcome: &str) {
         self.platform_reads
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -32,7 +32,9 @@
 };
 pub use catalog::{Catalog, ListedTarget, Source};
 pub use crashes::{CrashCheck, CrashEvidence};
-pub use heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase};
+pub use heartbeat::{
+    Build, Directions, Heartbeat, HeartbeatExtension, MESSAGE_GENERATION, Message, Outgoing, Phase,
+};
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -8,6 +8,9 @@
     time::Duration,
 };
 
+/// Generation of the messages between gateways. Rises with each change of them.
+pub const MESSAGE_GENERATION: u32 = 1;
+
 /// Lifecycle phase of a gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Phase {
@@ -58,6 +61,9 @@
     /// What the datagram carries behind the message.
     #[serde(skip)]
     pub extension: HeartbeatExtension,
+    /// What the datagram carries behind the extension.
+    #[serde(skip)]
+    pub build: Build,
 }
 
 impl Heartbeat {
@@ -78,6 +84,23 @@
     pub settings: u64,
 }
 
+/// Build of a gateway. It follows the extension in a datagram; in those of builds before it, it is
+/// missing, and they ignore it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Build {
+    /// Generation of the messages that it sends; 0 is that of the builds before this field.
+    pub generation: u32,
+    /// Version of the program; empty in builds before this field.
+    pub version: Arc<str>,
+}
+
+impl Default for Build {
+    /// Returns the build of a gateway that names none.
+    fn default() -> Self {
+        Self { generation: 0, version: Arc::from("") }
+    }
+}
+
 /// Datagram between gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -7,6 +7,7 @@
 //! consensus: every gateway ranks the live ones by the same rule, and while two views differ, two
 //! gateways may do the same work.
 
+mod builds;
 mod limits;
 mod notices;
 mod ranking;
@@ -20,6 +21,7 @@
     revision::Revision,
 };
 use crate::Timestamp;
+use builds::BuildWatch;
 use indexmap::{IndexMap, IndexSet};
 pub use limits::LimitAssignment;
 use notices::NoticeOutbox;
@@ -144,6 +146,7 @@
             slots: 0,
             limit_outbox: NoticeOutbox::default(),
             call_outbox: NoticeOutbox::default(),
+            builds: BuildWatch::default(),
             log_lines: Vec::new(),
         }
     }
@@ -176,6 +179,7 @@
     slots: u32,
     limit_outbox: NoticeOutbox<LimitNotice>,
     call_outbox: NoticeOutbox<CallNotice>,
+    builds: BuildWatch,
     log_lines: Vec<String>,
 }
 
@@ -299,6 +303,7 @@
         }
         self.own.settled = settled;
         self.expire_silent(now);
+        self.watch_builds(now);
         let mut outgoing = Vec::new();
         if self.own.phase == Phase::Detached && self.relay_peers().is_empty() {
             self.next_join = self.next_join.min(self.last_join + DETACHED_INTERVAL);
