test(policy): show that a gateway leaves the platform to peers that ignore it

A gateway of the present build reads the platform itself beside peers of builds that do not know eras, since these ignore a platform that was restored. It recognizes them by an era that it has and they lack. A gateway that got its first data from such peers has no era to compare: it is not a reader, its data is confirmed by them, and it is as stale as they are from the next restore on. A gateway usually reads the platform first, before it has heard of a peer, so this needs a first read that fails, or a list of several pages that is abandoned because peers were heard meanwhile.

Found by reading Membership::is_reader.

--- a/crates/policy/tests/balance/builds.rs
+++ b/crates/policy/tests/balance/builds.rs
@@ -1,9 +1,11 @@
 //! What a gateway tells of the builds of its peers.
 
 use crate::fixture::{first_heartbeat, ms};
-use azuretally_policy::balance::{Build, Heartbeat, Membership, MembershipBuilder, Message};
+use azuretally_policy::balance::{
+    Build, Heartbeat, KnownData, Membership, MembershipBuilder, Message, Phase, Revision,
+};
 use indexmap::IndexMap;
-use std::{net::IpAddr, sync::Arc};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 fn heartbeat(number: u8, generation: u32, sequence: u64) -> Heartbeat {
     let ip = IpAddr::from([10, 0, 0, number]);
@@ -78,3 +80,27 @@
     let lines = hear(&mut member, 0, Heartbeat { build, ..heartbeat(2, 9, 1) });
     assert!(!lines.is_empty() && lines.iter().all(|line| !line.contains('\n')), "{lines:?}");
 }
+
+/// Settings confirmed after a restore were never in force at a gateway that got its first data from peers
+/// of an earlier build: these ignore the restored platform, and it left the platform to them.
+#[test]
+fn gateway_with_data_of_an_earlier_build_alone_reads_the_platform_itself() {
+    let is_reader = |generation, known: Revision| {
+        let mut member = member();
+        for number in [2, 3] {
+            let peer = heartbeat(number, generation, 1);
+            hear(
+                &mut member,
+                0,
+                Heartbeat { settled: true, age_ms: Some(10), revision: 90, ..peer },
+            );
+        }
+        let data = KnownData { revision: known, settings: 5 };
+        let age = Some(Duration::from_millis(10));
+        member.update_status(Phase::Ready, data, age, false);
+        member.is_reader(ms(100), age)
+    };
+    assert!(is_reader(0, Revision::new(0, 90)), "no peer can tell the era");
+    assert!(is_reader(0, Revision::new(2, 90)));
+    assert!(!is_reader(1, Revision::new(0, 90)), "a platform without eras");
+}
