fix(policy): read the platform beside peers that may ignore its eras

Callers saw, at a replaced gateway, 404 for routes confirmed long before, and former services, from the next restore of the platform on, although the gateway was in touch with it.

Cause: a gateway left the platform to every peer that ranked before it, unless it had an era and the peer had none. One that got its first data from peers of builds that do not know eras had no era itself, so it never read, and their heartbeats confirmed its data, however old. A first read that fails, or a list of several pages that is abandoned when peers are heard, leads there.

A peer that names neither its build nor an era is no longer counted among those that read for this gateway.

--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -24,7 +24,8 @@
     /// platform. `own_age` is the age of its platform data; without any, the time since its start
     /// counts.
     pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
-        let rank = u32::try_from(self.rank_in_domain(|h| !self.lacks_era(h))).unwrap_or(u32::MAX);
+        let rank =
+            u32::try_from(self.rank_in_domain(|h| !self.may_ignore_era(h))).unwrap_or(u32::MAX);
         let age = own_age.unwrap_or_else(|| now.since(self.started));
         // Without platform data no call can be served, so the lowest ranks do not wait for long.
         let delay_rank = if own_age.is_none() { rank.min(MAX_STARTUP_RANK) } else { rank };
@@ -92,6 +93,15 @@
         own_era != 0 && heartbeat.extension.era == 0 && heartbeat.age_ms.is_some()
     }
 
+    /// Returns whether reading the platform cannot be left to a gateway, since it may ignore what a
+    /// restored platform lists.
+    fn may_ignore_era(&self, heartbeat: &Heartbeat) -> bool {
+        // Data that came from such a gateway has no era either, so its build has to tell.
+        let has_unknown_build = heartbeat.build.generation == 0;
+        let names_no_era = heartbeat.extension.era == 0 && heartbeat.age_ms.is_some();
+        self.lacks_era(heartbeat) || (has_unknown_build && names_no_era)
+    }
+
     /// Returns the highest-ranked ready gateway of the failure domain, whose end has to be detected
     /// at once. `None` if that is this gateway, or if no gateway is ready.
     pub fn watched_peer(&self) -> Option<(Arc<str>, IpAddr)> {
