--- a/crates/soak/src/logs.rs
+++ b/crates/soak/src/logs.rs
@@ -112,7 +112,11 @@
 /// Returns whether a logged outcome tells that no target ran the call.
 fn is_not_run(outcome: &str) -> bool {
     // A body that a fault delays or discards is refused as slow or malformed.
-    let failures =
-        [CallFailure::NotRun(Duration::ZERO), CallFailure::SlowBody, CallFailure::Malformed];
+    let failures = [
+        CallFailure::NotRun(Duration::ZERO),
+        CallFailure::SlowBody,
+        CallFailure::Malformed,
+        CallFailure::NoRoute,
+    ];
     failures.iter().any(|f| f.as_str() == outcome)
 }
