--- a/crates/soak/src/upgrades.rs
+++ b/crates/soak/src/upgrades.rs
@@ -6,6 +6,7 @@
     planned::{StopExtras, stop_gateway},
     restores::restore,
 };
+use azuretally_standin::proxy::Faults;
 use rand::{RngExt, SeedableRng, seq::SliceRandom};
 use rand_pcg::Pcg64Mcg;
 use std::{
@@ -40,6 +41,10 @@
 /// the other, in ms.
 const RESTORE_SHARE: f64 = 0.7;
 const RESTORE_DELAYS_MS: RangeInclusive<u64> = 0..=1_500;
+/// Fraction of replaced gateways that cannot reach the platform until some time after their start, and
+/// that time in ms.
+const CUT_SHARE: f64 = 0.4;
+const CUT_MS: RangeInclusive<u64> = 200..=2_500;
 /// Pauses between two replacements, in percent of what spreads them over the run.
 const PAUSES_PERCENT: RangeInclusive<u32> = 20..=160;
 
@@ -102,7 +107,10 @@
 /// the same time.
 async fn upgrade(cluster: Arc<Cluster>, number: usize, back: Option<Duration>, seed: u64) {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
-    replace(&cluster, number, false, &mut rng).await;
+    match rng.random_bool(CUT_SHARE) {
+        true => replace_cut_off(&cluster, number, &mut rng).await,
+        false => replace(&cluster, number, false, &mut rng).await,
+    }
     if let Some(back) = back {
         sleep(back).await;
         replace(&cluster, number, true, &mut rng).await;
@@ -111,6 +119,19 @@
     }
 }
 
+/// Replaces a gateway by the present build, which cannot reach the platform at its start, so that its
+/// first data comes from its peers.
+async fn replace_cut_off(cluster: &Arc<Cluster>, number: usize, rng: &mut Pcg64Mcg) {
+    let gateway = &cluster.gateways[number];
+    let cut_time = random_time(rng, CUT_MS);
+    cluster.checker.record_fault(number);
+    gateway.platform_link.set_faults(Faults { cut: true, ..Faults::default() });
+    replace(cluster, number, false, rng).await;
+    sleep(cut_time).await;
+    gateway.platform_link.set_faults(Faults::default());
+    cluster.checker.record_fault(number);
+}
+
 /// Ends the process of a gateway and starts one of the other build. If another fault has ended the
 /// process, the next one is of this build.
 async fn replace(cluster: &Arc<Cluster>, number: usize, is_older: bool, rng: &mut Pcg64Mcg) {
