test(gateway): settings that only one of two equal peers delivers

A gateway that cannot read the platform picks the peer to fetch from by revision alone. If that peer is frozen, sends what cannot be decoded, or has less than it announces, it is picked again after each failure, and settings that another peer has do not come into force.

--- /dev/null
+++ b/crates/gateway/tests/peer_updates.rs
@@ -0,0 +1,146 @@
+//! Updates from peers, of which some answer wrongly or not at all.
+#![allow(clippy::expect_used)]
+
+// Other test binaries use the rest of the modules.
+#[allow(dead_code)]
+mod raw;
+#[allow(dead_code)]
+mod stub;
+
+use azuretally_gateway::{
+    control::{self, ControlServers, HeartbeatSocket, codec::SyncAnswer},
+    gateway::Gateway,
+    native::NativeAdapter,
+};
+use azuretally_policy::balance::{
+    CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, Snapshot,
+};
+use raw::{published, read_until, run_local};
+use std::{
+    net::{IpAddr, SocketAddr},
+    process,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpListener,
+    sync::mpsc,
+    task::spawn_local,
+    time::{Instant, sleep},
+};
+
+/// Time for settings that a peer has to be in force.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Interval between heartbeats of the peers.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
+/// Port at which peers serve updates.
+const UPDATE_PORT: u16 = 9_003;
+
+/// Answers of a peer to requests for updates.
+#[derive(Clone, Debug)]
+enum Answers {
+    Body(Vec<u8>),
+    /// Connections are accepted by the kernel and not read.
+    None,
+}
+
+fn update(revision: u64) -> Answers {
+    let published = (revision > 0).then(published);
+    let update = CatalogUpdate::Full(Snapshot { revision, published, targets: Vec::new() });
+    let answer = SyncAnswer { age: Some(Duration::ZERO), era: 0, update };
+    Answers::Body(answer.encode().expect("encoded"))
+}
+
+fn peer_ip(test: u8, number: u8) -> IpAddr {
+    let [.., high, low] = process::id().to_be_bytes();
+    IpAddr::from([127, 192 | (test << 2) | number, high, low])
+}
+
+async fn start_peer(ip: IpAddr, answers: Answers) {
+    let listener = TcpListener::bind((ip, UPDATE_PORT)).await.expect("a free port");
+    spawn_local(async move {
+        loop {
+            let Answers::Body(body) = &answers else { return std::future::pending().await };
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            read_until(&mut stream, "\r\n\r\n").await;
+            let head =
+                format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len()).into_bytes();
+            // The gateway may have closed the connection.
+            drop(stream.write_all(&[&head, body.as_slice()].concat()).await);
+        }
+    });
+}
+
+fn heartbeat(ip: IpAddr, sequence: u64) -> Message {
+    Message::Heartbeat(Heartbeat {
+        host: Arc::from(ip.to_string()),
+        domain: Arc::from("a"),
+        incarnation: 1,
+        sequence,
+        call_address: SocketAddr::new(ip, 80),
+        capacity: 200,
+        phase: Phase::Ready,
+        settled: true,
+        revision: 5,
+        age_ms: Some(0),
+        reader: false,
+        remote_primaries: Vec::new(),
+        extension: HeartbeatExtension::default(),
+    })
+}
+
+/// Starts a gateway that cannot read the platform, with live peers that announce the same revision, and
+/// returns whether it gets the settings in time.
+async fn gets_settings(test: u8, peers: Vec<Answers>) -> bool {
+    let own = peer_ip(test, 0);
+    let mut settings = stub::settings();
+    settings.listen.directions = SocketAddr::new(own, 9_001);
+    settings.listen.readiness = SocketAddr::new(own, 9_002);
+    settings.listen.news = SocketAddr::new(own, UPDATE_PORT);
+    settings.listen.heartbeats = SocketAddr::new(own, 9_004);
+    let (probes, _) = mpsc::unbounded_channel();
+    let gateway = Rc::new(Gateway::new(NativeAdapter, settings.clone(), probes));
+    let heartbeats =
+        HeartbeatSocket::bind(settings.listen.heartbeats).await.expect("the port is free");
+    let servers = ControlServers::bind(&settings.listen).await.expect("the ports are free");
+    let mut ips = Vec::new();
+    for (number, answers) in (1..).zip(peers) {
+        let ip = peer_ip(test, number);
+        start_peer(ip, answers).await;
+        ips.push(ip);
+    }
+    let control = spawn_local(control::run(Rc::clone(&gateway), heartbeats, servers));
+    let start = Instant::now();
+    let mut sequence = 0;
+    while gateway.routes().is_none() && start.elapsed() < IN_FORCE_TIMEOUT {
+        sequence += 1;
+        for ip in &ips {
+            let now = gateway.clock.now();
+            gateway.membership.borrow_mut().receive(now, *ip, heartbeat(*ip, sequence));
+        }
+        gateway.changed.notify_waiters();
+        sleep(HEARTBEAT_INTERVAL).await;
+    }
+    gateway.shutdown.cancel();
+    control.await.expect("no panic");
+    gateway.routes().is_some()
+}
+
+/// Guards against settings that come late or never while a peer has them, since another one that announces
+/// the same revision is asked again and again without success.
+#[tokio::test]
+async fn settings_are_fetched_from_a_peer_that_delivers_them() {
+    run_local(async {
+        let useless = [Answers::None, Answers::Body(b"\x7f\xff\xff".to_vec()), update(0)];
+        let mut test = 0;
+        for useless in useless {
+            for peers in [vec![update(5), useless.clone()], vec![useless.clone(), update(5)]] {
+                assert!(gets_settings(test, peers).await, "{useless:?}");
+                test += 1;
+            }
+        }
+    })
+    .await;
+}
