fix(gateway): put settings in force without the routes that cannot be used

Callers were answered by the version before, or with 404 for a route that was added, for as long as one route of the published settings was invalid: RouteTable::new refused all of them. The catalog was at the new version by then and announced it, so no gateway had a reason to look for others, and calls relayed under the version waited for an update that had been refused already.

RouteTable::new no longer fails. A route without shares is one that could not be read; it and those refused before (unknown service, no weight, bad prefix, the same host and prefix twice) are kept in the index as unusable. Calls that such a route matches by its longest prefix are answered as not run, with a time to come back, not 404 and not by a shorter prefix. Where its prefix is not known, what no route of the host matches is answered so, and where its host is not known, what no route matches at all.

A warning names the version and each route. New: azuretally_unusable_routes (gauge of the settings in force) and azuretally_incomplete_settings_total.

Ruled out: to serve such a route as in the version before. It may have moved since.

The encoding between gateways is unchanged.

The test invalid_routes_are_rejected_by_name asked for the refusal of all settings, which is the fault. It is replaced by invalid_routes_are_refused_by_name_and_alone, which asks for the same errors, that all other routes work, and what calls of the refused one get.

--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -8,7 +8,7 @@
 use azuretally_api::headers::RELAYED;
 use azuretally_policy::{
     Timestamp,
-    balance::{Call, CallDigest, DigestParts, Route},
+    balance::{Call, CallDigest, DigestParts, LookupError, Route},
 };
 use bytes::Bytes;
 use http::{
@@ -43,6 +43,8 @@
 const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 /// Time after which a caller may retry while the gateway does not know any routes yet.
 const NO_ROUTES_RETRY_AFTER: Duration = Duration::from_millis(300);
+/// Time after which a caller may retry while its route cannot be used: until the settings are corrected.
+const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a caller may retry elsewhere if the gateway stops before it has read the call.
 const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
 
@@ -120,8 +122,8 @@
         let table = table.ok_or_else(|| reject(CallFailure::NotRun(NO_ROUTES_RETRY_AFTER)))?;
         let host = requested_host(&parts.headers, &parts.uri)
             .ok_or_else(|| reject(CallFailure::Malformed))?;
-        let route = table.find(&host, parts.uri.path());
-        let mut route = Arc::clone(route.ok_or_else(|| reject(CallFailure::NoRoute))?);
+        let route = table.find(&host, parts.uri.path()).map_err(|e| reject(lookup_failure(e)))?;
+        let mut route = Arc::clone(route);
         if let Some(relayed) = &relayed {
             let attempts = relayed.attempts.min(route.attempts);
             route = Arc::new(Route { attempts, ..route.as_ref().clone() });
@@ -305,6 +307,13 @@
     })
 }
 
+fn lookup_failure(e: LookupError) -> CallFailure {
+    match e {
+        LookupError::NoRoute => CallFailure::NoRoute,
+        LookupError::Unusable => CallFailure::NotRun(UNUSABLE_ROUTE_RETRY_AFTER),
+    }
+}
+
 fn body_failure(e: BodyError) -> CallFailure {
     match e {
         BodyError::TooLarge => CallFailure::TooLarge,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -281,18 +281,25 @@
         if published.version <= current {
             return;
         }
-        match RouteTable::new(published.as_ref().clone()) {
-            Ok(table) => {
-                let is_published = |name: &str| published.routes.iter().any(|r| *r.name == *name);
-                self.split.borrow_mut().retain(is_published);
-                self.metrics
-                    .settings_version
-                    .set(i64::try_from(published.version).unwrap_or(i64::MAX));
-                *self.routes.borrow_mut() = Some(Rc::new(table));
-            }
-            Err(e) => {
-                log::error!("control: settings version={} refused: {e}", published.version);
-            }
+        let table = RouteTable::new(published.as_ref().clone());
+        self.report_refused_routes(&table);
+        let is_published = |name: &str| published.routes.iter().any(|r| *r.name == *name);
+        self.split.borrow_mut().retain(is_published);
+        self.metrics.settings_version.set(i64::try_from(published.version).unwrap_or(i64::MAX));
+        *self.routes.borrow_mut() = Some(Rc::new(table));
+    }
+
+    fn report_refused_routes(&self, table: &RouteTable) {
+        let refused = table.refused();
+        self.metrics.unusable_routes.set(i64::try_from(refused.len()).unwrap_or(i64::MAX));
+        if refused.is_empty() {
+            return;
+        }
+        self.metrics.incomplete_settings.inc();
+        let version = table.published().version;
+        log::warn!("control: settings version={version} in force without {} routes", refused.len());
+        for reason in refused {
+            log::warn!("control: settings version={version}: {reason}");
         }
     }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -96,6 +96,10 @@
     pub platform_reads: Family<PlatformReadLabels, Counter>,
     /// Records of the platform that could not be read, settings among them.
     pub unreadable_records: Counter,
+    /// Versions of the settings that came into force without some of their routes.
+    pub incomplete_settings: Counter,
+    /// Routes of the settings in force that cannot be used.
+    pub unusable_routes: Gauge,
     /// Calls that are queued for a target.
     pub waiting_calls: Gauge,
     /// Retries and hedges that this gateway's share of the retry budget currently allows.
@@ -144,6 +148,8 @@
             quarantined_digests: Gauge::default(),
             platform_reads: Family::default(),
             unreadable_records: Counter::default(),
+            incomplete_settings: Counter::default(),
+            unusable_routes: Gauge::default(),
             waiting_calls: Gauge::default(),
             retry_budget: Family::default(),
             target_connections: Counter::default(),
@@ -179,6 +185,10 @@
         );
         let help = "Records of the platform that could not be read";
         registry.register("unreadable_records", help, metrics.unreadable_records.clone());
+        let help = "Versions of the settings that came into force without some of their routes";
+        registry.register("incomplete_settings", help, metrics.incomplete_settings.clone());
+        let help = "Routes of the settings in force that cannot be used";
+        registry.register("unusable_routes", help, metrics.unusable_routes.clone());
         registry.register(
             "waiting_calls",
             "Calls that wait for a target",
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -40,6 +40,7 @@
 pub use records::{CatalogUpdate, Change, Snapshot, TargetRecord};
 pub use revision::Revision;
 pub use routes::{
-    CallerLimits, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings, Share,
+    CallerLimits, LookupError, PublishedSettings, Route, RouteError, RouteTable, ServiceSettings,
+    Share,
 };
 pub use split::TrafficSplit;
--- a/crates/policy/src/balance/routes.rs
+++ b/crates/policy/src/balance/routes.rs
@@ -1,6 +1,10 @@
 //! Settings published on the platform: routes, services and limits for callers.
+//!
+//! Settings apply without those of their routes that cannot be used: one that could not be read, or that
+//! contradicts the others, must not hold back the rest. Its calls are not answered as if there were no
+//! route, and do not go to the service of a shorter prefix.
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::{fmt, sync::Arc, time::Duration};
 
@@ -18,9 +22,9 @@
 pub struct Route {
     /// Name of the route.
     pub name: Arc<str>,
-    /// Host name that it matches, in lower case.
+    /// Host name that it matches, in lower case; empty if it could not be read.
     pub host: Arc<str>,
-    /// Path prefix that it matches, with a slash at both ends.
+    /// Path prefix that it matches, with a slash at both ends; empty if it could not be read.
     pub prefix: Arc<str>,
     /// Whether a call may run more than once.
     pub idempotent: bool,
@@ -32,10 +36,28 @@
     pub priority: u32,
     /// Maximum number of targets that one call may be sent to.
     pub attempts: u32,
-    /// Services that receive the calls; at least one has a weight above 0.
+    /// Services that receive the calls; at least one has a weight above 0. None if the route could not
+    /// be read completely.
     pub shares: Vec<Share>,
 }
 
+impl Route {
+    /// Returns a route that could not be read completely. What is not known of it is empty.
+    pub fn unreadable(name: Arc<str>, host: Arc<str>, prefix: Arc<str>) -> Self {
+        Self {
+            name,
+            host,
+            prefix,
+            idempotent: false,
+            timeout: Duration::ZERO,
+            objective: Duration::ZERO,
+            priority: 0,
+            attempts: 0,
+            shares: Vec::new(),
+        }
+    }
+}
+
 /// Settings that apply to all targets of a service.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServiceSettings {
@@ -71,9 +93,11 @@
     pub limits: CallerLimits,
 }
 
-/// Reason why settings are rejected.
+/// Reason why a route cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RouteError {
+    /// The route could not be read completely: its name, host and prefix, empty if not known.
+    Unreadable(Arc<str>, Arc<str>, Arc<str>),
     /// The prefix of a route does not begin and end with a slash.
     InvalidPrefix(Arc<str>),
     /// A route refers to a service that is not published: names of the route and of the service.
@@ -87,6 +111,9 @@
 impl fmt::Display for RouteError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Unreadable(route, host, prefix) => {
+                write!(f, "route {route:?} of host {host:?}, prefix {prefix:?}: unreadable")
+            }
             Self::InvalidPrefix(route) => {
                 write!(f, "route {route}: the prefix must begin and end with a slash")
             }
@@ -101,34 +128,78 @@
 
 impl std::error::Error for RouteError {}
 
-/// Validated settings with an index for lookups.
+/// Reason why a call has no route.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LookupError {
+    /// No route matches the call.
+    NoRoute,
+    /// The route of the call cannot be used, or a route that cannot be used might be that of the call.
+    Unusable,
+}
+
+impl fmt::Display for LookupError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NoRoute => "no route",
+            Self::Unusable => "the route cannot be used",
+        })
+    }
+}
+
+impl std::error::Error for LookupError {}
+
+/// Route in the index.
+#[derive(Clone, Debug)]
+struct IndexedRoute {
+    name: Arc<str>,
+    /// `None` if the route cannot be used.
+    route: Option<Arc<Route>>,
+}
+
+/// Settings with an index for lookups.
 #[derive(Clone, Debug)]
 pub struct RouteTable {
     published: PublishedSettings,
     /// Routes by host name and path prefix.
-    index: IndexMap<Arc<str>, IndexMap<Arc<str>, Arc<Route>>>,
+    index: IndexMap<Arc<str>, IndexMap<Arc<str>, IndexedRoute>>,
+    /// Hosts of unusable routes with an unknown prefix; empty for an unknown host.
+    uncertain: IndexSet<Arc<str>>,
+    refused: Vec<RouteError>,
 }
 
 impl RouteTable {
-    /// Validates `published` and indexes its routes.
-    ///
-    /// # Errors
-    ///
-    /// [`RouteError`] for the first invalid route; none of the settings apply then.
-    pub fn new(published: PublishedSettings) -> Result<Self, RouteError> {
-        let mut index: IndexMap<Arc<str>, IndexMap<Arc<str>, Arc<Route>>> = IndexMap::new();
-        for route in &published.routes {
-            validate(route, &published.services)?;
-            let prefixes = index.entry(Arc::clone(&route.host)).or_default();
-            let shared = Arc::new(route.clone());
-            if let Some(other) = prefixes.insert(Arc::clone(&route.prefix), shared) {
-                return Err(RouteError::Duplicate(
-                    Arc::clone(&other.name),
-                    Arc::clone(&route.name),
-                ));
+    /// Indexes the routes of `published`, and refuses those that cannot be used.
+    pub fn new(published: PublishedSettings) -> Self {
+        let mut table = Self {
+            index: IndexMap::new(),
+            uncertain: IndexSet::new(),
+            refused: Vec::new(),
+            published,
+        };
+        for route in &table.published.routes {
+            let checked = check(route, &table.published.services);
+            let usable = checked.is_ok();
+            table.refused.extend(checked.err());
+            if route.host.is_empty() || !is_valid_prefix(&route.prefix) {
+                let host = Arc::clone(&route.host);
+                table.uncertain.insert(host);
+                continue;
             }
+            let indexed = IndexedRoute {
+                name: Arc::clone(&route.name),
+                route: usable.then(|| Arc::new(route.clone())),
+            };
+            let prefixes = table.index.entry(Arc::clone(&route.host)).or_default();
+            let Some(other) = prefixes.get_mut(&route.prefix) else {
+                prefixes.insert(Arc::clone(&route.prefix), indexed);
+                continue;
+            };
+            // Nothing tells which of them is meant.
+            other.route = None;
+            let names = (Arc::clone(&other.name), indexed.name);
+            table.refused.push(RouteError::Duplicate(names.0, names.1));
         }
-        Ok(Self { published, index })
+        table
     }
 
     /// Returns the settings.
@@ -136,29 +207,50 @@
         &self.published
     }
 
+    /// Returns why routes cannot be used, in the order of the routes.
+    pub fn refused(&self) -> &[RouteError] {
+        &self.refused
+    }
+
     /// Returns the route of `host` with the longest prefix that matches `path`.
-    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let prefixes = self.index.get(host)?;
+    ///
+    /// # Errors
+    ///
+    /// [`LookupError::Unusable`] if that route cannot be used, or if no route matches and an unusable
+    /// one might, since its prefix or host is not known; [`LookupError::NoRoute`] otherwise.
+    pub fn find(&self, host: &str, path: &str) -> Result<&Arc<Route>, LookupError> {
         let slashes = path.bytes().enumerate().rev().filter(|(_, byte)| *byte == b'/');
-        slashes.map(|(at, _)| &path[..=at]).find_map(|prefix| prefixes.get(prefix))
+        let longest = self.index.get(host).and_then(|prefixes| {
+            slashes.map(|(at, _)| &path[..=at]).find_map(|prefix| prefixes.get(prefix))
+        });
+        match longest {
+            Some(indexed) => indexed.route.as_ref().ok_or(LookupError::Unusable),
+            None if self.uncertain.contains(host) || self.uncertain.contains("") => {
+                Err(LookupError::Unusable)
+            }
+            None => Err(LookupError::NoRoute),
+        }
     }
 }
 
-fn validate(
-    route: &Route,
-    services: &IndexMap<Arc<str>, ServiceSettings>,
-) -> Result<(), RouteError> {
-    if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-        return Err(RouteError::InvalidPrefix(Arc::clone(&route.name)));
+fn is_valid_prefix(prefix: &str) -> bool {
+    prefix.starts_with('/') && prefix.ends_with('/')
+}
+
+fn check(route: &Route, services: &IndexMap<Arc<str>, ServiceSettings>) -> Result<(), RouteError> {
+    let name = || Arc::clone(&route.name);
+    if route.shares.is_empty() || route.host.is_empty() {
+        let (host, prefix) = (Arc::clone(&route.host), Arc::clone(&route.prefix));
+        return Err(RouteError::Unreadable(name(), host, prefix));
+    }
+    if !is_valid_prefix(&route.prefix) {
+        return Err(RouteError::InvalidPrefix(name()));
     }
     if let Some(share) = route.shares.iter().find(|s| !services.contains_key(&s.service)) {
-        return Err(RouteError::UnknownService(
-            Arc::clone(&route.name),
-            Arc::clone(&share.service),
-        ));
+        return Err(RouteError::UnknownService(name(), Arc::clone(&share.service)));
     }
     if route.shares.iter().all(|s| s.weight == 0) {
-        return Err(RouteError::NoWeight(Arc::clone(&route.name)));
+        return Err(RouteError::NoWeight(name()));
     }
     Ok(())
 }
--- a/crates/policy/tests/balance/routes.rs
+++ b/crates/policy/tests/balance/routes.rs
@@ -3,8 +3,8 @@
 use crate::fixture::{ms, route};
 use arbtest::arbtest;
 use azuretally_policy::balance::{
-    CallerLimits, PublishedSettings, RetryBudget, Route, RouteError, RouteTable, ServiceSettings,
-    Share, TrafficSplit,
+    CallerLimits, LookupError, PublishedSettings, RetryBudget, Route, RouteError, RouteTable,
+    ServiceSettings, Share, TrafficSplit,
 };
 use indexmap::IndexMap;
 use std::{sync::Arc, time::Duration};
@@ -38,8 +38,9 @@
 #[test]
 fn longest_prefix_of_the_host_wins() {
     let routes = vec![with_prefix("short", "/a/"), with_prefix("long", "/a/b/")];
-    let table = RouteTable::new(published(routes)).expect("valid routes");
-    let name = |host, path| table.find(host, path).map(|r| Arc::clone(&r.name));
+    let table = RouteTable::new(published(routes));
+    assert!(table.refused().is_empty());
+    let name = |host, path| table.find(host, path).ok().map(|r| Arc::clone(&r.name));
     assert_eq!(name("host", "/a/b/c").as_deref(), Some("long"));
     assert_eq!(name("host", "/a/bc/d").as_deref(), Some("short"));
     assert_eq!(name("host", "/a/").as_deref(), Some("short"));
@@ -48,21 +49,38 @@
     assert_eq!(name("elsewhere", "/a/b/c"), None);
 }
 
+/// Guards against one invalid route that holds back all settings.
 #[test]
-fn invalid_routes_are_rejected_by_name() {
+fn invalid_routes_are_refused_by_name_and_alone() {
     let no_service = Route { shares: vec![share("nowhere", 1)], ..with_prefix("r", "/a/") };
     let no_weight = Route { shares: vec![share("service", 0)], ..with_prefix("r", "/a/") };
+    let unreadable = Route { shares: Vec::new(), ..with_prefix("r", "/a/") };
+    let name = || Arc::from("r");
     let cases = [
-        (vec![with_prefix("r", "a/")], RouteError::InvalidPrefix(Arc::from("r"))),
-        (vec![no_service], RouteError::UnknownService(Arc::from("r"), Arc::from("nowhere"))),
-        (vec![no_weight], RouteError::NoWeight(Arc::from("r"))),
+        (vec![with_prefix("r", "a/")], RouteError::InvalidPrefix(name())),
+        (vec![no_service], RouteError::UnknownService(name(), Arc::from("nowhere"))),
+        (vec![no_weight], RouteError::NoWeight(name())),
+        (vec![unreadable], RouteError::Unreadable(name(), Arc::from("host"), Arc::from("/a/"))),
         (
             vec![with_prefix("r", "/a/"), with_prefix("s", "/a/")],
-            RouteError::Duplicate(Arc::from("r"), Arc::from("s")),
+            RouteError::Duplicate(name(), Arc::from("s")),
         ),
     ];
-    for (routes, expected) in cases {
-        assert_eq!(RouteTable::new(published(routes)).expect_err("invalid"), expected);
+    for (mut routes, expected) in cases {
+        routes.push(with_prefix("root", "/"));
+        routes.push(with_prefix("valid", "/b/"));
+        let mut table = RouteTable::new(published(routes));
+        assert_eq!(table.refused(), [expected]);
+        assert_eq!(table.find("host", "/b/c").map(|r| &*r.name), Ok("valid"));
+        let is_known = !matches!(table.refused(), [RouteError::InvalidPrefix(_)]);
+        let expected = if is_known { Err(LookupError::Unusable) } else { Ok("root") };
+        assert_eq!(table.find("host", "/a/c").map(|r| &*r.name), expected);
+        let rest = table.published().routes.iter().filter(|r| &*r.name != "root").cloned();
+        table = RouteTable::new(published(rest.collect()));
+        assert_eq!(table.find("host", "/a/c"), Err(LookupError::Unusable));
+        let expected = if is_known { LookupError::NoRoute } else { LookupError::Unusable };
+        assert_eq!(table.find("host", "/c/"), Err(expected));
+        assert_eq!(table.find("elsewhere", "/a/c"), Err(LookupError::NoRoute));
     }
 }
 
