fix(platform): read settings row by row

One row, service or limit of an unknown form cost the whole document: it was dropped with a count, the next poll began after it, and the read counted as fresh, so that no other gateway read again. Calls were handled under the version before until the next one: moved routes went to their former services, and routes that had been added were answered 404.

Services that cannot be read are left out, limits are 0. The catalog keeps the services that routes need, and the limits, as in the version before: they say how a target is asked for its load and what callers may send, not where calls go. Without a version before, routes of such a service are unusable, and default limits hold. A document whose version cannot be read is set aside and counted as before, since nothing tells whether it is later than the one in force.

--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -14,7 +14,7 @@
     records::{CatalogUpdate, Change, Snapshot, TargetRecord},
     restore::RestoredRecords,
     revision::Revision,
-    routes::PublishedSettings,
+    routes::{CallerLimits, PublishedSettings},
 };
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
@@ -399,6 +399,7 @@
             }
             return;
         }
+        let published = self.completed(published);
         self.log_lines.push(format!(
             "settings version={} in force, before {current}, routes={}",
             published.version,
@@ -409,6 +410,33 @@
         self.record_change();
     }
 
+    /// Returns `published` with what could not be read, as in the settings before: the services of its
+    /// routes, and the limits.
+    fn completed(&mut self, mut published: PublishedSettings) -> PublishedSettings {
+        let before = self.published.as_deref();
+        let version = published.version;
+        let shares = published.routes.iter().flat_map(|route| &route.shares);
+        let names: IndexSet<Arc<str>> = shares.map(|share| Arc::clone(&share.service)).collect();
+        for name in names {
+            let known = before.and_then(|before| before.services.get(&name));
+            if let (Some(known), false) = (known, published.services.contains_key(&name)) {
+                self.log_lines.push(format!(
+                    "settings version={version} lack service {name}; kept as before"
+                ));
+                published.services.insert(name, known.clone());
+            }
+        }
+        let limits = before.map_or(CallerLimits::DEFAULT, |before| before.limits);
+        let completed = published.limits.or(limits);
+        if completed != published.limits {
+            self.log_lines.push(format!(
+                "settings version={version} lack limits for callers; in force {completed:?}"
+            ));
+            published.limits = completed;
+        }
+        published
+    }
+
     /// Applies a record, also one that changes nothing if `is_news`.
     fn apply_record(&mut self, now: Timestamp, record: TargetRecord, is_news: bool) {
         let known = self.targets.get(&record.name);
--- a/crates/policy/src/balance/routes.rs
+++ b/crates/policy/src/balance/routes.rs
@@ -67,7 +67,7 @@
     pub probe_path: Arc<str>,
 }
 
-/// Limits on requests and connections of callers.
+/// Limits on requests and connections of callers. A limit that could not be read is 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CallerLimits {
     /// Maximum size of a request's head in bytes.
@@ -80,6 +80,27 @@
     pub idle_timeout: Duration,
 }
 
+impl CallerLimits {
+    /// Limits while none are known.
+    pub const DEFAULT: Self = Self {
+        head_bytes: 16_384,
+        body_bytes: 64 * 1_024 * 1_024,
+        head_timeout: Duration::from_secs(3),
+        idle_timeout: Duration::from_secs(15),
+    };
+
+    /// Returns the limits, with those of `others` that are not known here.
+    pub fn or(self, others: Self) -> Self {
+        let time = |time: Duration, other| if time.is_zero() { other } else { time };
+        Self {
+            head_bytes: if self.head_bytes == 0 { others.head_bytes } else { self.head_bytes },
+            body_bytes: if self.body_bytes == 0 { others.body_bytes } else { self.body_bytes },
+            head_timeout: time(self.head_timeout, others.head_timeout),
+            idle_timeout: time(self.idle_timeout, others.idle_timeout),
+        }
+    }
+}
+
 /// One version of the published settings.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PublishedSettings {
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -14,3 +14,4 @@
 mod reach;
 mod restore;
 mod routes;
+mod unreadable;
