--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -130,8 +130,8 @@
     }
     let now = gateway.clock.now();
     let revision = Revision::new(era.unwrap_or(known.era), list.revision);
-    log::info!("control: list revision={revision} unreadable={}", list.unreadable);
-    gateway.metrics.unreadable_records.inc_by(u64::from(list.unreadable));
+    log::info!("control: list revision={revision}");
+    report_unreadable(gateway, revision, list.unreadable);
     let is_old = report_old_data(gateway, revision, known);
     let changed =
         gateway.catalog.borrow_mut().relist(now, revision, list.changes, Source::Platform);
@@ -162,16 +162,21 @@
         return Err(ReadError::Restored);
     }
     let now = gateway.clock.now();
-    if update.unreadable > 0 {
-        log::warn!("control: revision={revision} unreadable={}", update.unreadable);
-        gateway.metrics.unreadable_records.inc_by(u64::from(update.unreadable));
-    }
+    report_unreadable(gateway, revision, update.unreadable);
     let changed =
         gateway.catalog.borrow_mut().apply(now, revision, update.changes, Source::Platform);
     apply_if_changed(gateway, changed);
     Ok(())
 }
 
+/// Logs and counts parts of an answer that could not be read.
+fn report_unreadable<Adapter>(gateway: &Gateway<Adapter>, revision: Revision, unreadable: u32) {
+    if unreadable > 0 {
+        log::warn!("control: revision={revision} unreadable={unreadable}");
+        gateway.metrics.unreadable_records.inc_by(u64::from(unreadable));
+    }
+}
+
 /// Logs and counts data that the catalog ignores, since the revision `known` before the request was
 /// later. Returns whether that is so.
 fn report_old_data<Adapter>(
