fix(platform): treat a list that cannot be read to its end as an error

A page that is truncated but has no key to continue after, and a list of more pages than are read, were applied as the whole list, so all targets that were not on it were removed.

The number of pages has no test: 200 pages of 500 records.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -217,6 +217,8 @@
     Restored,
     /// The list is older than what is known.
     Outdated,
+    /// The list has more pages than are read.
+    TooLong,
     /// The platform responded with an error status.
     Status(StatusCode),
     /// The response body could not be decoded.
@@ -231,6 +233,7 @@
             Self::Compacted => f.write_str("changes after the known revision have been discarded"),
             Self::Restored => f.write_str("the platform went back to an earlier revision"),
             Self::Outdated => f.write_str("the list is older than what is known"),
+            Self::TooLong => f.write_str("the list has too many pages"),
             Self::Status(status) => write!(f, "unexpected status {status}"),
             Self::Decode(reason) => write!(f, "answer not understood: {reason}"),
             Self::Transport(reason) => f.write_str(reason),
--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -128,6 +128,9 @@
             return Ok(false);
         }
     }
+    if after.is_some() {
+        return Err(ReadError::TooLong);
+    }
     let now = gateway.clock.now();
     let revision = Revision::new(era.unwrap_or(known.era), list.revision);
     log::info!("control: list revision={revision}");
