fix(gateway): fetch from another peer after one that did not deliver

One that had announced a revision and then could not deliver it was picked again after each failure, for as long as it counted as alive: 1.2 s of silence in a small failure domain, 2.5 s in one of 33 gateways, and for good if it was alive and its update could not be decoded or had less than announced. Settings that other peers had were not in force in time, unless the gateway came to read the platform itself, by rank after 1.45 s or later.

A peer that did not deliver is now asked last for 3 s. What is asked of a single peer is unchanged, but for the first repetition, which comes after 100 ms and not 500 ms.

Ruled out: to take it for dead, which is about its calls, and to read the platform at once, which all gateways of a domain would do together.

--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -13,6 +13,7 @@
 use std::{
     net::{IpAddr, SocketAddr},
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 use tokio::time::sleep;
@@ -31,15 +32,23 @@
 {
     loop {
         let changed = gateway.changed.notified();
-        let Some(peer) = newer_peer(&gateway) else {
+        let Some((host, ip)) = newer_peer(&gateway) else {
             changed.await;
             continue;
         };
-        let address = SocketAddr::new(peer, gateway.settings().listen.news.port());
-        match fetch(&gateway, address).await {
-            Ok(true) => {}
-            // The peer has gone back on what its heartbeat says, or its build is too old to tell.
-            Ok(false) => sleep(REPEAT_DELAY).await,
+        let address = SocketAddr::new(ip, gateway.settings().listen.news.port());
+        let result = fetch(&gateway, address).await;
+        if matches!(result, Ok(true)) {
+            continue;
+        }
+        let now = gateway.clock.now();
+        let was_doubtful = gateway.membership.borrow().is_doubtful(now, &host);
+        gateway.membership.borrow_mut().update_failed(now, &host);
+        match result {
+            // The peer has gone back on what its heartbeat says, or its build is too old to tell. There
+            // was no better one if it did so before.
+            Ok(_) if was_doubtful => sleep(REPEAT_DELAY).await,
+            Ok(_) => sleep(RETRY_DELAY).await,
             Err(e) => {
                 log::info!("control: update from peer {address} failed: {}", e.as_str());
                 sleep(RETRY_DELAY).await;
@@ -48,14 +57,14 @@
     }
 }
 
-fn newer_peer<Adapter>(gateway: &Gateway<Adapter>) -> Option<IpAddr>
+fn newer_peer<Adapter>(gateway: &Gateway<Adapter>) -> Option<(Arc<str>, IpAddr)>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
     let now = gateway.clock.now();
     let catalog = gateway.catalog.borrow();
     let membership = gateway.membership.borrow();
-    membership.newer_peer(now, known_data(&catalog), catalog.age(now)).map(|(_, ip)| ip)
+    membership.newer_peer(now, known_data(&catalog), catalog.age(now))
 }
 
 /// Returns what this gateway knows, target heartbeats included.
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -142,6 +142,7 @@
             joins_sent: 0,
             reach_changed: false,
             slots: 0,
+            doubtful: IndexMap::new(),
             limit_outbox: NoticeOutbox::default(),
             call_outbox: NoticeOutbox::default(),
             log_lines: Vec::new(),
@@ -174,6 +175,8 @@
     reach_changed: bool,
     /// Concurrent calls that the targets of the local failure domain can run.
     slots: u32,
+    /// Gateways that did not deliver the update that they announced, and until when others are asked first.
+    doubtful: IndexMap<Arc<str>, Timestamp>,
     limit_outbox: NoticeOutbox<LimitNotice>,
     call_outbox: NoticeOutbox<CallNotice>,
     log_lines: Vec<String>,
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -17,6 +17,9 @@
 /// Time for which changes known in another failure domain are left to the local domain's reader,
 /// counted from the latest platform data, or from the start of a gateway that has none.
 const REMOTE_DELAY: Duration = Duration::from_millis(1_200);
+/// Time for which other gateways are asked for updates first, after one has not delivered what it announced.
+/// A gateway that falls silent counts as alive for somewhat less in a large failure domain.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
 
 impl Membership {
     /// Returns whether this gateway has to read the platform: it is the primary of its failure
@@ -32,7 +35,7 @@
     }
 
     /// Returns the peer to fetch what is later than `known` from: the one with the latest revision or,
-    /// among equals, the latest settings, local before remote. `age` is the age of this gateway's data;
+    /// among equals, the latest settings, local before remote, and doubtful ones last. `age` is the age of this gateway's data;
     /// remote peers are considered only if no local gateway has delivered data for a while, or if they
     /// have settings that the platform has lost.
     pub fn newer_peer(
@@ -66,11 +69,23 @@
         let ahead = self.peers.values().filter(|p| p.alive && is_ahead(p));
         let best = ahead.max_by_key(|p| {
             let heartbeat = &p.heartbeat;
-            (local(p), heartbeat.known_revision(), heartbeat.extension.settings)
+            let is_sound = !self.is_doubtful(now, &heartbeat.host);
+            (is_sound, local(p), heartbeat.known_revision(), heartbeat.extension.settings)
         });
         best.map(|p| (Arc::clone(&p.heartbeat.host), p.heartbeat.call_address.ip()))
     }
 
+    /// Records that gateway `host` did not deliver the update that its heartbeats announce.
+    pub fn update_failed(&mut self, now: Timestamp, host: &Arc<str>) {
+        self.doubtful.retain(|_, until| now < *until);
+        self.doubtful.insert(Arc::clone(host), now + DOUBT_TIME);
+    }
+
+    /// Returns whether gateway `host` has lately not delivered an update that its heartbeats announced.
+    pub fn is_doubtful(&self, now: Timestamp, host: &str) -> bool {
+        self.doubtful.get(host).is_some_and(|until| now < *until)
+    }
+
     /// Returns the age of the most recent platform data of a peer that knows of no change after
     /// `revision` in the same era.
     pub fn confirmed_age(&self, now: Timestamp, revision: Revision) -> Option<Duration> {
