--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -15,3 +15,4 @@
 mod reach;
 mod restore;
 mod routes;
+mod unreadable;
