--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -13,7 +13,7 @@
     native::NativeAdapter,
 };
 use azuretally_policy::balance::{
-    CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, Snapshot,
+    Build, CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, Snapshot,
 };
 use raw::{published, read_until, run_local};
 use std::{
@@ -88,6 +88,7 @@
         reader: false,
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
+        build: Build::default(),
     })
 }
 
