test(gateway): record targets that ask for rest, which no gateway heeds

A target that answers 503 with Retry-After wants no request from that gateway for so long.

Adds the name of the header with which a target says that it leaves, for the tests to come.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -56,6 +56,8 @@
 /// In a target's response: requests per second that the target takes from all gateways together, a
 /// decimal number, for as long as its responses say so. Only the gateway reads it.
 pub const TARGET_LIMIT: &str = "x-target-limit";
+/// In a target's response: `1` if the target is about to end and takes no new calls. Only the gateway reads it.
+pub const TARGET_LEAVING: &str = "x-target-leaving";
 /// In a call that one gateway relays to another: the attempts that are left, the version of the settings
 /// that the gateway uses, and the address of the caller, separated by commas. A relayed call is not
 /// relayed again. In the response: the version of the settings under which the call was handled.
--- /dev/null
+++ b/crates/gateway/tests/resting_target/waves.rs
@@ -0,0 +1,51 @@
+//! Spells in which targets ask for rest.
+
+use super::{
+    deployment::Deployment,
+    target::{Demand, Target},
+};
+use rand::RngExt;
+use std::{ops::RangeInclusive, sync::Arc, time::Duration};
+use tokio::time::{Instant, sleep};
+
+/// Rest for which targets ask, in ms.
+pub(crate) const REST_MS: RangeInclusive<u64> = 1_000..=3_000;
+/// Time for which targets ask for rest, and between two such times, in ms.
+const SPELL_MS: RangeInclusive<u64> = 400..=1_200;
+const PAUSE_MS: RangeInclusive<u64> = 1_200..=2_500;
+
+/// Lets `targets` ask for rest all at once, in spells, for `time`.
+pub(crate) async fn rest_in_waves(
+    deployment: &Deployment,
+    targets: &[Arc<Target>],
+    time: Duration,
+) {
+    let end = Instant::now() + time;
+    while Instant::now() < end {
+        for target in targets {
+            target.ask(Demand::Between(REST_MS));
+        }
+        sleep(random_ms(deployment, SPELL_MS)).await;
+        for target in targets {
+            target.ask(Demand::Nothing);
+        }
+        sleep(random_ms(deployment, PAUSE_MS)).await;
+    }
+}
+
+/// Lets one of `targets` after the other ask for rest for `time`.
+pub(crate) async fn rest_in_turn(deployment: &Deployment, targets: &[Arc<Target>], time: Duration) {
+    let end = Instant::now() + time;
+    for target in targets.iter().cycle() {
+        target.ask(Demand::Between(REST_MS));
+        sleep(random_ms(deployment, SPELL_MS)).await;
+        target.ask(Demand::Nothing);
+        if Instant::now() >= end {
+            break;
+        }
+    }
+}
+
+fn random_ms(deployment: &Deployment, range: RangeInclusive<u64>) -> Duration {
+    Duration::from_millis(deployment.shared.random.lock().random_range(range))
+}
