--- a/crates/gateway/tests/resting_target/target.rs
+++ b/crates/gateway/tests/resting_target/target.rs
@@ -63,6 +63,8 @@
     pub(crate) ended: Option<Instant>,
     /// Whether the answer is 503.
     pub(crate) is_refused: bool,
+    /// Whether the answer says that the target leaves.
+    pub(crate) is_leaving: bool,
     /// Rest for which the answer asks.
     pub(crate) rest: Option<Duration>,
 }
@@ -159,12 +161,12 @@
         };
         let slots = self.record.slots;
         let running = slots as usize - self.slots.available_permits();
-        let leaving = self.behavior.lock().is_leaving;
+        open.is_leaving = self.behavior.lock().is_leaving;
         let values = [
             (headers::TARGET, Some(self.record.name.to_string())),
             (headers::TARGET_LOAD, Some(format!("{running},0,{slots},100"))),
             (headers::TARGET_LIMIT, behavior.limit.map(|limit| limit.to_string())),
-            (headers::TARGET_LEAVING, leaving.then(|| "1".to_owned())),
+            (headers::TARGET_LEAVING, open.is_leaving.then(|| "1".to_owned())),
         ];
         let fields = response.headers_mut();
         for (name, value) in values {
@@ -175,12 +177,6 @@
         if let Some(id) = id {
             fields.insert(headers::CALL, id);
         }
-        if leaving {
-            let text = format!("{LEAVING_PREFIX}{} {}", self.started(), self.record.name);
-            if response.status() == StatusCode::OK && !is_probe {
-                *response.body_mut() = ResponseBody::full(text);
-            }
-        }
         Ok(response)
     }
 
@@ -201,15 +197,12 @@
     }
 }
 
-/// Beginning of the body of an answer of a target that leaves; the start of its process and its name
-/// follow.
-pub(crate) const LEAVING_PREFIX: &str = "leaving ";
-
 /// A request in progress, which is recorded as ended when dropped.
 struct OpenRequest<'a> {
     shared: &'a Shared,
     index: usize,
     is_refused: bool,
+    is_leaving: bool,
     rest: Option<Duration>,
 }
 
@@ -224,9 +217,11 @@
             arrived: Instant::now(),
             ended: None,
             is_refused: false,
+            is_leaving: false,
             rest: None,
         });
-        Self { shared: &target.shared, index: arrivals.len() - 1, is_refused: false, rest: None }
+        let index = arrivals.len() - 1;
+        Self { shared: &target.shared, index, is_refused: false, is_leaving: false, rest: None }
     }
 }
 
@@ -234,6 +229,8 @@
     fn drop(&mut self) {
         let arrival = &mut self.shared.arrivals.lock()[self.index];
         arrival.ended = Some(Instant::now());
-        (arrival.is_refused, arrival.rest) = (self.is_refused, self.rest);
+        arrival.is_refused = self.is_refused;
+        arrival.is_leaving = self.is_leaving;
+        arrival.rest = self.rest;
     }
 }
