feat(api): read the Retry-After field of a response

Targets may answer 503 with a time for which they want no calls, in seconds with a fraction, as a date, or unreadable. `retry_after` reads it for all processes: the longest of several values counts, a date counts from the Date field of the same response, and times beyond the range of Duration saturate.

The function takes the values of the fields instead of a HeaderMap, since the api crate has no dependency on http and httpdate, and adding them would change Cargo.lock.

--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod headers;
 pub mod platform;
 pub mod record;
+pub mod retry_after;
