fix(gateway): send nothing to targets that have asked for rest

Cause: no source read the field. What held calls back was the backoff after failures, which a refusal does not start, which knows no time asked for, and which is passed over when all targets are in one. A target that rests reports no running calls, so it even looked like the best one.

Ruled out: second tries and probes as the only cause. Six of the seven attempts around the recorded rests were first tries, while other targets of the service were free.

Change: a rest is a state of the target's process at the gateway (`TargetRest`), looked at before any choice, hedge, probe or check. The longest time counts, up to `max_rest_ms`; it outlives a record that lapses, and a reload; a new process has asked for nothing. An attempt that was decided before is withheld if its request has not been sent. One call at a time follows a rest. While all targets of a service rest, calls are refused at once as not run, with the shortest time left and a random part of it, unless they can wait for its end within their objective.

`balance resting::` (16) passes.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -3,12 +3,15 @@
 //! An adapter only translates between the platform's formats and the types in this module. It makes
 //! no decisions, performs no I/O and keeps no state of calls.
 
+pub use azuretally_api::retry_after::RetryAfter;
+
 use crate::settings::Settings;
+use azuretally_api::retry_after::retry_after;
 use azuretally_policy::balance::{Change, Directions, LimitField, LoadReport, RequestRate};
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Request, Response, StatusCode,
-    header::{AsHeaderName, CONTENT_TYPE},
+    header::{AsHeaderName, CONTENT_TYPE, DATE, RETRY_AFTER},
     request, response,
 };
 use serde::Serialize;
@@ -56,6 +59,13 @@
     pub limit: LimitField,
 }
 
+/// What a target says of itself in the head of any response, to a call or to a probe.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Time for which it wants no requests from this gateway.
+    pub rest: RetryAfter,
+}
+
 /// Values read from the head of a probe response.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ProbeResponse {
@@ -141,6 +151,17 @@
     field
 }
 
+/// Parses the rest that a target asks for when it turns a request away.
+pub fn rest_field(status: StatusCode, headers: &HeaderMap) -> RetryAfter {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => {
+            let values = headers.get_all(RETRY_AFTER).into_iter().map(HeaderValue::as_bytes);
+            retry_after(values, headers.get(DATE).map(HeaderValue::as_bytes))
+        }
+        _ => RetryAfter::Absent,
+    }
+}
+
 /// What the headers of a response of the platform say about the era of its data.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum EraField {
@@ -263,6 +284,9 @@
     /// Parses the head of a probe response.
     fn parse_probe_response(&self, head: &response::Parts) -> ProbeResponse;
 
+    /// Parses what a target says of itself in the head of any response.
+    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> TargetNotice;
+
     /// Prepares the headers of a target's response for the caller, removing those meant for the
     /// gateway.
     fn prepare_response_headers(&self, headers: &mut HeaderMap);
--- a/crates/gateway/src/calls/crash.rs
+++ b/crates/gateway/src/calls/crash.rs
@@ -69,8 +69,8 @@
     }
 }
 
-/// Returns whether the target answers on a new connection. A target that has named a limit is asked
-/// nothing: it counts as alive if it accepts the connection.
+/// Returns whether the target answers on a new connection. A target that has named a limit or rests is
+/// asked nothing: it counts as alive if it accepts the connection.
 async fn is_alive<Adapter>(
     gateway: &Rc<Gateway<Adapter>>,
     pool: &Rc<ConnectionPool>,
@@ -83,7 +83,7 @@
     let exchange = async {
         gateway.metrics.target_connections.inc();
         let connection = pool.connect(target.address).await.ok()?;
-        if target.limit.is_some() {
+        if target.is_silent() {
             return Some(true);
         }
         let head = probe::request(gateway, pool, target, connection).await?;
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -11,7 +11,7 @@
 };
 use azuretally_policy::{
     Timestamp,
-    balance::{Attempt, AttemptOutcome, Failure, LimitField, LoadReport, NewAttempt},
+    balance::{Attempt, AttemptOutcome, Failure, LimitField, LoadReport, NewAttempt, ProcessId},
 };
 use bytes::Bytes;
 use http::{Request, Response, header::CONTENT_ENCODING, response};
@@ -106,8 +106,11 @@
                 started_at,
             }
         }
-        Err(failure) => {
-            let outcome = AttemptOutcome::Failed { failure, sent };
+        Err(error) => {
+            let outcome = match error {
+                SendError::Failed(failure) => AttemptOutcome::Failed { failure, sent },
+                SendError::Withheld => AttemptOutcome::Withheld,
+            };
             CompletedAttempt {
                 attempt,
                 outcome,
@@ -129,7 +132,7 @@
     inbound: &InboundCall,
     new_attempt: &NewAttempt,
     sent: &mut bool,
-) -> Result<(TargetResponse, ReceivedResponse), Failure>
+) -> Result<(TargetResponse, ReceivedResponse), SendError>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
@@ -138,9 +141,27 @@
     let adapter = &gateway.adapter;
     let request = inbound.build_request(adapter, &target_request).ok_or(Failure::Broken)?;
     let address = new_attempt.address;
-    let upstream = Upstream { gateway, pool, inbound, address, is_target: true };
+    let target = Some((&*new_attempt.target, new_attempt.process));
+    let upstream = Upstream { gateway, pool, inbound, address, target };
     let (response, connection) = upstream.send(request, sent).await?;
-    receive(adapter, pool, inbound, response, connection).await
+    let notice = adapter.parse_notice(response.status(), response.headers());
+    gateway.record_notice(&inbound.service, &new_attempt.target, new_attempt.process, &notice);
+    Ok(receive(adapter, pool, inbound, response, connection).await?)
+}
+
+/// Why there is no response to a call.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum SendError {
+    /// The exchange failed.
+    Failed(Failure),
+    /// Nothing was sent, since the target wants no requests now.
+    Withheld,
+}
+
+impl From<Failure> for SendError {
+    fn from(failure: Failure) -> Self {
+        Self::Failed(failure)
+    }
 }
 
 /// Target or other gateway that a call is sent to.
@@ -150,8 +171,8 @@
     pub(super) pool: &'a ConnectionPool,
     pub(super) inbound: &'a InboundCall,
     pub(super) address: SocketAddr,
-    /// Whether it is a target, whose new connections are counted.
-    pub(super) is_target: bool,
+    /// Name and process of the target, `None` for another gateway.
+    pub(super) target: Option<(&'a str, ProcessId)>,
 }
 
 impl<Adapter> Upstream<'_, Adapter>
@@ -164,7 +185,7 @@
         &self,
         mut request: Request<RequestBody>,
         sent: &mut bool,
-    ) -> Result<(Response<Incoming>, Connection), Failure> {
+    ) -> Result<(Response<Incoming>, Connection), SendError> {
         let Self { gateway, pool, inbound, address, .. } = *self;
         let decided_at = gateway.clock.now();
         for _ in 0..MAX_SEND_TRIES {
@@ -172,7 +193,7 @@
             let mut connection = match idle {
                 Some(connection) => connection,
                 None => {
-                    if self.is_target {
+                    if self.target.is_some() {
                         gateway.metrics.target_connections.inc();
                     }
                     pool.connect(address).await.map_err(|_| Failure::Connect)?
@@ -182,7 +203,10 @@
             let now = gateway.clock.now();
             let is_old = now.since(decided_at) > MAX_DECISION_AGE;
             if now >= inbound.deadline || is_old || !gateway.is_serving() {
-                return Err(Failure::Connect);
+                return Err(Failure::Connect.into());
+            }
+            if !self.wants_request(now) {
+                return Err(SendError::Withheld);
             }
             *sent = true;
             match connection.sender.try_send_request(request).await {
@@ -191,7 +215,15 @@
             }
             *sent = false;
         }
-        Err(Failure::Connect)
+        Err(Failure::Connect.into())
+    }
+
+    /// Returns whether the target has not asked for rest since the attempt was decided.
+    fn wants_request(&self, now: Timestamp) -> bool {
+        self.target.is_none_or(|(name, process)| {
+            let balancer = self.gateway.balancer.borrow();
+            balancer.wants_requests(now, &self.inbound.service, name, process)
+        })
     }
 }
 
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -91,7 +91,7 @@
 }
 
 /// Requests the probe path on `connection` and returns the connection to the pool. Returns the head
-/// of the response, whatever it says, or `None` if there is none.
+/// of the response, whatever it says, or `None` if there is none. Records what the target says of itself.
 pub(super) async fn request<Adapter>(
     gateway: &Gateway<Adapter>,
     pool: &ConnectionPool,
@@ -109,6 +109,11 @@
     let request = Request::get(&*path).header(HOST, probe.address.to_string()).body(body).ok()?;
     let response = connection.sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
+    let name = gateway.adapter.parse_probe_response(&head).target;
+    if name.is_none_or(|name| name == probe.target) {
+        let notice = gateway.adapter.parse_notice(head.status, &head.headers);
+        gateway.record_notice(&probe.service, &probe.target, probe.process, &notice);
+    }
     body.collect().await.ok()?;
     pool.release(connection, &head.headers);
     Some(head)
--- a/crates/gateway/src/calls/relay.rs
+++ b/crates/gateway/src/calls/relay.rs
@@ -37,13 +37,8 @@
     let timeout = inbound.deadline.since(gateway.clock.now());
     let request = inbound.build_relay_request(&gateway.adapter, attempts, timeout);
     let Some(request) = request else { return RelayOutcome::Unsent };
-    let upstream = Upstream {
-        gateway: &gateway,
-        pool: &pool,
-        inbound: &inbound,
-        address: peer,
-        is_target: false,
-    };
+    let upstream =
+        Upstream { gateway: &gateway, pool: &pool, inbound: &inbound, address: peer, target: None };
     let mut sent = false;
     match upstream.send(request, &mut sent).await {
         Ok((response, connection)) => {
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -380,6 +380,7 @@
                 self.gateway.attempt_broken.notify_one();
             }
             AttemptOutcome::Answered { .. } => self.may_have_run = true,
+            AttemptOutcome::Withheld => self.sent_attempts -= 1,
             AttemptOutcome::Refused | AttemptOutcome::Moved => {}
         }
         let decision = self.gateway.balancer.borrow_mut().attempt_ended(now, &result);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,19 +1,20 @@
 //! State shared by all tasks of a gateway.
 
 use crate::{
-    adapter::{CallAdapter, PlatformAdapter},
+    adapter::{CallAdapter, PlatformAdapter, TargetNotice},
     clock::Clock,
     metrics::Metrics,
     settings::Settings,
     stop::StopTimes,
 };
+use azuretally_api::retry_after::RetryAfter;
 use azuretally_policy::{
     Timestamp,
     balance::{
         Balancer, BalancerSettings, Build, CallNotice, Catalog, CrashCheck, CrashEvidence,
         Decision, Heartbeat, HeartbeatExtension, KnownData, LimitNotice, MESSAGE_GENERATION,
-        Membership, MembershipBuilder, Outgoing, Phase, Probe, Revision, RouteTable, Source,
-        TrafficSplit,
+        Membership, MembershipBuilder, Outgoing, Phase, Probe, ProcessId, Revision, RouteTable,
+        Source, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -347,6 +348,9 @@
             self.metrics.set_retry_budget(service, *left);
         }
         self.metrics.set_generations(&self.membership.borrow().alive_by_generation());
+        for (service, count) in self.balancer.borrow().resting_targets(self.clock.now()) {
+            self.metrics.set_resting_targets(service, count);
+        }
         self.metrics.encode()
     }
 
@@ -496,6 +500,27 @@
         Membership::call_replies(from, unknown)
     }
 
+    /// Records what an answer of `process`, listed as target `name`, says of itself.
+    pub fn record_notice(
+        &self,
+        service: &Arc<str>,
+        name: &str,
+        process: ProcessId,
+        notice: &TargetNotice,
+    ) {
+        let now = self.clock.now();
+        match notice.rest {
+            RetryAfter::Absent => {}
+            RetryAfter::Unreadable => self.metrics.record_rest(service, "unreadable"),
+            RetryAfter::After(time) => {
+                let mut balancer = self.balancer.borrow_mut();
+                if balancer.record_rest(now, service, name, process, time) {
+                    self.metrics.record_rest(service, "asked");
+                }
+            }
+        }
+    }
+
     /// Passes the probes that the balancer requested to the probe task.
     pub fn forward_probes(&self) {
         for probe in self.balancer.borrow_mut().take_probes() {
@@ -522,6 +547,7 @@
         retry_window: Duration::from_millis(retries.window_ms),
         crossing_cost: settings.crossing_cost_per_kb,
         probe_rate: settings.probes_per_s * DIRECTED_PROBE_SHARE / share.directed_gateways as f64,
+        max_rest: Duration::from_millis(settings.max_rest_ms),
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -51,6 +51,15 @@
     pub service: String,
 }
 
+/// Labels of a rest that a target asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct RestLabels {
+    /// Service of the target.
+    pub service: String,
+    /// `asked`, or `unreadable` if the time could not be read and changed nothing.
+    pub outcome: String,
+}
+
 /// Labels of the end of a caller's connection.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ConnectionLabels {
@@ -92,6 +101,10 @@
     pub attempts: Family<AttemptLabels, Counter>,
     /// Attempts and probes sent to targets that had named a limit.
     pub limited_requests: Family<AttemptLabels, Counter>,
+    /// Rests that targets asked for.
+    pub rests: Family<RestLabels, Counter>,
+    /// Targets that rest.
+    pub resting_targets: Family<ServiceLabels, Gauge>,
     /// Calls relayed to other gateways.
     pub relayed_calls: Counter,
     /// Calls refused because several targets ended while they ran calls of the same content.
@@ -152,6 +165,8 @@
             latency: Family::new_with_constructor(latency_histogram),
             attempts: Family::default(),
             limited_requests: Family::default(),
+            rests: Family::default(),
+            resting_targets: Family::default(),
             relayed_calls: Counter::default(),
             quarantined_calls: Counter::default(),
             target_crashes: Counter::default(),
@@ -181,6 +196,9 @@
             "Attempts and probes sent to targets that had named a limit",
             metrics.limited_requests.clone(),
         );
+        registry.register("rests", "Rests that targets asked for", metrics.rests.clone());
+        let help = "Targets that rest";
+        registry.register("resting_targets", help, metrics.resting_targets.clone());
         let help = "Calls relayed to other gateways";
         registry.register("relayed_calls", help, metrics.relayed_calls.clone());
         let help = "Calls refused because calls of the same content crashed targets";
@@ -269,6 +287,19 @@
         self.limited_requests.get_or_create(&labels).inc();
     }
 
+    /// Counts a rest that a target of `service` asked for.
+    pub fn record_rest(&self, service: &Arc<str>, outcome: &str) {
+        let labels = RestLabels { service: service.to_string(), outcome: outcome.to_owned() };
+        self.rests.get_or_create(&labels).inc();
+    }
+
+    /// Sets the number of targets of `service` that rest.
+    pub fn set_resting_targets(&self, service: &Arc<str>, count: usize) {
+        let labels = ServiceLabels { service: service.to_string() };
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.resting_targets.get_or_create(&labels).set(count);
+    }
+
     /// Sets the number of retries and hedges that the budget of `service` currently allows.
     pub fn set_retry_budget(&self, service: &Arc<str>, remaining: f64) {
         let labels = ServiceLabels { service: service.to_string() };
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -6,8 +6,9 @@
 use crate::{
     adapter::{
         CallAdapter, CallFailure, CallHeaders, DirectionsQuery, EraField, PlatformAdapter,
-        PlatformUpdate, ProbeResponse, ReadError, ResponseKind, TargetRequest, TargetResponse,
-        era_field, header_text, json_directions, limit_field, load_report,
+        PlatformUpdate, ProbeResponse, ReadError, ResponseKind, TargetNotice, TargetRequest,
+        TargetResponse, era_field, header_text, json_directions, limit_field, load_report,
+        rest_field,
     },
     settings::Settings,
 };
@@ -103,6 +104,10 @@
         }
     }
 
+    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> TargetNotice {
+        TargetNotice { rest: rest_field(status, headers) }
+    }
+
     fn prepare_response_headers(&self, fields: &mut HeaderMap) {
         fields.remove(headers::TARGET_LOAD);
         fields.remove(headers::TARGET_LIMIT);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -136,6 +136,9 @@
     /// Maximum number of probes per second that one target gets from all gateways together.
     #[serde(default = "default_probes")]
     pub probes_per_s: f64,
+    /// Longest rest that a target may ask for, in ms.
+    #[serde(default = "default_rest_ms")]
+    pub max_rest_ms: u64,
     /// Cost of sending 1 kB to another failure domain, as a fraction of the value of a call.
     #[serde(default = "default_crossing")]
     pub crossing_cost_per_kb: f64,
@@ -162,6 +165,10 @@
     10.0
 }
 
+fn default_rest_ms() -> u64 {
+    3_600_000
+}
+
 fn default_read_ms() -> u64 {
     1_000
 }
@@ -226,6 +233,7 @@
             ("crossing_cost_per_kb", self.crossing_cost_per_kb.is_finite()),
             ("probes_per_s", self.probes_per_s.is_finite() && self.probes_per_s >= 0.0),
             ("read_ms", self.read_ms > 0),
+            ("max_rest_ms", self.max_rest_ms > 0),
         ];
         match checks.into_iter().find(|(_, valid)| !valid) {
             Some((key, _)) => Err(Report::new(SettingsError::OutOfRange(key))),
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -17,6 +17,7 @@
 mod reach;
 mod records;
 mod refusals;
+mod rest;
 mod restore;
 mod revision;
 mod routes;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -10,6 +10,7 @@
 mod learning;
 mod limiting;
 mod reaching;
+mod resting;
 mod retries;
 
 use super::{
@@ -237,7 +238,7 @@
                 return self.retry(now, id).unwrap_or(Decision::Deliver);
             }
             AttemptOutcome::Refused | AttemptOutcome::Moved => {}
-            AttemptOutcome::Failed { sent: false, .. } => {
+            AttemptOutcome::Withheld | AttemptOutcome::Failed { sent: false, .. } => {
                 state.sent -= 1;
                 state.unsent += 1;
             }
@@ -320,7 +321,7 @@
         let service = Arc::clone(service);
         let mut ids = queue.clone();
         ids.sort_by_key(|id| self.queue_rank(now, *id));
-        let capacity = self.capacity(&service);
+        let capacity = self.capacity(now, &service);
         let mut wait = 0.0;
         let mut full = false;
         let mut deferred = 0;
@@ -329,7 +330,8 @@
             let reason = self
                 .miss_reason(now, id, wait)
                 .or_else(|| self.is_call_quarantined(id).then_some(GiveUpReason::Quarantined))
-                .or_else(|| self.misses_limits(now, id, ahead).then_some(GiveUpReason::Limited));
+                .or_else(|| self.misses_limits(now, id, ahead).then_some(GiveUpReason::Limited))
+                .or_else(|| self.misses_rest(now, id).then_some(GiveUpReason::Resting));
             if let Some(reason) = reason {
                 self.dequeue(&service, id);
                 let decision = self.abandon(now, id, reason);
@@ -398,8 +400,8 @@
     }
 
     /// Returns the seconds of work that the targets of the service do per second.
-    fn capacity(&self, service: &str) -> f64 {
-        self.services.get(service).map_or(MIN_CAPACITY, |s| s.capacity().max(MIN_CAPACITY))
+    fn capacity(&self, now: Timestamp, service: &str) -> f64 {
+        self.services.get(service).map_or(MIN_CAPACITY, |s| s.capacity(now).max(MIN_CAPACITY))
     }
 
     /// Starts the call, queues it or gives it up.
@@ -409,6 +411,9 @@
         if !self.services.get(&name).is_some_and(Service::has_usable) {
             return self.give_up(now, id, GiveUpReason::NoTarget);
         }
+        if self.misses_rest(now, id) {
+            return self.give_up(now, id, GiveUpReason::Resting);
+        }
         let waiting = self.queues.get(&name).map_or(0, Vec::len);
         let ahead = self.queues.get(&name).is_some_and(|queue| {
             let own = self.queue_rank(now, id);
@@ -449,7 +454,7 @@
             return wait;
         }
         let ahead: f64 = before().map(|other| self.base_seconds(*other)).sum();
-        ahead / self.capacity(&state.call.service)
+        ahead / self.capacity(now, &state.call.service)
     }
 
     /// Returns the expected seconds of the call at a typical target.
@@ -484,12 +489,7 @@
             for index in indices {
                 let Some((_, target)) = service.targets.get_index_mut(*index) else { continue };
                 target.record_probe(now, self.settings.probe_rate);
-                self.probes.push(Probe {
-                    service: Arc::clone(&state.call.service),
-                    target: Arc::clone(&target.name),
-                    address: target.address,
-                    limit: target.limit.rate(),
-                });
+                self.probes.push(target.probe(now, &state.call.service));
             }
         }
         choice
@@ -532,6 +532,7 @@
             report_ms: target.load.report_age(now).map(|age| age.as_millis() as u64),
             same_domain: candidate.local,
             limit: target.limit.rate(),
+            process: target.process,
         })
     }
 
--- a/crates/policy/src/balance/balancer/crashes.rs
+++ b/crates/policy/src/balance/balancer/crashes.rs
@@ -78,8 +78,8 @@
                 }
                 continue;
             }
-            let probe = probe_of(&service, target);
-            let witnesses = self.choose_witnesses(process);
+            let probe = target.probe(now, &service);
+            let witnesses = self.choose_witnesses(now, process);
             checks.push(CrashCheck { process, target: probe, witnesses });
             if let Some(broken) = self.broken.get_mut(&process) {
                 broken.is_checking = true;
@@ -291,7 +291,7 @@
                 });
                 broken.digests.insert(digest);
             }
-            AttemptOutcome::Moved | AttemptOutcome::Failed { .. } => {}
+            AttemptOutcome::Moved | AttemptOutcome::Withheld | AttemptOutcome::Failed { .. } => {}
         }
     }
 
@@ -323,23 +323,12 @@
         }
     }
 
-    fn choose_witnesses(&mut self, process: ProcessId) -> Vec<Probe> {
-        // A check would use up a limit.
-        let is_askable =
-            |t: &Target| t.is_usable() && t.process != process && t.limit.rate().is_none();
+    fn choose_witnesses(&mut self, now: Timestamp, process: ProcessId) -> Vec<Probe> {
+        let is_askable = |t: &Target| t.process != process && t.is_askable(now);
         let targets = self.services.iter().flat_map(|(name, service)| {
             let askable = service.targets.values().filter(|t| is_askable(t));
-            askable.map(move |target| probe_of(name, target))
+            askable.map(move |target| target.probe(now, name))
         });
         targets.sample(&mut self.random, WITNESSES)
     }
 }
-
-fn probe_of(service: &Arc<str>, target: &Target) -> Probe {
-    Probe {
-        service: Arc::clone(service),
-        target: Arc::clone(&target.name),
-        address: target.address,
-        limit: target.limit.rate(),
-    }
-}
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -64,6 +64,7 @@
         running: Option<RunningAttempt>,
     ) {
         self.record_attempt_limit(now, result, running.as_ref());
+        self.end_rest_trial(result, running.as_ref());
         let Some(state) = self.calls.get(&result.attempt.call) else { return };
         let route = Arc::clone(&state.call.route);
         let Some(service) = self.services.get_mut(&state.call.service) else { return };
@@ -108,6 +109,7 @@
         AttemptOutcome::Answered { ok: false, .. } => target.load.record_failure(now),
         AttemptOutcome::Refused => target.load.record_refusal(now),
         AttemptOutcome::Moved => target.moved = true,
+        AttemptOutcome::Withheld => {}
         AttemptOutcome::Failed { failure, .. } => {
             target.record_failure(now, failure == Failure::Connect)
         }
--- a/crates/policy/src/balance/balancer/reaching.rs
+++ b/crates/policy/src/balance/balancer/reaching.rs
@@ -1,16 +1,11 @@
 //! Checks whether this gateway reaches any target.
 
 use super::{
-    super::{
-        call::Probe,
-        reach::CHECKED_TARGETS,
-        target::{RunningAttempt, Target},
-    },
+    super::{call::Probe, reach::CHECKED_TARGETS, target::RunningAttempt},
     Balancer,
 };
 use crate::Timestamp;
 use rand::seq::IteratorRandom;
-use std::sync::Arc;
 
 /// Age of an attempt, in multiples of the expected time, above which it counts as unanswered.
 const UNANSWERED_AGE: f64 = 1.3;
@@ -32,16 +27,9 @@
     /// at random. [`Self::reach_checked`] has to follow.
     pub fn start_reach_check(&mut self, now: Timestamp) -> Vec<Probe> {
         self.reach.check_started(now);
-        // A check would use up a limit.
-        let is_askable = |t: &Target| t.is_usable() && t.limit.rate().is_none();
         let targets = self.services.iter().flat_map(|(name, service)| {
-            let askable = service.targets.values().filter(|t| is_askable(t));
-            askable.map(move |target| Probe {
-                service: Arc::clone(name),
-                target: Arc::clone(&target.name),
-                address: target.address,
-                limit: None,
-            })
+            let askable = service.targets.values().filter(|t| t.is_askable(now));
+            askable.map(move |target| target.probe(now, name))
         });
         targets.sample(&mut self.random, CHECKED_TARGETS)
     }
--- /dev/null
+++ b/crates/policy/src/balance/balancer/resting.rs
@@ -0,0 +1,107 @@
+//! Rests that targets ask for: what answers say, and what follows for calls.
+
+use super::{
+    super::{
+        call::{AttemptOutcome, AttemptResult},
+        quarantine::ProcessId,
+        service::Service,
+        target::{RunningAttempt, Target},
+    },
+    Balancer,
+};
+use crate::Timestamp;
+use rand::RngExt;
+use std::{sync::Arc, time::Duration};
+
+/// Range of the time after the end of a rest over which callers that were refused come back, as a
+/// fraction of the rest that is left, and its lower bound.
+const RETURN_SPREAD: f64 = 0.25;
+const MIN_RETURN_SPREAD: Duration = Duration::from_millis(100);
+
+impl Balancer {
+    /// Records that an answer of `process`, listed as target `name`, asks for a rest of `time`. Returns
+    /// whether that prolongs its rest. Another process of that name has not asked for it.
+    pub fn record_rest(
+        &mut self,
+        now: Timestamp,
+        service: &str,
+        name: &str,
+        process: ProcessId,
+        time: Duration,
+    ) -> bool {
+        let time = time.min(self.settings.max_rest);
+        let Some(target) = self.process_mut(service, name, process) else { return false };
+        if !target.rest.ask(now, time) {
+            return false;
+        }
+        let line = format!("target {name} asked for rest, ms={}", time.as_millis());
+        self.log_lines.push(line);
+        true
+    }
+
+    /// Returns whether a request may be sent to `process`, listed as target `name`, although its attempt
+    /// was decided earlier.
+    pub fn wants_requests(
+        &self,
+        now: Timestamp,
+        service: &str,
+        name: &str,
+        process: ProcessId,
+    ) -> bool {
+        let target = self.services.get(service).and_then(|s| s.targets.get(name));
+        target.is_none_or(|t| t.process != process || !t.rest.is_resting(now))
+    }
+
+    /// Returns the number of resting targets of each service.
+    pub fn resting_targets(&self, now: Timestamp) -> impl Iterator<Item = (&Arc<str>, usize)> {
+        self.services.iter().map(move |(name, service)| (name, service.resting_count(now)))
+    }
+
+    /// Returns whether the rests of all targets keep the call waiting beyond its objective.
+    pub(super) fn misses_rest(&self, now: Timestamp, id: u64) -> bool {
+        let Some(state) = self.calls.get(&id) else { return false };
+        let Some(left) = self.shortest_rest(now, id) else { return false };
+        let run = Duration::from_secs_f64(self.typical_seconds(id));
+        now + left + run > state.call.objective.min(state.call.deadline)
+    }
+
+    /// Returns the time after which a call may come back while all targets of its service rest, `None`
+    /// if one does not. It is spread, so that callers do not return all at once.
+    pub(super) fn rest_delay(&mut self, now: Timestamp, id: u64) -> Option<Duration> {
+        let left = self.shortest_rest(now, id)?;
+        let spread = left.mul_f64(RETURN_SPREAD).max(MIN_RETURN_SPREAD);
+        Some(left + spread.mul_f64(self.random.random::<f64>()))
+    }
+
+    /// Ends the trial after a rest if the target has answered it otherwise than by a further rest.
+    pub(super) fn end_rest_trial(
+        &mut self,
+        result: &AttemptResult,
+        running: Option<&RunningAttempt>,
+    ) {
+        let is_answer =
+            matches!(result.outcome, AttemptOutcome::Answered { .. } | AttemptOutcome::Refused);
+        let Some(running) = running.filter(|_| is_answer) else { return };
+        let Some(state) = self.calls.get(&result.attempt.call) else { return };
+        let (service, name) = (Arc::clone(&state.call.service), &result.attempt.target);
+        let Some(target) = self.process_mut(&service, name, running.process) else { return };
+        if target.rest.record_answer(running.since) {
+            self.log_lines.push(format!("target {name} serves again after its rest"));
+        }
+    }
+
+    fn shortest_rest(&self, now: Timestamp, id: u64) -> Option<Duration> {
+        let state = self.calls.get(&id)?;
+        self.services.get(&state.call.service).and_then(|s: &Service| s.rest_left(now))
+    }
+
+    fn process_mut(
+        &mut self,
+        service: &str,
+        name: &str,
+        process: ProcessId,
+    ) -> Option<&mut Target> {
+        let target = self.services.get_mut(service)?.targets.get_mut(name)?;
+        (target.process == process).then_some(target)
+    }
+}
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -149,10 +149,11 @@
                 self.jittered_delay(REFUSED_RETRY_AFTER)
             }
             _ => {
-                let seconds = self.drain_seconds(id);
+                let seconds = self.drain_seconds(now, id);
                 self.jittered_delay(seconds)
             }
         };
+        let retry_after = self.rest_delay(now, id).map_or(retry_after, |d| d.max(retry_after));
         let may_return = !may_have_run && reason != GiveUpReason::Quarantined;
         if may_return && let Some(state) = self.calls.get(&id).filter(|s| !s.came_back) {
             let refusals = self.refusals.entry(Arc::clone(&state.call.service)).or_default();
@@ -170,7 +171,7 @@
 
     /// Estimates the seconds until the calls waiting for the service have been served, and call
     /// `id` after them.
-    pub(super) fn drain_seconds(&self, id: u64) -> f64 {
+    pub(super) fn drain_seconds(&self, now: Timestamp, id: u64) -> f64 {
         let Some(state) = self.calls.get(&id) else { return RETRY_AFTER_RANGE.0 };
         let Some(service) = self.services.get(&state.call.service) else {
             return RETRY_AFTER_RANGE.0;
@@ -179,7 +180,7 @@
         let work =
             |id: &u64| self.calls.get(id).map_or(0.0, |s| service.base_seconds(&s.call.route));
         let all: f64 = queue.iter().map(work).sum();
-        all / service.capacity().max(MIN_CAPACITY) + service.base_seconds(&state.call.route)
+        all / service.capacity(now).max(MIN_CAPACITY) + service.base_seconds(&state.call.route)
     }
 
     /// Returns a randomized delay around `seconds`, so that callers do not return all at once.
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -3,7 +3,7 @@
 use super::{
     limits::{LimitField, RequestRate},
     load::LoadReport,
-    quarantine::CallDigest,
+    quarantine::{CallDigest, ProcessId},
     refusals::Origin,
     routes::Route,
 };
@@ -27,6 +27,8 @@
     pub crossing_cost: f64,
     /// Probes per second that this gateway may send to one target.
     pub probe_rate: f64,
+    /// Longest rest that a target may ask for.
+    pub max_rest: Duration,
 }
 
 /// Request for the load of a target.
@@ -38,8 +40,20 @@
     pub target: Arc<str>,
     /// Address of the target.
     pub address: SocketAddr,
-    /// Limit that the target has named, if any, for the log.
+    /// Process of the target that the platform lists.
+    pub process: ProcessId,
+    /// Limit that the target has named, if any.
     pub limit: Option<RequestRate>,
+    /// Whether the target has asked for rest.
+    pub resting: bool,
+}
+
+impl Probe {
+    /// Returns whether the target may only be connected to: a request would use up its limit, or disturb
+    /// its rest.
+    pub fn is_silent(&self) -> bool {
+        self.limit.is_some() || self.resting
+    }
 }
 
 /// Result of a probe.
@@ -122,6 +136,8 @@
     pub same_domain: bool,
     /// Limit that the target has named, if any, for the log.
     pub limit: Option<RequestRate>,
+    /// Process of the target that the platform lists.
+    pub process: ProcessId,
 }
 
 /// Why a call was given up.
@@ -135,6 +151,8 @@
     NoTarget,
     /// All usable targets have named limits, which do not admit it before its deadline.
     Limited,
+    /// All usable targets have asked for rest, which does not end within its objective.
+    Resting,
     /// All its attempts were refused by targets.
     Refused,
     /// A target may have run it, and it must not or cannot be sent again.
@@ -153,6 +171,7 @@
             Self::QueueFull => "queue-full",
             Self::NoTarget => "no-target",
             Self::Limited => "limited",
+            Self::Resting => "resting",
             Self::Refused => "refused",
             Self::Lost => "lost",
             Self::Stopping => "stopping",
@@ -204,6 +223,8 @@
     Refused,
     /// Another process now uses the target's address.
     Moved,
+    /// Nothing was sent, since the target has asked for rest after the attempt was decided.
+    Withheld,
     /// The exchange failed.
     Failed {
         /// Kind of failure.
@@ -221,6 +242,7 @@
             Self::Answered { ok: false, .. } => "failed",
             Self::Refused => "refused",
             Self::Moved => "moved",
+            Self::Withheld => "withheld",
             Self::Failed { failure: Failure::Connect, .. } => "unreachable",
             Self::Failed { sent: false, .. } => "not-sent",
             Self::Failed { sent: true, .. } => "broken",
--- /dev/null
+++ b/crates/policy/src/balance/rest.rs
@@ -0,0 +1,61 @@
+//! Rests that targets ask for.
+//!
+//! A target that turns a request away may name a time for which it wants nothing from this gateway.
+//! Requests sent in that time would be turned away as well, and keep the target from recovering. Every
+//! request counts: first attempts, further ones, hedges, relayed calls and probes. Unlike a backoff,
+//! which this gateway infers from failures, a rest is never ignored because no other target is left.
+//!
+//! A rest holds for the gateway that was answered: the target may well serve the others, and a gateway
+//! that does not know of it learns it with one refused attempt.
+
+use super::target::RunningAttempt;
+use crate::Timestamp;
+use std::time::Duration;
+
+/// Time in which one process of a target wants no requests from this gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct TargetRest {
+    /// End of the latest rest.
+    until: Timestamp,
+    /// Whether the target has answered no call since `until` other than by asking for a further rest.
+    is_trial: bool,
+}
+
+impl TargetRest {
+    /// Records that the target asks for `time`. The longest time counts: a shorter one that is asked
+    /// for later may come from an answer that was overtaken. Returns whether the rest has become longer.
+    pub(super) fn ask(&mut self, now: Timestamp, time: Duration) -> bool {
+        let until = now + time;
+        let is_longer = until > self.until.max(now);
+        if is_longer {
+            self.until = until;
+            self.is_trial = true;
+        }
+        is_longer
+    }
+
+    /// Returns whether the target wants no requests now.
+    pub(super) fn is_resting(&self, now: Timestamp) -> bool {
+        now < self.until
+    }
+
+    /// Returns the time until the rest ends.
+    pub(super) fn left(&self, now: Timestamp) -> Duration {
+        self.until.since(now)
+    }
+
+    /// Returns whether a call may be sent now beside those that are `running`. After a rest, one call at
+    /// a time tries whether the target serves again.
+    pub(super) fn admits(&self, now: Timestamp, running: &[RunningAttempt]) -> bool {
+        let has_trial = self.is_trial && running.iter().any(|r| r.since >= self.until);
+        !self.is_resting(now) && !has_trial
+    }
+
+    /// Records that the target has answered a call that was sent at `sent`, without asking for a rest.
+    /// Returns whether that ends the trial after a rest.
+    pub(super) fn record_answer(&mut self, sent: Timestamp) -> bool {
+        let is_end = self.is_trial && sent >= self.until;
+        self.is_trial &= !is_end;
+        is_end
+    }
+}
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -252,14 +252,19 @@
                 target.leaving = true;
             }
         }
-        self.targets.retain(|name, t| is_listed(name) || !t.running.is_empty());
+        // A record may lapse although its process goes on.
+        let is_kept = |t: &Target| !t.running.is_empty() || t.rest.is_resting(now);
+        self.targets.retain(|name, t| is_listed(name) || is_kept(t));
         for listed in listed {
             let name = &listed.record.name;
             match self.targets.get_mut(name) {
                 Some(target) if target.is_same_process(listed) => target.update_record(listed),
                 Some(target) => {
                     let running = std::mem::take(&mut target.running);
-                    *target = Target { running, ..Target::new(now, listed, domain) };
+                    let new = Target::new(now, listed, domain);
+                    let is_moved = new.started.is_some() && new.process == target.process;
+                    let rest = if is_moved { target.rest } else { new.rest };
+                    *target = Target { running, rest, ..new };
                 }
                 None => {
                     self.targets.insert(Arc::clone(name), Target::new(now, listed, domain));
@@ -285,17 +290,19 @@
         self.base_seconds(route) * (1.0 + self.crowding.0) / 2.0
     }
 
-    /// Returns the seconds of work that the targets without a limit do per second.
-    pub(super) fn capacity(&self) -> f64 {
-        let usable = self.targets.values().filter(|t| t.is_usable() && t.limit.rate().is_none());
+    /// Returns the seconds of work that the targets do per second, without those that have named a limit
+    /// or asked for rest.
+    pub(super) fn capacity(&self, now: Timestamp) -> f64 {
+        let usable = self.targets.values().filter(|t| t.is_askable(now));
         let slots: f64 = usable.map(|t| f64::from(t.slots) / self.crowding.0).sum();
         slots * (1.0 - self.slowdowns.slow_share)
     }
 
     /// Returns the seconds until the limits admit a call that waits behind `ahead` others, infinite
-    /// if this gateway may use none of the limits. `None` if a usable target has no limit.
+    /// if this gateway may use none of the limits. `None` if a usable target that does not rest has no
+    /// limit, or if all rest.
     pub(super) fn limit_wait(&self, now: Timestamp, ahead: usize) -> Option<f64> {
-        let usable = || self.targets.values().filter(|t| t.is_usable());
+        let usable = || self.targets.values().filter(|t| t.is_usable() && !t.rest.is_resting(now));
         let rates: Option<Vec<f64>> = usable().map(|t| t.limit.own_rate()).collect();
         let rate: f64 = rates.filter(|rates| !rates.is_empty())?.iter().sum();
         let tokens: f64 = usable().map(|t| t.limit.tokens(now)).sum();
@@ -310,6 +317,18 @@
         Some(handover + needed / rate)
     }
 
+    /// Returns the time until the first usable target ends its rest, `None` if one does not rest or there
+    /// is none.
+    pub(super) fn rest_left(&self, now: Timestamp) -> Option<Duration> {
+        let usable = self.targets.values().filter(|t| t.is_usable());
+        usable.map(|t| t.rest.left(now)).min().filter(|left| !left.is_zero())
+    }
+
+    /// Returns the number of targets that rest.
+    pub(super) fn resting_count(&self, now: Timestamp) -> usize {
+        self.targets.values().filter(|t| t.rest.is_resting(now)).count()
+    }
+
     /// Returns whether any target is usable.
     pub(super) fn has_usable(&self) -> bool {
         self.targets.values().any(Target::is_usable)
@@ -435,7 +454,7 @@
         locals_held: bool,
     ) -> Option<Candidate> {
         let now = request.now;
-        if !target.limit.may_send(now) {
+        if target.wants_none(now) {
             return None;
         }
         let own = target.running.len() as f64;
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -1,6 +1,9 @@
 //! State of one target at this gateway.
 
-use super::{catalog::ListedTarget, limits::TargetLimit, load::TargetLoad, quarantine::ProcessId};
+use super::{
+    call::Probe, catalog::ListedTarget, limits::TargetLimit, load::TargetLoad,
+    quarantine::ProcessId, rest::TargetRest,
+};
 use crate::Timestamp;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -69,6 +72,8 @@
     pub(super) probe_tokens: (f64, Timestamp),
     /// Limit that the target has named, and the use of it.
     pub(super) limit: TargetLimit,
+    /// Rest that the target has asked for.
+    pub(super) rest: TargetRest,
 }
 
 impl Target {
@@ -92,14 +97,14 @@
             unanswered_probes: 0,
             probe_tokens: (1.0, now),
             limit: TargetLimit::default(),
+            rest: TargetRest::default(),
         }
     }
 
     /// Returns whether a probe may be sent now, at most `rate` per second.
     pub(super) fn may_probe(&self, now: Timestamp, rate: f64) -> bool {
         let none_pending = self.probe_sent.is_none_or(|at| now.since(at) > PROBE_TIMEOUT);
-        // A probe would use up the limit like a call.
-        none_pending && self.limit.rate().is_none() && self.available_tokens(now, rate) >= 1.0
+        none_pending && self.is_askable(now) && self.available_tokens(now, rate) >= 1.0
     }
 
     /// Returns the tokens for probes that are available now.
@@ -114,6 +119,18 @@
         self.probe_sent = Some(now);
     }
 
+    /// Returns how to ask the target, a part of `service`.
+    pub(super) fn probe(&self, now: Timestamp, service: &Arc<str>) -> Probe {
+        Probe {
+            service: Arc::clone(service),
+            target: Arc::clone(&self.name),
+            address: self.address,
+            process: self.process,
+            limit: self.limit.rate(),
+            resting: self.rest.is_resting(now),
+        }
+    }
+
     /// Updates the fields that may change while the process runs.
     pub(super) fn update_record(&mut self, listed: &ListedTarget) {
         let record = &listed.record;
@@ -131,10 +148,21 @@
         !self.leaving && !self.moved
     }
 
-    /// Returns whether the target must get no calls now, because it is in backoff or its limit is
-    /// used up.
+    /// Returns whether the target may be asked for its load or a sign of life: a probe uses up a limit
+    /// like a call, and disturbs a rest.
+    pub(super) fn is_askable(&self, now: Timestamp) -> bool {
+        self.is_usable() && self.limit.rate().is_none() && !self.rest.is_resting(now)
+    }
+
+    /// Returns whether the target itself wants no further call now: its limit is used up, or it has
+    /// asked for rest.
+    pub(super) fn wants_none(&self, now: Timestamp) -> bool {
+        !self.limit.may_send(now) || !self.rest.admits(now, &self.running)
+    }
+
+    /// Returns whether the target must get no calls now, because it is in backoff or wants none.
     pub(super) fn is_held(&self, now: Timestamp) -> bool {
-        self.in_backoff(now) || !self.limit.may_send(now)
+        self.in_backoff(now) || self.wants_none(now)
     }
 
     /// Returns whether the target is in backoff.
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -13,6 +13,7 @@
 mod platform;
 mod quarantine;
 mod reach;
+mod resting;
 mod restore;
 mod routes;
 mod unreadable;
