fix(gateway): send no new calls to targets whose answers say that they leave

Cause: no source read the field; a target counted as leaving by its record alone.

Change: such an answer, to a call or a probe, marks the process of the target at this gateway, for good and for 5 min beyond its record. A marked process gets no call, hedge, probe or check. Another process at its address says nothing of it, and a new process has no mark.

`balance departing::` (7) passes.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -64,6 +64,8 @@
 pub struct TargetNotice {
     /// Time for which it wants no requests from this gateway.
     pub rest: RetryAfter,
+    /// Whether it is about to end and takes no new calls.
+    pub leaving: bool,
 }
 
 /// Values read from the head of a probe response.
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -14,7 +14,7 @@
     balance::{Attempt, AttemptOutcome, Failure, LimitField, LoadReport, NewAttempt, ProcessId},
 };
 use bytes::Bytes;
-use http::{Request, Response, header::CONTENT_ENCODING, response};
+use http::{Request, Response, StatusCode, header::CONTENT_ENCODING, response};
 use hyper::body::Incoming;
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -144,8 +144,11 @@
     let target = Some((&*new_attempt.target, new_attempt.process));
     let upstream = Upstream { gateway, pool, inbound, address, target };
     let (response, connection) = upstream.send(request, sent).await?;
-    let notice = adapter.parse_notice(response.status(), response.headers());
-    gateway.record_notice(&inbound.service, &new_attempt.target, new_attempt.process, &notice);
+    // Another process says nothing about this one.
+    if response.status() != StatusCode::MISDIRECTED_REQUEST {
+        let notice = adapter.parse_notice(response.status(), response.headers());
+        gateway.record_notice(&inbound.service, &new_attempt.target, new_attempt.process, &notice);
+    }
     Ok(receive(adapter, pool, inbound, response, connection).await?)
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -351,6 +351,9 @@
         for (service, count) in self.balancer.borrow().resting_targets(self.clock.now()) {
             self.metrics.set_resting_targets(service, count);
         }
+        for (service, count) in self.balancer.borrow().departed_targets() {
+            self.metrics.set_departed_targets(service, count);
+        }
         self.metrics.encode()
     }
 
@@ -509,6 +512,11 @@
         notice: &TargetNotice,
     ) {
         let now = self.clock.now();
+        if notice.leaving
+            && self.balancer.borrow_mut().record_departure(now, service, name, process)
+        {
+            self.metrics.record_departure(service);
+        }
         match notice.rest {
             RetryAfter::Absent => {}
             RetryAfter::Unreadable => self.metrics.record_rest(service, "unreadable"),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -105,6 +105,10 @@
     pub rests: Family<RestLabels, Counter>,
     /// Targets that rest.
     pub resting_targets: Family<ServiceLabels, Gauge>,
+    /// Targets that said in an answer that they leave.
+    pub departures: Family<ServiceLabels, Counter>,
+    /// Targets that have said so and are still remembered.
+    pub departed_targets: Family<ServiceLabels, Gauge>,
     /// Calls relayed to other gateways.
     pub relayed_calls: Counter,
     /// Calls refused because several targets ended while they ran calls of the same content.
@@ -167,6 +171,8 @@
             limited_requests: Family::default(),
             rests: Family::default(),
             resting_targets: Family::default(),
+            departures: Family::default(),
+            departed_targets: Family::default(),
             relayed_calls: Counter::default(),
             quarantined_calls: Counter::default(),
             target_crashes: Counter::default(),
@@ -199,6 +205,10 @@
         registry.register("rests", "Rests that targets asked for", metrics.rests.clone());
         let help = "Targets that rest";
         registry.register("resting_targets", help, metrics.resting_targets.clone());
+        let help = "Targets that said in an answer that they leave";
+        registry.register("departures", help, metrics.departures.clone());
+        let help = "Targets that have said that they leave";
+        registry.register("departed_targets", help, metrics.departed_targets.clone());
         let help = "Calls relayed to other gateways";
         registry.register("relayed_calls", help, metrics.relayed_calls.clone());
         let help = "Calls refused because calls of the same content crashed targets";
@@ -300,6 +310,19 @@
         self.resting_targets.get_or_create(&labels).set(count);
     }
 
+    /// Counts a target of `service` that said that it leaves.
+    pub fn record_departure(&self, service: &Arc<str>) {
+        let labels = ServiceLabels { service: service.to_string() };
+        self.departures.get_or_create(&labels).inc();
+    }
+
+    /// Sets the number of targets of `service` that have said that they leave.
+    pub fn set_departed_targets(&self, service: &Arc<str>, count: usize) {
+        let labels = ServiceLabels { service: service.to_string() };
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.departed_targets.get_or_create(&labels).set(count);
+    }
+
     /// Sets the number of retries and hedges that the budget of `service` currently allows.
     pub fn set_retry_budget(&self, service: &Arc<str>, remaining: f64) {
         let labels = ServiceLabels { service: service.to_string() };
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -104,13 +104,17 @@
         }
     }
 
-    fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> TargetNotice {
-        TargetNotice { rest: rest_field(status, headers) }
+    fn parse_notice(&self, status: StatusCode, fields: &HeaderMap) -> TargetNotice {
+        TargetNotice {
+            rest: rest_field(status, fields),
+            leaving: header_text(fields, headers::TARGET_LEAVING).is_some_and(|v| v.trim() == "1"),
+        }
     }
 
     fn prepare_response_headers(&self, fields: &mut HeaderMap) {
         fields.remove(headers::TARGET_LOAD);
         fields.remove(headers::TARGET_LIMIT);
+        fields.remove(headers::TARGET_LEAVING);
         fields.insert(headers::OUTCOME, HeaderValue::from_static(headers::ANSWERED));
     }
 
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -7,6 +7,7 @@
 //! drains, the same holds for the time at which it stops.
 
 mod crashes;
+mod departing;
 mod learning;
 mod limiting;
 mod reaching;
--- a/crates/policy/src/balance/balancer/resting.rs
+++ b/crates/policy/src/balance/balancer/resting.rs
@@ -49,7 +49,8 @@
         process: ProcessId,
     ) -> bool {
         let target = self.services.get(service).and_then(|s| s.targets.get(name));
-        target.is_none_or(|t| t.process != process || !t.rest.is_resting(now))
+        let is_unwanted = |t: &Target| t.rest.is_resting(now) || t.departed.is_some();
+        target.is_none_or(|t| t.process != process || !is_unwanted(t))
     }
 
     /// Returns the number of resting targets of each service.
@@ -95,7 +96,7 @@
         self.services.get(&state.call.service).and_then(|s: &Service| s.rest_left(now))
     }
 
-    fn process_mut(
+    pub(super) fn process_mut(
         &mut self,
         service: &str,
         name: &str,
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -223,7 +223,8 @@
     Refused,
     /// Another process now uses the target's address.
     Moved,
-    /// Nothing was sent, since the target has asked for rest after the attempt was decided.
+    /// Nothing was sent: the target has asked for rest, or said that it leaves, after the attempt was
+    /// decided.
     Withheld,
     /// The exchange failed.
     Failed {
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -252,9 +252,7 @@
                 target.leaving = true;
             }
         }
-        // A record may lapse although its process goes on.
-        let is_kept = |t: &Target| !t.running.is_empty() || t.rest.is_resting(now);
-        self.targets.retain(|name, t| is_listed(name) || is_kept(t));
+        self.targets.retain(|name, t| is_listed(name) || t.is_kept(now));
         for listed in listed {
             let name = &listed.record.name;
             match self.targets.get_mut(name) {
@@ -263,8 +261,11 @@
                     let running = std::mem::take(&mut target.running);
                     let new = Target::new(now, listed, domain);
                     let is_moved = new.started.is_some() && new.process == target.process;
-                    let rest = if is_moved { target.rest } else { new.rest };
-                    *target = Target { running, rest, ..new };
+                    let (rest, departed) = match is_moved {
+                        true => (target.rest, target.departed),
+                        false => (new.rest, new.departed),
+                    };
+                    *target = Target { running, rest, departed, ..new };
                 }
                 None => {
                     self.targets.insert(Arc::clone(name), Target::new(now, listed, domain));
@@ -329,6 +330,11 @@
         self.targets.values().filter(|t| t.rest.is_resting(now)).count()
     }
 
+    /// Returns the number of targets that have said that they leave.
+    pub(super) fn departed_count(&self) -> usize {
+        self.targets.values().filter(|t| t.departed.is_some()).count()
+    }
+
     /// Returns whether any target is usable.
     pub(super) fn has_usable(&self) -> bool {
         self.targets.values().any(Target::is_usable)
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -21,6 +21,9 @@
 const OVERDUE_AGE: f64 = 1.5;
 /// Lower bound of the expected duration to which the age of an attempt is compared, in seconds.
 const MIN_EXPECTED_SECONDS: f64 = 0.001;
+/// Time for which a target that has said that it leaves is remembered once the platform does not list it
+/// any more. Its record may come back for a moment from a copy of the platform or a late write.
+const DEPARTURE_MEMORY: Duration = Duration::from_secs(300);
 /// Time for which a pending probe prevents further ones.
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -74,6 +77,8 @@
     pub(super) limit: TargetLimit,
     /// Rest that the target has asked for.
     pub(super) rest: TargetRest,
+    /// When the target itself said that it leaves.
+    pub(super) departed: Option<Timestamp>,
 }
 
 impl Target {
@@ -98,6 +103,7 @@
             probe_tokens: (1.0, now),
             limit: TargetLimit::default(),
             rest: TargetRest::default(),
+            departed: None,
         }
     }
 
@@ -139,13 +145,20 @@
         self.warm_at = listed.read + record.warmup;
     }
 
+    /// Returns whether the state is kept although the platform does not list the target: a record may
+    /// lapse although its process goes on.
+    pub(super) fn is_kept(&self, now: Timestamp) -> bool {
+        let has_departed = self.departed.is_some_and(|at| now.since(at) < DEPARTURE_MEMORY);
+        !self.running.is_empty() || self.rest.is_resting(now) || has_departed
+    }
+
     pub(super) fn is_same_process(&self, listed: &ListedTarget) -> bool {
         self.started == listed.record.started && self.address == listed.record.address
     }
 
     /// Returns whether calls may be sent to the target at all.
     pub(super) fn is_usable(&self) -> bool {
-        !self.leaving && !self.moved
+        !self.leaving && !self.moved && self.departed.is_none()
     }
 
     /// Returns whether the target may be asked for its load or a sign of life: a probe uses up a limit
--- /dev/null
+++ b/crates/policy/tests/balance/departing.rs
@@ -0,0 +1,110 @@
+//! Targets that say in their answers that they leave, while the platform lists them as serving.
+
+use crate::fixture::{Fixture, LOCAL, expect_start, ms, record, route};
+use azuretally_policy::{
+    Timestamp,
+    balance::{AttemptOutcome, Change, Decision, GiveUpReason, ProcessId, TargetRecord},
+};
+use std::sync::Arc;
+
+const ANSWERED: AttemptOutcome = AttemptOutcome::Answered { ok: true, bytes: 100 };
+
+impl Fixture {
+    /// Lets an answer of the target say that it leaves. Returns whether that was news.
+    fn depart(&mut self, now: Timestamp, number: u8) -> bool {
+        let TargetRecord { service, name, started, .. } = record(number, LOCAL);
+        let process = ProcessId::new(&name, started);
+        self.balancer.record_departure(now, &service, &name, process)
+    }
+
+    fn target_of_next_call(&mut self, now: Timestamp) -> Option<Arc<str>> {
+        let (id, decision) = self.submit(now, &route("check", true));
+        let target = match decision {
+            Decision::Start(start) => Some(start.target),
+            Decision::GiveUp { reason, not_run, .. } => {
+                assert_eq!((reason, not_run), (GiveUpReason::NoTarget, true));
+                None
+            }
+            other => panic!("{other:?}"),
+        };
+        self.balancer.forget(id);
+        target
+    }
+}
+
+/// Targets that had said that they leave got calls for as long as the platform listed them.
+#[test]
+fn target_that_says_that_it_leaves_gets_no_further_calls() {
+    let mut fixture = Fixture::new(2, 0);
+    assert!(fixture.depart(ms(0), 0));
+    assert!(!fixture.depart(ms(10), 0), "logged and counted once");
+    for now in (0..10_000).step_by(500) {
+        assert_eq!(fixture.target_of_next_call(ms(now)).as_deref(), Some("target-1"));
+    }
+}
+
+/// Calls were held, or sent to leaving targets, when all of a service leave.
+#[test]
+fn calls_are_refused_at_once_when_all_targets_leave() {
+    let mut fixture = Fixture::new(2, 0);
+    fixture.depart(ms(0), 0);
+    fixture.depart(ms(0), 1);
+    assert_eq!(fixture.target_of_next_call(ms(0)), None);
+}
+
+/// A call that ran at a leaving target was broken off, or its answer was not used.
+#[test]
+fn call_under_way_at_a_leaving_target_is_finished() {
+    let mut fixture = Fixture::new(1, 0);
+    let (id, decision) = fixture.submit(ms(0), &route("check", true));
+    let target = expect_start(decision).target;
+    fixture.depart(ms(10), 0);
+    assert_eq!(fixture.end_attempt(ms(20), id, &target, ANSWERED, None), Decision::Deliver);
+}
+
+/// The mark was lost with a record that lapsed, moved, or was written again as serving.
+#[test]
+fn departure_outlives_the_record_of_its_target() {
+    let mut fixture = Fixture::new(2, 0);
+    fixture.depart(ms(0), 0);
+    fixture.apply_changes(ms(100), vec![Change::Gone(Arc::from("target-0"))]);
+    fixture.apply_changes(ms(60_000), vec![Change::Target(record(0, LOCAL))]);
+    assert_eq!(fixture.target_of_next_call(ms(60_000)).as_deref(), Some("target-1"));
+    let moved = TargetRecord { address: record(7, LOCAL).address, ..record(0, LOCAL) };
+    fixture.apply_changes(ms(60_100), vec![Change::Target(moved)]);
+    assert_eq!(fixture.target_of_next_call(ms(60_100)).as_deref(), Some("target-1"));
+}
+
+/// A process that takes the name of a leaving one was never used.
+#[test]
+fn new_process_of_the_same_name_does_not_leave() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.depart(ms(0), 0);
+    let new = TargetRecord { started: Some(2), ..record(0, LOCAL) };
+    fixture.apply_changes(ms(100), vec![Change::Target(new)]);
+    assert!(!fixture.depart(ms(110), 0), "a late answer of the process before it");
+    assert_eq!(fixture.target_of_next_call(ms(120)).as_deref(), Some("target-0"));
+}
+
+/// Leaving targets were probed, and asked whether this gateway reaches any target.
+#[test]
+fn leaving_target_is_not_asked() {
+    let mut fixture = Fixture::before_first_answer(2, 0);
+    fixture.depart(ms(0), 0);
+    fixture.submit(ms(10), &route("check", true));
+    let probes = fixture.balancer.take_probes();
+    let asked = fixture.balancer.start_reach_check(ms(20));
+    let names: Vec<_> = probes.iter().chain(&asked).map(|p| &*p.target).collect();
+    assert!(names.iter().all(|name| *name == "target-1"), "{names:?}");
+}
+
+/// A request was sent although the target had said that it leaves while the connection was opened.
+#[test]
+fn leaving_target_wants_no_request_that_was_decided_before() {
+    let mut fixture = Fixture::new(1, 0);
+    let TargetRecord { service, name, started, .. } = record(0, LOCAL);
+    let process = ProcessId::new(&name, started);
+    assert!(fixture.balancer.wants_requests(ms(0), &service, &name, process));
+    fixture.depart(ms(1), 0);
+    assert!(!fixture.balancer.wants_requests(ms(2), &service, &name, process));
+}
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -3,6 +3,7 @@
 mod at_most_once;
 mod builds;
 mod catalog;
+mod departing;
 mod drain;
 mod fixture;
 mod going_back;
