fix(policy): let peers that may ignore eras confirm no data

A gateway that got its first data from such peers, and whose reader of the present build is not in touch with the platform, did not take over reading: the peers' heartbeats kept its data young, with no era on either side to compare. From a restore on it would answer 404 for new routes although it is in touch. Confirmations count only from peers that would follow a restored platform, as for who reads.

The case was found by reading; no run of real processes has shown it.

--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -73,11 +73,12 @@
     }
 
     /// Returns the age of the most recent platform data of a peer that knows of no change after
-    /// `revision` in the same era.
+    /// `revision` in the same era, and that would follow a restored platform.
     pub fn confirmed_age(&self, now: Timestamp, revision: Revision) -> Option<Duration> {
         let same = self.peers.values().filter(|p| {
             let known = p.heartbeat.known_revision();
-            p.alive && known.era == revision.era && known <= revision
+            let follows_eras = !self.may_ignore_era(&p.heartbeat);
+            p.alive && follows_eras && known.era == revision.era && known <= revision
         });
         let age = |p: &Peer| {
             let reported = Duration::from_millis(u64::from(p.heartbeat.age_ms?));
--- a/crates/policy/tests/balance/builds.rs
+++ b/crates/policy/tests/balance/builds.rs
@@ -104,3 +104,19 @@
     assert!(is_reader(0, Revision::new(2, 90)));
     assert!(!is_reader(1, Revision::new(0, 90)), "a platform without eras");
 }
+
+/// A gateway in touch with the platform was as stale as peers of an earlier build, while the one that reads
+/// for both was not in touch: these peers confirmed its data, so it did not take over.
+#[test]
+fn peers_of_an_earlier_build_confirm_no_data_without_an_era() {
+    let confirmed = |generation, known: Revision| {
+        let mut member = member();
+        let peer = heartbeat(2, generation, 1);
+        hear(&mut member, 0, Heartbeat { age_ms: Some(10), revision: known.number, ..peer });
+        let data = KnownData { revision: known, settings: 5 };
+        member.update_status(Phase::Ready, data, Some(Duration::ZERO), false);
+        member.confirmed_age(ms(0), known)
+    };
+    assert_eq!(confirmed(0, Revision::new(0, 90)), None);
+    assert_eq!(confirmed(1, Revision::new(0, 90)), Some(Duration::from_millis(10)));
+}
