--- a/crates/gateway/tests/planned_stop/gateway.rs
+++ b/crates/gateway/tests/planned_stop/gateway.rs
@@ -5,7 +5,7 @@
 use std::{
     fs::{self, File},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     time::Duration,
 };
@@ -28,6 +28,8 @@
     /// Address at which it accepts calls.
     pub(crate) calls: SocketAddr,
     readiness: SocketAddr,
+    /// Binary of the next process.
+    pub(crate) binary: PathBuf,
     settings: PathBuf,
     log: PathBuf,
     process: Child,
@@ -41,13 +43,25 @@
         calls: SocketAddr,
         readiness: SocketAddr,
     ) -> Self {
-        let process = start_process(&settings, &log);
-        Self { calls, readiness, settings, log, process }
+        let binary = PathBuf::from(env!("CARGO_BIN_EXE_azuretally-gateway"));
+        Self::start_build(binary, settings, log, calls, readiness)
+    }
+
+    /// Starts a process of the build at `binary`, otherwise like [`start`](Self::start).
+    pub(crate) fn start_build(
+        binary: PathBuf,
+        settings: PathBuf,
+        log: PathBuf,
+        calls: SocketAddr,
+        readiness: SocketAddr,
+    ) -> Self {
+        let process = start_process(&binary, &settings, &log);
+        Self { calls, readiness, binary, settings, log, process }
     }
 
     /// Starts a new process after the last one has exited.
     pub(crate) fn restart(&mut self) {
-        self.process = start_process(&self.settings, &self.log);
+        self.process = start_process(&self.binary, &self.settings, &self.log);
     }
 
     /// Waits until the gateway is ready.
@@ -109,9 +123,9 @@
     }
 }
 
-fn start_process(settings: &PathBuf, log: &PathBuf) -> Child {
+fn start_process(binary: &Path, settings: &Path, log: &Path) -> Child {
     let output = File::options().create(true).append(true).open(log).expect("a log file");
-    Command::new(env!("CARGO_BIN_EXE_azuretally-gateway"))
+    Command::new(binary)
         .arg("--settings")
         .arg(settings)
         .stdin(Stdio::null())
--- a/crates/gateway/tests/restored_platform/deployment.rs
+++ b/crates/gateway/tests/restored_platform/deployment.rs
@@ -12,7 +12,7 @@
 };
 use azuretally_policy::balance::{Change, TargetRecord};
 use azuretally_standin::http::listen;
-use std::{fs, net::IpAddr, sync::Arc, time::Duration};
+use std::{fs, net::IpAddr, path::PathBuf, sync::Arc, time::Duration};
 use tempfile::TempDir;
 use tokio::{
     sync::{Semaphore, SemaphorePermit},
@@ -47,6 +47,8 @@
     pub(crate) variant: Variant,
     /// Numbers of gateways whose connections to the platform are refused.
     pub(crate) refused: Vec<u8>,
+    /// Binary of the gateways at the start, instead of that of the present build.
+    pub(crate) binary: Option<PathBuf>,
 }
 
 /// The processes and stand-ins of one test.
@@ -248,6 +250,11 @@
         let settings = self.directory.path().join(format!("gateway-{number}.toml"));
         fs::write(&settings, text).expect("a writable directory");
         let log = self.directory.path().join(format!("gateway-{number}.log"));
-        Node::new(number, Gateway::start(settings, log, at(7_000), at(7_001)))
+        let (calls, readiness) = (at(7_000), at(7_001));
+        let gateway = match self.plan.binary.clone() {
+            Some(binary) => Gateway::start_build(binary, settings, log, calls, readiness),
+            None => Gateway::start(settings, log, calls, readiness),
+        };
+        Node::new(number, gateway)
     }
 }
--- a/crates/gateway/tests/restored_platform/main.rs
+++ b/crates/gateway/tests/restored_platform/main.rs
@@ -23,4 +23,5 @@
 mod target;
 mod targets;
 mod unreachable;
+mod upgraded;
 mod verdict;
--- a/crates/gateway/tests/restored_platform/verdict.rs
+++ b/crates/gateway/tests/restored_platform/verdict.rs
@@ -101,6 +101,13 @@
         verdict
     }
 
+    /// Returns how many calls to a gateway were handled under settings that are too old, and how many
+    /// could have been.
+    pub(crate) fn stale_at(&self, number: u8) -> (usize, usize) {
+        let count = |counts: &IndexMap<u8, usize>| counts.get(&number).copied().unwrap_or(0);
+        (count(&self.stale_nodes), count(&self.judged))
+    }
+
     /// Asserts that no call was handled under settings that are too old.
     pub(crate) fn assert_settings_current(&self) {
         assert!(self.stale.is_empty() && self.reverted.is_empty(), "{self}");
