--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -277,7 +277,10 @@
             CallResult::GaveUp => "gave-up",
         };
         *state.counts.entry(name).or_default() += 1;
-        state.recent_calls.push_back((end.at, end.result == CallResult::Answered));
+        let gateway = state.calls.get(&id).map(|call| call.route.gateway);
+        if !gateway.is_some_and(|g| state.is_excused(Exception::RestoredPlatform, g)) {
+            state.recent_calls.push_back((end.at, end.result == CallResult::Answered));
+        }
         while state.recent_calls.front().is_some_and(|(at, _)| end.at - *at > SETTLE_TIME) {
             state.recent_calls.pop_front();
         }
