--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -243,7 +243,9 @@
             let Some(end) = call.end else { continue };
             let left = end.result == CallResult::GaveUp && !end.timed_out;
             let is_crash = call.route.operation == CRASH_ROUTE;
-            if left || is_crash || is_disturbed(call.route.gateway, call.sent_at) {
+            // Others tell it of settings that it does not have, so it refuses calls.
+            let is_excused = state.is_excused(Exception::RestoredPlatform, call.route.gateway);
+            if left || is_crash || is_excused || is_disturbed(call.route.gateway, call.sent_at) {
                 continue;
             }
             let is_cut = numbers.contains(&call.route.gateway);
--- a/crates/soak/src/upgrades.rs
+++ b/crates/soak/src/upgrades.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Exception {
     /// To follow a platform that was restored from a copy, before 548b0ab: settings, targets that leave,
-    /// and so the share of calls that are answered in the end.
+    /// and so the shares of calls that are answered in the end and while gateways are cut off.
     RestoredPlatform,
     /// To stop sending calls that crash targets, before 42fc63c. Others cannot know of crashes under
     /// calls of such gateways, so that nothing is checked as long as there are any.
