--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -243,7 +243,9 @@
             let Some(end) = call.end else { continue };
             let left = end.result == CallResult::GaveUp && !end.timed_out;
             let is_crash = call.route.operation == CRASH_ROUTE;
-            if left || is_crash || is_disturbed(call.route.gateway, call.sent_at) {
+            // Others tell it of settings that it does not have, so it refuses calls.
+            let is_excused = state.is_excused(Exception::RestoredPlatform, call.route.gateway);
+            if left || is_crash || is_excused || is_disturbed(call.route.gateway, call.sent_at) {
                 continue;
             }
             let is_cut = numbers.contains(&call.route.gateway);
@@ -277,7 +279,10 @@
             CallResult::GaveUp => "gave-up",
         };
         *state.counts.entry(name).or_default() += 1;
-        state.recent_calls.push_back((end.at, end.result == CallResult::Answered));
+        let gateway = state.calls.get(&id).map(|call| call.route.gateway);
+        if !gateway.is_some_and(|g| state.is_excused(Exception::RestoredPlatform, g)) {
+            state.recent_calls.push_back((end.at, end.result == CallResult::Answered));
+        }
         while state.recent_calls.front().is_some_and(|(at, _)| end.at - *at > SETTLE_TIME) {
             state.recent_calls.pop_front();
         }
