fix(gateway): read the records of the project's own protocol one by one

One record of an unknown form in an answer of the platform made the whole answer unreadable, each time it was asked for. The native adapter now reads each by itself, and settings part by part, with the same result as the adapter of the deployment platform: an invalid target counts as gone, a route that cannot be read is passed on as such, services that cannot be read are left out, limits are 0.

--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -3,6 +3,8 @@
 //! Calls carry the headers of `azuretally_api::headers`. The platform publishes JSON: everything at
 //! [`LIST_PATH`], and the changes after a revision at [`CHANGES_PATH`].
 
+mod published;
+
 use crate::{
     adapter::{
         CallAdapter, CallFailure, CallHeaders, DirectionsQuery, EraField, PlatformAdapter,
@@ -18,6 +20,7 @@
     HeaderMap, HeaderValue, Method, Request, Response, StatusCode, header::RETRY_AFTER, request,
     response,
 };
+use published::RawChanges;
 use serde::{Deserialize, Serialize};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
@@ -185,11 +188,13 @@
         StatusCode::GONE => return Err(ReadError::Compacted),
         _ => return Err(ReadError::Status(status)),
     }
-    let published: PublishedChanges =
+    let published: RawChanges =
         serde_json::from_slice(body).map_err(|e| ReadError::Decode(e.to_string()))?;
+    let (changes, unreadable) = published.parse();
     Ok(PlatformUpdate {
         revision: published.revision,
-        changes: published.changes,
+        changes,
+        unreadable,
         ..PlatformUpdate::default()
     })
 }
--- /dev/null
+++ b/crates/gateway/tests/native.rs
@@ -0,0 +1,75 @@
+//! Translation of answers of the project's own protocol.
+#![allow(clippy::expect_used)]
+
+// Other test binaries use the rest of the modules.
+#[allow(dead_code)]
+mod raw;
+#[allow(dead_code)]
+mod stub;
+
+use azuretally_gateway::{
+    adapter::{PlatformAdapter, PlatformUpdate, ReadError},
+    native::{NativeAdapter, PublishedChanges},
+};
+use azuretally_policy::balance::Change;
+use http::StatusCode;
+use serde_json::{Value, json};
+
+fn read(body: &Value) -> Result<PlatformUpdate, ReadError> {
+    NativeAdapter.parse_changes(StatusCode::OK, body.to_string().as_bytes())
+}
+
+fn changes() -> Value {
+    let changes = vec![Change::Published(raw::published()), Change::Target(stub::target(1, 2))];
+    serde_json::to_value(PublishedChanges { revision: 7, changes }).expect("serialized")
+}
+
+#[test]
+fn readable_changes_are_passed_on() {
+    let update = read(&changes()).expect("readable");
+    let expected = vec![Change::Published(raw::published()), Change::Target(stub::target(1, 2))];
+    assert_eq!((update.revision, update.unreadable, update.changes), (7, 0, expected));
+}
+
+/// Guards against an answer that is ignored as a whole, each time it is asked for, for one record of an
+/// unknown form.
+#[test]
+fn unreadable_record_holds_back_no_other() {
+    let mut body = changes();
+    body["changes"][1]["target"]["slots"] = json!("two");
+    body["changes"].as_array_mut().expect("a list").push(json!("?"));
+    let update = read(&body).expect("readable");
+    let expected = vec![Change::Published(raw::published()), Change::Gone("target-1".into())];
+    assert_eq!((update.unreadable, update.changes), (2, expected));
+}
+
+/// Guards against settings that are ignored as a whole for a part of an unknown form.
+#[test]
+fn unreadable_part_of_the_settings_holds_back_no_other() {
+    let mut body = changes();
+    let settings = &mut body["changes"][0]["published"];
+    settings["routes"][0]["shares"] = json!("service");
+    settings["services"]["odd"] = json!({"connections": -1});
+    settings["limits"]["head_bytes"] = json!("many");
+    let update = read(&body).expect("readable");
+    assert_eq!(update.unreadable, 3);
+    let [Change::Published(published), Change::Target(_)] = update.changes.as_slice() else {
+        panic!("{update:?}")
+    };
+    let [check, sale] = published.routes.as_slice() else { panic!("{published:?}") };
+    assert_eq!((&*check.name, &*check.host, &*check.prefix), ("check", "test", "/check/"));
+    assert!(check.shares.is_empty());
+    assert_eq!(sale, &raw::published().routes[1]);
+    assert_eq!(published.services, raw::published().services);
+    assert_eq!((published.limits.head_bytes, published.limits.body_bytes), (0, 1_000_000));
+}
+
+#[test]
+fn settings_without_a_version_are_counted_alone() {
+    let mut body = changes();
+    body["changes"][0]["published"]["version"] = json!("1");
+    let update = read(&body).expect("readable");
+    assert_eq!((update.unreadable, update.changes.len()), (1, 1));
+    body["revision"] = json!("7");
+    assert!(matches!(read(&body), Err(ReadError::Decode(_))));
+}
