fix(gateway): list a platform at another address after a reload

A reload may name another platform. The reader kept its list and asked the new platform for the changes after a revision of the former one, so settings that had been published there before that number never came into force, while each read counted as fresh. The platform is listed now.

Open: a platform that counts from lower revisions in the same era; its settings follow by their version, its targets are ignored.

--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -48,6 +48,8 @@
         let address = gateway.settings().platform;
         if client.address() != address {
             client = Client::new(address);
+            // Its revisions have nothing to do with those of the one before.
+            list_complete = false;
         }
         let known = !gateway.catalog.borrow().revision().is_unknown();
         let polls = list_complete && known;
--- a/crates/gateway/tests/platform_reads.rs
+++ b/crates/gateway/tests/platform_reads.rs
@@ -63,6 +63,8 @@
     has_target: bool,
     /// Polls after a later revision than this one are answered 410.
     last_known: u64,
+    /// Revision of the last change; later polls are answered without changes.
+    last_change: u64,
     /// Whether all requests are answered 503.
     is_away: bool,
 }
@@ -76,6 +78,7 @@
             settings: 1,
             has_target: false,
             last_known: u64::MAX,
+            last_change: u64::MAX,
             is_away: false,
         };
         Arc::new(Self { state: Mutex::new(state), lists: AtomicUsize::new(0) })
@@ -106,7 +109,7 @@
             _ if state.is_away => text_response(StatusCode::SERVICE_UNAVAILABLE, ""),
             LIST_PATH => json_response(&all),
             CHANGES_PATH if after > state.last_known => text_response(StatusCode::GONE, ""),
-            CHANGES_PATH if after < state.revision => json_response(&all),
+            CHANGES_PATH if after < state.revision.min(state.last_change) => json_response(&all),
             CHANGES_PATH => json_response(&PublishedChanges { changes: Vec::new(), ..all }),
             _ => text_response(StatusCode::NOT_FOUND, ""),
         };
@@ -240,6 +243,24 @@
     .await;
 }
 
+/// Guards against settings that never come into force after a reload: the changes of one platform after a
+/// revision of another one lack what was published before.
+#[tokio::test]
+async fn another_platform_is_listed_after_a_reload() {
+    run_local(async {
+        let fixture = Fixture::start(16, Some("1"), 100).await;
+        let other = Platform::new(Some("1"));
+        other.change(|s| (s.revision, s.settings, s.last_change) = (200, 2, 50));
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let mut settings = fixture.gateway.settings().as_ref().clone();
+        settings.platform = listener.local_addr().expect("bound");
+        tokio::spawn(serve(listener, fixture.stop.clone(), move |r| Arc::clone(&other).handle(r)));
+        fixture.gateway.reload_settings(settings);
+        fixture.wait_for(2).await;
+    })
+    .await;
+}
+
 /// Guards against calls to a target that has not registered again in time: the end of its grace period
 /// was only looked at between two reads.
 #[tokio::test]
