test(soak): let targets ask for rest and say that they leave, and check both

Targets of the main service ask gateways for 0.7 to 3 s of rest in spells, some of them or all, in any mode; a refusal with `busy` alone still names no time. Other targets say that they leave 2.5 to 7 s before the platform drops their record, some of them in their first answers alone.

Both rules are about a target and a gateway. Links of targets now connect from the address of the gateway, so that targets know which one has sent a request, also for probes and relayed calls.

The command line turns both on; the tests that have been there leave them off until gateways heed them.

--- a/crates/soak/src/checker.rs
+++ b/crates/soak/src/checker.rs
@@ -2,7 +2,9 @@
 
 use crate::{
     crashes::{CRASH_ROUTE, CrashChecks},
+    departures::DepartureChecks,
     limits::LimitChecks,
+    rests::RestChecks,
     stops::{self, Call, CallEnd, Route, Stop, StopCounts},
 };
 use indexmap::{IndexMap, IndexSet};
@@ -62,6 +64,17 @@
     pub(crate) unwritten: bool,
 }
 
+/// Where a request arrived.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Arrival<'a> {
+    /// Name of the target.
+    pub(crate) target: &'a str,
+    /// Start number of the target.
+    pub(crate) start: u64,
+    /// Gateway that sent the request, if gateways can be told apart at targets.
+    pub(crate) gateway: Option<usize>,
+}
+
 /// Number of calls, and of those that were answered.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Served {
@@ -100,6 +113,12 @@
     arrivals: IndexMap<String, VecDeque<(Instant, bool)>>,
     /// Limits of targets, and the requests that they got.
     limits: LimitChecks,
+    /// Rests of targets, and the requests that they got.
+    rests: RestChecks,
+    /// Targets that have said that they leave.
+    departures: DepartureChecks,
+    /// Time of the last start or freeze of each gateway.
+    disturbed: IndexMap<usize, Instant>,
     /// Calls that crash targets.
     crashes: CrashChecks,
     /// Times of the disturbances of the platform.
@@ -206,9 +225,37 @@
         self.state.lock().limits.record_limit(Instant::now(), target, rate);
     }
 
-    /// Records that a target got the call `id`, or a probe. Checks the limit of the target, unless
-    /// the gateway of the call has had a fault.
-    pub(crate) fn record_request(&self, id: Option<u64>, target: &str) {
+    /// Records that a target asks a gateway for rest.
+    pub(crate) fn record_rest(&self, arrival: &Arrival<'_>, span: Duration) {
+        if let Some(gateway) = arrival.gateway {
+            self.state.lock().rests.record_rest(arrival.start, gateway, span);
+        }
+    }
+
+    /// Records that a target answers the call `id` and says that it leaves.
+    pub(crate) fn record_departure(&self, id: u64, arrival: &Arrival<'_>) {
+        if let Some(gateway) = arrival.gateway {
+            self.state.lock().departures.record_answer(id, arrival.start, gateway);
+        }
+    }
+
+    /// Returns the number of rests that targets asked for, and of targets and gateways that have
+    /// passed on that these leave.
+    pub(crate) fn rest_counts(&self) -> (u64, usize) {
+        let state = self.state.lock();
+        (state.rests.count(), state.departures.count())
+    }
+
+    /// Records that a gateway is frozen or runs again.
+    pub(crate) fn record_freeze(&self, gateway: usize) {
+        self.state.lock().disturbed.insert(gateway, Instant::now());
+    }
+
+    /// Records that a target got the call `id`, or a probe. Checks the rests and the leaving of the
+    /// target, and its limit unless the gateway of the call has had a fault.
+    pub(crate) fn record_request(&self, id: Option<u64>, arrival: &Arrival<'_>) {
+        let target = arrival.target;
+        self.state.lock().check_arrival(id, arrival);
         let mut state = self.state.lock();
         let now = Instant::now();
         let call = id.and_then(|id| state.calls.get(&id));
@@ -276,6 +323,9 @@
         while state.recent_calls.front().is_some_and(|(at, _)| end.at - *at > SETTLE_TIME) {
             state.recent_calls.pop_front();
         }
+        if end.result == CallResult::Answered {
+            state.departures.record_end(id);
+        }
         let Some(call) = state.calls.get_mut(&id) else { return };
         call.end = Some(end);
         if end.result == CallResult::NotRun && call.runs > 0 {
@@ -353,6 +403,7 @@
         let now = Instant::now();
         state.last_fault.insert(gateway, now);
         state.starts.entry(gateway).or_default().push(now);
+        state.disturbed.insert(gateway, now);
     }
 
     /// Records that a gateway is killed, which loses the log lines that it has not written.
@@ -521,6 +572,19 @@
             && !at_gateway(&self.starts, since, now)
     }
 
+    /// Checks the rests and the leaving of a target for a request that it got.
+    fn check_arrival(&mut self, id: Option<u64>, arrival: &Arrival<'_>) {
+        let Arrival { start, gateway: Some(gateway), .. } = *arrival else { return };
+        let fault = self.last_fault.get(&gateway).copied();
+        let is_cut = self.detached.contains(&gateway);
+        let broken = self.rests.record_arrival(start, gateway, fault).filter(|_| !is_cut);
+        let sent = id.and_then(|id| self.calls.get(&id)).map(|call| call.began_at);
+        let disturbed = self.disturbed.get(&gateway).copied();
+        let late =
+            sent.and_then(|sent| self.departures.record_arrival(start, gateway, sent, disturbed));
+        broken.into_iter().chain(late).for_each(|violation| self.add_violation(violation));
+    }
+
     /// Records an arrival at a target and checks the retry budget of the service.
     fn record_arrival(&mut self, now: Instant, id: u64, service: &str) {
         let first = self.calls.get(&id).is_some_and(|c| c.runs == 0);
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -18,7 +18,7 @@
 use parking_lot::Mutex;
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     sync::{
         Arc,
@@ -205,7 +205,7 @@
                 .expect("failed to bind a loopback port"),
         };
         let address = outer_listener.local_addr().expect("bound");
-        let link = Arc::new(Link::new(target_address));
+        let link = Arc::new(Link::new(target_address).keeping_source());
         let name = name.unwrap_or_else(|| Arc::from(format!("target-{number}")));
         let closed = self.stop.child_token();
         let service: Arc<str> = Arc::from(service);
@@ -331,6 +331,15 @@
     SocketAddr::from((Ipv4Addr::new(127, options.network, high, low), port))
 }
 
+/// Returns the number of the gateway that connects to targets from `source`, if it has an address of
+/// its own there.
+pub(crate) fn gateway_number(source: IpAddr) -> Option<usize> {
+    let IpAddr::V4(address) = source else { return None };
+    let [_, network, high, low] = address.octets();
+    let number = usize::from(u16::from_be_bytes([high, low]));
+    number.checked_sub(1).filter(|_| network > 0)
+}
+
 /// Links to and from a gateway.
 struct GatewayLinks {
     callers: Arc<Link>,
--- a/crates/soak/src/faults.rs
+++ b/crates/soak/src/faults.rs
@@ -133,6 +133,7 @@
 pub(crate) async fn suspend_gateway(cluster: Arc<Cluster>, number: usize, duration: Duration) {
     let set_suspended = |suspended: bool| {
         cluster.checker.record_fault(number);
+        cluster.checker.record_freeze(number);
         if let Some(process) = cluster.gateways[number].process.lock().as_ref() {
             process.signal(if suspended { Signal::STOP } else { Signal::CONT });
         }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,7 @@
 const USAGE: &str = "Usage: azuretally-soak [--seed N] [--runs N] [--seconds N] [--gateways N]
                        [--targets N] [--callers N] [--network N] [--logs DIR]
                        [--planned-only] [--no-partitions] [--no-restores]
-                       [--no-crashes]
+                       [--no-crashes] [--no-rests] [--no-departures]
 
 Runs seeds N, N + 1, ... and prints a line for each. Exits with 1 when a promise was broken.
 --logs keeps the logs of each seed in DIR/seed-N and replaces those of an earlier run of the seed.
@@ -15,7 +15,9 @@
 targets.
 --no-partitions cuts off no gateway from all targets, for gateways that cannot be told apart there.
 --no-restores restores the platform from no copies. Neither does --planned-only.
---no-crashes sends no calls that crash targets. Neither does --planned-only.";
+--no-crashes sends no calls that crash targets. Neither does --planned-only.
+--no-rests lets no target ask for rest.
+--no-departures lets no target say that it leaves before the platform knows.";
 
 /// Parsed command line.
 struct Args {
@@ -48,12 +50,14 @@
         let options = Options { seed, ..args.options.clone() };
         let report = runtime.block_on(run(&options));
         println!(
-            "seed {seed}: {} broken, {:.3} answered at the end, {:?}, {}; {}",
+            "seed {seed}: {} broken, {:.3} answered at the end, {:?}, {}; {}; {} rests, {} departures",
             report.violations.len(),
             report.answered_share,
             report.counts,
             report.stops,
-            report.crashes
+            report.crashes,
+            report.rests,
+            report.departures
         );
         for violation in &report.violations {
             println!("  {violation}");
@@ -67,7 +71,8 @@
 /// Parses the command line. Returns `None` if help is requested.
 fn parse_args() -> Result<Option<Args>, lexopt::Error> {
     use lexopt::prelude::*;
-    let mut options = Options { restores: true, crashes: true, ..Options::new(1) };
+    let mut options =
+        Options { restores: true, crashes: true, rests: true, departures: true, ..Options::new(1) };
     let mut runs = 1;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -84,6 +89,8 @@
                 (options.restores, options.crashes) = (false, false);
             }
             Long("no-crashes") => options.crashes = false,
+            Long("no-rests") => options.rests = false,
+            Long("no-departures") => options.departures = false,
             Long("no-restores") => options.restores = false,
             Long("no-partitions") => options.partitions = false,
             Long("logs") => options.output_dir = Some(PathBuf::from(parser.value()?)),
--- a/crates/soak/src/partitions.rs
+++ b/crates/soak/src/partitions.rs
@@ -3,6 +3,7 @@
 //! Each gateway connects to targets from a loopback address of its own, by which it is known here.
 
 use crate::{checker::Checker, cluster::Cluster};
+use azuretally_standin::proxy::connect_from;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::{
@@ -88,7 +89,7 @@
             let _ = client.set_zero_linger();
             return;
         }
-        let Ok(mut upstream) = TcpStream::connect(target).await else {
+        let Ok(mut upstream) = connect_from(from, target).await else {
             let _ = client.set_zero_linger();
             return;
         };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -4,7 +4,7 @@
     callers::Caller,
     cluster::Cluster,
     crashes::{self, CrashCounts},
-    faults, limits, logs, partitions, planned, restores,
+    departures, faults, limits, logs, partitions, planned, restores, rests,
     stops::StopCounts,
     workload::Profile,
 };
@@ -51,6 +51,10 @@
     pub restores: bool,
     /// Whether some calls crash each target that runs them.
     pub crashes: bool,
+    /// Whether targets ask for rest at times.
+    pub rests: bool,
+    /// Whether targets say that they leave before the platform knows.
+    pub departures: bool,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -70,6 +74,8 @@
             partitions: true,
             restores: false,
             crashes: false,
+            rests: false,
+            departures: false,
             output_dir: None,
         }
     }
@@ -86,6 +92,10 @@
     pub stops: StopCounts,
     /// Calls that crash targets, and the others beside them.
     pub crashes: CrashCounts,
+    /// Rests that targets asked gateways for.
+    pub rests: u64,
+    /// Pairs of a target that left and a gateway that passed on that it does.
+    pub departures: usize,
     /// Fraction of calls answered in the last seconds of the run.
     pub answered_share: f64,
 }
@@ -141,7 +151,20 @@
             crashes::inject(&cluster, crashes_seed, end).await;
         }
     };
-    tokio::join!(faults, planned, limits, partitions, restores, crashes);
+    let (rests_seed, departures_seed) = (rng.random(), rng.random());
+    let rests = async {
+        if options.rests {
+            // Calls that are refused while all targets rest would hide those that crashes cost.
+            let is_compared = options.crashes && options.profile == Profile::Planned;
+            rests::inject(&cluster, rests_seed, end, !is_compared).await;
+        }
+    };
+    let departures = async {
+        if options.departures {
+            departures::inject(&cluster, departures_seed, end).await;
+        }
+    };
+    tokio::join!(faults, planned, limits, partitions, restores, crashes, rests, departures);
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
@@ -171,7 +194,8 @@
     let stops = cluster.checker.check_stops(|id| outcomes.contains_key(&id));
     // The end of the processes cuts off the calls in flight.
     let counts = cluster.checker.counts();
+    let (rests, departures) = cluster.checker.rest_counts();
     cluster.shut_down().await;
     let violations = cluster.checker.violations();
-    Report { violations, counts, stops, crashes: crash_counts, answered_share }
+    Report { violations, counts, stops, crashes: crash_counts, rests, departures, answered_share }
 }
--- a/crates/soak/src/stops.rs
+++ b/crates/soak/src/stops.rs
@@ -48,7 +48,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Call {
     pub(crate) route: Route,
-    /// When its first byte was about to be sent, later when its last byte had been.
+    /// When its first byte was about to be sent.
+    pub(crate) began_at: Instant,
+    /// The same, later when its last byte had been sent.
     pub(crate) sent_at: Instant,
     /// Number of times that targets ran the call.
     pub(crate) runs: u32,
@@ -117,9 +119,11 @@
 
 impl Call {
     pub(crate) fn new(route: Route) -> Self {
+        let now = Instant::now();
         Self {
             route,
-            sent_at: Instant::now(),
+            began_at: now,
+            sent_at: now,
             runs: 0,
             holders: 0,
             worked_until: None,
--- a/crates/soak/src/targets.rs
+++ b/crates/soak/src/targets.rs
@@ -1,27 +1,32 @@
 //! Stand-ins for targets that run calls, report them to the checker and can simulate faults.
 
 use crate::{
-    checker::Checker,
+    checker::{Arrival, Checker},
+    cluster::gateway_number,
     crashes::{CRASH_MS, crash_number},
+    rests::{REFUSED_SHARE, RESTS_MS},
     workload::{ID_SPREAD, Workload},
 };
 use azuretally_api::headers;
-use azuretally_standin::http::{ConnectionAborted, ResponseBody, serve, text_response};
+use azuretally_standin::http::{ConnectionAborted, ResponseBody, serve_connection, text_response};
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use parking_lot::Mutex;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
 use std::{
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
     time::Duration,
 };
 use tokio::{
     net::TcpListener,
     sync::{Semaphore, mpsc},
+    task::JoinSet,
     time::sleep,
 };
 use tokio_util::sync::CancellationToken;
@@ -75,6 +80,11 @@
     mode: Mutex<TargetMode>,
     /// Limit that the answers name, in requests per second.
     limit: Mutex<Option<f64>>,
+    /// Whether calls are turned away and rest is asked for.
+    is_resting: AtomicBool,
+    /// Whether the answers say that the target leaves.
+    is_departing: AtomicBool,
+    random: Mutex<Pcg64Mcg>,
     slots: Semaphore,
     /// Calls that are running or waiting for a slot.
     in_flight: AtomicU32,
@@ -100,6 +110,9 @@
             workload,
             mode: Mutex::default(),
             limit: Mutex::default(),
+            is_resting: AtomicBool::new(false),
+            is_departing: AtomicBool::new(false),
+            random: Mutex::new(Pcg64Mcg::seed_from_u64(crash.number)),
             slots: Semaphore::new(workload.slots as usize),
             in_flight: AtomicU32::new(0),
             received_calls: AtomicU32::new(0),
@@ -113,6 +126,16 @@
         *self.mode.lock() = mode;
     }
 
+    /// Begins or ends to ask for rest, in any mode.
+    pub(crate) fn set_resting(&self, is_resting: bool) {
+        self.is_resting.store(is_resting, Ordering::SeqCst);
+    }
+
+    /// Begins or ends to say that the target leaves.
+    pub(crate) fn set_departing(&self, is_departing: bool) {
+        self.is_departing.store(is_departing, Ordering::SeqCst);
+    }
+
     /// Names another limit from now on, or none.
     pub(crate) fn set_limit(&self, limit: Option<f64>) {
         // The name may belong to another process by now.
@@ -124,16 +147,29 @@
     }
 
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener) {
-        let stop = self.stop.clone();
-        serve(listener, stop, move |request| Arc::clone(&self).handle(request)).await;
+        let mut connections = JoinSet::new();
+        loop {
+            tokio::select! {
+                () = self.stop.cancelled() => break,
+                Some(_) = connections.join_next() => {}
+                accepted = listener.accept() => if let Ok((stream, from)) = accepted {
+                    let (target, gateway) = (Arc::clone(&self), gateway_number(from.ip()));
+                    let handle = move |request| Arc::clone(&target).handle(request, gateway);
+                    connections.spawn(serve_connection(stream, handle));
+                }
+            }
+        }
+        connections.shutdown().await;
     }
 
     async fn handle(
         self: Arc<Self>,
         request: Request<Incoming>,
+        gateway: Option<usize>,
     ) -> Result<Response<ResponseBody>, ConnectionAborted> {
+        let arrival = Arrival { target: &self.name, start: self.crash.number, gateway };
         if request.uri().path() == PROBE_PATH {
-            self.checker.record_request(None, &self.name);
+            self.checker.record_request(None, &arrival);
             return Ok(self.with_headers(text_response(StatusCode::OK, ""), None));
         }
         let text = |name| request.headers().get(name).and_then(|v| v.to_str().ok());
@@ -145,11 +181,16 @@
             let answer = text_response(StatusCode::MISDIRECTED_REQUEST, "another target");
             return Ok(self.with_headers(answer, call));
         }
-        self.checker.record_request(Some(id), &self.name);
+        self.checker.record_request(Some(id), &arrival);
         let crash = crash_number(request.uri().path());
         let mut held = HeldCall::new(&self, id, crash);
         let service_time = self.workload.service_time(id, request.uri().path());
         request.into_body().collect().await.map_err(|_| ConnectionAborted)?;
+        if let Some(span) = self.draw_rest() {
+            self.checker.record_refusal(id, &self.service);
+            self.checker.record_rest(&arrival, span);
+            return Ok(self.with_headers(rest_answer(span), call));
+        }
         let call_index = self.received_calls.fetch_add(1, Ordering::SeqCst);
         let mode = *self.mode.lock();
         let is_affected = call_index.is_multiple_of(3);
@@ -201,7 +242,19 @@
         } else {
             id.to_string()
         };
-        Ok(self.with_headers(Response::new(answer), Some(answer_id)))
+        let answer = self.with_headers(Response::new(answer), Some(answer_id));
+        if answer.headers().contains_key(headers::TARGET_LEAVING) {
+            self.checker.record_departure(id, &arrival);
+        }
+        Ok(answer)
+    }
+
+    /// Returns for how long the target asks for rest, if it turns a call away.
+    fn draw_rest(&self) -> Option<Duration> {
+        let mut random = self.random.lock();
+        let is_refused =
+            self.is_resting.load(Ordering::SeqCst) && random.random_bool(REFUSED_SHARE);
+        is_refused.then(|| Duration::from_millis(random.random_range(RESTS_MS)))
     }
 
     /// Ends the target, as the call with number `call` does.
@@ -230,6 +283,10 @@
             (headers::TARGET_LOAD, Some(load)),
             (headers::TARGET, Some(self.name.to_string())),
             (headers::CALL, call),
+            (
+                headers::TARGET_LEAVING,
+                self.is_departing.load(Ordering::SeqCst).then(|| "1".to_owned()),
+            ),
             (headers::TARGET_LIMIT, self.limit.lock().map(|limit| limit.to_string())),
         ];
         for (name, value) in values {
@@ -241,6 +298,17 @@
     }
 }
 
+/// Returns the refusal of a call that asks for `span` of rest.
+fn rest_answer(span: Duration) -> Response<ResponseBody> {
+    let mut answer = text_response(StatusCode::SERVICE_UNAVAILABLE, "");
+    let fields = answer.headers_mut();
+    fields.insert(headers::TARGET_REFUSED, HeaderValue::from_static("busy"));
+    if let Ok(seconds) = HeaderValue::from_str(&span.as_secs_f64().to_string()) {
+        fields.insert(RETRY_AFTER, seconds);
+    }
+    answer
+}
+
 /// Returns the complete body that a service answers to a call.
 pub(crate) fn expected_body(id: u64, service: &str) -> Bytes {
     let is_long = id.is_multiple_of(LONG_ANSWER_PERIOD);
--- a/crates/soak/tests/soak.rs
+++ b/crates/soak/tests/soak.rs
@@ -90,3 +90,27 @@
         ..Options::new(13)
     });
 }
+
+/// Targets must be left alone while they rest: gateways once did not read the time that they ask for.
+#[test]
+fn resting_targets_are_left_alone() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(10),
+        network: 87,
+        profile: Profile::Planned,
+        rests: true,
+        ..Options::new(33)
+    });
+}
+
+/// Targets that say that they leave must get no new calls: gateways once did not read it.
+#[test]
+fn departing_targets_get_no_new_calls() {
+    assert_no_violations(Options {
+        fault_time: Duration::from_secs(10),
+        network: 88,
+        profile: Profile::Planned,
+        departures: true,
+        ..Options::new(34)
+    });
+}
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -5,4 +5,4 @@
 mod pump;
 
 pub use control::serve;
-pub use link::{Faults, Link, LinkCounts};
+pub use link::{Faults, Link, LinkCounts, connect_from};
--- a/crates/standin/src/proxy/link.rs
+++ b/crates/standin/src/proxy/link.rs
@@ -4,14 +4,15 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use std::{
-    net::SocketAddr,
+    io,
+    net::{IpAddr, SocketAddr},
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
     },
 };
 use tokio::{
-    net::{TcpListener, TcpStream},
+    net::{TcpListener, TcpSocket, TcpStream},
     sync::watch,
     task::JoinSet,
 };
@@ -52,6 +53,8 @@
     accepted: AtomicU64,
     open: AtomicU64,
     target: Mutex<SocketAddr>,
+    /// Whether connections to the target come from the address of the client.
+    keeps_source: bool,
 }
 
 impl Link {
@@ -62,9 +65,17 @@
             accepted: AtomicU64::new(0),
             open: AtomicU64::new(0),
             target: Mutex::new(target),
+            keeps_source: false,
         }
     }
 
+    /// Connects to the target from the address of each client, which must be one of this host, so that
+    /// the target can tell clients apart.
+    pub fn keeping_source(mut self) -> Self {
+        self.keeps_source = true;
+        self
+    }
+
     /// Replaces the active faults. They also apply to open connections.
     pub fn set_faults(&self, faults: Faults) {
         let next_number = self.accepted.load(Ordering::SeqCst);
@@ -102,9 +113,11 @@
                 () = stop.cancelled() => break,
                 Some(_) = connections.join_next() => {}
                 accepted = listener.accept() => match accepted {
-                    Ok((stream, _)) => {
+                    Ok((stream, from)) => {
                         let number = self.accepted.fetch_add(1, Ordering::SeqCst);
-                        connections.spawn(Arc::clone(&self).forward_connection(stream, number));
+                        let source = self.keeps_source.then_some(from.ip());
+                        let link = Arc::clone(&self);
+                        connections.spawn(link.forward_connection(stream, number, source));
                     }
                     Err(e) => log::warn!("proxy: accept failed: {e}"),
                 },
@@ -113,13 +126,22 @@
         connections.shutdown().await;
     }
 
-    async fn forward_connection(self: Arc<Self>, mut client: TcpStream, number: u64) {
+    async fn forward_connection(
+        self: Arc<Self>,
+        mut client: TcpStream,
+        number: u64,
+        source: Option<IpAddr>,
+    ) {
         if self.faults().cut {
             let _ = client.set_zero_linger();
             return;
         }
         let target = *self.target.lock();
-        let Ok(mut upstream) = TcpStream::connect(target).await else {
+        let connected = match source {
+            Some(source) => connect_from(source, target).await,
+            None => TcpStream::connect(target).await,
+        };
+        let Ok(mut upstream) = connected else {
             let _ = client.set_zero_linger();
             return;
         };
@@ -154,6 +176,20 @@
     }
 }
 
+/// Connects to `target` from the address `source` of this host.
+///
+/// # Errors
+///
+/// Returns an error if `source` is not an address of this host or the connection fails.
+pub async fn connect_from(source: IpAddr, target: SocketAddr) -> io::Result<TcpStream> {
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4(),
+        IpAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(target).await
+}
+
 /// Counts an open connection until dropped.
 struct OpenConnection<'a>(&'a AtomicU64);
 
