--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,9 +10,10 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Balancer, BalancerSettings, CallNotice, Catalog, CrashCheck, CrashEvidence, Decision,
-        Heartbeat, HeartbeatExtension, KnownData, LimitNotice, Membership, MembershipBuilder,
-        Outgoing, Phase, Probe, Revision, RouteTable, Source, TrafficSplit,
+        Balancer, BalancerSettings, Build, CallNotice, Catalog, CrashCheck, CrashEvidence,
+        Decision, Heartbeat, HeartbeatExtension, KnownData, LimitNotice, MESSAGE_GENERATION,
+        Membership, MembershipBuilder, Outgoing, Phase, Probe, Revision, RouteTable, Source,
+        TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -42,6 +43,9 @@
 /// to. The remainder covers the probes of the other gateways.
 const DIRECTED_PROBE_SHARE: f64 = 0.8;
 
+/// Version of the gateway program.
+pub(crate) const VERSION: &str = env!("CARGO_PKG_VERSION");
+
 /// Time for which a call waits for settings that another gateway is known to use.
 const MAX_UPDATE_WAIT: Duration = Duration::from_millis(300);
 
@@ -281,18 +285,25 @@
         if published.version <= current {
             return;
         }
-        match RouteTable::new(published.as_ref().clone()) {
-            Ok(table) => {
-                let is_published = |name: &str| published.routes.iter().any(|r| *r.name == *name);
-                self.split.borrow_mut().retain(is_published);
-                self.metrics
-                    .settings_version
-                    .set(i64::try_from(published.version).unwrap_or(i64::MAX));
-                *self.routes.borrow_mut() = Some(Rc::new(table));
-            }
-            Err(e) => {
-                log::error!("control: settings version={} refused: {e}", published.version);
-            }
+        let table = RouteTable::new(published.as_ref().clone());
+        self.report_refused_routes(&table);
+        let is_published = |name: &str| published.routes.iter().any(|r| *r.name == *name);
+        self.split.borrow_mut().retain(is_published);
+        self.metrics.settings_version.set(i64::try_from(published.version).unwrap_or(i64::MAX));
+        *self.routes.borrow_mut() = Some(Rc::new(table));
+    }
+
+    fn report_refused_routes(&self, table: &RouteTable) {
+        let refused = table.refused();
+        self.metrics.unusable_routes.set(i64::try_from(refused.len()).unwrap_or(i64::MAX));
+        if refused.is_empty() {
+            return;
+        }
+        self.metrics.incomplete_settings.inc();
+        let version = table.published().version;
+        log::warn!("control: settings version={version} in force without {} routes", refused.len());
+        for reason in refused {
+            log::warn!("control: settings version={version}: {reason}");
         }
     }
 
@@ -329,12 +340,13 @@
         membership.update_status(phase, known, age, reader);
     }
 
-    /// Returns all metrics in text format, with the retry budgets as of now.
+    /// Returns all metrics in text format, with the retry budgets and the generations as of now.
     pub fn metrics_text(&self) -> String {
         let budgets = self.balancer.borrow_mut().extra_attempts_left(self.clock.now());
         for (service, left) in &budgets {
             self.metrics.set_retry_budget(service, *left);
         }
+        self.metrics.set_generations(&self.membership.borrow().alive_by_generation());
         self.metrics.encode()
     }
 
@@ -529,6 +541,7 @@
         reader: false,
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
+        build: Build { generation: MESSAGE_GENERATION, version: Arc::from(VERSION) },
     };
     MembershipBuilder::new(own)
         .seeds(settings.seed_hosts())
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -7,6 +7,7 @@
 //! consensus: every gateway ranks the live ones by the same rule, and while two views differ, two
 //! gateways may do the same work.
 
+mod builds;
 mod limits;
 mod notices;
 mod ranking;
@@ -20,6 +21,7 @@
     revision::Revision,
 };
 use crate::Timestamp;
+use builds::BuildWatch;
 use indexmap::{IndexMap, IndexSet};
 pub use limits::LimitAssignment;
 use notices::NoticeOutbox;
@@ -142,8 +144,10 @@
             joins_sent: 0,
             reach_changed: false,
             slots: 0,
+            doubtful: IndexMap::new(),
             limit_outbox: NoticeOutbox::default(),
             call_outbox: NoticeOutbox::default(),
+            builds: BuildWatch::default(),
             log_lines: Vec::new(),
         }
     }
@@ -174,8 +178,11 @@
     reach_changed: bool,
     /// Concurrent calls that the targets of the local failure domain can run.
     slots: u32,
+    /// Gateways that did not deliver the update that they announced, and until when others are asked first.
+    doubtful: IndexMap<Arc<str>, Timestamp>,
     limit_outbox: NoticeOutbox<LimitNotice>,
     call_outbox: NoticeOutbox<CallNotice>,
+    builds: BuildWatch,
     log_lines: Vec<String>,
 }
 
@@ -299,6 +306,7 @@
         }
         self.own.settled = settled;
         self.expire_silent(now);
+        self.watch_builds(now);
         let mut outgoing = Vec::new();
         if self.own.phase == Phase::Detached && self.relay_peers().is_empty() {
             self.next_join = self.next_join.min(self.last_join + DETACHED_INTERVAL);
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -17,6 +17,9 @@
 /// Time for which changes known in another failure domain are left to the local domain's reader,
 /// counted from the latest platform data, or from the start of a gateway that has none.
 const REMOTE_DELAY: Duration = Duration::from_millis(1_200);
+/// Time for which other gateways are asked for updates first, after one has not delivered what it announced.
+/// A gateway that falls silent counts as alive for somewhat less in a large failure domain.
+const DOUBT_TIME: Duration = Duration::from_secs(3);
 
 impl Membership {
     /// Returns whether this gateway has to read the platform: it is the primary of its failure
@@ -24,7 +27,8 @@
     /// platform. `own_age` is the age of its platform data; without any, the time since its start
     /// counts.
     pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
-        let rank = u32::try_from(self.rank_in_domain(|h| !self.lacks_era(h))).unwrap_or(u32::MAX);
+        let rank =
+            u32::try_from(self.rank_in_domain(|h| !self.may_ignore_era(h))).unwrap_or(u32::MAX);
         let age = own_age.unwrap_or_else(|| now.since(self.started));
         // Without platform data no call can be served, so the lowest ranks do not wait for long.
         let delay_rank = if own_age.is_none() { rank.min(MAX_STARTUP_RANK) } else { rank };
@@ -32,7 +36,7 @@
     }
 
     /// Returns the peer to fetch what is later than `known` from: the one with the latest revision or,
-    /// among equals, the latest settings, local before remote. `age` is the age of this gateway's data;
+    /// among equals, the latest settings, local before remote, and doubtful ones last. `age` is the age of this gateway's data;
     /// remote peers are considered only if no local gateway has delivered data for a while, or if they
     /// have settings that the platform has lost.
     pub fn newer_peer(
@@ -66,11 +70,23 @@
         let ahead = self.peers.values().filter(|p| p.alive && is_ahead(p));
         let best = ahead.max_by_key(|p| {
             let heartbeat = &p.heartbeat;
-            (local(p), heartbeat.known_revision(), heartbeat.extension.settings)
+            let is_sound = !self.is_doubtful(now, &heartbeat.host);
+            (is_sound, local(p), heartbeat.known_revision(), heartbeat.extension.settings)
         });
         best.map(|p| (Arc::clone(&p.heartbeat.host), p.heartbeat.call_address.ip()))
     }
 
+    /// Records that gateway `host` did not deliver the update that its heartbeats announce.
+    pub fn update_failed(&mut self, now: Timestamp, host: &Arc<str>) {
+        self.doubtful.retain(|_, until| now < *until);
+        self.doubtful.insert(Arc::clone(host), now + DOUBT_TIME);
+    }
+
+    /// Returns whether gateway `host` has lately not delivered an update that its heartbeats announced.
+    pub fn is_doubtful(&self, now: Timestamp, host: &str) -> bool {
+        self.doubtful.get(host).is_some_and(|until| now < *until)
+    }
+
     /// Returns the age of the most recent platform data of a peer that knows of no change after
     /// `revision` in the same era.
     pub fn confirmed_age(&self, now: Timestamp, revision: Revision) -> Option<Duration> {
@@ -92,6 +108,15 @@
         own_era != 0 && heartbeat.extension.era == 0 && heartbeat.age_ms.is_some()
     }
 
+    /// Returns whether reading the platform cannot be left to a gateway, since it may ignore what a
+    /// restored platform lists.
+    fn may_ignore_era(&self, heartbeat: &Heartbeat) -> bool {
+        // Data that came from such a gateway has no era either, so its build has to tell.
+        let has_unknown_build = heartbeat.build.generation == 0;
+        let names_no_era = heartbeat.extension.era == 0 && heartbeat.age_ms.is_some();
+        self.lacks_era(heartbeat) || (has_unknown_build && names_no_era)
+    }
+
     /// Returns the highest-ranked ready gateway of the failure domain, whose end has to be detected
     /// at once. `None` if that is this gateway, or if no gateway is ready.
     pub fn watched_peer(&self) -> Option<(Arc<str>, IpAddr)> {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -1,11 +1,13 @@
 //! Runs the soak for one seed.
 
 use crate::{
+    added::{self, AddedCounts},
     callers::Caller,
     cluster::Cluster,
     crashes::{self, CrashCounts},
     departures, faults, limits, logs, partitions, planned, restores, rests,
     stops::StopCounts,
+    upgrades::{self, UpgradeCounts},
     workload::Profile,
 };
 use indexmap::IndexMap;
@@ -55,6 +57,14 @@
     pub rests: bool,
     /// Whether targets say that they leave before the platform knows.
     pub departures: bool,
+    /// Number of failure domains.
+    pub domains: usize,
+    /// Whether settings with one route more are published each second, which all gateways are asked
+    /// for.
+    pub adds_routes: bool,
+    /// Binary of an older build, from which all gateways are started and then replaced by the present
+    /// one.
+    pub older: Option<PathBuf>,
     /// Directory for logs and settings, with a subdirectory for each seed. A temporary directory is
     /// used if absent.
     pub output_dir: Option<PathBuf>,
@@ -76,6 +86,9 @@
             crashes: false,
             rests: false,
             departures: false,
+            domains: 3,
+            adds_routes: false,
+            older: None,
             output_dir: None,
         }
     }
@@ -96,6 +109,10 @@
     pub rests: u64,
     /// Pairs of a target that left and a gateway that passed on that it does.
     pub departures: usize,
+    /// Calls of routes that settings versions add.
+    pub added: AddedCounts,
+    /// Gateways that were replaced by the present build.
+    pub upgrades: UpgradeCounts,
     /// Fraction of calls answered in the last seconds of the run.
     pub answered_share: f64,
 }
@@ -151,20 +168,37 @@
             crashes::inject(&cluster, crashes_seed, end).await;
         }
     };
-    let (rests_seed, departures_seed) = (rng.random(), rng.random());
     let rests = async {
         if options.rests {
             // Calls that are refused while all targets rest would hide those that crashes cost.
             let is_compared = options.crashes && options.profile == Profile::Planned;
-            rests::inject(&cluster, rests_seed, end, !is_compared).await;
+            rests::inject(&cluster, options.seed, end, !is_compared).await;
         }
     };
     let departures = async {
         if options.departures {
-            departures::inject(&cluster, departures_seed, end).await;
+            departures::inject(&cluster, options.seed, end).await;
         }
     };
-    tokio::join!(faults, planned, limits, partitions, restores, crashes, rests, departures);
+    let upgrades_seed = rng.random();
+    let upgrades = async {
+        match options.older.is_some() {
+            true => upgrades::inject(&cluster, upgrades_seed, end, options.restores).await,
+            false => UpgradeCounts::default(),
+        }
+    };
+    let adding = async {
+        if options.adds_routes {
+            for number in 0..options.gateways {
+                cluster.spawn(added::ask(Arc::clone(&cluster), number, rng.random()));
+            }
+            added::inject(&cluster, end).await;
+        }
+    };
+    let asking = async { tokio::join!(rests, departures) };
+    let (.., mut upgrades, (), _) = tokio::join!(
+        faults, planned, limits, partitions, restores, crashes, upgrades, adding, asking
+    );
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
@@ -197,5 +231,17 @@
     let (rests, departures) = cluster.checker.rest_counts();
     cluster.shut_down().await;
     let violations = cluster.checker.violations();
-    Report { violations, counts, stops, crashes: crash_counts, rests, departures, answered_share }
+    upgrades.left = (0..options.gateways).filter(|n| cluster.checker.is_older(*n)).count();
+    let added = *cluster.added.lock();
+    Report {
+        violations,
+        counts,
+        stops,
+        crashes: crash_counts,
+        added,
+        upgrades,
+        rests,
+        departures,
+        answered_share,
+    }
 }
