--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -6,7 +6,8 @@
 const USAGE: &str = "Usage: azuretally-soak [--seed N] [--runs N] [--seconds N] [--gateways N]
                        [--targets N] [--callers N] [--network N] [--logs DIR]
                        [--planned-only] [--no-partitions] [--no-restores] [--restores]
-                       [--no-crashes] [--domains N] [--add-routes] [--older PATH]
+                       [--no-crashes] [--no-rests] [--no-departures] [--domains N]
+                       [--add-routes] [--older PATH]
 
 Runs seeds N, N + 1, ... and prints a line for each. Exits with 1 when a promise was broken.
 --logs keeps the logs of each seed in DIR/seed-N and replaces those of an earlier run of the seed.
@@ -16,6 +17,8 @@
 --no-partitions cuts off no gateway from all targets, for gateways that cannot be told apart there.
 --no-restores restores the platform from no copies. Neither does --planned-only.
 --no-crashes sends no calls that crash targets. Neither does --planned-only.
+--no-rests lets no target ask for rest.
+--no-departures lets no target say that it leaves before the platform knows.
 --restores restores the platform with --planned-only, too. It has to follow it.
 --add-routes publishes a route each second and asks all gateways for those confirmed 2 s before.
 --older PATH starts all gateways from an older build and replaces them one after the other, all or, by
@@ -52,14 +55,17 @@
         let options = Options { seed, ..args.options.clone() };
         let report = runtime.block_on(run(&options));
         println!(
-            "seed {seed}: {} broken, {:.3} answered at the end, {:?}, {}; {}; {}; {}",
+            "seed {seed}: {} broken, {:.3} answered at the end, {:?}, {}; {}; {}; {}; {} rests, {} \
+             departures",
             report.violations.len(),
             report.answered_share,
             report.counts,
             report.stops,
             report.crashes,
             report.added,
-            report.upgrades
+            report.upgrades,
+            report.rests,
+            report.departures
         );
         for violation in &report.violations {
             println!("  {violation}");
@@ -73,7 +79,8 @@
 /// Parses the command line. Returns `None` if help is requested.
 fn parse_args() -> Result<Option<Args>, lexopt::Error> {
     use lexopt::prelude::*;
-    let mut options = Options { restores: true, crashes: true, ..Options::new(1) };
+    let mut options =
+        Options { restores: true, crashes: true, rests: true, departures: true, ..Options::new(1) };
     let mut runs = 1;
     let mut parser = lexopt::Parser::from_env();
     while let Some(arg) = parser.next()? {
@@ -90,6 +97,8 @@
                 (options.restores, options.crashes) = (false, false);
             }
             Long("no-crashes") => options.crashes = false,
+            Long("no-rests") => options.rests = false,
+            Long("no-departures") => options.departures = false,
             Long("no-restores") => options.restores = false,
             Long("restores") => options.restores = true,
             Long("domains") => options.domains = parser.value()?.parse()?,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
     callers::Caller,
     cluster::Cluster,
     crashes::{self, CrashCounts},
-    faults, limits, logs, partitions, planned, restores,
+    departures, faults, limits, logs, partitions, planned, restores, rests,
     stops::StopCounts,
     upgrades::{self, UpgradeCounts},
     workload::Profile,
@@ -53,6 +53,10 @@
     pub restores: bool,
     /// Whether some calls crash each target that runs them.
     pub crashes: bool,
+    /// Whether targets ask for rest at times.
+    pub rests: bool,
+    /// Whether targets say that they leave before the platform knows.
+    pub departures: bool,
     /// Number of failure domains.
     pub domains: usize,
     /// Whether settings with one route more are published each second, which all gateways are asked
@@ -80,6 +84,8 @@
             partitions: true,
             restores: false,
             crashes: false,
+            rests: false,
+            departures: false,
             domains: 3,
             adds_routes: false,
             older: None,
@@ -99,6 +105,10 @@
     pub stops: StopCounts,
     /// Calls that crash targets, and the others beside them.
     pub crashes: CrashCounts,
+    /// Rests that targets asked gateways for.
+    pub rests: u64,
+    /// Pairs of a target that left and a gateway that passed on that it does.
+    pub departures: usize,
     /// Calls of routes that settings versions add.
     pub added: AddedCounts,
     /// Gateways that were replaced by the present build.
@@ -158,6 +168,18 @@
             crashes::inject(&cluster, crashes_seed, end).await;
         }
     };
+    let rests = async {
+        if options.rests {
+            // Calls that are refused while all targets rest would hide those that crashes cost.
+            let is_compared = options.crashes && options.profile == Profile::Planned;
+            rests::inject(&cluster, options.seed, end, !is_compared).await;
+        }
+    };
+    let departures = async {
+        if options.departures {
+            departures::inject(&cluster, options.seed, end).await;
+        }
+    };
     let upgrades_seed = rng.random();
     let upgrades = async {
         match options.older.is_some() {
@@ -173,8 +195,10 @@
             added::inject(&cluster, end).await;
         }
     };
-    let (.., mut upgrades, ()) =
-        tokio::join!(faults, planned, limits, partitions, restores, crashes, upgrades, adding);
+    let asking = async { tokio::join!(rests, departures) };
+    let (.., mut upgrades, (), _) = tokio::join!(
+        faults, planned, limits, partitions, restores, crashes, upgrades, adding, asking
+    );
     sleep(RECOVERY_TIME).await;
     let answered_share = cluster.checker.answered_share();
     if answered_share < MIN_ANSWERED_SHARE {
@@ -204,9 +228,20 @@
     let stops = cluster.checker.check_stops(|id| outcomes.contains_key(&id));
     // The end of the processes cuts off the calls in flight.
     let counts = cluster.checker.counts();
+    let (rests, departures) = cluster.checker.rest_counts();
     cluster.shut_down().await;
     let violations = cluster.checker.violations();
     upgrades.left = (0..options.gateways).filter(|n| cluster.checker.is_older(*n)).count();
     let added = *cluster.added.lock();
-    Report { violations, counts, stops, crashes: crash_counts, added, upgrades, answered_share }
+    Report {
+        violations,
+        counts,
+        stops,
+        crashes: crash_counts,
+        added,
+        upgrades,
+        rests,
+        departures,
+        answered_share,
+    }
 }
