test(gateway): callers that read slowly keep their connections

Callers with a receive buffer of 4 kB keep a connection, send 1 to 6 calls and read 0, 100 or 400 ms later. No gateway stops.

--- a/crates/gateway/tests/planned_stop/load.rs
+++ b/crates/gateway/tests/planned_stop/load.rs
@@ -216,7 +216,7 @@
 }
 
 /// Reads until an answer is complete and removes it from what has been received.
-async fn read_answer(caller: &mut Caller) -> Result<Answer, End> {
+pub(crate) async fn read_answer(caller: &mut Caller) -> Result<Answer, End> {
     loop {
         if let Some(answer) = Answer::take(&mut caller.received) {
             return Ok(answer);
--- a/crates/gateway/tests/planned_stop/main.rs
+++ b/crates/gateway/tests/planned_stop/main.rs
@@ -1,4 +1,4 @@
-//! Planned stops of gateway processes, as callers see them on their sockets.
+//! Planned stops of gateway processes, and slow callers beside none, as callers see them on their sockets.
 #![allow(clippy::expect_used)]
 
 mod bodies;
@@ -14,6 +14,7 @@
 mod pipelined;
 mod rolling;
 mod signals;
+mod slow_readers;
 mod store;
 mod target;
 mod targets_leaving;
