feat(gateway): name the connection of a call, and what it did not deliver

An answer that was logged as answered and cut could not be traced: the end of a connection did not name its calls, said caller-closed for a time limit of the kernel, and was logged at debug level.

Connections are numbered; the number is on calls: ended, rejected and connection ended. The end tells a caller that was given up (caller-timeout) from one that reset (caller-reset) or closed the connection, and counts the bytes that had not reached it (SIOCOUTQ, read when the socket is closed). Such ends are logged at info level and counted by undelivered. One line for each connection at most, as before.

Ruled out: call ids on the line of the connection, which a connection with many calls makes long.

--- a/crates/gateway/src/calls/call_guard.rs
+++ b/crates/gateway/src/calls/call_guard.rs
@@ -42,13 +42,14 @@
         let elapsed = self.gateway.clock.now().since(inbound.arrived_at);
         log::info!(
             "calls: ended id={} route={} service={} version={} outcome={outcome} {detail} ms={} \
-             digest={}",
+             digest={} connection={}",
             inbound.log_id(),
             inbound.route.name,
             inbound.service,
             inbound.version,
             elapsed.as_millis(),
             inbound.digest,
+            inbound.connection,
         );
         let seconds = elapsed.as_secs_f64();
         let metrics = &self.gateway.metrics;
--- a/crates/gateway/src/calls/connection.rs
+++ b/crates/gateway/src/calls/connection.rs
@@ -9,11 +9,21 @@
 use http::{HeaderValue, Response, header::CONNECTION};
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
+    io::ErrorKind,
+    net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
 };
 
+/// Where a call came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Origin {
+    /// Address of the caller.
+    pub(super) caller: IpAddr,
+    /// Number of the connection, unique within the process.
+    pub(super) connection: u64,
+}
+
 /// Counts the calls of a caller's connection. Once dropped, which must be after the stream of the
 /// connection, logs and counts how the connection ended.
 #[derive(Debug)]
@@ -22,6 +32,7 @@
     Adapter: CallAdapter + PlatformAdapter,
 {
     gateway: Rc<Gateway<Adapter>>,
+    number: u64,
     from: SocketAddr,
     opened_at: Timestamp,
     state: Arc<ConnectionState>,
@@ -34,15 +45,17 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    /// Creates the account of a connection that was accepted from `from`.
+    /// Creates the account of connection `number`, which was accepted from `from`.
     pub(super) fn new(
         gateway: Rc<Gateway<Adapter>>,
+        number: u64,
         from: SocketAddr,
         state: Arc<ConnectionState>,
     ) -> Self {
         let opened_at = gateway.clock.now();
         Self {
             gateway,
+            number,
             from,
             opened_at,
             state,
@@ -52,6 +65,11 @@
         }
     }
 
+    /// Returns the origin of the calls of the connection.
+    pub(super) fn origin(&self) -> Origin {
+        Origin { caller: self.from.ip(), connection: self.number }
+    }
+
     /// Records that the head of a call was read.
     pub(super) fn call_started(&self) {
         self.calls.set(self.calls.get() + 1);
@@ -81,6 +99,8 @@
             None => "interrupted",
             Some(Err(e)) if e.is_timeout() => "idle-timeout",
             Some(Err(e)) if e.is_parse() => "malformed",
+            Some(_) if self.state.failure() == Some(ErrorKind::TimedOut) => "caller-timeout",
+            Some(_) if self.state.failure().is_some() => "caller-reset",
             Some(_) if self.state.is_closed_by_peer() => "caller-closed",
             Some(Err(_)) => "failed",
             Some(Ok(())) => "closed",
@@ -94,17 +114,20 @@
 {
     fn drop(&mut self) {
         let gateway = &self.gateway;
-        let (reason, unread) = (self.reason(), self.state.unread_bytes());
+        let (reason, state) = (self.reason(), &self.state);
+        let (unread, undelivered) = (state.unread_bytes(), state.undelivered_bytes());
         let in_progress = self.in_progress.get();
-        let is_notable = gateway.drain.is_cancelled() || in_progress || unread > 0;
+        let is_cut = in_progress || unread > 0 || undelivered > 0;
+        let is_notable = gateway.drain.is_cancelled() || is_cut;
         log::log!(
             if is_notable { log::Level::Info } else { log::Level::Debug },
-            "calls: connection ended from={} reason={reason} calls={} in_progress={in_progress} \
-             unread_bytes={unread} ms={}",
+            "calls: connection ended connection={} from={} reason={reason} calls={} \
+             in_progress={in_progress} unread_bytes={unread} undelivered_bytes={undelivered} ms={}",
+            self.number,
             self.from,
             self.calls.get(),
             gateway.clock.now().since(self.opened_at).as_millis(),
         );
-        gateway.metrics.record_connection_end(reason, unread > 0);
+        gateway.metrics.record_connection_end(reason, unread > 0, undelivered > 0);
     }
 }
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -1,6 +1,9 @@
 //! Reading calls from callers and building requests to targets.
 
-use super::body::{BodyError, BufferLimits, BufferedBody, PrefixedBody, RequestBody, buffer_body};
+use super::{
+    body::{BodyError, BufferLimits, BufferedBody, PrefixedBody, RequestBody, buffer_body},
+    connection::Origin,
+};
 use crate::{
     adapter::{CallAdapter, CallFailure, CallHeaders, PlatformAdapter, TargetRequest},
     gateway::Gateway,
@@ -67,6 +70,8 @@
     pub(super) call_headers: CallHeaders,
     /// Address of the caller.
     pub(super) caller: IpAddr,
+    /// Number of the connection on which the call came.
+    pub(super) connection: u64,
     /// Whether another gateway relayed the call.
     pub(super) is_relayed: bool,
     /// Route that matched the call.
@@ -104,7 +109,7 @@
     /// Returns [`RejectedCall`] if the call cannot be served. No target has executed it.
     pub(super) async fn read<Adapter>(
         gateway: &Gateway<Adapter>,
-        caller: IpAddr,
+        origin: Origin,
         request: Request<Incoming>,
     ) -> Result<Self, RejectedCall>
     where
@@ -155,7 +160,8 @@
             id: gateway.next_call_id(),
             service: gateway.split.borrow_mut().next_service(&route),
             version: table.published().version,
-            caller: relayed.as_ref().map_or(caller, |relayed| relayed.caller),
+            caller: relayed.as_ref().map_or(origin.caller, |relayed| relayed.caller),
+            connection: origin.connection,
             is_relayed: relayed.is_some(),
             arrived_at,
             deadline: arrived_at + time_limit,
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -17,7 +17,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -56,6 +56,8 @@
     pool: Rc<ConnectionPool>,
     listener: TcpListener,
     probes: mpsc::UnboundedReceiver<Probe>,
+    /// Number of connections accepted so far.
+    accepted: Cell<u64>,
 }
 
 impl<Adapter> Server<Adapter>
@@ -76,7 +78,7 @@
             TcpListener::bind(address).await.change_context(StartError::Bind(address))?;
         let source = gateway.settings().target_source;
         let pool = Rc::new(ConnectionPool::new(gateway.clock, source));
-        Ok(Self { gateway, pool, listener, probes })
+        Ok(Self { gateway, pool, listener, probes, accepted: Cell::new(0) })
     }
 
     /// Serves calls until the planned stop is complete, then cancels the shutdown token.
@@ -174,14 +176,18 @@
         let (head_bytes, idle_timeout) =
             limits.map_or(DEFAULT_LIMITS, |l| (l.head_bytes, l.idle_timeout));
         let stream = CallerStream::new(stream);
-        let account = Rc::new(CallerConnection::new(Rc::clone(gateway), from, stream.state()));
+        let number = self.accepted.get() + 1;
+        self.accepted.set(number);
+        let account =
+            Rc::new(CallerConnection::new(Rc::clone(gateway), number, from, stream.state()));
         let service = {
             let gateway = Rc::clone(gateway);
             let pool = Rc::clone(&self.pool);
             let account = Rc::clone(&account);
             service_fn(move |request| {
                 account.call_started();
-                let call = handle_call(Rc::clone(&gateway), Rc::clone(&pool), from.ip(), request);
+                let origin = account.origin();
+                let call = handle_call(Rc::clone(&gateway), Rc::clone(&pool), origin, request);
                 let account = Rc::clone(&account);
                 async move {
                     let mut response = call.await?;
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -3,6 +3,7 @@
 use super::{
     body::{PrefixedBody, ResponseBody},
     call_guard::CallGuard,
+    connection::Origin,
     exchange::{self, CompletedAttempt, ReceivedBody, ReceivedResponse},
     inbound::{InboundCall, RejectedCall, strip_hop_by_hop_headers},
     pool::ConnectionPool,
@@ -22,7 +23,7 @@
 use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use std::{convert::Infallible, future::pending, net::IpAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, future::pending, rc::Rc, time::Duration};
 use tokio::{sync::oneshot, task::yield_now, time::sleep};
 
 /// Maximum number of gateways to which one call is relayed.
@@ -32,14 +33,14 @@
 pub(super) async fn handle_call<Adapter>(
     gateway: Rc<Gateway<Adapter>>,
     pool: Rc<ConnectionPool>,
-    caller: IpAddr,
+    origin: Origin,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
     let has_body = !request.body().is_end_stream();
-    let (mut response, body_read) = match InboundCall::read(&gateway, caller, request).await {
+    let (mut response, body_read) = match InboundCall::read(&gateway, origin, request).await {
         Ok(inbound) => {
             let complete = inbound.body_complete_flag();
             let relayed_version = inbound.is_relayed.then_some(inbound.version);
@@ -49,7 +50,7 @@
             }
             (response, complete.is_none_or(|complete| complete.get()))
         }
-        Err(rejected) => (rejection_response(&gateway, &rejected), !has_body),
+        Err(rejected) => (rejection_response(&gateway, origin, &rejected), !has_body),
     };
     // The rest of the body stands where the next call would begin.
     if !body_read {
@@ -60,6 +61,7 @@
 
 fn rejection_response<Adapter>(
     gateway: &Gateway<Adapter>,
+    origin: Origin,
     rejected: &RejectedCall,
 ) -> Response<ResponseBody>
 where
@@ -69,9 +71,10 @@
     let failure = rejected.failure;
     let version = gateway.routes().map_or(0, |t| t.published().version);
     log::info!(
-        "calls: rejected id={} outcome={} version={version}",
+        "calls: rejected id={} outcome={} version={version} connection={}",
         id.unwrap_or("-"),
         failure.as_str(),
+        origin.connection,
     );
     gateway.metrics.record_call(&"".into(), &"".into(), failure.as_str(), 0.0);
     gateway.adapter.failure_response(failure, id).map(|bytes| Either::Left(Full::new(bytes)))
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -53,12 +53,14 @@
 /// Labels of the end of a caller's connection.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ConnectionLabels {
-    /// Why the connection ended: `closed`, `caller-closed`, `idle-timeout`, `malformed`, `failed` or
-    /// `interrupted`.
+    /// Why the connection ended: `closed`, `caller-closed`, `caller-reset`, `caller-timeout`,
+    /// `idle-timeout`, `malformed`, `failed` or `interrupted`.
     pub reason: String,
     /// Whether bytes of the caller were unread, so that the kernel reset the connection: `true` or
     /// `false`.
     pub reset: String,
+    /// Whether the caller had not received all that was sent to it: `true` or `false`.
+    pub undelivered: String,
 }
 
 /// Labels of a platform read.
@@ -229,8 +231,12 @@
     }
 
     /// Counts the end of a caller's connection.
-    pub fn record_connection_end(&self, reason: &str, reset: bool) {
-        let labels = ConnectionLabels { reason: reason.to_owned(), reset: reset.to_string() };
+    pub fn record_connection_end(&self, reason: &str, reset: bool, undelivered: bool) {
+        let labels = ConnectionLabels {
+            reason: reason.to_owned(),
+            reset: reset.to_string(),
+            undelivered: undelivered.to_string(),
+        };
         self.caller_connections.get_or_create(&labels).inc();
     }
 
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -5,8 +5,14 @@
 //! a connection of a caller is closed in stages (RFC 9112, section 9.6): only the sending side
 //! first, and the rest once the caller has received everything.
 
-use rustix::{io::ioctl_fionread, net::sockopt::set_tcp_user_timeout};
+use parking_lot::Mutex;
+use rustix::{
+    io::ioctl_fionread,
+    ioctl::{self, Getter, Opcode},
+    net::sockopt::set_tcp_user_timeout,
+};
 use std::{
+    ffi::c_int,
     io::{self, ErrorKind, IoSlice},
     mem::MaybeUninit,
     net::{self, SocketAddr},
@@ -36,6 +42,9 @@
 /// Size of the buffer into which bytes are read that are discarded.
 const DISCARD_BUFFER_BYTES: usize = 4_096;
 
+/// Request for the number of bytes that the peer has not acknowledged (`SIOCOUTQ`).
+const UNACKNOWLEDGED_BYTES: Opcode = 0x5411;
+
 /// Sets `TCP_NODELAY` and a `TCP_USER_TIMEOUT` of `timeout` on `stream`.
 ///
 /// Small writes are sent without delay, and the kernel closes a connection whose peer has
@@ -83,12 +92,23 @@
     }
 }
 
+/// Returns the number of bytes in the send queue of `stream` that the peer has not acknowledged,
+/// also after the connection has failed. The end of the stream counts as one byte.
+fn unacknowledged_bytes(stream: &TcpStream) -> io::Result<u64> {
+    // SAFETY: for a TCP socket, the request writes an `int` to its argument and nothing else.
+    let bytes = unsafe { ioctl::ioctl(stream, Getter::<UNACKNOWLEDGED_BYTES, c_int>::new()) }?;
+    Ok(u64::try_from(bytes).unwrap_or(0))
+}
+
 /// State of a [`CallerStream`], shared with the task that serves the connection.
 #[derive(Debug, Default)]
 pub struct ConnectionState {
     close_announced: AtomicBool,
     peer_closed: AtomicBool,
+    /// First error of the socket.
+    failure: Mutex<Option<ErrorKind>>,
     unread_bytes: AtomicU64,
+    undelivered_bytes: AtomicU64,
 }
 
 impl ConnectionState {
@@ -109,6 +129,26 @@
         self.peer_closed.load(Ordering::Relaxed)
     }
 
+    /// Returns the kind of the first error of the socket, if there was one.
+    ///
+    /// `TimedOut` means that the caller was given up, since it acknowledged nothing in time, and
+    /// `ConnectionReset` that it reset the connection.
+    pub fn failure(&self) -> Option<ErrorKind> {
+        *self.failure.lock()
+    }
+
+    /// Returns the bytes that had not reached the caller when the socket was closed.
+    pub fn undelivered_bytes(&self) -> u64 {
+        self.undelivered_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Records the error of `result`, if it is the first one.
+    fn record<T>(&self, result: &io::Result<T>) {
+        if let Err(e) = result {
+            self.failure.lock().get_or_insert(e.kind());
+        }
+    }
+
     /// Returns the bytes from the caller that were unread when the socket was closed.
     ///
     /// The kernel resets such a connection, which discards what it has not delivered to the caller
@@ -170,6 +210,7 @@
         loop {
             let mut buf = ReadBuf::uninit(&mut bytes);
             let result = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buf));
+            self.state.record(&result);
             self.discarded_bytes += buf.filled().len();
             let is_ended = result.is_err() || buf.filled().is_empty();
             if is_ended || self.discarded_bytes > MAX_DISCARDED_BYTES {
@@ -185,7 +226,9 @@
                 ready!(timer.as_mut().poll(cx));
             }
             let mut byte = [MaybeUninit::uninit(); 1];
-            match ready!(self.stream.poll_peek(cx, &mut ReadBuf::uninit(&mut byte))) {
+            let result = ready!(self.stream.poll_peek(cx, &mut ReadBuf::uninit(&mut byte)));
+            self.state.record(&result);
+            match result {
                 Ok(0) | Err(_) => return Poll::Ready(()),
                 Ok(_) if self.is_read_closed(cx) => return Poll::Ready(()),
                 Ok(_) => self.unread_timer = Some(Box::pin(sleep(UNREAD_CHECK_INTERVAL))),
@@ -208,6 +251,7 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
+        self.state.record(&result);
         if result.is_err() || (buf.filled().len() == filled && buf.remaining() > 0) {
             self.state.peer_closed.store(true, Ordering::Relaxed);
         }
@@ -221,7 +265,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, bytes)
+        let result = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+        self.state.record(&result);
+        Poll::Ready(result)
     }
 
     fn poll_write_vectored(
@@ -229,7 +275,9 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, slices)
+        let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices));
+        self.state.record(&result);
+        Poll::Ready(result)
     }
 
     fn is_write_vectored(&self) -> bool {
@@ -260,5 +308,8 @@
     fn drop(&mut self) {
         let unread = ioctl_fionread(&self.stream).unwrap_or(0);
         self.state.unread_bytes.store(unread, Ordering::Relaxed);
+        let is_shut = u64::from(self.close_timer.is_some());
+        let undelivered = unacknowledged_bytes(&self.stream).unwrap_or(0).saturating_sub(is_shut);
+        self.state.undelivered_bytes.store(undelivered, Ordering::Relaxed);
     }
 }
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -309,7 +309,8 @@
         stream.write_all(ok_response("a", "done").as_bytes()).await.expect("response sent");
         read_until(&mut caller, "done").await;
         drop(caller);
-        let count = "caller_connections_ended_total{reason=\"caller-closed\",reset=\"false\"} 1";
+        let count = "caller_connections_ended_total\
+                     {reason=\"caller-closed\",reset=\"false\",undelivered=\"false\"} 1";
         let deadline = Instant::now() + TIMEOUT;
         while !gateway.metrics_text().contains(count) {
             assert!(Instant::now() < deadline, "{}", gateway.metrics_text());
