fix(gateway): give up callers by the bytes that they acknowledge

Cause: TCP_USER_TIMEOUT (3 s, 10 s at the entry) ended connections whose callers made progress. The kernel counts it from the first closing of the window, or the first retransmission, of an episode; a caller with a small buffer stays in one episode while it reads. The log showed ETIMEDOUT at the gateway, with bytes undelivered.

Ruled out: a caller that closes or resets (reason caller-timeout in each line shown); a close by the gateway with unread bytes (none unread).

Change: connections of callers, at both daemons and the control servers, have no limit of the kernel. CallerStream reads every 250 ms how many bytes are unacknowledged while there are some. A caller that acknowledged nothing for the time limit, or less than 30 kB in 30 s, is given up with a reset. The close in stages waits for delivery under the same limits, also behind a half-closed side. A connection dropped with undelivered bytes gets the limit of the kernel, which bounds how long the kernel holds it.

A caller whose network is gone cannot be told from one that reads nothing (TCP_INFO is not available without a new dependency), so both have the same limit as before.

--- a/crates/entry/src/calls/limits.rs
+++ b/crates/entry/src/calls/limits.rs
@@ -22,9 +22,9 @@
 pub(super) const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 /// Timeout for connecting to a target or peer.
 pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// TCP user timeout of a caller's connection: it is closed when the caller accepts no data for this
-/// long.
-pub(super) const CALLER_TCP_TIMEOUT: Duration = Duration::from_secs(10);
+/// Time after which a caller's connection is closed if the caller acknowledges nothing of what was
+/// sent.
+pub(super) const CALLER_STALL_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time in which the body of a response must end if the caller names no time limit.
 pub(super) const MAX_BODY_TIME: Duration = Duration::from_secs(60);
 /// TCP user timeout of a connection to a target or peer.
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -5,7 +5,7 @@
     connection::{CallerConnection, EndCounts},
     handler,
     limits::{
-        ABORT_TIMEOUT, CALLER_TCP_TIMEOUT, DEFAULT_STOP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME,
+        ABORT_TIMEOUT, CALLER_STALL_TIMEOUT, DEFAULT_STOP_TIMEOUT, HEAD_TIMEOUT, LAST_CALL_TIME,
         MAINTENANCE_INTERVAL, MAX_CALLER_CONNECTIONS, MAX_HEAD_BYTES, MAX_HEADERS, MIN_PAUSE,
         STOP_NOTICE_PERIOD,
     },
@@ -16,7 +16,7 @@
 use crate::{
     StartError,
     context::Context,
-    socket::{CallerStream, accept_backlog, configure},
+    socket::{CallerStream, accept_backlog},
 };
 use azuretally_policy::dispatch::Event;
 use error_stack::{Report, ResultExt};
@@ -142,10 +142,7 @@
 }
 
 async fn serve(app: Arc<App>, stream: TcpStream, client: SocketAddr) {
-    if configure(&stream, CALLER_TCP_TIMEOUT).is_err() {
-        return;
-    }
-    let stream = CallerStream::new(stream);
+    let Ok(stream) = CallerStream::new(stream, CALLER_STALL_TIMEOUT) else { return };
     let account = CallerConnection::new(Arc::clone(&app), client, stream.state());
     let account = Arc::new(account);
     let service = service_fn(|request| {
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -7,7 +7,7 @@
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
-    socket::{CallerStream, accept_backlog, configure},
+    socket::{CallerStream, accept_backlog},
     stop::StopTimes,
 };
 use azuretally_policy::balance::Probe;
@@ -26,8 +26,8 @@
 
 /// Delay after a failed accept, which usually means that file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time after which a connection is closed if the caller does not acknowledge sent data.
-const ACK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a connection is closed if the caller acknowledges nothing of what was sent.
+const STALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Maximum size of a request head in bytes and idle timeout, until settings are known.
@@ -169,13 +169,10 @@
             log::warn!("calls: connection from {from} refused at the limit, open={limit}");
             return;
         }
-        if configure(&stream, ACK_TIMEOUT).is_err() {
-            return;
-        }
         let limits = gateway.routes().map(|t| t.published().limits);
         let (head_bytes, idle_timeout) =
             limits.map_or(DEFAULT_LIMITS, |l| (l.head_bytes, l.idle_timeout));
-        let stream = CallerStream::new(stream);
+        let Ok(stream) = CallerStream::new(stream, STALL_TIMEOUT) else { return };
         let number = self.accepted.get() + 1;
         self.accepted.set(number);
         let account =
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -98,15 +98,12 @@
     Handler: Fn(Request<()>) -> Fut + 'static,
     Fut: Future<Output = Result<Response<Bytes>, NoAnswer>> + 'static,
 {
-    if configure(&stream, ACK_TIMEOUT).is_err() {
-        return;
-    }
     let service = service_fn(move |request: Request<Incoming>| {
         let (parts, _) = request.into_parts();
         let response = handler(Request::from_parts(parts, ()));
         async move { Ok::<_, NoAnswer>(response.await?.map(Full::new)) }
     });
-    let stream = CallerStream::new(stream);
+    let Ok(stream) = CallerStream::new(stream, ACK_TIMEOUT) else { return };
     // All requests may be repeated, so those after the last answer may be discarded.
     stream.state().announce_close();
     let connection = server::Builder::new()
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -4,6 +4,10 @@
 //! was closed, and discards what it has not delivered to the peer. Callers may send at any time, so
 //! a connection of a caller is closed in stages (RFC 9112, section 9.6): only the sending side
 //! first, and the rest once the caller has received everything.
+//!
+//! How long a caller may hold a connection is decided by the bytes that it has acknowledged. The
+//! kernel's own limit (`TCP_USER_TIMEOUT`) is no measure of that: it counts the time since the window
+//! first closed, or since the first retransmission, also while bytes are acknowledged.
 
 use parking_lot::Mutex;
 use rustix::{
@@ -28,11 +32,17 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::{TcpListener, TcpStream},
-    time::{Sleep, sleep},
+    time::{Instant, Sleep, sleep},
 };
 
-/// Maximum time for which the receiving side of a connection stays open after the sending side was
-/// closed.
+/// Interval at which the delivery of bytes is checked while some are undelivered.
+const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Period over which the rate of delivery is measured while bytes are undelivered.
+const RATE_PERIOD: Duration = Duration::from_secs(30);
+/// Number of bytes that a caller must acknowledge in that period.
+const MIN_PERIOD_BYTES: u64 = 30 * 1_024;
+/// Maximum time for which the receiving side of a connection stays open after everything was
+/// delivered and the sending side closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Interval at which a connection with unread bytes is checked for the caller's close, which the
 /// kernel does not report separately.
@@ -45,19 +55,22 @@
 /// Request for the number of bytes that the peer has not acknowledged (`SIOCOUTQ`).
 const UNACKNOWLEDGED_BYTES: Opcode = 0x5411;
 
-/// Sets `TCP_NODELAY` and a `TCP_USER_TIMEOUT` of `timeout` on `stream`.
+/// Sets `TCP_NODELAY` and a `TCP_USER_TIMEOUT` of `timeout` on `stream`, a connection to a server.
 ///
 /// Small writes are sent without delay, and the kernel closes a connection whose peer has
-/// acknowledged nothing for `timeout`: the peer has lost the connection or does not read.
+/// acknowledged nothing for `timeout`, or does not read fast enough.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection is already closed.
 pub fn configure(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
+    set_user_timeout(stream, timeout)
+}
+
+fn set_user_timeout(stream: &TcpStream, timeout: Duration) -> io::Result<()> {
     let timeout_ms = u32::try_from(timeout.as_millis()).unwrap_or(u32::MAX);
-    set_tcp_user_timeout(stream, timeout_ms)?;
-    Ok(())
+    Ok(set_tcp_user_timeout(stream, timeout_ms)?)
 }
 
 /// Accepts the connections in the backlog of `listener`, which closing it would reset.
@@ -168,6 +181,7 @@
 pub struct CallerStream {
     stream: TcpStream,
     state: Arc<ConnectionState>,
+    delivery: Delivery,
     /// Limit of the last stage, `None` while the sending side is open.
     close_timer: Option<Pin<Box<Sleep>>>,
     /// Time of the next check while there are unread bytes.
@@ -177,15 +191,23 @@
 }
 
 impl CallerStream {
-    /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> Self {
-        Self {
+    /// Wraps an accepted connection and sets `TCP_NODELAY`. It fails with `TimedOut` once the caller
+    /// has acknowledged nothing for `stall_timeout` although bytes are undelivered, or too little for
+    /// too long.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection is already closed.
+    pub fn new(stream: TcpStream, stall_timeout: Duration) -> io::Result<Self> {
+        stream.set_nodelay(true)?;
+        Ok(Self {
             stream,
             state: Arc::default(),
+            delivery: Delivery::new(stall_timeout),
             close_timer: None,
             unread_timer: None,
             discarded_bytes: 0,
-        }
+        })
     }
 
     /// Returns the state of the connection, which outlives the stream.
@@ -193,6 +215,50 @@
         Arc::clone(&self.state)
     }
 
+    /// Returns the bytes that the caller has not acknowledged, without the end of the stream.
+    fn undelivered_bytes(&self) -> u64 {
+        let end = u64::from(self.close_timer.is_some());
+        unacknowledged_bytes(&self.stream).unwrap_or(0).saturating_sub(end)
+    }
+
+    /// Records the result of a write.
+    fn record_write(&mut self, result: &io::Result<usize>) {
+        self.state.record(result);
+        if let Ok(written) = result {
+            self.delivery.record_write(*written);
+        }
+    }
+
+    /// Checks the delivery of what was written, at intervals.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of the kind `TimedOut` if the caller is given up. What it has not received is
+    /// discarded together with the stream.
+    fn check_delivery(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
+        while self.delivery.poll_check(cx).is_ready() {
+            let result = self.delivery.check(self.undelivered_bytes());
+            if result.is_err() {
+                self.state.record(&result);
+                let _ = self.stream.set_zero_linger();
+                return result;
+            }
+        }
+        Ok(())
+    }
+
+    /// Completes once the caller has closed its side and has received everything, or the connection
+    /// has failed.
+    fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        ready!(self.poll_peer_close(cx));
+        let is_failed = self.state.failure().is_some();
+        let is_excessive = self.discarded_bytes > MAX_DISCARDED_BYTES;
+        match is_failed || is_excessive || self.undelivered_bytes() == 0 {
+            true => Poll::Ready(()),
+            false => Poll::Pending,
+        }
+    }
+
     /// Completes once the caller has closed its side.
     fn poll_peer_close(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         if self.state.is_closed_by_peer() {
@@ -265,8 +331,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.check_delivery(cx)?;
         let result = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
-        self.state.record(&result);
+        self.record_write(&result);
         Poll::Ready(result)
     }
 
@@ -275,8 +342,9 @@
         cx: &mut Context<'_>,
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.check_delivery(cx)?;
         let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices));
-        self.state.record(&result);
+        self.record_write(&result);
         Poll::Ready(result)
     }
 
@@ -285,6 +353,7 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.check_delivery(cx)?;
         Pin::new(&mut self.stream).poll_flush(cx)
     }
 
@@ -294,12 +363,17 @@
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
             this.close_timer = Some(Box::pin(sleep(CLOSE_TIMEOUT)));
         }
-        if this.poll_peer_close(cx).is_ready() {
-            return Poll::Ready(Ok(()));
-        }
-        match &mut this.close_timer {
-            Some(timer) => timer.as_mut().poll(cx).map(Ok),
-            None => Poll::Ready(Ok(())),
+        loop {
+            this.check_delivery(cx)?;
+            if this.poll_end(cx).is_ready() {
+                return Poll::Ready(Ok(()));
+            }
+            let Some(timer) = &mut this.close_timer else { return Poll::Ready(Ok(())) };
+            ready!(timer.as_mut().poll(cx));
+            if this.undelivered_bytes() == 0 {
+                return Poll::Ready(Ok(()));
+            }
+            this.close_timer = Some(Box::pin(sleep(CLOSE_TIMEOUT)));
         }
     }
 }
@@ -308,8 +382,89 @@
     fn drop(&mut self) {
         let unread = ioctl_fionread(&self.stream).unwrap_or(0);
         self.state.unread_bytes.store(unread, Ordering::Relaxed);
-        let is_shut = u64::from(self.close_timer.is_some());
-        let undelivered = unacknowledged_bytes(&self.stream).unwrap_or(0).saturating_sub(is_shut);
+        let undelivered = self.undelivered_bytes();
         self.state.undelivered_bytes.store(undelivered, Ordering::Relaxed);
+        if undelivered > 0 {
+            // The kernel goes on delivering a connection that was not reset.
+            let _ = set_user_timeout(&self.stream, self.delivery.stall_timeout);
+        }
+    }
+}
+
+/// Progress of the delivery of what was written to a caller.
+#[derive(Debug)]
+struct Delivery {
+    stall_timeout: Duration,
+    /// Timer of the next check, `None` while everything is delivered.
+    check_timer: Option<Pin<Box<Sleep>>>,
+    /// Bytes written so far.
+    written: u64,
+    /// Bytes that were acknowledged at the last check.
+    acknowledged: u64,
+    progress_at: Instant,
+    /// Beginning of the period over which the rate is measured, and the bytes acknowledged then.
+    period_start: (Instant, u64),
+}
+
+impl Delivery {
+    fn new(stall_timeout: Duration) -> Self {
+        let now = Instant::now();
+        Self {
+            stall_timeout,
+            check_timer: None,
+            written: 0,
+            acknowledged: 0,
+            progress_at: now,
+            period_start: (now, 0),
+        }
+    }
+
+    /// Records that bytes were handed to the kernel, which begins the checks.
+    fn record_write(&mut self, bytes: usize) {
+        if self.check_timer.is_none() {
+            let now = Instant::now();
+            self.acknowledged = self.written;
+            self.progress_at = now;
+            self.period_start = (now, self.written);
+            self.check_timer = Some(Box::pin(sleep(DELIVERY_CHECK_INTERVAL)));
+        }
+        self.written += bytes as u64;
+    }
+
+    /// Completes when a check is due.
+    fn poll_check(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        match &mut self.check_timer {
+            Some(timer) => timer.as_mut().poll(cx),
+            None => Poll::Pending,
+        }
+    }
+
+    /// Checks the progress with `undelivered` bytes in the send queue.
+    fn check(&mut self, undelivered: u64) -> io::Result<()> {
+        if undelivered == 0 {
+            self.check_timer = None;
+            return Ok(());
+        }
+        let now = Instant::now();
+        let acknowledged = self.written.saturating_sub(undelivered);
+        if acknowledged > self.acknowledged {
+            self.acknowledged = acknowledged;
+            self.progress_at = now;
+        }
+        // The next check would be too late.
+        let stall = now - self.progress_at + DELIVERY_CHECK_INTERVAL;
+        let (period_start, bytes) = self.period_start;
+        let is_period_over = now - period_start >= RATE_PERIOD;
+        let is_slow = is_period_over && acknowledged.saturating_sub(bytes) < MIN_PERIOD_BYTES;
+        if stall > self.stall_timeout || is_slow {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        if is_period_over {
+            self.period_start = (now, acknowledged);
+        }
+        if let Some(timer) = &mut self.check_timer {
+            timer.as_mut().reset(now + DELIVERY_CHECK_INTERVAL);
+        }
+        Ok(())
     }
 }
--- a/crates/gateway/tests/planned_stop/deployment.rs
+++ b/crates/gateway/tests/planned_stop/deployment.rs
@@ -24,6 +24,8 @@
 pub(crate) const EXCUSED_FRACTION: f64 = 5.0 / 6.0;
 /// Time after SIGTERM until which a call must have been sent for that.
 pub(crate) const EXCUSED_SEND_TIME: Duration = Duration::from_secs(3);
+/// Memory that a gateway may use, in MB.
+pub(crate) const MEMORY_MB: u64 = 260;
 /// Service of all targets.
 const SERVICE: &str = "service";
 /// Host numbers of the first gateway and of the first target in the network of a test.
@@ -161,7 +163,7 @@
              seeds = [{}]\n\
              [listen]\ncalls = \"{}\"\nreadiness = \"{}\"\ndirections = \"{}\"\n\
              news = \"{}\"\nheartbeats = \"{}\"\n\
-             [size]\ncores = 0.2\nmemory_mb = 260\ndescriptors = 4100\n\
+             [size]\ncores = 0.2\nmemory_mb = {MEMORY_MB}\ndescriptors = 4100\n\
              [stop]\ngrace_ms = {}\n",
             self.network.address(2, 8_000),
             seeds.join(", "),
--- a/crates/gateway/tests/planned_stop/gateway.rs
+++ b/crates/gateway/tests/planned_stop/gateway.rs
@@ -87,11 +87,28 @@
         fs::write(&self.settings, current + text).expect("the settings file is writable");
     }
 
+    /// Returns the resident memory of the process, in kB.
+    pub(crate) fn memory_kb(&self) -> u64 {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|line| line.trim().strip_suffix(" kB")?.parse().ok()).expect("a size")
+    }
+
     /// Returns the log of all processes of this gateway.
     pub(crate) fn log(&self) -> String {
         fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Returns the first warnings, errors and ends of connections in the log.
+    pub(crate) fn notable_log(&self) -> String {
+        let is_notable =
+            |line: &&str| !line.starts_with("INFO") || line.contains("connection ended");
+        let log = self.log();
+        let lines: Vec<_> = log.lines().filter(is_notable).take(MAX_LOG_LINES).collect();
+        lines.join("\n")
+    }
+
     /// Returns the lines of the log that name the call `id`, and those on the ends of connections.
     pub(crate) fn log_of(&self, id: &str) -> String {
         let field = format!(" id={id} ");
--- a/crates/gateway/tests/planned_stop/slow_readers.rs
+++ b/crates/gateway/tests/planned_stop/slow_readers.rs
@@ -1,12 +1,19 @@
 //! Callers that read slowly and keep their connections, at gateways that do not stop.
 
-use super::{call::Call, caller::Caller, deployment::Deployment, load::read_answer};
+use super::{
+    call::Call,
+    caller::{Caller, End},
+    deployment::{Deployment, GRACE, MEMORY_MB},
+    load::read_answer,
+    verdict::{assert_whole, assert_whole_and_orderly},
+};
 use rand::{RngExt, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64;
 use std::{net::SocketAddr, ops::RangeInclusive, time::Duration};
 use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
     task::JoinSet,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 /// Number of callers, and of the targets that serve them.
@@ -25,6 +32,25 @@
 /// Number of lost calls that a failure shows.
 const MAX_SHOWN: usize = 8;
 
+/// Bytes that a slow caller reads at once, and the pause before it reads more.
+const SLOW_READ_BYTES: usize = 4_096;
+const SLOW_READ_PAUSE: Duration = Duration::from_millis(300);
+/// Size of an answer that such a caller reads for more than 3 s, in bytes.
+const SLOW_ANSWER_BYTES: usize = 50_000;
+/// Size of an answer that a small receive buffer does not hold, in bytes.
+const LONG_ANSWER_BYTES: usize = 60_000;
+/// Time within which the gateway gives up a caller that acknowledges nothing, with a margin.
+const STALL_TIME: Duration = Duration::from_millis(3_500);
+/// Number of callers that hold answers at the same time, and the time for which they do.
+const MANY_CALLERS: u32 = 1_000;
+const HOLD_TIME: Duration = Duration::from_secs(8);
+/// Interval at which these callers connect.
+const CONNECT_INTERVAL: Duration = Duration::from_millis(2);
+/// Interval at which the log is read.
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+/// Time that a test waits for further bytes.
+const READ_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// A call that was not answered in full.
 #[derive(Debug)]
 struct Loss {
@@ -127,3 +153,137 @@
     );
     deployment.shut_down().await;
 }
+
+/// Reads slowly until the connection ends, and returns how it ended.
+async fn read_slowly(caller: &mut Caller) -> End {
+    let mut part = [0; SLOW_READ_BYTES];
+    loop {
+        sleep(SLOW_READ_PAUSE).await;
+        match timeout(READ_TIMEOUT, caller.stream.read(&mut part)).await {
+            Ok(Ok(0)) => return End::Orderly,
+            Ok(Ok(read)) => caller.received.extend_from_slice(&part[..read]),
+            Ok(Err(e)) => return End::Failed(e),
+            Err(_) => return End::Open,
+        }
+    }
+}
+
+/// A stopping gateway cut off a caller that was still reading its last answer after 3 s, although
+/// the grace time had not passed.
+#[tokio::test]
+async fn planned_stop_delivers_the_last_answer_while_its_caller_reads_slowly() {
+    let mut deployment = Deployment::start(1, 2).await;
+    let gateway = &mut deployment.gateways[0];
+    let mut caller = Caller::connect_with_small_buffer(gateway.calls).await.expect("connected");
+    gateway.terminate();
+    let call = Call::new("slow", "roster").bytes(SLOW_ANSWER_BYTES);
+    caller.send(&call).await.expect("sent");
+    let end = read_slowly(&mut caller).await;
+    gateway.wait_for_exit(GRACE).await;
+    assert_whole_and_orderly(&deployment, &caller, &call, &end);
+    deployment.shut_down().await;
+}
+
+/// The kernel ended connections that the gateway had closed, since their callers had half-closed
+/// them, while the callers were still reading.
+#[tokio::test]
+async fn caller_that_half_closes_its_connection_and_reads_slowly_gets_the_whole_answer() {
+    let deployment = Deployment::start(1, 2).await;
+    let gateway = &deployment.gateways[0];
+    let mut caller = Caller::connect_with_small_buffer(gateway.calls).await.expect("connected");
+    let call = Call::new("slow", "roster").bytes(SLOW_ANSWER_BYTES);
+    caller.send(&call).await.expect("sent");
+    // The end of the stream while a call is in progress counts as a caller that is gone.
+    sleep(SLOW_READ_PAUSE).await;
+    caller.stream.shutdown().await.expect("the connection is open");
+    let end = read_slowly(&mut caller).await;
+    assert_whole(&deployment, &caller, &call, &end);
+    deployment.shut_down().await;
+}
+
+/// Without a limit on the time without progress, callers that are gone hold connections and the
+/// answers in them.
+#[tokio::test]
+async fn connection_of_a_caller_that_reads_nothing_ends_with_its_reason_in_the_log() {
+    let deployment = Deployment::start(1, 2).await;
+    let gateway = &deployment.gateways[0];
+    let mut caller = Caller::connect_with_small_buffer(gateway.calls).await.expect("connected");
+    let call = Call::new("unread", "roster").bytes(LONG_ANSWER_BYTES);
+    caller.send(&call).await.expect("sent");
+    let from = format!("from={} ", caller.stream.local_addr().expect("bound"));
+    let is_end = |line: &&str| line.contains("connection ended") && line.contains(&from);
+    let start = Instant::now();
+    let log = loop {
+        let log = gateway.log();
+        if log.lines().any(|line| is_end(&line)) {
+            break log;
+        }
+        assert!(start.elapsed() < READ_TIMEOUT, "no end of the connection:\n{log}");
+        sleep(POLL_INTERVAL).await;
+    };
+    let line = log.lines().find(is_end).unwrap_or_default();
+    let field = |name| line.split(' ').find_map(|field| field.strip_prefix(name));
+    assert_eq!(field("reason="), Some("caller-timeout"), "{line}");
+    assert_ne!(field("undelivered_bytes="), Some("0"), "{line}");
+    let age = field("ms=").and_then(|ms| ms.parse().ok()).map(Duration::from_millis);
+    assert!(age.is_some_and(|age| age <= call.service + STALL_TIME), "{line}");
+    let number = field("connection=").expect("a number");
+    let call_line = log.lines().find(|l| l.contains("calls: ended id=unread ")).unwrap_or_default();
+    assert!(call_line.ends_with(&format!(" connection={number}")), "{call_line} and {line}");
+    let end = caller.read_to_end(READ_TIMEOUT).await;
+    assert!(matches!(end, End::Failed(_)), "{end}; {line}");
+    println!("{line}");
+    deployment.shut_down().await;
+}
+
+/// Reads slowly for `time` after sending as many calls as a pipeline holds. Returns the number of
+/// whole answers.
+///
+/// # Errors
+///
+/// Returns what failed if the calls cannot be sent.
+async fn read_pipeline_slowly(
+    gateway: SocketAddr,
+    number: u32,
+    time: Duration,
+) -> Result<usize, String> {
+    // All at once they would overflow the backlog of the listener.
+    sleep(CONNECT_INTERVAL * number).await;
+    let mut caller = Caller::connect_with_small_buffer(gateway).await.expect("connected");
+    let from = caller.stream.local_addr().expect("bound");
+    for call in 0..*DEPTHS.end() {
+        let call = Call::new(&format!("held-{number}-{call}"), "roster").bytes(LONG_ANSWER_BYTES);
+        let sent = caller.send(&call).await;
+        sent.map_err(|e| format!("{} from={from} not sent: {e}", call.id))?;
+    }
+    let _ = timeout(time, read_slowly(&mut caller)).await;
+    Ok(caller.answers().iter().filter(|answer| answer.is_complete).count())
+}
+
+/// Answers that wait for slow callers would take the memory of the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn answers_to_a_thousand_slow_callers_stay_within_the_memory_of_the_process() {
+    let deployment = Deployment::start(1, TARGETS).await;
+    let gateway = &deployment.gateways[0];
+    let before_kb = gateway.memory_kb();
+    let mut tasks = JoinSet::new();
+    for number in 0..MANY_CALLERS {
+        tasks.spawn(read_pipeline_slowly(gateway.calls, number, HOLD_TIME));
+    }
+    let mut most_kb = before_kb;
+    let (mut answers, mut errors) = (0, Vec::new());
+    while !tasks.is_empty() {
+        tokio::select! {
+            Some(ended) = tasks.join_next() => match ended.expect("the task runs") {
+                Ok(count) => answers += count,
+                Err(e) => errors.push(e),
+            },
+            () = sleep(POLL_INTERVAL) => most_kb = most_kb.max(gateway.memory_kb()),
+        }
+    }
+    println!("{before_kb} kB before, {most_kb} kB at most, {answers} answers read");
+    assert!(errors.is_empty(), "{errors:#?}\n{}", gateway.notable_log());
+    assert!(answers > 0, "no answer was read");
+    assert!(most_kb < MEMORY_MB * 1_024, "{most_kb} kB, {before_kb} kB before");
+    deployment.shut_down().await;
+}
