fix(gateway): end a connection at once if its caller had closed it

Cause: a caller that closed its connection before its answer came resets it, which no read reports after the end of the stream. The last stage of the close then waited for bytes that could not be delivered, and the connection ended as caller-timeout after 3 s.

Ruled out: a caller that reads nothing (the callers had gone).

Change: the pending error of the socket is looked at before the close, in its last stage and at each check of the delivery.

--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -229,14 +229,22 @@
         }
     }
 
+    /// Returns the pending error of the socket. No read reports a reset after the caller's close.
+    fn take_error(&self) -> io::Result<()> {
+        let result = self.stream.take_error()?.map_or(Ok(()), Err);
+        self.state.record(&result);
+        result
+    }
+
     /// Checks the delivery of what was written, at intervals.
     ///
     /// # Errors
     ///
-    /// Returns an error of the kind `TimedOut` if the caller is given up. What it has not received is
-    /// discarded together with the stream.
+    /// Returns the error of the socket, or one of the kind `TimedOut` if the caller is given up. What
+    /// the caller has not received is discarded together with the stream.
     fn check_delivery(&mut self, cx: &mut Context<'_>) -> io::Result<()> {
         while self.delivery.poll_check(cx).is_ready() {
+            self.take_error()?;
             let result = self.delivery.check(self.undelivered_bytes());
             if result.is_err() {
                 self.state.record(&result);
@@ -251,7 +259,7 @@
     /// has failed.
     fn poll_end(&mut self, cx: &mut Context<'_>) -> Poll<()> {
         ready!(self.poll_peer_close(cx));
-        let is_failed = self.state.failure().is_some();
+        let is_failed = self.take_error().is_err() || self.state.failure().is_some();
         let is_excessive = self.discarded_bytes > MAX_DISCARDED_BYTES;
         match is_failed || is_excessive || self.undelivered_bytes() == 0 {
             true => Poll::Ready(()),
@@ -360,6 +368,7 @@
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         let this = &mut *self;
         if this.close_timer.is_none() {
+            this.take_error()?;
             ready!(Pin::new(&mut this.stream).poll_shutdown(cx))?;
             this.close_timer = Some(Box::pin(sleep(CLOSE_TIMEOUT)));
         }
