--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -7,7 +7,7 @@
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
-    socket::{CallerStream, accept_backlog, configure},
+    socket::{CallerStream, accept_backlog},
     stop::StopTimes,
 };
 use azuretally_policy::balance::Probe;
@@ -17,7 +17,7 @@
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
 };
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::mpsc,
@@ -26,8 +26,8 @@
 
 /// Delay after a failed accept, which usually means that file descriptors are exhausted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
-/// Time after which a connection is closed if the caller does not acknowledge sent data.
-const ACK_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time after which a connection is closed if the caller acknowledges nothing of what was sent.
+const STALL_TIMEOUT: Duration = Duration::from_secs(3);
 /// Minimum size of the read buffer that hyper accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8_192;
 /// Maximum size of a request head in bytes and idle timeout, until settings are known.
@@ -56,6 +56,8 @@
     pool: Rc<ConnectionPool>,
     listener: TcpListener,
     probes: mpsc::UnboundedReceiver<Probe>,
+    /// Number of connections accepted so far.
+    accepted: Cell<u64>,
 }
 
 impl<Adapter> Server<Adapter>
@@ -76,7 +78,7 @@
             TcpListener::bind(address).await.change_context(StartError::Bind(address))?;
         let source = gateway.settings().target_source;
         let pool = Rc::new(ConnectionPool::new(gateway.clock, source));
-        Ok(Self { gateway, pool, listener, probes })
+        Ok(Self { gateway, pool, listener, probes, accepted: Cell::new(0) })
     }
 
     /// Serves calls until the planned stop is complete, then cancels the shutdown token.
@@ -167,21 +169,22 @@
             log::warn!("calls: connection from {from} refused at the limit, open={limit}");
             return;
         }
-        if configure(&stream, ACK_TIMEOUT).is_err() {
-            return;
-        }
         let limits = gateway.routes().map(|t| t.published().limits);
         let (head_bytes, idle_timeout) =
             limits.map_or(DEFAULT_LIMITS, |l| (l.head_bytes, l.idle_timeout));
-        let stream = CallerStream::new(stream);
-        let account = Rc::new(CallerConnection::new(Rc::clone(gateway), from, stream.state()));
+        let Ok(stream) = CallerStream::new(stream, STALL_TIMEOUT) else { return };
+        let number = self.accepted.get() + 1;
+        self.accepted.set(number);
+        let account =
+            Rc::new(CallerConnection::new(Rc::clone(gateway), number, from, stream.state()));
         let service = {
             let gateway = Rc::clone(gateway);
             let pool = Rc::clone(&self.pool);
             let account = Rc::clone(&account);
             service_fn(move |request| {
                 account.call_started();
-                let call = handle_call(Rc::clone(&gateway), Rc::clone(&pool), from.ip(), request);
+                let origin = account.origin();
+                let call = handle_call(Rc::clone(&gateway), Rc::clone(&pool), origin, request);
                 let account = Rc::clone(&account);
                 async move {
                     let mut response = call.await?;
