test(entry): show what entries miss of targets that rest or leave

The stand-in target learns to ask for rest (503 with Retry-After), to count what reaches it meanwhile, and to answer without x-target-busy.

--- /dev/null
+++ b/crates/policy/tests/dispatch/leaving.rs
@@ -0,0 +1,75 @@
+//! Targets that say that they are draining.
+
+use crate::fixture::{CHECK, call, config, ms, targets};
+use azuretally_policy::{
+    Timestamp,
+    dispatch::{Action, CallId, Dispatcher, Event, LoadReport, ServiceConfig},
+};
+use azuretally_settings::BalancingPolicy;
+use std::sync::Arc;
+
+const DRAINING: LoadReport = LoadReport { busy: 0, draining: true };
+
+fn dispatcher() -> Dispatcher {
+    Dispatcher::new(Arc::new(config(BalancingPolicy::Owned)), 1)
+}
+
+fn handle(dispatcher: &mut Dispatcher, at_ms: u64, event: Event) -> Vec<Action> {
+    let mut actions = Vec::new();
+    dispatcher.handle(Timestamp::from_millis(at_ms), event, &mut actions);
+    actions
+}
+
+fn arrive(dispatcher: &mut Dispatcher, at_ms: u64, id: u64) -> Vec<Action> {
+    let deadline = Timestamp::from_millis(at_ms) + ms(500);
+    handle(dispatcher, at_ms, Event::Arrived(call(id, "caller", CHECK, deadline)))
+}
+
+fn answer(dispatcher: &mut Dispatcher, at_ms: u64, id: u64, report: LoadReport) {
+    let target = targets(1, 1).remove(0).name;
+    let (ok, elapsed, report) = (true, ms(5), Some(report));
+    handle(dispatcher, at_ms, Event::Answered { call: CallId(id), target, ok, elapsed, report });
+}
+
+fn is_dispatched(actions: &[Action]) -> bool {
+    actions.iter().any(|a| matches!(a, Action::Dispatch { .. }))
+}
+
+/// Guards against a target that gets calls again, although it drains, because its record lapsed at
+/// the platform and returned.
+#[test]
+fn draining_target_stays_out_after_its_record_returns() {
+    let mut dispatcher = dispatcher();
+    handle(&mut dispatcher, 1_000, Event::TargetsChanged(targets(1, 1)));
+    assert!(is_dispatched(&arrive(&mut dispatcher, 1_000, 1)));
+    answer(&mut dispatcher, 1_005, 1, DRAINING);
+    assert!(!is_dispatched(&arrive(&mut dispatcher, 1_010, 2)));
+    handle(&mut dispatcher, 2_000, Event::TargetsChanged(Vec::new()));
+    handle(&mut dispatcher, 9_000, Event::TargetsChanged(targets(1, 1)));
+    assert!(!is_dispatched(&arrive(&mut dispatcher, 9_000, 3)));
+}
+
+/// Guards against a draining target that gets calls again after a reload.
+#[test]
+fn draining_target_stays_out_after_a_reload() {
+    let mut dispatcher = dispatcher();
+    handle(&mut dispatcher, 1_000, Event::TargetsChanged(targets(1, 1)));
+    arrive(&mut dispatcher, 1_000, 1);
+    answer(&mut dispatcher, 1_005, 1, DRAINING);
+    let changed = ServiceConfig { queue_limit: 5, ..config(BalancingPolicy::RoundRobin) };
+    handle(&mut dispatcher, 1_010, Event::ConfigChanged(Arc::new(changed)));
+    handle(&mut dispatcher, 1_010, Event::TargetsChanged(targets(1, 2)));
+    assert!(!is_dispatched(&arrive(&mut dispatcher, 1_010, 2)));
+}
+
+/// Guards against an answer of a call sent earlier that ends the draining of its target.
+#[test]
+fn later_answer_without_the_mark_does_not_end_draining() {
+    let mut dispatcher = dispatcher();
+    handle(&mut dispatcher, 1_000, Event::TargetsChanged(targets(1, 2)));
+    arrive(&mut dispatcher, 1_000, 1);
+    arrive(&mut dispatcher, 1_000, 2);
+    answer(&mut dispatcher, 1_005, 1, DRAINING);
+    answer(&mut dispatcher, 1_006, 2, LoadReport { busy: 0, draining: false });
+    assert!(!is_dispatched(&arrive(&mut dispatcher, 1_010, 3)));
+}
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -3,6 +3,7 @@
 mod arbitrary_events;
 mod budgets;
 mod fixture;
+mod leaving;
 mod order;
 mod overload;
 mod simulation;
--- a/crates/standin/src/target/counters.rs
+++ b/crates/standin/src/target/counters.rs
@@ -30,6 +30,11 @@
     pub refused_busy: u64,
     /// Calls refused because the target is draining.
     pub refused_draining: u64,
+    /// Rests that the target asked for.
+    pub rests: u64,
+    /// Highest number of requests, probes among them, that arrived during one rest, from 0.5 s after
+    /// it was asked for to its end.
+    pub peak_in_rest: u64,
     /// Runs that were started while the target reported that it is draining.
     pub starts_draining: u64,
     /// Time of the last start of a run, in ms since the start of the group.
--- a/crates/standin/src/target/faults.rs
+++ b/crates/standin/src/target/faults.rs
@@ -22,6 +22,11 @@
     pub cut_answer_after_bytes: Option<u64>,
     /// Delay between the end of a run and its response, in ms. The slot is free during the delay.
     pub delay_answer_ms: u64,
+    /// Every call outside a rest is refused as busy and asks for a rest of this time, in ms. Calls
+    /// within the rest are refused as busy. 0 asks for none.
+    pub rest_ms: u64,
+    /// Responses do not report how many slots are in use.
+    pub hide_load: bool,
     /// Starts a new incarnation, which has longer service times for the configured cold period.
     pub cold: bool,
 }
@@ -37,6 +42,8 @@
             refuse_all: false,
             cut_answer_after_bytes: None,
             delay_answer_ms: 0,
+            rest_ms: 0,
+            hide_load: false,
             cold: false,
         }
     }
--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -11,7 +11,7 @@
     http::{self as web, ConnectionAborted, ResponseBody},
     timer::Timer,
 };
-use ::http::{HeaderValue, Request, Response, StatusCode};
+use ::http::{HeaderValue, Request, Response, StatusCode, header::RETRY_AFTER};
 use azuretally_api::headers;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -36,6 +36,8 @@
 const HEALTH_PATH: &str = "/-/health";
 /// Path of load probes.
 const LOAD_PATH: &str = "/-/load";
+/// Time after which requests that were sent before the target asked for a rest have arrived.
+const REST_GRACE: Duration = Duration::from_millis(500);
 
 /// A target with its state and counters.
 #[derive(Debug)]
@@ -50,6 +52,7 @@
     slots: Slots,
     faults: Mutex<Faults>,
     incarnation: Mutex<Incarnation>,
+    rest: Mutex<Option<Rest>>,
     open_connections: AtomicU64,
     pub(super) counters: Mutex<Counters>,
 }
@@ -67,6 +70,14 @@
     }
 }
 
+/// A rest that the target asked for.
+#[derive(Debug)]
+struct Rest {
+    asked_at: Instant,
+    duration: Duration,
+    requests: u64,
+}
+
 /// Adds the slot time of a call to the counters when dropped, so that cancelled calls count too.
 struct SlotUse<'a> {
     target: &'a Target,
@@ -120,6 +131,7 @@
             slots,
             faults: Mutex::default(),
             incarnation: Mutex::new(Incarnation::new()),
+            rest: Mutex::default(),
             open_connections: AtomicU64::new(0),
             counters: Mutex::default(),
         }
@@ -128,6 +140,7 @@
     pub(super) fn set_faults(&self, faults: Faults) {
         if faults.cold {
             *self.incarnation.lock() = Incarnation::new();
+            *self.rest.lock() = None;
         }
         *self.faults.lock() = faults;
     }
@@ -165,10 +178,11 @@
     ) -> Result<Response<ResponseBody>, ConnectionAborted> {
         self.timer.sleep(self.options.net_delay).await;
         let path = request.uri().path();
+        let rests = self.record_in_rest();
         let mut response = if path == HEALTH_PATH || path == LOAD_PATH {
             self.handle_probe().await
         } else {
-            self.handle_call(request).await?
+            self.handle_call(request, rests).await?
         };
         self.add_status_headers(&mut response);
         self.timer.sleep(self.options.net_delay).await;
@@ -187,6 +201,7 @@
     async fn handle_call(
         &self,
         request: Request<Incoming>,
+        rests: bool,
     ) -> Result<Response<ResponseBody>, ConnectionAborted> {
         let header = |name| request.headers().get(name).and_then(|v| v.to_str().ok());
         let key = header(headers::IDEMPOTENCY_KEY).or_else(|| web::query_param(&request, "id"));
@@ -210,6 +225,14 @@
             self.counters.lock().totals.refused_draining += 1;
             return Ok(self.refuse("draining", key.as_ref()));
         }
+        if rests || faults.rest_ms > 0 {
+            self.counters.lock().totals.refused_busy += 1;
+            let mut response = self.refuse("busy", key.as_ref());
+            if !rests {
+                self.ask_for_rest(Duration::from_millis(faults.rest_ms), &mut response);
+            }
+            return Ok(response);
+        }
         let Some(slot) = self.slots.acquire_or_queue().await else {
             self.counters.lock().totals.refused_busy += 1;
             return Ok(self.refuse("busy", key.as_ref()));
@@ -235,6 +258,28 @@
         }))
     }
 
+    /// Counts a request that arrives during a rest. Returns whether the target rests.
+    fn record_in_rest(&self) -> bool {
+        let mut rest = self.rest.lock();
+        let Some(rest) = rest.as_mut().filter(|r| r.asked_at.elapsed() < r.duration) else {
+            return false;
+        };
+        if rest.asked_at.elapsed() >= REST_GRACE {
+            rest.requests += 1;
+            let totals = &mut self.counters.lock().totals;
+            totals.peak_in_rest = totals.peak_in_rest.max(rest.requests);
+        }
+        true
+    }
+
+    fn ask_for_rest(&self, duration: Duration, response: &mut Response<ResponseBody>) {
+        *self.rest.lock() = Some(Rest { asked_at: Instant::now(), duration, requests: 0 });
+        self.counters.lock().totals.rests += 1;
+        if let Ok(value) = HeaderValue::from_str(&duration.as_secs_f64().to_string()) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+
     /// Waits for one service time, or until the deadline if that is earlier. Returns whether the
     /// service time elapsed in full.
     async fn run(&self, mean: Option<Duration>, deadline: Option<Instant>) -> bool {
@@ -296,7 +341,9 @@
         let busy = if faults.lie_idle { 0 } else { self.slots.busy() };
         let state = if faults.drain || faults.refuse_all { "draining" } else { "serving" };
         let headers = response.headers_mut();
-        headers.insert(headers::TARGET_BUSY, HeaderValue::from(busy));
+        if !faults.hide_load {
+            headers.insert(headers::TARGET_BUSY, HeaderValue::from(busy));
+        }
         headers.insert(headers::TARGET_STATE, HeaderValue::from_static(state));
         if let Ok(incarnation) = HeaderValue::from_str(&self.incarnation.lock().id) {
             headers.insert(headers::TARGET_INCARNATION, incarnation);
--- a/crates/testsuite/tests/testsuite/leaving.rs
+++ b/crates/testsuite/tests/testsuite/leaving.rs
@@ -90,3 +90,36 @@
     assert_gets_no_calls(&fleet, "till-3").await;
     fleet.verify(&load.finish().await).await;
 }
+
+/// Guards against an answer that says `draining` but not how many slots are in use, which entries
+/// ignored.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_target_that_reports_no_load_gets_no_calls() {
+    let fleet = Fleet::builder().start().await;
+    let load = LoadGenerator::start(&fleet, WORKLOAD);
+    time::sleep(Duration::from_millis(300)).await;
+    let faults = Faults { drain: true, hide_load: true, ..Faults::default() };
+    fleet.set_target_faults(Some(1), faults).await;
+    assert_gets_no_calls(&fleet, "till-1").await;
+    let outcomes = fleet.verify(&load.finish().await).await;
+    assert_eq!(outcomes.indeterminate(), 0, "{outcomes:?}");
+}
+
+/// Guards against entries that forget that a target drains when its record at the platform lapses
+/// and returns.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn draining_target_gets_no_calls_after_its_record_returns() {
+    let mut fleet = Fleet::builder().start().await;
+    let load = LoadGenerator::start(&fleet, WORKLOAD);
+    time::sleep(Duration::from_millis(300)).await;
+    fleet.set_target_faults(Some(1), Faults { drain: true, ..Faults::default() }).await;
+    time::sleep(LEAVING_BOUND).await;
+    let before = fleet.target_report().await;
+    fleet.publish_hosts(&[], &["till-1"]).await;
+    time::sleep(LEAVING_BOUND).await;
+    fleet.publish_hosts(&[], &[]).await;
+    time::sleep(OBSERVATION_TIME).await;
+    let after = fleet.target_report().await;
+    assert_eq!(calls_at(&after, "till-1"), calls_at(&before, "till-1"));
+    fleet.verify(&load.finish().await).await;
+}
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod measuring;
 mod not_run;
 mod operators;
+mod resting;
 mod restored;
 mod settings;
 mod silence;
