fix(entry): give targets the rest that they ask for

Callers saw nothing of it; targets that had answered 503 with Retry-After got on with 15 to 43 requests in 3 s from one entry.

Cause: no source of the entry read Retry-After of a target's answer. What held calls back was the pause after a refusal (at most 96 ms), which the target has no say in, and admission counted a paused target as capacity, so that a call waited for its deadline. Ruled out: baselines or breakers that pass over a pause (they don't).

Now each target of a dispatcher has a rest. The head of an answer is passed on at once (Event::Noticed), from calls of any kind and from probes. The longest time asked for counts, up to `max_rest_ms` of the service (new, 30 s). Neither calls, hedges, retries, relayed calls nor probes go there meanwhile, also if all targets rest. Then one call at a time tries the target until an answer to a call sent after the rest asks for nothing. Calls that cannot run after the first rest are refused at once, on arrival and in the queue, with a retry delay of one to two times the time left. An answer of another incarnation, or a host list that changes to one, ends the rest; reloads and records that lapse and return don't. A line marks beginning and end (seen every 200 ms); metrics: azuretally_rests_total and azuretally_targets_resting.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -15,10 +15,16 @@
     pool::ReusePolicy,
     reply::Reply,
 };
-use azuretally_api::{headers, record::Outcome};
+use azuretally_api::{
+    headers,
+    record::Outcome,
+    retry_after::{RetryAfter, retry_after},
+};
 use azuretally_policy::{
     Timestamp,
-    dispatch::{Call, CallId, Event, FailureKind, LoadReport, RefusalReason, TargetRefusal},
+    dispatch::{
+        Call, CallId, Event, FailureKind, LoadReport, RefusalReason, TargetNotice, TargetRefusal,
+    },
     fleet::PublishedRevision,
 };
 use futures_util::{
@@ -26,7 +32,10 @@
     future::{AbortHandle, Abortable, Aborted},
     stream::FuturesUnordered,
 };
-use http::{Request, Response, StatusCode};
+use http::{
+    HeaderValue, Request, Response, StatusCode,
+    header::{DATE, RETRY_AFTER},
+};
 use http_body::Body;
 use hyper::body::Incoming;
 use std::{convert::Infallible, net::IpAddr, sync::Arc, time::Duration};
@@ -254,6 +263,7 @@
         match result {
             Ok(response) => {
                 let report = load_report(&response);
+                service.notice(&target, &response);
                 self.report_leaving(&target, &response, report);
                 if let Some(refusal) = target_refusal(&response) {
                     self.guard.end_attempt(&target);
@@ -343,6 +353,26 @@
     }
 }
 
+/// Returns what the response of a target says about the target, beside its load.
+pub(super) fn target_notice(response: &UpstreamResponse) -> TargetNotice {
+    let header_map = &response.head.headers;
+    let incarnation = header_map.get(headers::TARGET_INCARNATION).and_then(|v| v.to_str().ok());
+    TargetNotice { incarnation: incarnation.map(Arc::from), rest: requested_rest(response) }
+}
+
+/// Returns the rest that a target asks for in its response.
+pub(super) fn requested_rest(response: &UpstreamResponse) -> Option<Duration> {
+    if response.head.status != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let header_map = &response.head.headers;
+    let values = header_map.get_all(RETRY_AFTER).iter().map(HeaderValue::as_bytes);
+    match retry_after(values, header_map.get(DATE).map(HeaderValue::as_bytes)) {
+        RetryAfter::After(rest) => Some(rest),
+        RetryAfter::Absent | RetryAfter::Unreadable => None,
+    }
+}
+
 /// Returns the load that a target reported in its response.
 pub(super) fn load_report(response: &UpstreamResponse) -> Option<LoadReport> {
     let header_map = &response.head.headers;
--- a/crates/entry/src/calls/probe.rs
+++ b/crates/entry/src/calls/probe.rs
@@ -39,7 +39,11 @@
                 deadline,
                 timeout: PROBE_TIMEOUT,
             };
-            exchange.run(request).await.ok().as_ref().and_then(load_report)
+            let response = exchange.run(request).await.ok();
+            if let Some(response) = &response {
+                service.notice(&target, response);
+            }
+            response.as_ref().and_then(load_report)
         }
         None => None,
     };
--- a/crates/entry/src/calls/server.rs
+++ b/crates/entry/src/calls/server.rs
@@ -229,7 +229,11 @@
             () = app.context.shutdown.cancelled() => return,
         }
         app.pool.close_expired();
-        let oldest = app.router.load().services().filter_map(|s| s.sample()).min();
+        let samples: Vec<_> = app.router.load().services().map(|s| s.sample()).collect();
+        let oldest = samples.iter().filter_map(|s| s.oldest).min();
+        let rests = samples.iter().map(|s| s.rests).sum();
+        let resting = samples.iter().map(|s| s.resting).sum();
+        app.context.metrics.observe_rests(rests, resting);
         let now = app.context.clock.now();
         app.context.counts.set_oldest_waiting(oldest.map_or(Duration::ZERO, |at| now - at));
     }
--- a/crates/entry/src/calls/service.rs
+++ b/crates/entry/src/calls/service.rs
@@ -1,6 +1,8 @@
 //! Runs the dispatcher of one service and delivers its actions to the calls.
 
 use super::{
+    exchange::UpstreamResponse,
+    handler::{requested_rest, target_notice},
     limits::FREE_SLOTS_INTERVAL,
     mailbox::{Mailbox, Step},
     target_addresses::TargetAddresses,
@@ -11,13 +13,13 @@
     Timestamp,
     dispatch::{Action, Call, CallId, Dispatcher, Event, PeerSlots, ServiceConfig, TargetInfo},
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
 use std::{
     mem,
     sync::{
         Arc,
-        atomic::{AtomicU32, Ordering},
+        atomic::{AtomicBool, AtomicU32, Ordering},
     },
 };
 use tokio::sync::{Notify, mpsc};
@@ -53,6 +55,19 @@
     wakeup: Option<Timestamp>,
     /// Time of the last update of the free slots.
     slots_updated: Timestamp,
+    /// Targets that rested at the last sample.
+    resting: IndexSet<Arc<str>>,
+}
+
+/// Gauges of a service.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct ServiceSample {
+    /// When the oldest of the calls that have not been sent to a target or peer yet was submitted.
+    pub(super) oldest: Option<Timestamp>,
+    /// Number of targets that rest.
+    pub(super) resting: usize,
+    /// Number of rests that targets have asked for since the last sample.
+    pub(super) rests: u64,
 }
 
 /// One service of this entry.
@@ -64,6 +79,8 @@
     /// Number of free slots, read by the control thread.
     free_slots: Arc<AtomicU32>,
     state: Mutex<State>,
+    /// Whether any target rests, so that its incarnation matters.
+    has_rests: AtomicBool,
     /// Notified when the next wakeup is earlier than before.
     wakeup_changed: Notify,
     probes: mpsc::UnboundedSender<ProbeRequest>,
@@ -100,7 +117,9 @@
                 actions: Vec::new(),
                 wakeup: None,
                 slots_updated: Timestamp::default(),
+                resting: IndexSet::new(),
             }),
+            has_rests: AtomicBool::new(false),
             wakeup_changed: Notify::new(),
             probes,
         }
@@ -158,12 +177,42 @@
         }
     }
 
-    /// Updates the free slots for the control thread and returns when the oldest of the calls that
-    /// have not been sent to a target or peer yet was submitted.
-    pub(super) fn sample(&self) -> Option<Timestamp> {
+    /// Passes what the head of a response of a target says about the target to the dispatcher, before
+    /// its body has arrived.
+    pub(super) fn notice(self: &Arc<Self>, target: &Arc<str>, response: &UpstreamResponse) {
+        let asks = requested_rest(response).is_some();
+        if asks {
+            self.has_rests.store(true, Ordering::Relaxed);
+        } else if !self.has_rests.load(Ordering::Relaxed) {
+            return;
+        }
+        let notice = target_notice(response);
+        self.handle(Event::Noticed { target: Arc::clone(target), notice });
+    }
+
+    /// Updates the free slots for the control thread, logs rests that began or ended, and returns the
+    /// gauges.
+    pub(super) fn sample(&self) -> ServiceSample {
         let mut state = self.state.lock();
-        self.update_free_slots(&mut state, self.clock.now());
-        state.calls.values().filter(|c| !c.started).map(|c| c.submitted_at).min()
+        let now = self.clock.now();
+        self.update_free_slots(&mut state, now);
+        let state = &mut *state;
+        let mut resting = IndexSet::new();
+        for (target, until) in state.dispatcher.resting_targets(now) {
+            if !state.resting.contains(target) {
+                let ms = until.since(now).as_millis();
+                log::info!("calls: target {target} asks for rest, {ms} ms left");
+            }
+            resting.insert(Arc::clone(target));
+        }
+        for target in state.resting.difference(&resting) {
+            log::info!("calls: the rest of target {target} has ended");
+        }
+        self.has_rests.store(!resting.is_empty(), Ordering::Relaxed);
+        state.resting = resting;
+        let oldest = state.calls.values().filter(|c| !c.started).map(|c| c.submitted_at).min();
+        let rests = state.dispatcher.take_rests();
+        ServiceSample { oldest, resting: state.resting.len(), rests }
     }
 
     /// Passes [`Event::Tick`] to the dispatcher whenever it is due. Never returns.
--- a/crates/entry/src/control/view_builder.rs
+++ b/crates/entry/src/control/view_builder.rs
@@ -196,6 +196,7 @@
             name: Arc::from(&*record.host),
             failure_domain: Arc::from(&*record.failure_domain),
             slots: settings.slots,
+            incarnation: record.incarnation.as_deref().map(Arc::from),
             leaving: record.state == HostState::Leaving || fleet.is_target_leaving(&record.host),
         };
         let target = TargetView { info, address: *address };
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -96,6 +96,8 @@
     lost_calls: Gauge,
     control: Family<CounterLabels, Gauge>,
     connection_ends: Family<ConnectionLabels, Counter>,
+    rests: Counter,
+    targets_resting: Gauge,
 }
 
 impl Metrics {
@@ -116,6 +118,8 @@
             lost_calls: Gauge::default(),
             control: Family::default(),
             connection_ends: Family::default(),
+            rests: Counter::default(),
+            targets_resting: Gauge::default(),
         };
         metrics.register();
         metrics
@@ -141,6 +145,12 @@
         self.connection_ends.get_or_create(&ConnectionLabels { reason: end.as_str() }).inc();
     }
 
+    /// Counts new rests that targets asked for, and sets the number of targets that rest.
+    pub fn observe_rests(&self, rests: u64, resting: usize) {
+        self.rests.inc_by(rests);
+        self.targets_resting.set(gauge_value(resting as u64));
+    }
+
     /// Returns how many connections of callers ended in this way.
     pub fn connection_ends(&self, end: ConnectionEnd) -> u64 {
         self.connection_ends.get_or_create(&ConnectionLabels { reason: end.as_str() }).get()
@@ -202,6 +212,8 @@
             "Connections of callers that ended",
             self.connection_ends.clone(),
         );
+        r.register("rests", "Rests that targets asked for", self.rests.clone());
+        r.register("targets_resting", "Targets that rest", self.targets_resting.clone());
         r.register("record_lost_calls", "Calls without a line", self.lost_calls.clone());
     }
 }
--- a/crates/policy/examples/dispatch_cost.rs
+++ b/crates/policy/examples/dispatch_cost.rs
@@ -41,6 +41,7 @@
         choice,
         queue_limit: 20_000,
         connections: 240,
+        max_rest: Duration::from_secs(30),
         retry_ratio: 0.1,
         hedge_ratio: 0.05,
         probe_share: 0.001,
@@ -59,6 +60,7 @@
         name: format!("target-{n}").into(),
         failure_domain: "domain".into(),
         slots: 2,
+        incarnation: None,
         leaving: false,
     });
     dispatcher.handle(now, Event::TargetsChanged(infos.collect()), &mut actions);
--- a/crates/policy/src/dispatch.rs
+++ b/crates/policy/src/dispatch.rs
@@ -16,6 +16,7 @@
 mod ownership;
 mod peers;
 mod queue;
+mod rest;
 mod selection;
 mod service_time;
 mod slowness;
@@ -24,6 +25,6 @@
 pub use config::{ClassConfig, OperationConfig, PeerSlots, ServiceConfig, TargetInfo};
 pub use dispatcher::Dispatcher;
 pub use event::{
-    Action, Call, CallId, Event, FailureKind, LoadReport, RefusalReason, TargetRefusal,
-    UnknownReason,
+    Action, Call, CallId, Event, FailureKind, LoadReport, RefusalReason, TargetNotice,
+    TargetRefusal, UnknownReason,
 };
--- a/crates/policy/src/dispatch/config.rs
+++ b/crates/policy/src/dispatch/config.rs
@@ -45,6 +45,8 @@
     pub queue_limit: usize,
     /// Maximum number of connections that each target accepts from all entries together.
     pub connections: u32,
+    /// Maximum time for which a target may ask for rest at once.
+    pub max_rest: Duration,
     /// Maximum ratio of retries to first attempts, 0 to 1.
     pub retry_ratio: f64,
     /// Maximum ratio of hedges to first attempts, 0 to 1.
@@ -104,6 +106,7 @@
             choice: settings.choice,
             queue_limit: settings.queue as usize,
             connections: settings.connections,
+            max_rest: Duration::from_millis(settings.max_rest_ms.into()),
             retry_ratio: settings.retry.retry_percent / 100.0,
             hedge_ratio: settings.retry.hedge_percent / 100.0,
             probe_share: published.measuring.target_ms_per_s / 1_000.0 / shares,
@@ -123,6 +126,8 @@
     pub failure_domain: Arc<str>,
     /// Number of slots of the target.
     pub slots: u32,
+    /// Incarnation of the target, if the list names it.
+    pub incarnation: Option<Arc<str>>,
     /// Whether the target is leaving and must not get new calls.
     pub leaving: bool,
 }
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod changes;
 mod outcome;
+mod rests;
 mod start;
 mod timers;
 
@@ -65,6 +66,8 @@
     resumed_at: Timestamp,
     /// Whether any targets have been known; targets added later start cold.
     had_targets: bool,
+    /// Number of rests that targets asked for since it was last taken.
+    rests: u64,
     next_seq: u64,
     random: Pcg64Mcg,
 }
@@ -91,6 +94,7 @@
             probe_at: None,
             resumed_at: Timestamp::default(),
             had_targets: false,
+            rests: 0,
             next_seq: 0,
             random: Pcg64Mcg::seed_from_u64(seed),
             config,
@@ -107,6 +111,7 @@
             Event::Refused { call, target, refusal, report } => {
                 self.handle_refusal(now, call, &target, refusal, report, actions);
             }
+            Event::Noticed { target, notice } => self.handle_notice(now, &target, notice),
             Event::Failed { call, target, kind, not_executed } => {
                 self.handle_failure(now, call, &target, kind, not_executed, actions);
             }
--- a/crates/policy/src/dispatch/dispatcher/admission.rs
+++ b/crates/policy/src/dispatch/dispatcher/admission.rs
@@ -6,7 +6,6 @@
     dispatch::{
         calls::{CallState, TrackedCall},
         event::{Action, Call, CallId, RefusalReason},
-        target::Target,
     },
 };
 use std::{sync::Arc, time::Duration};
@@ -40,7 +39,7 @@
             return;
         }
         if !self.make_room(now, class, &call.caller, actions) {
-            let retry_after = self.retry_after(self.half_queue_time());
+            let retry_after = self.retry_after(self.half_queue_time(now));
             let reason = RefusalReason::QueueFull;
             actions.push(Action::Refuse { call: call.id, reason, retry_after });
             return;
@@ -125,9 +124,9 @@
         if !self.selector.is_late_binding() || self.can_relay(now, call) {
             return None;
         }
-        let capacity: u32 = self.targets.values().map(|t| t.unpaused_capacity()).sum();
+        let capacity: u32 = self.targets.values().map(|t| t.unpaused_capacity(now)).sum();
         if capacity == 0 {
-            return self.check_without_capacity(now, remaining);
+            return self.check_without_capacity(now, call.operation, remaining);
         }
         if self.queue.len() == 0 {
             return None;
@@ -145,23 +144,22 @@
     }
 
     /// Checks admission while no slot is usable. The call may still wait for the trial of an open
-    /// breaker or the end of a pause.
+    /// breaker or the end of a pause, or for the end of a rest if it can run after it.
     fn check_without_capacity(
         &self,
         now: Timestamp,
+        operation: usize,
         remaining: Duration,
     ) -> Option<(RefusalReason, Duration)> {
-        let active = self.targets.values().filter(|t| t.is_active());
-        let available_in = |t: &Target| {
-            let trial = t.breaker.trial_at().unwrap_or(now);
-            trial.max(t.limit.paused_until()).since(now)
+        let Some(at) = self.first_available(now) else {
+            return Some((RefusalReason::NoTarget, NO_TARGET_DELAY));
         };
-        let first = active.map(available_in).min();
-        match first {
-            Some(wait) if wait < remaining => None,
-            Some(wait) => Some((RefusalReason::NoTarget, wait)),
-            None => Some((RefusalReason::NoTarget, NO_TARGET_DELAY)),
-        }
+        let wait = at.since(now);
+        let run = match self.is_resting(now) {
+            true => micros(self.expected_us(operation)),
+            false => Duration::ZERO,
+        };
+        (wait + run >= remaining).then_some((RefusalReason::NoTarget, wait))
     }
 
     /// Returns a random retry delay between one and two times `after`, within the bounds, so that
@@ -172,8 +170,8 @@
     }
 
     /// Returns the time until about half of the waiting calls have run.
-    pub(super) fn half_queue_time(&self) -> Duration {
-        let capacity: u32 = self.targets.values().map(|t| t.unpaused_capacity()).sum();
+    pub(super) fn half_queue_time(&self, now: Timestamp) -> Duration {
+        let capacity: u32 = self.targets.values().map(|t| t.unpaused_capacity(now)).sum();
         let work_us = self.queue.len() as f64 * self.mean_us();
         micros(work_us / 2.0 / f64::from(capacity.max(1)))
     }
--- a/crates/policy/src/dispatch/dispatcher/changes.rs
+++ b/crates/policy/src/dispatch/dispatcher/changes.rs
@@ -37,7 +37,8 @@
         self.assign_slots();
     }
 
-    /// Applies a new host list. Removed targets are kept until their last call has ended.
+    /// Applies a new host list. Removed targets are kept until their last call and their rest
+    /// have ended.
     pub(super) fn update_targets(&mut self, now: Timestamp, infos: Vec<TargetInfo>) {
         let mut old = std::mem::take(&mut self.targets);
         let mut targets = Targets::with_capacity(infos.len());
@@ -45,11 +46,11 @@
             let name = Arc::clone(&info.name);
             let target = match old.swap_remove(&name) {
                 Some(mut target) if !target.removed => {
-                    target.info = info;
+                    target.update_info(info);
                     target
                 }
                 Some(mut target) => {
-                    target.info = info;
+                    target.update_info(info);
                     target.removed = false;
                     target.reset_cold(now);
                     target
@@ -60,7 +61,7 @@
         }
         for (name, mut target) in old {
             target.removed = true;
-            if target.in_flight > 0 && !targets.contains_key(&name) {
+            if target.is_kept(now) && !targets.contains_key(&name) {
                 targets.insert(name, target);
             }
         }
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -46,6 +46,7 @@
             return;
         }
         let Some(attempt) = self.end_attempt(now, id, target) else { return };
+        self.record_rest_trial(&attempt);
         self.record_answer(now, id, &attempt, ok, elapsed);
         self.cancel_attempts(now, id, actions);
         self.finish_run(now, id, attempt.started);
@@ -68,6 +69,7 @@
             return;
         }
         let Some(attempt) = self.end_attempt(now, id, target) else { return };
+        self.record_rest_trial(&attempt);
         let jitter = self.random.random();
         if let Some(state) = self.targets.get_mut(target) {
             match refusal {
@@ -219,8 +221,10 @@
         id: CallId,
         actions: &mut Vec<Action>,
     ) {
-        let usable = self.targets.values().any(|t| t.is_usable());
         let Some(tracked) = self.calls.get_mut(&id) else { return };
+        let deadline = tracked.call.deadline;
+        let usable =
+            self.targets.values().any(|t| t.is_usable() && t.rest.until(now) < Some(deadline));
         self.queue.remove(tracked);
         if !usable {
             self.give_up(now, id, RefusalReason::NoTarget, actions);
@@ -235,8 +239,11 @@
     fn retry_delay(&self, now: Timestamp, reason: RefusalReason) -> Duration {
         let trials = self.targets.values().filter_map(|t| t.breaker.trial_at());
         match reason {
+            RefusalReason::NoTarget if self.is_resting(now) => {
+                self.first_available(now).map_or(NO_TARGET_DELAY, |at| at.since(now))
+            }
             RefusalReason::NoTarget => trials.min().map_or(NO_TARGET_DELAY, |at| at.since(now)),
-            _ => self.half_queue_time(),
+            _ => self.half_queue_time(now),
         }
     }
 
@@ -398,7 +405,7 @@
         let Some(state) = self.targets.get_mut(&attempt.target) else { return };
         state.in_flight = state.in_flight.saturating_sub(1);
         state.slowness.finish(now, decay_us, attempt.expected_us);
-        if state.removed && state.in_flight == 0 {
+        if state.removed && !state.is_kept(now) {
             self.targets.shift_remove(&attempt.target);
         }
     }
--- /dev/null
+++ b/crates/policy/src/dispatch/dispatcher/rests.rs
@@ -0,0 +1,76 @@
+//! Rests that targets ask for.
+
+use super::Dispatcher;
+use crate::{
+    Timestamp,
+    dispatch::{
+        calls::Attempt,
+        event::{Action, CallId, RefusalReason, TargetNotice},
+    },
+};
+use std::sync::Arc;
+
+impl Dispatcher {
+    /// Returns the targets that rest at `now`, with the end of their rests.
+    pub fn resting_targets(&self, now: Timestamp) -> impl Iterator<Item = (&Arc<str>, Timestamp)> {
+        self.targets.iter().filter_map(move |(name, t)| Some((name, t.rest.until(now)?)))
+    }
+
+    /// Returns the number of rests that targets have asked for since the last call.
+    pub fn take_rests(&mut self) -> u64 {
+        std::mem::take(&mut self.rests)
+    }
+
+    /// Handles what a response of a target says about the target.
+    pub(super) fn handle_notice(&mut self, now: Timestamp, target: &str, notice: TargetNotice) {
+        let Some(state) = self.targets.get_mut(target) else { return };
+        if let Some(incarnation) = &notice.incarnation {
+            state.rest.record_incarnation(incarnation);
+        }
+        let max_rest = self.config.max_rest;
+        if let Some(rest) = notice.rest.filter(|r| !r.is_zero())
+            && state.rest.ask(now, rest.min(max_rest), notice.incarnation)
+        {
+            self.rests += 1;
+            self.probe_at = None;
+        }
+    }
+
+    /// Records the answer to an attempt, which ends the trial after a rest.
+    pub(super) fn record_rest_trial(&mut self, attempt: &Attempt) {
+        if let Some(state) = self.targets.get_mut(&attempt.target) {
+            state.rest.record_answer(attempt.started);
+        }
+    }
+
+    /// Returns whether any active target rests.
+    pub(super) fn is_resting(&self, now: Timestamp) -> bool {
+        self.targets.values().any(|t| t.is_active() && t.rest.is_resting(now))
+    }
+
+    /// Returns when the first active target may get a call, or `None` without such a target.
+    pub(super) fn first_available(&self, now: Timestamp) -> Option<Timestamp> {
+        let active = self.targets.values().filter(|t| t.is_active());
+        active.map(|t| t.available_at(now)).min()
+    }
+
+    /// Gives up the waiting calls whose latest start comes before the end of the first rest, unless a
+    /// peer can take them.
+    pub(super) fn refuse_during_rest(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
+        if self.queue.len() == 0 || !self.is_resting(now) {
+            return;
+        }
+        let Some(at) = self.first_available(now).filter(|at| *at > now) else { return };
+        let late: Vec<CallId> = self.queue.expiring_by(at).collect();
+        for id in late {
+            let Some(call) = self.calls.get(&id).map(|c| c.call.clone()) else { continue };
+            if self.can_relay(now, &call) {
+                continue;
+            }
+            if let Some(tracked) = self.calls.get(&id) {
+                self.queue.remove(tracked);
+            }
+            self.give_up(now, id, RefusalReason::NoTarget, actions);
+        }
+    }
+}
--- a/crates/policy/src/dispatch/dispatcher/start.rs
+++ b/crates/policy/src/dispatch/dispatcher/start.rs
@@ -41,7 +41,7 @@
         if self.queue.len() == 0 {
             return;
         }
-        let slots: u32 = self.targets.values().map(|t| t.unpaused_capacity()).sum();
+        let slots: u32 = self.targets.values().map(|t| t.unpaused_capacity(now)).sum();
         while let Some(id) = self.queue.next(now, f64::from(slots)) {
             match self.choose_destination(now, id) {
                 Destination::Target(index) => self.start_at_target(now, id, index, actions),
@@ -51,10 +51,13 @@
                 }
                 Destination::Wait(recheck_at) => {
                     self.recheck_at = recheck_at;
-                    return;
+                    break;
                 }
             }
         }
+        if slots == 0 {
+            self.refuse_during_rest(now, actions);
+        }
     }
 
     /// Chooses where the call at the head of the queue goes.
--- a/crates/policy/src/dispatch/dispatcher/timers.rs
+++ b/crates/policy/src/dispatch/dispatcher/timers.rs
@@ -53,7 +53,8 @@
             return;
         };
         let silence = |t: &Target| now.since(t.last_heard);
-        let candidates = self.targets.values().filter(|t| !t.removed && !t.info.leaving);
+        let may_probe = |t: &&Target| !t.removed && !t.info.leaving && !t.rest.is_pending();
+        let candidates = self.targets.values().filter(may_probe);
         let Some(target) = candidates.max_by_key(|t| silence(t)) else {
             self.probe_at = None;
             return;
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -35,6 +35,15 @@
     pub draining: bool,
 }
 
+/// What a response of a target says about the target itself, beside its load.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct TargetNotice {
+    /// Incarnation of the target, if the response names it.
+    pub incarnation: Option<Arc<str>>,
+    /// Time for which the target wants no further requests of this entry.
+    pub rest: Option<Duration>,
+}
+
 /// Reason why a target refused a call without executing it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum TargetRefusal {
@@ -85,6 +94,14 @@
         /// Load reported with the refusal.
         report: Option<LoadReport>,
     },
+    /// The head of a response of a target arrived. The event with the outcome of the call or probe
+    /// follows.
+    Noticed {
+        /// Name of the target.
+        target: Arc<str>,
+        /// What the response says.
+        notice: TargetNotice,
+    },
     /// An attempt at a target or a relay to a peer failed.
     Failed {
         /// Identifier of the call.
--- a/crates/policy/src/dispatch/queue.rs
+++ b/crates/policy/src/dispatch/queue.rs
@@ -84,6 +84,11 @@
         self.expiries.first().copied()
     }
 
+    /// Returns the waiting calls whose latest start is `at` or earlier.
+    pub(super) fn expiring_by(&self, at: Timestamp) -> impl Iterator<Item = CallId> + '_ {
+        self.expiries.iter().take_while(move |(latest, _)| *latest <= at).map(|(_, id)| *id)
+    }
+
     /// Adds a call that is expected to take `cost` µs.
     pub(super) fn push(&mut self, now: Timestamp, tracked: &mut TrackedCall, cost: u64) {
         let class = &mut self.classes[tracked.class];
--- a/crates/policy/src/dispatch/selection/baselines.rs
+++ b/crates/policy/src/dispatch/selection/baselines.rs
@@ -143,7 +143,11 @@
 
 /// Returns the targets that may get the call, with their indices.
 fn candidates<'a>(context: &'a SelectionContext<'_>) -> impl Iterator<Item = (usize, &'a Target)> {
-    let accepts_calls = |t: &Target| t.is_usable() && t.limit.paused_until() <= context.now;
+    let accepts_calls = |t: &Target| {
+        t.is_usable()
+            && t.limit.paused_until() <= context.now
+            && t.rest.allowed(context.now) > t.in_flight
+    };
     let is_eligible = move |t: &Target| {
         (accepts_calls(t) || t.is_trial_due(context.now)) && !context.has_tried(t)
     };
--- a/crates/policy/src/dispatch/selection/owned.rs
+++ b/crates/policy/src/dispatch/selection/owned.rs
@@ -116,7 +116,7 @@
     let mut rate = 0.0;
     let mut slots = 0.0;
     for target in context.targets.values() {
-        if target.in_flight == 0 || !target.is_usable() {
+        if target.in_flight == 0 || !target.is_usable() || target.rest.is_resting(context.now) {
             continue;
         }
         let target_slowness = target.slowness.current(context.now, context.decay_us);
@@ -148,10 +148,10 @@
     Selection::Wait { expected_us, recheck_at: earliest_resumption(context) }
 }
 
-/// Returns the earliest end of a pause or of the open state of a breaker.
+/// Returns the earliest end of a pause, of a rest or of the open state of a breaker.
 fn earliest_resumption(context: &SelectionContext<'_>) -> Option<crate::Timestamp> {
     let active = context.targets.values().filter(|t| t.is_active() && t.owned_slots > 0);
-    let ends = active.filter_map(|t| t.breaker.trial_at().or(Some(t.limit.paused_until())));
+    let ends = active.map(|t| t.available_at(context.now));
     ends.filter(|at| *at > context.now).min()
 }
 
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -5,6 +5,7 @@
     config::TargetInfo,
     event::LoadReport,
     limit::ConcurrencyLimit,
+    rest::Rest,
     slowness::SlownessEstimate,
 };
 use crate::Timestamp;
@@ -29,6 +30,8 @@
     pub(super) limit: ConcurrencyLimit,
     /// Circuit breaker.
     pub(super) breaker: Breaker,
+    /// Rest that the target asked for.
+    pub(super) rest: Rest,
     /// Whether the target itself reported that it is draining.
     pub(super) draining: bool,
     /// Whether the target was removed from the host list.
@@ -51,6 +54,7 @@
             slowness: SlownessEstimate::default(),
             limit,
             breaker: Breaker::new(),
+            rest: Rest::default(),
             draining: false,
             removed: false,
             report: None,
@@ -73,17 +77,34 @@
         self.is_active()
             && self.owned_slots > 0
             && self.in_flight == 0
+            && !self.rest.is_resting(now)
             && self.breaker.permit(now) == Permit::Trial
     }
 
     /// Returns the number of calls that may be in flight at the target at `now`.
     pub(super) fn capacity(&self, now: Timestamp) -> u32 {
-        if self.is_usable() { self.owned_slots.min(self.limit.allowed(now)) } else { 0 }
+        self.unpaused_capacity(now).min(self.limit.allowed(now))
     }
 
-    /// Returns the number of calls that could be in flight if no pause were in force.
-    pub(super) fn unpaused_capacity(&self) -> u32 {
-        if self.is_usable() { self.owned_slots.min(self.limit.allowed(Timestamp::MAX)) } else { 0 }
+    /// Returns the number of calls that could be in flight at `now` if no pause after a refusal were
+    /// in force.
+    pub(super) fn unpaused_capacity(&self, now: Timestamp) -> u32 {
+        if !self.is_usable() {
+            return 0;
+        }
+        self.owned_slots.min(self.limit.allowed(Timestamp::MAX)).min(self.rest.allowed(now))
+    }
+
+    /// Returns when the target may get the next call, as far as that is known.
+    pub(super) fn available_at(&self, now: Timestamp) -> Timestamp {
+        let trial = self.breaker.trial_at().unwrap_or(now);
+        let rested = self.rest.until(now).unwrap_or(now);
+        trial.max(self.limit.paused_until()).max(rested).max(now)
+    }
+
+    /// Returns whether the state has to be kept although the host list lacks the target.
+    pub(super) fn is_kept(&self, now: Timestamp) -> bool {
+        self.in_flight > 0 || self.rest.is_resting(now)
     }
 
     /// Returns the number of calls that may start at `now`.
@@ -91,6 +112,17 @@
         self.capacity(now).saturating_sub(self.in_flight)
     }
 
+    /// Applies a new entry of the host list. A list that lags names an earlier incarnation, so only a
+    /// change between two lists proves that another one has started.
+    pub(super) fn update_info(&mut self, info: TargetInfo) {
+        if let Some(incarnation) = &info.incarnation
+            && self.info.incarnation.as_ref().is_some_and(|old| old != incarnation)
+        {
+            self.rest.record_incarnation(incarnation);
+        }
+        self.info = info;
+    }
+
     /// Records a load report.
     pub(super) fn record_report(&mut self, report: Option<LoadReport>) {
         if let Some(report) = report {
--- a/crates/policy/tests/dispatch/arbitrary_events.rs
+++ b/crates/policy/tests/dispatch/arbitrary_events.rs
@@ -9,7 +9,8 @@
 use azuretally_policy::{
     Timestamp,
     dispatch::{
-        Action, CallId, Dispatcher, Event, FailureKind, LoadReport, ServiceConfig, TargetRefusal,
+        Action, CallId, Dispatcher, Event, FailureKind, LoadReport, ServiceConfig, TargetNotice,
+        TargetRefusal,
     },
 };
 use std::{
@@ -32,6 +33,9 @@
     in_flight: HashSet<(u64, Arc<str>)>,
     /// Calls that an attempt may have executed.
     may_have_run: HashSet<u64>,
+    /// Ends of the rests that targets asked for.
+    rests: HashMap<Arc<str>, Timestamp>,
+    now: Timestamp,
 }
 
 impl Model {
@@ -59,6 +63,7 @@
                         "two concurrent attempts of a call that is not idempotent"
                     );
                     assert!(!leaving.contains(target), "{target} is leaving");
+                    assert!(!self.is_resting(target), "{target} rests");
                     assert!(self.in_flight.insert((call.0, Arc::clone(target))));
                 }
                 Action::Relay { call, peer } => {
@@ -81,10 +86,16 @@
                         "cancelled an attempt that is not in flight"
                     );
                 }
-                Action::Probe { .. } => {}
+                Action::Probe { target } => {
+                    assert!(!self.is_resting(target), "{target} rests");
+                }
             }
         }
     }
+
+    fn is_resting(&self, target: &Arc<str>) -> bool {
+        self.rests.get(target).is_some_and(|until| *until > self.now)
+    }
 }
 
 struct Scenario<'a, 'b> {
@@ -93,6 +104,7 @@
     config: ServiceConfig,
     model: Model,
     leaving: HashSet<Arc<str>>,
+    listed: HashSet<Arc<str>>,
     now: Timestamp,
     next_id: u64,
 }
@@ -100,7 +112,7 @@
 impl Scenario<'_, '_> {
     fn step(&mut self) -> Result<()> {
         self.now = self.now + ms(u64::from(self.u.arbitrary::<u8>()? / 16));
-        let event = match self.u.int_in_range(0..=19)? {
+        let event = match self.u.int_in_range(0..=20)? {
             0..=6 => self.arrival()?,
             7..=13 => match self.end_attempt()? {
                 Some(event) => event,
@@ -111,6 +123,7 @@
             16 => self.targets()?,
             17 => self.peers()?,
             18 => self.changed_config()?,
+            19 => self.rest()?,
             _ if self.u.arbitrary()? => {
                 self.now = self.now + ms(300);
                 Event::ProcessPaused(ms(300))
@@ -123,6 +136,7 @@
 
     fn handle(&mut self, event: Event) {
         let mut actions = Vec::new();
+        self.model.now = self.now;
         // The cancellations of a call that ends by this event must be applied before the call ends.
         let ended_call = match &event {
             Event::Answered { call, target, .. } | Event::PeerDone { call, peer: target } => {
@@ -145,6 +159,17 @@
         assert!(self.dispatcher.waiting() <= self.config.queue_limit.max(1));
     }
 
+    fn rest(&mut self) -> Result<Event> {
+        let target = target_name(self.u.int_in_range(0..=TARGETS - 1)?);
+        let rest = ms(u64::from(self.u.arbitrary::<u8>()?));
+        if self.listed.contains(&target) {
+            let until = self.model.rests.entry(Arc::clone(&target)).or_default();
+            *until = (*until).max(self.now + rest);
+        }
+        let notice = TargetNotice { incarnation: None, rest: Some(rest) };
+        Ok(Event::Noticed { target, notice })
+    }
+
     fn arrival(&mut self) -> Result<Event> {
         self.next_id += 1;
         let operation = self.u.int_in_range(0..=3)?;
@@ -269,6 +294,7 @@
         // A target that is listed as not leaving may get calls again, even if it reported that it
         // is draining.
         self.leaving.retain(|n| !infos.iter().any(|p| p.name == *n && !p.leaving));
+        self.listed = listed;
         Ok(Event::TargetsChanged(infos))
     }
 
@@ -325,6 +351,7 @@
                 config,
                 model: Model::default(),
                 leaving: HashSet::new(),
+                listed: (0..TARGETS).map(target_name).collect(),
                 now: Timestamp::from_millis(1_000),
                 next_id: 0,
             };
--- a/crates/policy/tests/dispatch/fixture.rs
+++ b/crates/policy/tests/dispatch/fixture.rs
@@ -50,6 +50,7 @@
         choice,
         queue_limit: 1_000,
         connections: 240,
+        max_rest: Duration::from_secs(30),
         retry_ratio: 0.1,
         hedge_ratio: 0.0,
         probe_share: 0.0,
@@ -68,6 +69,7 @@
         name: target_name(n),
         failure_domain: format!("domain-{}", n % 3).into(),
         slots,
+        incarnation: None,
         leaving: false,
     };
     (0..count).map(target).collect()
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -6,4 +6,5 @@
 mod leaving;
 mod order;
 mod overload;
+mod resting;
 mod simulation;
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -40,6 +40,7 @@
     "services.*.choice",
     "services.*.entry_set",
     "services.*.queue",
+    "services.*.max_rest_ms",
     "services.*.retry",
     "services.*.retry.retry_percent",
     "services.*.retry.hedge_percent",
--- a/crates/settings/src/published.rs
+++ b/crates/settings/src/published.rs
@@ -101,6 +101,9 @@
     /// Maximum number of calls of the service that wait at one entry.
     #[serde(default = "default_queue")]
     pub queue: u32,
+    /// Longest rest that a target may ask an entry for at once, in ms.
+    #[serde(default = "default_max_rest_ms")]
+    pub max_rest_ms: u32,
     /// Budgets for retries and hedges.
     #[serde(default)]
     pub retry: RetrySettings,
@@ -112,6 +115,10 @@
     1024
 }
 
+fn default_max_rest_ms() -> u32 {
+    30_000
+}
+
 /// One class of calls within a preset.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/settings/src/published/check.rs
+++ b/crates/settings/src/published/check.rs
@@ -13,6 +13,8 @@
 const MAX_CONNECTIONS: u32 = 1_000_000;
 /// Maximum of `queue`, in calls per entry.
 const MAX_QUEUE: u32 = 1_000_000;
+/// Maximum of `max_rest_ms`: half of the longest retry delay, which leaves room for its spread.
+const MAX_REST_MS: u32 = 30_000;
 /// Maximum of `timeout_ms`: one day.
 const MAX_TIMEOUT_MS: u32 = 86_400_000;
 /// Maximum of `probe_cost_ms`: one minute.
@@ -92,6 +94,7 @@
         format!("{} is more than the {} entries", service.entry_set, published.entries)
     });
     validator.count(&key("queue"), service.queue, 1, MAX_QUEUE);
+    validator.count(&key("max_rest_ms"), service.max_rest_ms, 1, MAX_REST_MS);
     validator.percent(&key("retry.retry_percent"), service.retry.retry_percent);
     validator.percent(&key("retry.hedge_percent"), service.retry.hedge_percent);
     validator.require(!service.operations.is_empty(), &key("operations"), || {
