fix(policy): keep the mark of a draining target when its trial succeeds

A target whose breaker is open gets one trial call. If the answer to it said that the target drains, the mark was set and then lost, since the success of the trial resets the target to a cold one, and that cleared the mark too. The target got calls until its next answer.

The reset now covers estimates only; a target that returns to the host list still starts without the mark.

--- a/crates/policy/src/dispatch/dispatcher/changes.rs
+++ b/crates/policy/src/dispatch/dispatcher/changes.rs
@@ -52,6 +52,7 @@
                 Some(mut target) => {
                     target.update_info(info);
                     target.removed = false;
+                    target.draining = false;
                     target.reset_cold(now);
                     target
                 }
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -131,11 +131,10 @@
         }
     }
 
-    /// Resets the state to that of a cold target, for example after it restarted.
+    /// Resets the estimates to those of a cold target, for example after it restarted.
     pub(super) fn reset_cold(&mut self, now: Timestamp) {
         self.limit = ConcurrencyLimit::cold(now);
         self.slowness.reset(now);
-        self.draining = false;
         self.report = None;
     }
 }
--- a/crates/policy/tests/dispatch/leaving.rs
+++ b/crates/policy/tests/dispatch/leaving.rs
@@ -3,7 +3,7 @@
 use crate::fixture::{CHECK, call, config, ms, targets};
 use azuretally_policy::{
     Timestamp,
-    dispatch::{Action, CallId, Dispatcher, Event, LoadReport, ServiceConfig},
+    dispatch::{Action, CallId, Dispatcher, Event, FailureKind, LoadReport, ServiceConfig},
 };
 use azuretally_settings::BalancingPolicy;
 use std::sync::Arc;
@@ -73,3 +73,25 @@
     answer(&mut dispatcher, 1_006, 2, LoadReport { busy: 0, draining: false });
     assert!(!is_dispatched(&arrive(&mut dispatcher, 1_010, 3)));
 }
+
+/// Guards against a target that gets calls although the trial call after its failures learned that
+/// it drains.
+#[test]
+fn draining_target_stays_out_after_a_successful_trial() {
+    let mut dispatcher = dispatcher();
+    handle(&mut dispatcher, 1_000, Event::TargetsChanged(targets(1, 1)));
+    let mut now_ms = 1_000;
+    let mut id = 0;
+    while is_dispatched(&arrive(&mut dispatcher, now_ms, id)) {
+        let (call, target) = (CallId(id), targets(1, 1).remove(0).name);
+        let kind = FailureKind::Broken;
+        handle(&mut dispatcher, now_ms, Event::Failed { call, target, kind, not_executed: false });
+        handle(&mut dispatcher, now_ms, Event::CallerDisconnected(call));
+        now_ms += 1;
+        id += 1;
+    }
+    handle(&mut dispatcher, now_ms, Event::CallerDisconnected(CallId(id)));
+    assert!(is_dispatched(&arrive(&mut dispatcher, now_ms + 2_000, id + 1)), "no trial");
+    answer(&mut dispatcher, now_ms + 2_005, id + 1, DRAINING);
+    assert!(!is_dispatched(&arrive(&mut dispatcher, now_ms + 2_010, id + 2)));
+}
