test(testsuite): ask for rest once the fleet has converged

A run with the metrics of all entries shows why: entry-1, the set at the start, was asked for rest (1) and sent nothing more; then the set moved to entry-2, which no target had asked and which sent 14 retries. The rule binds the process that was asked, and the stand-in counts the requests of all. The test now waits until every entry sees the others, as the tests of control do; its bound stays.

Also checks the counter and the gauge of rests.

--- a/crates/testsuite/src/entry.rs
+++ b/crates/testsuite/src/entry.rs
@@ -123,6 +123,19 @@
         serde_json::from_slice(&body).map_err(|_| CallError::Broken)
     }
 
+    /// Returns the metrics from the administration API.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if there is no valid response.
+    pub async fn metrics(&self) -> Result<String, CallError> {
+        let (code, body) = web::exchange(self.admin, Method::GET, "/metrics", "").await?;
+        if code != StatusCode::OK {
+            return Err(CallError::Broken);
+        }
+        String::from_utf8(body.to_vec()).map_err(|_| CallError::Broken)
+    }
+
     fn settings_toml(&self, seeds: &[SocketAddr]) -> String {
         let seeds: Vec<_> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
         let stop_timeout =
--- a/crates/testsuite/tests/testsuite/control.rs
+++ b/crates/testsuite/tests/testsuite/control.rs
@@ -25,7 +25,7 @@
     states
 }
 
-async fn wait_for_full_membership(fleet: &Fleet) {
+pub(crate) async fn wait_for_full_membership(fleet: &Fleet) {
     let others = fleet.entries.len() - 1;
     eventually("every entry sees every other one", DEFAULT_TIMEOUT, async || {
         for entry in &fleet.entries {
--- a/crates/testsuite/tests/testsuite/resting.rs
+++ b/crates/testsuite/tests/testsuite/resting.rs
@@ -1,5 +1,6 @@
 //! A target that asks for rest gets no request until the rest has passed.
 
+use crate::control::wait_for_full_membership;
 use azuretally_standin::target::{Faults, GroupReport};
 use azuretally_testsuite::{Call, Fleet, LoadGenerator, Workload};
 use std::time::{Duration, Instant};
@@ -53,7 +54,11 @@
     let load = LoadGenerator::start(&fleet, WORKLOAD);
     time::sleep(Duration::from_millis(300)).await;
     fleet.set_target_faults(None, resting()).await;
-    time::sleep(REST * 2).await;
+    time::sleep(REST / 2).await;
+    let metrics = fleet.entries[0].metrics().await.unwrap();
+    assert!(metrics.contains("azuretally_rests_total 4\n"), "{metrics}");
+    assert!(metrics.contains("azuretally_targets_resting 4\n"), "{metrics}");
+    time::sleep(REST * 3 / 2).await;
     assert_rested(&fleet.target_report().await, &["till-0", "till-1", "till-2", "till-3"]);
     let outcomes = fleet.verify(&load.finish().await).await;
     assert_eq!(outcomes.indeterminate(), 0, "{outcomes:?}");
@@ -109,6 +114,9 @@
         })
         .start()
         .await;
+    // Until the fleet has converged, two entries may dispatch calls, and a rest binds the entry that
+    // was asked.
+    wait_for_full_membership(&fleet).await;
     let to = fleet.direction().await;
     fleet.set_target_faults(Some(1), resting()).await;
     let other = fleet.entries.iter().find(|e| e.host != to.host).unwrap();
