fix(entry): honour an answer that says draining but reports no load

An entry read x-target-state only beside a valid x-target-busy, and only when the whole answer had arrived. A target that left without naming its slots got 701 calls in 2 s; one with a long answer got calls until its end. What a probe learned was not passed on to the other entries.

The mark is now part of what the head of any answer of a target says (Event::Noticed): it is in force from the next decision, and reported to the other entries from probes too.

The case of the long answer and that of probes have no test of their own.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -14,6 +14,7 @@
     mailbox::{Mailbox, Step},
     pool::ReusePolicy,
     reply::Reply,
+    service::Service,
 };
 use azuretally_api::{
     headers,
@@ -263,8 +264,7 @@
         match result {
             Ok(response) => {
                 let report = load_report(&response);
-                service.notice(&target, &response);
-                self.report_leaving(&target, &response, report);
+                take_notice(self.app, &service, &target, &response);
                 if let Some(refusal) = target_refusal(&response) {
                     self.guard.end_attempt(&target);
                     service.handle(Event::Refused { call, target, refusal, report });
@@ -283,22 +283,6 @@
         }
     }
 
-    /// Notifies the control thread if the response shows that the target is draining.
-    fn report_leaving(
-        &self,
-        target: &Arc<str>,
-        response: &UpstreamResponse,
-        report: Option<LoadReport>,
-    ) {
-        if report.is_some_and(|r| r.draining)
-            || target_refusal(response) == Some(TargetRefusal::Draining)
-        {
-            let incarnation = response.head.headers.get(headers::TARGET_INCARNATION);
-            let incarnation = incarnation.and_then(|v| v.to_str().ok()).unwrap_or_default();
-            self.app.context.control.report_leaving(target, incarnation);
-        }
-    }
-
     /// Returns the outcome and response to forward to the caller, or `None` if the dispatcher
     /// decides what happens next.
     fn handle_peer_result(
@@ -353,15 +337,40 @@
     }
 }
 
+/// Passes what the head of a response of a target says about the target to the dispatcher, and to the
+/// control thread if the target is draining.
+pub(super) fn take_notice(
+    app: &App,
+    service: &Arc<Service>,
+    target: &Arc<str>,
+    response: &UpstreamResponse,
+) {
+    let notice = target_notice(response);
+    if notice.draining {
+        app.context.control.report_leaving(target, notice.incarnation.as_deref().unwrap_or(""));
+    }
+    service.notice(target, notice);
+}
+
 /// Returns what the response of a target says about the target, beside its load.
-pub(super) fn target_notice(response: &UpstreamResponse) -> TargetNotice {
+fn target_notice(response: &UpstreamResponse) -> TargetNotice {
     let header_map = &response.head.headers;
     let incarnation = header_map.get(headers::TARGET_INCARNATION).and_then(|v| v.to_str().ok());
-    TargetNotice { incarnation: incarnation.map(Arc::from), rest: requested_rest(response) }
+    TargetNotice {
+        incarnation: incarnation.map(Arc::from),
+        rest: requested_rest(response),
+        draining: is_draining(response),
+    }
+}
+
+/// Returns whether the response shows that the target is draining.
+fn is_draining(response: &UpstreamResponse) -> bool {
+    response.head.headers.get(headers::TARGET_STATE).is_some_and(|v| v == "draining")
+        || target_refusal(response) == Some(TargetRefusal::Draining)
 }
 
 /// Returns the rest that a target asks for in its response.
-pub(super) fn requested_rest(response: &UpstreamResponse) -> Option<Duration> {
+fn requested_rest(response: &UpstreamResponse) -> Option<Duration> {
     if response.head.status != StatusCode::SERVICE_UNAVAILABLE {
         return None;
     }
@@ -377,6 +386,5 @@
 pub(super) fn load_report(response: &UpstreamResponse) -> Option<LoadReport> {
     let header_map = &response.head.headers;
     let busy = header_map.get(headers::TARGET_BUSY)?.to_str().ok()?.parse().ok()?;
-    let draining = header_map.get(headers::TARGET_STATE).is_some_and(|v| v == "draining");
-    Some(LoadReport { busy, draining })
+    Some(LoadReport { busy, draining: is_draining(response) })
 }
--- a/crates/entry/src/calls/probe.rs
+++ b/crates/entry/src/calls/probe.rs
@@ -1,8 +1,13 @@
 //! Sends the probes that dispatchers request within their probe budgets.
 
 use super::{
-    app::App, body::RequestBody, exchange::Exchange, handler::load_report, limits::PROBE_TIMEOUT,
-    pool::ReusePolicy, service::ProbeRequest,
+    app::App,
+    body::RequestBody,
+    exchange::Exchange,
+    handler::{load_report, take_notice},
+    limits::PROBE_TIMEOUT,
+    pool::ReusePolicy,
+    service::ProbeRequest,
 };
 use azuretally_policy::dispatch::Event;
 use bytes::Bytes;
@@ -41,7 +46,7 @@
             };
             let response = exchange.run(request).await.ok();
             if let Some(response) = &response {
-                service.notice(&target, response);
+                take_notice(&app, &service, &target, response);
             }
             response.as_ref().and_then(load_report)
         }
--- a/crates/entry/src/calls/service.rs
+++ b/crates/entry/src/calls/service.rs
@@ -1,8 +1,6 @@
 //! Runs the dispatcher of one service and delivers its actions to the calls.
 
 use super::{
-    exchange::UpstreamResponse,
-    handler::{requested_rest, target_notice},
     limits::FREE_SLOTS_INTERVAL,
     mailbox::{Mailbox, Step},
     target_addresses::TargetAddresses,
@@ -11,7 +9,9 @@
 use arc_swap::ArcSwap;
 use azuretally_policy::{
     Timestamp,
-    dispatch::{Action, Call, CallId, Dispatcher, Event, PeerSlots, ServiceConfig, TargetInfo},
+    dispatch::{
+        Action, Call, CallId, Dispatcher, Event, PeerSlots, ServiceConfig, TargetInfo, TargetNotice,
+    },
 };
 use indexmap::{IndexMap, IndexSet};
 use parking_lot::Mutex;
@@ -79,8 +79,8 @@
     /// Number of free slots, read by the control thread.
     free_slots: Arc<AtomicU32>,
     state: Mutex<State>,
-    /// Whether any target rests, so that its incarnation matters.
-    has_rests: AtomicBool,
+    /// Whether any target rests or drains, so that its incarnation matters.
+    has_marks: AtomicBool,
     /// Notified when the next wakeup is earlier than before.
     wakeup_changed: Notify,
     probes: mpsc::UnboundedSender<ProbeRequest>,
@@ -119,7 +119,7 @@
                 slots_updated: Timestamp::default(),
                 resting: IndexSet::new(),
             }),
-            has_rests: AtomicBool::new(false),
+            has_marks: AtomicBool::new(false),
             wakeup_changed: Notify::new(),
             probes,
         }
@@ -178,15 +178,13 @@
     }
 
     /// Passes what the head of a response of a target says about the target to the dispatcher, before
-    /// its body has arrived.
-    pub(super) fn notice(self: &Arc<Self>, target: &Arc<str>, response: &UpstreamResponse) {
-        let asks = requested_rest(response).is_some();
-        if asks {
-            self.has_rests.store(true, Ordering::Relaxed);
-        } else if !self.has_rests.load(Ordering::Relaxed) {
+    /// the body has arrived. An incarnation alone only matters while a target rests or drains.
+    pub(super) fn notice(self: &Arc<Self>, target: &Arc<str>, notice: TargetNotice) {
+        if notice.rest.is_some() || notice.draining {
+            self.has_marks.store(true, Ordering::Relaxed);
+        } else if !self.has_marks.load(Ordering::Relaxed) {
             return;
         }
-        let notice = target_notice(response);
         self.handle(Event::Noticed { target: Arc::clone(target), notice });
     }
 
@@ -208,7 +206,7 @@
         for target in state.resting.difference(&resting) {
             log::info!("calls: the rest of target {target} has ended");
         }
-        self.has_rests.store(!resting.is_empty(), Ordering::Relaxed);
+        self.has_marks.store(state.dispatcher.has_marks(), Ordering::Relaxed);
         state.resting = resting;
         let oldest = state.calls.values().filter(|c| !c.started).map(|c| c.submitted_at).min();
         let rests = state.dispatcher.take_rests();
--- a/crates/policy/src/dispatch/dispatcher/rests.rs
+++ b/crates/policy/src/dispatch/dispatcher/rests.rs
@@ -1,4 +1,4 @@
-//! Rests that targets ask for.
+//! What targets say about themselves: rests that they ask for, and that they are draining.
 
 use super::Dispatcher;
 use crate::{
@@ -16,6 +16,11 @@
         self.targets.iter().filter_map(move |(name, t)| Some((name, t.rest.until(now)?)))
     }
 
+    /// Returns whether any target rests or drains.
+    pub fn has_marks(&self) -> bool {
+        self.targets.values().any(|t| t.rest.is_pending() || t.draining)
+    }
+
     /// Returns the number of rests that targets have asked for since the last call.
     pub fn take_rests(&mut self) -> u64 {
         std::mem::take(&mut self.rests)
@@ -27,6 +32,7 @@
         if let Some(incarnation) = &notice.incarnation {
             state.rest.record_incarnation(incarnation);
         }
+        state.draining |= notice.draining;
         let max_rest = self.config.max_rest;
         if let Some(rest) = notice.rest.filter(|r| !r.is_zero())
             && state.rest.ask(now, rest.min(max_rest), notice.incarnation)
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -42,6 +42,8 @@
     pub incarnation: Option<Arc<str>>,
     /// Time for which the target wants no further requests of this entry.
     pub rest: Option<Duration>,
+    /// Whether the target is draining and accepts no new calls.
+    pub draining: bool,
 }
 
 /// Reason why a target refused a call without executing it.
--- a/crates/policy/tests/dispatch/arbitrary_events.rs
+++ b/crates/policy/tests/dispatch/arbitrary_events.rs
@@ -166,7 +166,7 @@
             let until = self.model.rests.entry(Arc::clone(&target)).or_default();
             *until = (*until).max(self.now + rest);
         }
-        let notice = TargetNotice { incarnation: None, rest: Some(rest) };
+        let notice = TargetNotice { incarnation: None, rest: Some(rest), draining: false };
         Ok(Event::Noticed { target, notice })
     }
 
--- a/crates/policy/tests/dispatch/resting.rs
+++ b/crates/policy/tests/dispatch/resting.rs
@@ -62,7 +62,11 @@
     }
 
     fn ask(&mut self, target: usize, rest: Duration, incarnation: Option<&str>) -> Vec<Action> {
-        let notice = TargetNotice { incarnation: incarnation.map(Arc::from), rest: Some(rest) };
+        let notice = TargetNotice {
+            incarnation: incarnation.map(Arc::from),
+            rest: Some(rest),
+            draining: false,
+        };
         self.handle(Event::Noticed { target: target_name(target), notice })
     }
 
@@ -248,7 +252,8 @@
 fn new_incarnation_has_asked_for_nothing() {
     let mut harness = Harness::new(BalancingPolicy::Owned, 1);
     harness.ask(0, ms(3_000), Some("a"));
-    let notice = |i: &str| TargetNotice { incarnation: Some(i.into()), rest: None };
+    let notice =
+        |i: &str| TargetNotice { incarnation: Some(i.into()), rest: None, draining: false };
     harness.handle(Event::Noticed { target: target_name(0), notice: notice("a") });
     assert!(dispatched(&harness.arrive(ms(50))).is_empty());
     harness.handle(Event::Noticed { target: target_name(0), notice: notice("b") });
