fix(policy): remember that a target drains while its record is away

An entry forgot that a target had said it drains when the host list left the target out and listed it again, and sent it a call. A probe whose answer said `serving` ended the mark too, also for the incarnation that had announced its leaving.

The mark now belongs to the incarnation that said so. It ends with an answer of another incarnation, with a host list that changes to one, or, if it is of no known incarnation, with a probe. A target that is not listed is kept for 10 min for its mark.

Entries that heard of the leaving from others only clear the report when the record returns, as host_list_without_incarnations_clears_a_report_after_confirming_it asks.

--- a/crates/policy/src/dispatch/dispatcher/changes.rs
+++ b/crates/policy/src/dispatch/dispatcher/changes.rs
@@ -38,7 +38,7 @@
     }
 
     /// Applies a new host list. Removed targets are kept until their last call and their rest
-    /// have ended.
+    /// have ended, and those that drain for some time, since a record may lapse and return.
     pub(super) fn update_targets(&mut self, now: Timestamp, infos: Vec<TargetInfo>) {
         let mut old = std::mem::take(&mut self.targets);
         let mut targets = Targets::with_capacity(infos.len());
@@ -52,7 +52,6 @@
                 Some(mut target) => {
                     target.update_info(info);
                     target.removed = false;
-                    target.draining = false;
                     target.reset_cold(now);
                     target
                 }
@@ -61,7 +60,10 @@
             targets.insert(name, target);
         }
         for (name, mut target) in old {
-            target.removed = true;
+            if !target.removed {
+                target.removed = true;
+                target.listed_at = now;
+            }
             if target.is_kept(now) && !targets.contains_key(&name) {
                 targets.insert(name, target);
             }
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -185,11 +185,7 @@
     ) {
         let Some(state) = self.targets.get_mut(target) else { return };
         match report {
-            Some(report) => {
-                state.last_heard = now;
-                state.draining = report.draining;
-                state.report = Some(report);
-            }
+            Some(report) => state.record_probe(now, report),
             None => self.record_target_failure(now, target),
         }
     }
--- a/crates/policy/src/dispatch/dispatcher/rests.rs
+++ b/crates/policy/src/dispatch/dispatcher/rests.rs
@@ -30,9 +30,11 @@
     pub(super) fn handle_notice(&mut self, now: Timestamp, target: &str, notice: TargetNotice) {
         let Some(state) = self.targets.get_mut(target) else { return };
         if let Some(incarnation) = &notice.incarnation {
-            state.rest.record_incarnation(incarnation);
+            state.record_incarnation(incarnation);
+        }
+        if notice.draining {
+            state.record_draining(notice.incarnation.clone());
         }
-        state.draining |= notice.draining;
         let max_rest = self.config.max_rest;
         if let Some(rest) = notice.rest.filter(|r| !r.is_zero())
             && state.rest.ask(now, rest.min(max_rest), notice.incarnation)
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -10,7 +10,10 @@
 };
 use crate::Timestamp;
 use indexmap::IndexMap;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
+
+/// Time for which the mark of a draining target is kept while the host list lacks the target.
+const DRAINING_MEMORY: Duration = Duration::from_secs(600);
 
 /// The targets of a service by name.
 pub(super) type Targets = IndexMap<Arc<str>, Target>;
@@ -34,8 +37,12 @@
     pub(super) rest: Rest,
     /// Whether the target itself reported that it is draining.
     pub(super) draining: bool,
+    /// Incarnation that reported it, if known.
+    pub(super) drained: Option<Arc<str>>,
     /// Whether the target was removed from the host list.
     pub(super) removed: bool,
+    /// When the target was last listed.
+    pub(super) listed_at: Timestamp,
     /// Last load report.
     pub(super) report: Option<LoadReport>,
     /// When the target last answered, refused a call or was probed.
@@ -56,7 +63,9 @@
             breaker: Breaker::new(),
             rest: Rest::default(),
             draining: false,
+            drained: None,
             removed: false,
+            listed_at: now,
             report: None,
             last_heard: now,
         }
@@ -104,7 +113,8 @@
 
     /// Returns whether the state has to be kept although the host list lacks the target.
     pub(super) fn is_kept(&self, now: Timestamp) -> bool {
-        self.in_flight > 0 || self.rest.is_resting(now)
+        let is_remembered = self.draining && now.since(self.listed_at) < DRAINING_MEMORY;
+        self.in_flight > 0 || self.rest.is_resting(now) || is_remembered
     }
 
     /// Returns the number of calls that may start at `now`.
@@ -118,11 +128,40 @@
         if let Some(incarnation) = &info.incarnation
             && self.info.incarnation.as_ref().is_some_and(|old| old != incarnation)
         {
-            self.rest.record_incarnation(incarnation);
+            let incarnation = Arc::clone(incarnation);
+            self.record_incarnation(&incarnation);
+            if self.drained.is_none() {
+                self.draining = false;
+            }
         }
         self.info = info;
     }
 
+    /// Clears what another incarnation than `incarnation` said about itself.
+    pub(super) fn record_incarnation(&mut self, incarnation: &str) {
+        self.rest.record_incarnation(incarnation);
+        if self.drained.as_deref().is_some_and(|d| d != incarnation) {
+            self.draining = false;
+            self.drained = None;
+        }
+    }
+
+    /// Records that `incarnation` is draining, which is final for it.
+    pub(super) fn record_draining(&mut self, incarnation: Option<Arc<str>>) {
+        self.draining = true;
+        self.drained = incarnation.or(self.drained.take());
+    }
+
+    /// Records a probe. A target whose incarnation is not known may have been replaced by one that
+    /// serves.
+    pub(super) fn record_probe(&mut self, now: Timestamp, report: LoadReport) {
+        self.last_heard = now;
+        if report.draining || self.drained.is_none() {
+            self.draining = report.draining;
+        }
+        self.report = Some(report);
+    }
+
     /// Records a load report.
     pub(super) fn record_report(&mut self, report: Option<LoadReport>) {
         if let Some(report) = report {
--- a/crates/policy/tests/dispatch/leaving.rs
+++ b/crates/policy/tests/dispatch/leaving.rs
@@ -3,7 +3,9 @@
 use crate::fixture::{CHECK, call, config, ms, targets};
 use azuretally_policy::{
     Timestamp,
-    dispatch::{Action, CallId, Dispatcher, Event, FailureKind, LoadReport, ServiceConfig},
+    dispatch::{
+        Action, CallId, Dispatcher, Event, FailureKind, LoadReport, ServiceConfig, TargetNotice,
+    },
 };
 use azuretally_settings::BalancingPolicy;
 use std::sync::Arc;
@@ -95,3 +97,58 @@
     answer(&mut dispatcher, now_ms + 2_005, id + 1, DRAINING);
     assert!(!is_dispatched(&arrive(&mut dispatcher, now_ms + 2_010, id + 2)));
 }
+
+fn notice(dispatcher: &mut Dispatcher, at_ms: u64, incarnation: Option<&str>, draining: bool) {
+    let target = targets(1, 1).remove(0).name;
+    let notice = TargetNotice { incarnation: incarnation.map(Arc::from), rest: None, draining };
+    handle(dispatcher, at_ms, Event::Noticed { target, notice });
+}
+
+fn probe(dispatcher: &mut Dispatcher, at_ms: u64, incarnation: Option<&str>) {
+    notice(dispatcher, at_ms, incarnation, false);
+    let target = targets(1, 1).remove(0).name;
+    let report = Some(LoadReport { busy: 0, draining: false });
+    handle(dispatcher, at_ms, Event::Probed { target, report });
+}
+
+/// Guards against a leaving incarnation that gets calls because it takes its word back, and against
+/// a new one that gets none.
+#[test]
+fn draining_ends_with_the_incarnation() {
+    let mut dispatcher = dispatcher();
+    handle(&mut dispatcher, 1_000, Event::TargetsChanged(targets(1, 1)));
+    notice(&mut dispatcher, 1_000, Some("a"), true);
+    probe(&mut dispatcher, 1_010, Some("a"));
+    assert!(!is_dispatched(&arrive(&mut dispatcher, 1_020, 1)));
+    probe(&mut dispatcher, 3_000, Some("b"));
+    assert!(is_dispatched(&arrive(&mut dispatcher, 3_010, 2)));
+}
+
+/// Guards against a target of unknown incarnation that gets no calls for good.
+#[test]
+fn draining_of_an_unknown_incarnation_ends_with_a_probe() {
+    let mut dispatcher = dispatcher();
+    handle(&mut dispatcher, 1_000, Event::TargetsChanged(targets(1, 1)));
+    notice(&mut dispatcher, 1_000, None, true);
+    assert!(!is_dispatched(&arrive(&mut dispatcher, 1_020, 1)));
+    probe(&mut dispatcher, 3_000, None);
+    assert!(is_dispatched(&arrive(&mut dispatcher, 3_010, 2)));
+}
+
+/// Guards against a mark that outlives the incarnation when only the host list names the new one.
+#[test]
+fn draining_ends_with_a_new_incarnation_in_the_host_list() {
+    for said_by in [Some("a"), None] {
+        let mut dispatcher = dispatcher();
+        let mut infos = targets(1, 1);
+        infos[0].incarnation = Some("a".into());
+        handle(&mut dispatcher, 1_000, Event::TargetsChanged(infos.clone()));
+        notice(&mut dispatcher, 1_000, said_by, true);
+        handle(&mut dispatcher, 2_000, Event::TargetsChanged(Vec::new()));
+        handle(&mut dispatcher, 3_000, Event::TargetsChanged(infos.clone()));
+        assert!(!is_dispatched(&arrive(&mut dispatcher, 3_010, 1)));
+        infos[0].incarnation = Some("b".into());
+        handle(&mut dispatcher, 4_000, Event::TargetsChanged(infos));
+        assert!(is_dispatched(&arrive(&mut dispatcher, 4_010, 2)));
+    }
+}
--- a/crates/testsuite/tests/testsuite/leaving.rs
+++ b/crates/testsuite/tests/testsuite/leaving.rs
@@ -123,3 +123,21 @@
     assert_eq!(calls_at(&after, "till-1"), calls_at(&before, "till-1"));
     fleet.verify(&load.finish().await).await;
 }
+
+/// As above, with a single entry, which has seen the target drain itself.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_saw_a_target_drain_sends_it_no_calls_after_its_record_returns() {
+    let mut fleet = Fleet::builder().entries(1).start().await;
+    let load = LoadGenerator::start(&fleet, WORKLOAD);
+    time::sleep(Duration::from_millis(300)).await;
+    fleet.set_target_faults(Some(1), Faults { drain: true, ..Faults::default() }).await;
+    time::sleep(LEAVING_BOUND).await;
+    let before = fleet.target_report().await;
+    fleet.publish_hosts(&[], &["till-1"]).await;
+    time::sleep(LEAVING_BOUND).await;
+    fleet.publish_hosts(&[], &[]).await;
+    time::sleep(OBSERVATION_TIME).await;
+    let after = fleet.target_report().await;
+    assert_eq!(calls_at(&after, "till-1"), calls_at(&before, "till-1"));
+    fleet.verify(&load.finish().await).await;
+}
