--- a/crates/policy/src/dispatch/dispatcher/changes.rs
+++ b/crates/policy/src/dispatch/dispatcher/changes.rs
@@ -37,7 +37,8 @@
         self.assign_slots();
     }
 
-    /// Applies a new host list. Removed targets are kept until their last call has ended.
+    /// Applies a new host list. Removed targets are kept until their last call and their rest
+    /// have ended, and those that drain for some time, since a record may lapse and return.
     pub(super) fn update_targets(&mut self, now: Timestamp, infos: Vec<TargetInfo>) {
         let mut old = std::mem::take(&mut self.targets);
         let mut targets = Targets::with_capacity(infos.len());
@@ -45,11 +46,11 @@
             let name = Arc::clone(&info.name);
             let target = match old.swap_remove(&name) {
                 Some(mut target) if !target.removed => {
-                    target.info = info;
+                    target.update_info(info);
                     target
                 }
                 Some(mut target) => {
-                    target.info = info;
+                    target.update_info(info);
                     target.removed = false;
                     target.reset_cold(now);
                     target
@@ -59,8 +60,11 @@
             targets.insert(name, target);
         }
         for (name, mut target) in old {
-            target.removed = true;
-            if target.in_flight > 0 && !targets.contains_key(&name) {
+            if !target.removed {
+                target.removed = true;
+                target.listed_at = now;
+            }
+            if target.is_kept(now) && !targets.contains_key(&name) {
                 targets.insert(name, target);
             }
         }
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -3,6 +3,8 @@
 mod arbitrary_events;
 mod budgets;
 mod fixture;
+mod leaving;
 mod order;
 mod overload;
+mod resting;
 mod simulation;
