fix(gateway): bound connections where the kernel does not tell what is undelivered

Since callers are given up by the bytes that they acknowledge, which SIOCOUTQ tells. Where that request fails, everything counted as delivered, so a caller that reads nothing would have held its connection and its buffers without a bound. Such connections keep the kernel's limit, as all did before. By reading; the request does not fail on the kernels that the tests run on.

--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -200,6 +200,10 @@
     /// Returns an error if the connection is already closed.
     pub fn new(stream: TcpStream, stall_timeout: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
+        if unacknowledged_bytes(&stream).is_err() {
+            // Without the progress, the kernel's limit is the only bound.
+            set_user_timeout(&stream, stall_timeout)?;
+        }
         Ok(Self {
             stream,
             state: Arc::default(),
