fix(gateway): mark a target that says that it leaves in a relayed answer

A gateway that is cut off from all targets relays its calls. It passed on answers of targets that leave without learning of it, so once it was back it sent such a target a call (DRAIN).

Cause: what an answer says of its target is recorded where the target is called, at the other gateway.

Change: the other gateway adds the process and name of such a target to its answer; the one that relayed the call records it and removes the field. A field of that name in a target's own answer is removed.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -62,6 +62,9 @@
 /// that the gateway uses, and the address of the caller, separated by commas. A relayed call is not
 /// relayed again. In the response: the version of the settings under which the call was handled.
 pub const RELAYED: &str = "x-azuretally-relayed";
+/// In the response to a relayed call: the target that ran it, if that says that it leaves: the number of
+/// its process and its name, separated by a comma.
+pub const DEPARTED: &str = "x-azuretally-departed";
 /// In all responses of the platform to a gateway: era of its data, a whole number above 0. It rises by
 /// one each time the platform is restored from a copy, after which its revisions continue from an
 /// earlier one. Missing if the platform knows no eras.
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -50,6 +50,8 @@
 pub(super) struct CompletedAttempt {
     /// Call and target of the attempt.
     pub(super) attempt: Attempt,
+    /// Process of the target that the platform listed.
+    pub(super) process: ProcessId,
     /// How the attempt ended.
     pub(super) outcome: AttemptOutcome,
     /// Load that the target reported, if any.
@@ -79,7 +81,7 @@
     let mut sent = false;
     // There is no timeout here: the task of the call drops the exchange at the deadline.
     let result = exchange(&gateway, &pool, &inbound, &new_attempt, &mut sent).await;
-    let same_domain = new_attempt.same_domain;
+    let NewAttempt { same_domain, process, .. } = new_attempt;
     match result {
         Ok((target_response, received)) => {
             let ok = !received.head.status.is_server_error();
@@ -98,6 +100,7 @@
             let received = (target_response.kind == ResponseKind::Executed).then_some(received);
             CompletedAttempt {
                 attempt,
+                process,
                 outcome,
                 report: target_response.report,
                 limit: target_response.limit,
@@ -113,6 +116,7 @@
             };
             CompletedAttempt {
                 attempt,
+                process,
                 outcome,
                 report: None,
                 limit: LimitField::Unreadable,
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -10,16 +10,18 @@
     relay::{RelayOutcome, relay},
 };
 use crate::{
-    adapter::{CallAdapter, CallFailure, PlatformAdapter},
+    adapter::{CallAdapter, CallFailure, PlatformAdapter, header_text},
     gateway::Gateway,
 };
-use azuretally_api::headers::RELAYED;
+use azuretally_api::headers::{DEPARTED, RELAYED};
 use azuretally_policy::{
     Timestamp,
-    balance::{AttemptOutcome, AttemptResult, Decision, GiveUpReason, HedgeDecision, NewAttempt},
+    balance::{
+        AttemptOutcome, AttemptResult, Decision, GiveUpReason, HedgeDecision, NewAttempt, ProcessId,
+    },
 };
 use futures_util::{StreamExt, future::LocalBoxFuture, stream::FuturesUnordered};
-use http::{HeaderValue, Request, Response, header::CONNECTION};
+use http::{HeaderMap, HeaderValue, Request, Response, header::CONNECTION};
 use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
@@ -113,6 +115,8 @@
     response: Option<ReceivedResponse>,
     /// Target and status of the latest response, for the log.
     detail: String,
+    /// Number of the process and name of the target of the latest response, if it says that it leaves.
+    departed: Option<String>,
 }
 
 impl<Adapter> CallTask<Adapter>
@@ -139,6 +143,7 @@
             next_is_hedge: false,
             response: None,
             detail: String::new(),
+            departed: None,
         }
     }
 
@@ -231,6 +236,7 @@
             {
                 self.detail = format!("{} status={}", self.detail, received.head.status.as_u16());
                 let mut received = *received;
+                self.record_departure(&received.head.headers);
                 let version = received.head.headers.remove(RELAYED);
                 let version = version.and_then(|v| v.to_str().ok()?.parse().ok());
                 self.gateway.record_relayed_version(version.unwrap_or(0));
@@ -253,6 +259,17 @@
         Decision::GiveUp { reason: GiveUpReason::Lost, not_run: false, retry_after: Duration::ZERO }
     }
 
+    /// Records what the response of another gateway says of a target that leaves.
+    fn record_departure(&self, headers: &HeaderMap) {
+        let parsed = header_text(headers, DEPARTED).and_then(|text| {
+            let (number, name) = text.split_once(',')?;
+            Some((ProcessId::from_number(number.parse().ok()?), name))
+        });
+        if let Some((process, name)) = parsed {
+            self.gateway.record_relayed_departure(name, process);
+        }
+    }
+
     async fn next_decision(&mut self) -> Decision {
         loop {
             let now = self.gateway.clock.now();
@@ -354,8 +371,16 @@
 
     fn attempt_completed(&mut self, completed: CompletedAttempt) -> Decision {
         let now = self.gateway.clock.now();
-        let CompletedAttempt { attempt, outcome, report, limit, received, same_domain, started_at } =
-            completed;
+        let CompletedAttempt {
+            attempt,
+            process,
+            outcome,
+            report,
+            limit,
+            received,
+            same_domain,
+            started_at,
+        } = completed;
         log::info!(
             "calls: attempt id={} target={} verdict={} load={} ms={}",
             self.inbound.log_id(),
@@ -372,6 +397,10 @@
             }
             let status = received.head.status.as_u16();
             self.detail = format!("target={} status={status}", attempt.target);
+            let notice =
+                self.gateway.adapter.parse_notice(received.head.status, &received.head.headers);
+            self.departed =
+                notice.leaving.then(|| format!("{},{}", process.number(), attempt.target));
             self.response = Some(received);
         }
         let result = AttemptResult { attempt, outcome, report, limit };
@@ -397,9 +426,15 @@
         };
         let ReceivedResponse { mut head, body } = received;
         strip_hop_by_hop_headers(&mut head.headers);
+        // Only gateways say this to each other.
+        head.headers.remove(DEPARTED);
         // The other gateway has prepared the headers of a relayed response.
         if !self.has_relayed_response {
             self.gateway.adapter.prepare_response_headers(&mut head.headers);
+            let departed = self.departed.take().filter(|_| self.inbound.is_relayed);
+            if let Some(value) = departed.and_then(|text| HeaderValue::try_from(text).ok()) {
+                head.headers.insert(DEPARTED, value);
+            }
         }
         let body = match body {
             ReceivedBody::Complete(bytes) => Either::Left(Full::new(bytes)),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -529,6 +529,16 @@
         }
     }
 
+    /// Records that another gateway has passed on an answer of `process`, listed as target `name`, which
+    /// says that it leaves.
+    pub fn record_relayed_departure(&self, name: &str, process: ProcessId) {
+        let now = self.clock.now();
+        let service = self.balancer.borrow_mut().record_relayed_departure(now, name, process);
+        if let Some(service) = service {
+            self.metrics.record_departure(&service);
+        }
+    }
+
     /// Passes the probes that the balancer requested to the probe task.
     pub fn forward_probes(&self) {
         for probe in self.balancer.borrow_mut().take_probes() {
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -219,6 +219,34 @@
     .await;
 }
 
+/// A gateway that passed on an answer of a leaving target through another one sent it calls once it
+/// reached targets again.
+#[tokio::test]
+async fn target_that_leaves_by_a_relayed_answer_gets_no_calls_later() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let other = Node::start(&[address]).await;
+        let node = Node::start(&[address]).await;
+        node.meet(&[other.calls]);
+        node.cut_off();
+        let mut caller = node.call("/check/1").await;
+        let (_, mut stream) = accept(&target).await;
+        let response = "HTTP/1.1 200 OK\r\nx-azuretally-call: a\r\nx-target-leaving: 1\r\n\
+                        x-azuretally-departed: 1,target-0\r\ncontent-length: 4\r\n\r\ndone";
+        stream.write_all(response.as_bytes()).await.expect("response sent");
+        let response = read_until(&mut caller, "done").await;
+        assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+        assert!(!response.contains("departed"), "{response}");
+        for _ in 0..2 {
+            node.gateway.reach_checked(4, 1);
+        }
+        let mut caller = node.call("/check/2").await;
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+    })
+    .await;
+}
+
 /// A gateway that can reach no other one does what it can.
 #[tokio::test]
 async fn call_is_sent_to_a_target_if_no_other_gateway_can_be_reached() {
--- a/crates/policy/src/balance/balancer/departing.rs
+++ b/crates/policy/src/balance/balancer/departing.rs
@@ -1,6 +1,9 @@
 //! Targets that say in their answers that they leave.
 
-use super::{super::quarantine::ProcessId, Balancer};
+use super::{
+    super::{quarantine::ProcessId, service::Service},
+    Balancer,
+};
 use crate::Timestamp;
 use std::sync::Arc;
 
@@ -25,6 +28,20 @@
         true
     }
 
+    /// Records that another gateway has passed on an answer of `process`, listed as target `name`, which
+    /// says that it leaves. Returns the service of the target if that is news.
+    pub fn record_relayed_departure(
+        &mut self,
+        now: Timestamp,
+        name: &str,
+        process: ProcessId,
+    ) -> Option<Arc<str>> {
+        let is_listed = |s: &Service| s.targets.get(name).is_some_and(|t| t.process == process);
+        let service = self.services.iter().find(|(_, s)| is_listed(s))?.0;
+        let service = Arc::clone(service);
+        self.record_departure(now, &service, name, process).then_some(service)
+    }
+
     /// Returns the number of targets of each service that have said that they leave.
     pub fn departed_targets(&self) -> impl Iterator<Item = (&Arc<str>, usize)> {
         self.services.iter().map(|(name, service)| (name, service.departed_count()))
--- a/crates/policy/src/balance/quarantine.rs
+++ b/crates/policy/src/balance/quarantine.rs
@@ -91,6 +91,16 @@
         hash.update(name.as_bytes());
         Self(hash.digest())
     }
+
+    /// Returns the id that another gateway names by [`Self::number`].
+    pub const fn from_number(number: u64) -> Self {
+        Self(number)
+    }
+
+    /// Returns the id as a number, the same at all gateways.
+    pub const fn number(self) -> u64 {
+        self.0
+    }
 }
 
 /// What a gateway knows about a call that may crash targets, in the form sent to other gateways.
