--- a/crates/policy/tests/balance/resting.rs
+++ b/crates/policy/tests/balance/resting.rs
@@ -5,8 +5,8 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        AttemptOutcome, Change, Decision, Failure, GiveUpReason, LimitField, LimitShare, ProcessId,
-        RequestRate, TargetRecord,
+        Attempt, AttemptOutcome, AttemptResult, Change, Decision, Failure, GiveUpReason,
+        LimitField, LimitShare, ProcessId, RequestRate, TargetRecord,
     },
 };
 use std::{sync::Arc, time::Duration};
@@ -26,6 +26,19 @@
         decisions.iter().filter(|(_, d)| matches!(d, Decision::Start(_))).count()
     }
 
+    /// Answers call `id` and names a limit of 2 requests a second.
+    fn answer_limited(&mut self, now: Timestamp, id: u64, target: &Arc<str>) {
+        let rate = RequestRate::from_per_second(2.0).unwrap_or_else(|| panic!("a rate"));
+        let result = AttemptResult {
+            attempt: Attempt { call: id, target: Arc::clone(target) },
+            outcome: ANSWERED,
+            report: None,
+            limit: LimitField::Named(rate),
+        };
+        self.balancer.attempt_ended(now, &result);
+        self.balancer.forget(id);
+    }
+
     /// Submits a call and returns its number and target.
     fn start(&mut self, now: Timestamp) -> (u64, Arc<str>) {
         let (id, decision) = self.submit(now, &route("check", true));
@@ -243,16 +256,7 @@
 fn limited_target_serves_while_the_others_rest() {
     let mut fixture = Fixture::new(2, 0);
     let (id, target) = fixture.start(ms(0));
-    let rate = RequestRate::from_per_second(2.0).unwrap_or_else(|| panic!("a rate"));
-    let attempt = azuretally_policy::balance::Attempt { call: id, target: Arc::clone(&target) };
-    let result = azuretally_policy::balance::AttemptResult {
-        attempt,
-        outcome: ANSWERED,
-        report: None,
-        limit: LimitField::Named(rate),
-    };
-    fixture.balancer.attempt_ended(ms(0), &result);
-    fixture.balancer.forget(id);
+    fixture.answer_limited(ms(0), id, &target);
     fixture.balancer.assign_limits(ms(0), |_, _| LimitShare::Full);
     let other = if &*target == "target-0" { 1 } else { 0 };
     fixture.rest(ms(0), other, 60 * SECOND);
@@ -261,15 +265,7 @@
         let (id, decision) = fixture.submit(ms(now), &route("check", true));
         if let Decision::Start(start) = decision {
             assert_eq!(start.target, target);
-            fixture.balancer.attempt_ended(
-                ms(now),
-                &azuretally_policy::balance::AttemptResult {
-                    attempt: azuretally_policy::balance::Attempt { call: id, target: start.target },
-                    outcome: ANSWERED,
-                    report: None,
-                    limit: LimitField::Named(rate),
-                },
-            );
+            fixture.answer_limited(ms(now), id, &start.target);
             served += 1;
         }
         fixture.balancer.forget(id);
