fix(policy): take only targets that were seen alive as proof of a crashing call

Cause: a gateway that had started on the list of a restored platform tried targets of the copy that had ended. An end that came before the call says nothing of it.

Ruled out: departures and rests. None of these targets had said anything to this gateway.

Change: an end counts only if the process was seen alive, that is, it has answered this gateway or written its record since the gateway's latest list. What a list contains may have ended.

A call that is the first one that a gateway sends to a target of its first list can end that target without evidence; where targets report their load they are probed before.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -20,14 +20,14 @@
         Attempt, AttemptOutcome, AttemptResult, BalancerSettings, Call, Decision, GiveUpReason,
         NewAttempt, Probe,
     },
-    catalog::{Catalog, ListedTarget},
+    catalog::Catalog,
     crashes::{AccusedProcess, BrokenTarget},
     limits::LimitNotice,
     quarantine::{CallDigest, ProcessId, Quarantine},
     reach::ReachTracker,
     refusals::RefusalTracker,
     service::{Candidate, Choice, ChoiceRequest, DRAIN_MARGIN, Service},
-    target::RunningAttempt,
+    target::{RunningAttempt, SeenTarget},
 };
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
@@ -170,12 +170,13 @@
 
     /// Updates the targets from `catalog`.
     pub fn set_targets(&mut self, now: Timestamp, catalog: &Catalog) {
-        let mut listed: IndexMap<Arc<str>, Vec<&ListedTarget>> = IndexMap::new();
+        let mut listed: IndexMap<Arc<str>, Vec<SeenTarget<'_>>> = IndexMap::new();
         for name in self.services.keys() {
             listed.insert(Arc::clone(name), Vec::new());
         }
         for target in catalog.targets() {
-            listed.entry(Arc::clone(&target.record.service)).or_default().push(target);
+            let seen = SeenTarget { listed: target, alive: catalog.is_written(target) };
+            listed.entry(Arc::clone(&target.record.service)).or_default().push(seen);
         }
         for (name, targets) in listed {
             let service = self.services.entry(name).or_default();
--- a/crates/policy/src/balance/balancer/crashes.rs
+++ b/crates/policy/src/balance/balancer/crashes.rs
@@ -273,7 +273,9 @@
                 let Some(state) = self.calls.get_mut(call) else { return };
                 let (digest, service) = (state.call.digest, Arc::clone(&state.call.service));
                 let target = self.services.get(&service).and_then(|s| s.targets.get(name));
-                if !target.is_some_and(Target::is_usable) || self.reach.is_cut_off() {
+                // One that has not been seen alive may have ended before the call.
+                let is_proof = target.is_some_and(|t| t.is_usable() && t.alive);
+                if !is_proof || self.reach.is_cut_off() {
                     return;
                 }
                 // A gateway that stops sends targets nothing that it does not have to.
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -24,6 +24,7 @@
         }
         let Some(target) = service.targets.get_mut(&probe.target) else { return };
         let (process, sent) = (target.process, target.probe_sent.take());
+        target.alive |= result != ProbeResult::NoAnswer;
         match result {
             ProbeResult::Report(report) => {
                 let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
@@ -84,6 +85,9 @@
         }
         let base = service.base_seconds(&route);
         let Some(target) = service.targets.get_mut(&result.attempt.target) else { return };
+        let is_answer =
+            matches!(result.outcome, AttemptOutcome::Answered { .. } | AttemptOutcome::Refused);
+        target.alive |= is_answer && running.is_some_and(|r| r.process == target.process);
         record_target_result(now, target, result, running, base);
     }
 }
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -113,6 +113,12 @@
         self.targets.values()
     }
 
+    /// Returns whether the record of the target has been written since the latest list, so that its
+    /// process has lived since then. What a list contains may be the record of one that has ended.
+    pub fn is_written(&self, listed: &ListedTarget) -> bool {
+        listed.revision > self.removed_since
+    }
+
     /// Returns the time since the platform last confirmed the data, `None` before the first read.
     pub fn age(&self, now: Timestamp) -> Option<Duration> {
         self.confirmed.map(|at| now.since(at))
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -1,9 +1,8 @@
 //! Targets of one service, and the choice of a target for a call.
 
 use super::{
-    catalog::ListedTarget,
     routes::Route,
-    target::{PROBE_TIMEOUT, RunningAttempt, Target},
+    target::{PROBE_TIMEOUT, RunningAttempt, SeenTarget, Target},
 };
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
@@ -244,8 +243,8 @@
 impl Service {
     /// Updates the targets from the catalog. Targets that are no longer listed stay until their
     /// running calls have ended.
-    pub(super) fn set_targets(&mut self, now: Timestamp, listed: &[&ListedTarget], domain: &str) {
-        let names: IndexSet<&Arc<str>> = listed.iter().map(|l| &l.record.name).collect();
+    pub(super) fn set_targets(&mut self, now: Timestamp, seen: &[SeenTarget<'_>], domain: &str) {
+        let names: IndexSet<&Arc<str>> = seen.iter().map(|s| &s.listed.record.name).collect();
         let is_listed = |name: &Arc<str>| names.contains(name);
         for target in self.targets.values_mut() {
             if !is_listed(&target.name) {
@@ -253,13 +252,13 @@
             }
         }
         self.targets.retain(|name, t| is_listed(name) || t.is_kept(now));
-        for listed in listed {
-            let name = &listed.record.name;
+        for seen in seen {
+            let name = &seen.listed.record.name;
             match self.targets.get_mut(name) {
-                Some(target) if target.is_same_process(listed) => target.update_record(listed),
+                Some(target) if target.is_same_process(seen.listed) => target.update_record(seen),
                 Some(target) => {
                     let running = std::mem::take(&mut target.running);
-                    let new = Target::new(now, listed, domain);
+                    let new = Target::new(now, seen, domain);
                     let is_moved = new.started.is_some() && new.process == target.process;
                     let (rest, departed) = match is_moved {
                         true => (target.rest, target.departed),
@@ -268,7 +267,7 @@
                     *target = Target { running, rest, departed, ..new };
                 }
                 None => {
-                    self.targets.insert(Arc::clone(name), Target::new(now, listed, domain));
+                    self.targets.insert(Arc::clone(name), Target::new(now, seen, domain));
                 }
             }
         }
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -47,6 +47,13 @@
     pub(super) process: ProcessId,
 }
 
+/// Record of a target, with whether its process is known to have lived since the latest list.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct SeenTarget<'a> {
+    pub(super) listed: &'a ListedTarget,
+    pub(super) alive: bool,
+}
+
 /// Target with its running attempts, load and backoff state.
 #[derive(Clone, Debug)]
 pub(super) struct Target {
@@ -79,10 +86,13 @@
     pub(super) rest: TargetRest,
     /// When the target itself said that it leaves.
     pub(super) departed: Option<Timestamp>,
+    /// Whether the process is known to have lived since this gateway knows its record.
+    pub(super) alive: bool,
 }
 
 impl Target {
-    pub(super) fn new(now: Timestamp, listed: &ListedTarget, domain: &str) -> Self {
+    pub(super) fn new(now: Timestamp, seen: &SeenTarget<'_>, domain: &str) -> Self {
+        let listed = seen.listed;
         let record = &listed.record;
         Self {
             name: Arc::clone(&record.name),
@@ -104,6 +114,7 @@
             limit: TargetLimit::default(),
             rest: TargetRest::default(),
             departed: None,
+            alive: seen.alive,
         }
     }
 
@@ -138,7 +149,9 @@
     }
 
     /// Updates the fields that may change while the process runs.
-    pub(super) fn update_record(&mut self, listed: &ListedTarget) {
+    pub(super) fn update_record(&mut self, seen: &SeenTarget<'_>) {
+        let listed = seen.listed;
+        self.alive |= seen.alive;
         let record = &listed.record;
         self.slots = record.slots.max(1);
         self.leaving = record.leaving;
--- a/crates/policy/tests/balance/quarantine.rs
+++ b/crates/policy/tests/balance/quarantine.rs
@@ -90,6 +90,38 @@
     assert!(retry_after >= Duration::from_secs(30), "{retry_after:?}");
 }
 
+/// Proper calls were quarantined at a gateway that had started on the list of a restored platform, with
+/// targets that had ended long before.
+#[test]
+fn targets_that_were_never_seen_alive_prove_nothing() {
+    let new_fixture = || {
+        let mut fixture = Fixture::new(0, 0);
+        let targets = (0..4).map(|number| Change::Target(record(number, LOCAL))).collect();
+        let at = Revision::new(1, 10);
+        fixture.catalog.relist(ms(0), at, targets, Source::Platform);
+        fixture.balancer.set_targets(ms(0), &fixture.catalog);
+        // Targets report no slowdown, so calls need no probe.
+        let unlisted = probe_of(record(99, LOCAL));
+        fixture.balancer.probe_ended(ms(0), &unlisted, ProbeResult::NoReport);
+        fixture
+    };
+    let mut fixture = new_fixture();
+    for id in 1..=4 {
+        fixture.crash(id * 1_000, id, "/good", CrashEvidence::Gone);
+    }
+    assert_eq!(fixture.balancer.quarantined_count(), 0);
+    // The same once they have answered a probe.
+    let mut fixture = new_fixture();
+    for number in 0..4 {
+        let probe = probe_of(record(number, LOCAL));
+        fixture.balancer.probe_ended(ms(0), &probe, ProbeResult::NoReport);
+    }
+    for id in 1..=3 {
+        fixture.crash(id * 1_000, id, "/bad", CrashEvidence::Gone);
+    }
+    assert_eq!(fixture.balancer.quarantined_count(), 1);
+}
+
 #[test]
 fn call_is_refused_after_three_targets_ended_under_it() {
     let mut fixture = Fixture::new(6, 0);
