fix(policy): try the successor of a resting target by one call

A target that is restarted under its name may ask for rest before the gateway knows its record, for example while the platform is being restored. Which process has asked is not known, so the new one is not held back; but one call at a time tries it, and renews the rest if it is refused.

Measured: resting::new_process_of_a_resting_name_is_tried_by_one_call fails before (two calls at once). A target that serves the trial within its rest gets further calls; that remains.

--- a/crates/policy/src/balance/rest.rs
+++ b/crates/policy/src/balance/rest.rs
@@ -34,6 +34,15 @@
         is_longer
     }
 
+    /// Returns the rest of a process that takes the place of this one. It has asked for nothing under its
+    /// own record, but may have answered before that was known: one call at a time tries it first.
+    pub(super) fn of_successor(&self, now: Timestamp) -> Self {
+        match self.is_resting(now) {
+            true => Self { until: now, is_trial: true },
+            false => Self::default(),
+        }
+    }
+
     /// Returns whether the target wants no requests now.
     pub(super) fn is_resting(&self, now: Timestamp) -> bool {
         now < self.until
--- a/crates/policy/tests/balance/resting.rs
+++ b/crates/policy/tests/balance/resting.rs
@@ -196,12 +196,28 @@
     fixture.rest(ms(0), 0, 3 * SECOND);
     let new = TargetRecord { started: Some(2), ..record(0, LOCAL) };
     fixture.apply_changes(ms(100), vec![Change::Target(new)]);
-    fixture.start(ms(100));
+    let (id, target) = fixture.start(ms(100));
     // An answer of the process before it arrives late.
     fixture.rest(ms(110), 0, 3 * SECOND);
+    fixture.end_attempt(ms(115), id, &target, ANSWERED, None);
     fixture.start(ms(120));
 }
 
+/// All waiting calls were sent to a process that had asked for rest before its own record was known.
+#[test]
+fn new_process_of_a_resting_name_is_tried_by_one_call() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.rest(ms(0), 0, 3 * SECOND);
+    let new = TargetRecord { started: Some(2), ..record(0, LOCAL) };
+    fixture.apply_changes(ms(100), vec![Change::Target(new)]);
+    let (id, target) = fixture.start(ms(100));
+    let (_, decision) = fixture.submit(ms(110), &route("check", true));
+    assert_eq!(decision, Decision::Wait);
+    fixture.end_attempt(ms(120), id, &target, AttemptOutcome::Refused, None);
+    fixture.balancer.forget(id);
+    assert_eq!(fixture.starts(ms(130)), 1);
+}
+
 /// A record that lapsed and came back, or named another address, took the rest with it.
 #[test]
 fn rest_outlives_the_record_of_its_target() {
