fix(gateway): do not call a relayed call not run after a gateway that was lost

Cause: a refusal was passed on unless an attempt of this gateway may have run the call. Relays that broke off before it were counted as uncertain and not looked at.

Change: a refusal is passed on only if its relay is the only uncertain one. Otherwise the outcome is unknown.

--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -230,9 +230,11 @@
     fn relay_ended(&mut self, outcome: RelayOutcome) -> Decision {
         self.relay = None;
         match outcome {
-            // A refusal by the other gateway speaks for its own attempts alone.
+            // A refusal by the other gateway speaks for its own attempts alone, not for those of this one or
+            // of a gateway before it.
             RelayOutcome::Answered(received)
-                if received.head.status.is_success() || !self.may_have_run() =>
+                if received.head.status.is_success()
+                    || (!self.may_have_run() && self.uncertain_relays == 1) =>
             {
                 self.detail = format!("{} status={}", self.detail, received.head.status.as_u16());
                 let mut received = *received;
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -140,6 +140,27 @@
     .await;
 }
 
+/// A call that may have run at the gateway that was lost was answered as not run, since the further one had
+/// refused it.
+#[tokio::test]
+async fn refusal_by_a_further_gateway_does_not_speak_for_the_one_that_was_lost() {
+    run_local(async {
+        let (peer, address) = listen().await;
+        let cut_off = Node::start_cut_off(&[address]).await;
+        let mut caller = cut_off.call("/check/1").await;
+        let (_, stream) = accept(&peer).await;
+        drop(stream);
+        let (_, mut stream) = accept(&peer).await;
+        let refusal = "HTTP/1.1 503 Service Unavailable\r\nx-azuretally-call: a\r\n\
+                       x-azuretally-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(refusal.as_bytes()).await.expect("response sent");
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        assert!(response.contains("x-azuretally-outcome: unknown"), "{response}");
+    })
+    .await;
+}
+
 /// Two gateways that each take the other for healthy must not send a call to and fro.
 #[tokio::test]
 async fn relayed_call_is_not_relayed_again() {
