perf(policy): look at one target to tell that not all rest

Since each waiting call looked at all targets of its service at each dispatch, some 100 on the grown deployments, to find the shortest rest. One that does not rest is enough.

What this change gives back is not measured yet.

--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -321,7 +321,10 @@
     /// is none.
     pub(super) fn rest_left(&self, now: Timestamp) -> Option<Duration> {
         let usable = self.targets.values().filter(|t| t.is_usable());
-        usable.map(|t| t.rest.left(now)).min().filter(|left| !left.is_zero())
+        // Asked for each waiting call: mostly the first target answers it.
+        let lefts: Option<Vec<Duration>> =
+            usable.map(|t| Some(t.rest.left(now)).filter(|left| !left.is_zero())).collect();
+        lefts?.into_iter().min()
     }
 
     /// Returns the number of targets that rest.
