--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -85,9 +85,8 @@
         }
         let base = service.base_seconds(&route);
         let Some(target) = service.targets.get_mut(&result.attempt.target) else { return };
-        let is_answer =
-            matches!(result.outcome, AttemptOutcome::Answered { .. } | AttemptOutcome::Refused);
-        target.alive |= is_answer && running.is_some_and(|r| r.process == target.process);
+        target.alive |=
+            result.outcome.is_answer() && running.is_some_and(|r| r.process == target.process);
         record_target_result(now, target, result, running, base);
     }
 }
--- a/crates/policy/src/balance/balancer/limiting.rs
+++ b/crates/policy/src/balance/balancer/limiting.rs
@@ -28,9 +28,8 @@
         running: Option<&RunningAttempt>,
     ) {
         let executed = matches!(result.outcome, AttemptOutcome::Answered { .. });
-        let is_target = executed || result.outcome == AttemptOutcome::Refused;
         // A target in need may leave the field out where it only refuses.
-        if !is_target || (!executed && result.limit == LimitField::Absent) {
+        if !result.outcome.is_answer() || (!executed && result.limit == LimitField::Absent) {
             return;
         }
         let Some(state) = self.calls.get(&result.attempt.call) else { return };
--- a/crates/policy/src/balance/balancer/resting.rs
+++ b/crates/policy/src/balance/balancer/resting.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        call::{AttemptOutcome, AttemptResult},
+        call::AttemptResult,
         quarantine::ProcessId,
         service::Service,
         target::{RunningAttempt, Target},
@@ -80,9 +80,7 @@
         result: &AttemptResult,
         running: Option<&RunningAttempt>,
     ) {
-        let is_answer =
-            matches!(result.outcome, AttemptOutcome::Answered { .. } | AttemptOutcome::Refused);
-        let Some(running) = running.filter(|_| is_answer) else { return };
+        let Some(running) = running.filter(|_| result.outcome.is_answer()) else { return };
         let Some(state) = self.calls.get(&result.attempt.call) else { return };
         let (service, name) = (Arc::clone(&state.call.service), &result.attempt.target);
         let Some(target) = self.process_mut(&service, name, running.process) else { return };
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -236,6 +236,11 @@
 }
 
 impl AttemptOutcome {
+    /// Returns whether the target that the call was sent to has answered, if only to refuse it.
+    pub(super) const fn is_answer(self) -> bool {
+        matches!(self, Self::Answered { .. } | Self::Refused)
+    }
+
     /// Returns the name used in logs.
     pub const fn as_str(self) -> &'static str {
         match self {
