refactor(gateway): parse what a target says of itself once for each response

The exchange parsed it and the task of the call parsed it again to learn whether the target leaves. The exchange now tells.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -58,6 +58,8 @@
     pub(super) report: Option<LoadReport>,
     /// What the target said about its limit.
     pub(super) limit: LimitField,
+    /// Whether the target says that it leaves.
+    pub(super) leaving: bool,
     /// The response, if the target executed the call.
     pub(super) received: Option<ReceivedResponse>,
     /// Whether the target is in the failure domain of this gateway.
@@ -78,9 +80,9 @@
 {
     let attempt = Attempt { call: inbound.id, target: new_attempt.target.clone() };
     let started_at = gateway.clock.now();
-    let mut sent = false;
+    let (mut sent, mut leaving) = (false, false);
     // There is no timeout here: the task of the call drops the exchange at the deadline.
-    let result = exchange(&gateway, &pool, &inbound, &new_attempt, &mut sent).await;
+    let result = exchange(&gateway, &pool, &inbound, &new_attempt, &mut sent, &mut leaving).await;
     let NewAttempt { same_domain, process, .. } = new_attempt;
     match result {
         Ok((target_response, received)) => {
@@ -104,6 +106,7 @@
                 outcome,
                 report: target_response.report,
                 limit: target_response.limit,
+                leaving,
                 received,
                 same_domain,
                 started_at,
@@ -120,6 +123,7 @@
                 outcome,
                 report: None,
                 limit: LimitField::Unreadable,
+                leaving,
                 received: None,
                 same_domain,
                 started_at,
@@ -129,13 +133,14 @@
 }
 
 /// Sends the request and receives the response. If that fails, `sent` tells whether the target may
-/// have received a part of the request.
+/// have received a part of the request. `leaving` tells whether the target says that it leaves.
 async fn exchange<Adapter>(
     gateway: &Gateway<Adapter>,
     pool: &ConnectionPool,
     inbound: &InboundCall,
     new_attempt: &NewAttempt,
     sent: &mut bool,
+    leaving: &mut bool,
 ) -> Result<(TargetResponse, ReceivedResponse), SendError>
 where
     Adapter: CallAdapter + PlatformAdapter,
@@ -151,6 +156,7 @@
     // Another process says nothing about this one.
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
         let notice = adapter.parse_notice(response.status(), response.headers());
+        *leaving = notice.leaving;
         gateway.record_notice(&inbound.service, &new_attempt.target, new_attempt.process, &notice);
     }
     Ok(receive(adapter, pool, inbound, response, connection).await?)
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -379,6 +379,7 @@
             outcome,
             report,
             limit,
+            leaving,
             received,
             same_domain,
             started_at,
@@ -399,10 +400,7 @@
             }
             let status = received.head.status.as_u16();
             self.detail = format!("target={} status={status}", attempt.target);
-            let notice =
-                self.gateway.adapter.parse_notice(received.head.status, &received.head.headers);
-            self.departed =
-                notice.leaving.then(|| format!("{},{}", process.number(), attempt.target));
+            self.departed = leaving.then(|| format!("{},{}", process.number(), attempt.target));
             self.response = Some(received);
         }
         let result = AttemptResult { attempt, outcome, report, limit };
