test(soak): bind the platform and the targets to a host of the run's own network

Cause: the platform and the targets took free ports of 127.0.0.1, from which the callers of all runs and tests on the machine connect as well. A port that a caller's closed connection still holds can't be bound there, so many short connections use up the range for a minute.

Ruled out: two runs on one network; no other run used network 61, and the address that failed was 127.0.0.1 with port 0.

Change: they listen on a host of the run's loopback network, on which nothing else connects. Ports are held for each address.

The failure itself was not brought about again, so that it can't come back is reasoned, not shown.

--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -51,6 +51,8 @@
 const NEWS_PORT: u16 = 7_003;
 const CALLERS_LINK_PORT: u16 = 7_100;
 const PLATFORM_LINK_PORT: u16 = 7_101;
+/// Last two bytes of the address at which the platform and the targets listen.
+const SERVERS_HOST: [u8; 2] = [255, 254];
 /// File descriptors of a gateway in its first settings file.
 const DESCRIPTORS: u64 = 4_100;
 
@@ -111,6 +113,8 @@
     pub(crate) added: Mutex<AddedCounts>,
     /// Number of failure domains.
     domains: usize,
+    /// Second byte of all loopback addresses of the run.
+    network: u8,
     pub(crate) stop: CancellationToken,
     tasks: Mutex<JoinSet<()>>,
     /// Sends the numbers of targets that crash.
@@ -131,9 +135,7 @@
         let platform = Arc::new(Platform::new(Arc::clone(&checker), step));
         let mut tasks = JoinSet::new();
         let stop = CancellationToken::new();
-        let platform_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("failed to bind a loopback port");
+        let platform_listener = bind_free_port(options.network).await;
         let platform_address = platform_listener.local_addr().expect("bound");
         tasks.spawn(Arc::clone(&platform).run(platform_listener, stop.clone()));
         let mut gateways = Vec::new();
@@ -155,6 +157,7 @@
             adds_routes: options.adds_routes,
             added: Mutex::default(),
             domains: options.domains,
+            network: options.network,
             stop,
             tasks: Mutex::new(tasks),
             crashed,
@@ -242,20 +245,14 @@
         address: Option<SocketAddr>,
     ) {
         let number = self.target_count.fetch_add(1, Ordering::SeqCst);
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("failed to bind a loopback port");
+        let listener = bind_free_port(self.network).await;
         let target_address = listener.local_addr().expect("bound");
-        let link_listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-            .await
-            .expect("failed to bind a loopback port");
+        let link_listener = bind_free_port(self.network).await;
         let link_address = link_listener.local_addr().expect("bound");
         let outer_listener = match address.map(listen) {
             Some(Ok(listener)) => listener,
             // Another socket may have the port by now.
-            _ => TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
-                .await
-                .expect("failed to bind a loopback port"),
+            _ => bind_free_port(self.network).await,
         };
         let address = outer_listener.local_addr().expect("bound");
         let link = Arc::new(Link::new(target_address).keeping_source());
@@ -356,6 +353,14 @@
     }
 }
 
+/// Binds a free port of the host of the platform and the targets. Connections of all callers on the
+/// machine use up the ports of `127.0.0.1`.
+async fn bind_free_port(network: u8) -> TcpListener {
+    let [high, low] = SERVERS_HOST;
+    let host = Ipv4Addr::new(127, network, high, low);
+    TcpListener::bind((host, 0)).await.expect("failed to bind a loopback port")
+}
+
 /// Returns the address of a port of a gateway.
 fn gateway_address(options: &Options, number: usize, port: u16) -> SocketAddr {
     let number = u16::try_from(number + 1).expect("gateway number does not fit in 16 bits");
