fix(gateway): read steadily in the place of a gateway that gets no answers

Callers saw: settings that had been confirmed for longer than the bound of 2 s were not in force at gateways that could read the platform, while the first gateway of their failure domain could not.

Cause, in two parts. A gateway left reading to all gateways ranked before it until its own data was 1.45 s old and 0.25 s more for each of them. Its own read made the data young again, so it stopped, and the domain was read every 1.7 to 1.85 s. And a revision was announced at once only by a gateway that was a reader after the read, which this one no longer was: its peers learned of the change with its next heartbeat, 0.4 s later, or 0.8 s in a domain of 32.

Ruled out: lost announcements (the simulation loses none, and any other gateway that has the change repeats it), the restore of a store (none here), the time of a read and of messages (0 in the simulation).

Now a gateway two of whose reads in a row have failed says so behind its heartbeats, and does not count before the next one, which reads each second until the other is answered again. Each revision that a gateway has read itself is announced at once. Gateways of earlier builds say nothing and are treated as before; they ignore the new part.

Not simulated: several failure domains, whose primaries may bring a change earlier.

--- a/crates/gateway/src/control/codec.rs
+++ b/crates/gateway/src/control/codec.rs
@@ -3,7 +3,9 @@
 //! What was added to a message later stands behind it, so that gateways of earlier builds, which ignore
 //! the rest of a message, can read it. What a message of an earlier build lacks has its default value.
 
-use azuretally_policy::balance::{Build, CatalogUpdate, HeartbeatExtension, Message, Revision};
+use azuretally_policy::balance::{
+    Build, CatalogUpdate, HeartbeatExtension, Message, ReadState, Revision,
+};
 use postcard::{take_from_bytes, to_allocvec, to_extend};
 use std::{
     fmt::{self, Display, Formatter},
@@ -19,7 +21,8 @@
     let bytes = to_allocvec(message)?;
     match message {
         Message::Heartbeat(heartbeat) | Message::Join(heartbeat) => {
-            to_extend(&heartbeat.build, to_extend(&heartbeat.extension, bytes)?)
+            let bytes = to_extend(&heartbeat.extension, bytes)?;
+            to_extend(&heartbeat.reads, to_extend(&heartbeat.build, bytes)?)
         }
         Message::Peers(_) | Message::Limits(_) | Message::Calls(_) => Ok(bytes),
     }
@@ -37,7 +40,10 @@
             (heartbeat.extension, rest) = take_from_bytes::<HeartbeatExtension>(rest)?;
         }
         if !rest.is_empty() {
-            (heartbeat.build, _) = take_from_bytes::<Build>(rest)?;
+            (heartbeat.build, rest) = take_from_bytes::<Build>(rest)?;
+        }
+        if !rest.is_empty() {
+            (heartbeat.reads, _) = take_from_bytes::<ReadState>(rest)?;
         }
     }
     Ok(message)
--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -78,6 +78,7 @@
                     continue;
                 }
                 failures += 1;
+                gateway.membership.borrow_mut().record_reads(failures);
                 let delay = BACKOFF.0 * (1 << failures.min(MAX_DOUBLINGS));
                 let jitter = MIN_JITTER + JITTER_WIDTH * rand::random::<f64>();
                 sleep(delay.min(BACKOFF.1).mul_f64(jitter)).await;
@@ -231,11 +232,12 @@
     Ok(PlatformAnswer { era, response })
 }
 
-/// Applies the catalog if it changed; otherwise only reports its age to the membership.
+/// Applies the catalog if a read changed it; otherwise only reports its age to the membership.
 fn apply_if_changed<Adapter>(gateway: &Gateway<Adapter>, changed: bool)
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
+    gateway.membership.borrow_mut().record_reads(0);
     if changed {
         gateway.apply_catalog(Source::Platform);
     } else {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,8 +13,8 @@
     balance::{
         Balancer, BalancerSettings, Build, CallNotice, Catalog, CrashCheck, CrashEvidence,
         Decision, Heartbeat, HeartbeatExtension, KnownData, LimitNotice, MESSAGE_GENERATION,
-        Membership, MembershipBuilder, Outgoing, Phase, Probe, ProcessId, Revision, RouteTable,
-        Source, TrafficSplit,
+        Membership, MembershipBuilder, Outgoing, Phase, Probe, ProcessId, ReadState, Revision,
+        RouteTable, Source, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -586,6 +586,7 @@
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
         build: Build { generation: MESSAGE_GENERATION, version: Arc::from(VERSION) },
+        reads: ReadState::default(),
     };
     MembershipBuilder::new(own)
         .seeds(settings.seed_hosts())
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -3,7 +3,8 @@
 
 use azuretally_gateway::control::codec::{SyncAnswer, SyncQuery, decode_message, encode_message};
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, Revision, Snapshot,
+    Build, CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, ReadState, Revision,
+    Snapshot,
 };
 use std::{
     net::{IpAddr, SocketAddr},
@@ -19,6 +20,8 @@
 ];
 /// What c347828 sends behind it.
 const EXTENSION: [u8; 2] = [2, 7];
+/// What 3211a5c sends behind that.
+const BUILD: [u8; 7] = [3, 5, 0x30, 0x2e, 0x31, 0x2e, 0x30];
 
 fn heartbeat() -> Heartbeat {
     Heartbeat {
@@ -36,6 +39,7 @@
         remote_primaries: vec![(Arc::from("b"), SocketAddr::from(([10, 0, 0, 2], 80)))],
         extension: HeartbeatExtension { era: 2, settings: 7 },
         build: Build { generation: 3, version: Arc::from("0.1.0") },
+        reads: ReadState { failing: true },
     }
 }
 
@@ -54,6 +58,7 @@
     let earlier = Message::Heartbeat(Heartbeat {
         extension: HeartbeatExtension::default(),
         build: Build::default(),
+        reads: ReadState::default(),
         ..heartbeat()
     });
     let bytes = encode_message(&message).expect("encoded");
@@ -67,11 +72,14 @@
 #[test]
 fn recorded_heartbeats_of_earlier_builds_are_read() {
     let with_extension = [&FIRST_LAYOUT[..], &EXTENSION].concat();
-    let without_build = Heartbeat { build: Build::default(), ..heartbeat() };
+    let with_build = [&with_extension[..], &BUILD].concat();
+    let without_reads = Heartbeat { reads: ReadState::default(), ..heartbeat() };
+    let without_build = Heartbeat { build: Build::default(), ..without_reads.clone() };
     let first = Heartbeat { extension: HeartbeatExtension::default(), ..without_build.clone() };
     let read = |bytes: &[u8]| decode_message(bytes).expect("decoded");
     assert_eq!(read(&FIRST_LAYOUT), Message::Heartbeat(first));
     assert_eq!(read(&with_extension), Message::Heartbeat(without_build.clone()));
+    assert_eq!(read(&with_build), Message::Heartbeat(without_reads));
     let join = [&[1], &with_extension[1..]].concat();
     assert_eq!(read(&join), Message::Join(without_build));
 }
@@ -80,7 +88,7 @@
 #[test]
 fn heartbeats_begin_as_those_of_earlier_builds() {
     let bytes = encode_message(&Message::Heartbeat(heartbeat())).expect("encoded");
-    let earlier = [&FIRST_LAYOUT[..], &EXTENSION].concat();
+    let earlier = [&FIRST_LAYOUT[..], &EXTENSION, &BUILD].concat();
     assert!(bytes.starts_with(&earlier), "{bytes:x?}");
     let (_, rest) = postcard::take_from_bytes::<Message>(&bytes).expect("the message");
     let extension: HeartbeatExtension = postcard::from_bytes(rest).expect("the extension");
@@ -92,7 +100,8 @@
 fn damaged_datagrams_are_errors() {
     let message = Message::Heartbeat(heartbeat());
     let complete = encode_message(&message).expect("encoded");
-    let ends = [FIRST_LAYOUT.len(), FIRST_LAYOUT.len() + EXTENSION.len()];
+    let extended = FIRST_LAYOUT.len() + EXTENSION.len();
+    let ends = [FIRST_LAYOUT.len(), extended, extended + BUILD.len()];
     for length in 0..complete.len() {
         let read = decode_message(&complete[..length]);
         assert_eq!(read.is_ok(), ends.contains(&length), "{length} bytes");
--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -13,7 +13,7 @@
     native::NativeAdapter,
 };
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, Snapshot,
+    Build, CatalogUpdate, Heartbeat, HeartbeatExtension, Message, Phase, ReadState, Snapshot,
 };
 use raw::{published, read_until, run_local};
 use std::{
@@ -89,6 +89,7 @@
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
         build: Build::default(),
+        reads: ReadState::default(),
     })
 }
 
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -6,7 +6,7 @@
 
 use azuretally_policy::balance::{
     Build, CallDigest, CallNotice, Change, DigestParts, Heartbeat, HeartbeatExtension, Message,
-    Phase, ProcessId, PublishedSettings, Revision, Source,
+    Phase, ProcessId, PublishedSettings, ReadState, Revision, Source,
 };
 use raw::{Node, TIMEOUT, accept, listen, published, read_until, run_local};
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -47,6 +47,7 @@
                 remote_primaries: Vec::new(),
                 extension: HeartbeatExtension::default(),
                 build: Build::default(),
+                reads: ReadState::default(),
             };
             let message = Message::Heartbeat(heartbeat);
             self.gateway.membership.borrow_mut().receive(now, peer.ip(), message);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -35,6 +35,7 @@
 pub use crashes::{CrashCheck, CrashEvidence};
 pub use heartbeat::{
     Build, Directions, Heartbeat, HeartbeatExtension, MESSAGE_GENERATION, Message, Outgoing, Phase,
+    ReadState,
 };
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -9,7 +9,7 @@
 };
 
 /// Generation of the messages between gateways. Rises with each change of them.
-pub const MESSAGE_GENERATION: u32 = 1;
+pub const MESSAGE_GENERATION: u32 = 2;
 
 /// Lifecycle phase of a gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -64,6 +64,9 @@
     /// What the datagram carries behind the extension.
     #[serde(skip)]
     pub build: Build,
+    /// What the datagram carries behind the build.
+    #[serde(skip)]
+    pub reads: ReadState,
 }
 
 impl Heartbeat {
@@ -101,6 +104,14 @@
     }
 }
 
+/// How a gateway gets on with its reads of the platform. It follows the build in a datagram; in those of
+/// builds before it, it is missing, and they ignore it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadState {
+    /// Whether the gateway tries to read the platform and gets no answers.
+    pub failing: bool,
+}
+
 /// Datagram between gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -15,7 +15,7 @@
 mod reader;
 
 use super::{
-    heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase},
+    heartbeat::{Directions, Heartbeat, HeartbeatExtension, Message, Outgoing, Phase, ReadState},
     limits::LimitNotice,
     quarantine::CallNotice,
     revision::Revision,
@@ -58,6 +58,9 @@
 const DETACHED_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum interval between join messages while no other gateway is alive.
 const ALONE_INTERVAL: Duration = Duration::from_secs(2);
+/// Failed reads of the platform in a row after which others read in the place of a gateway. A single one
+/// may be a lost answer.
+const MAX_FAILED_READS: u32 = 2;
 /// Maximum number of gateways of the sender's domain in one reply to a join message.
 const MAX_PEERS_SENT: usize = 48;
 
@@ -143,6 +146,8 @@
             last_join: now,
             joins_sent: 0,
             reach_changed: false,
+            reads_fail: false,
+            has_read: false,
             slots: 0,
             doubtful: IndexMap::new(),
             limit_outbox: NoticeOutbox::default(),
@@ -176,6 +181,10 @@
     joins_sent: usize,
     /// Whether all gateways that know this one have to learn that its reach has changed.
     reach_changed: bool,
+    /// Whether the latest reads of the platform have failed.
+    reads_fail: bool,
+    /// Whether this gateway has read the platform since its latest status.
+    has_read: bool,
     /// Concurrent calls that the targets of the local failure domain can run.
     slots: u32,
     /// Gateways that did not deliver the update that they announced, and until when others are asked first.
@@ -196,9 +205,16 @@
         reader: bool,
     ) {
         let KnownData { revision, settings } = known;
+        self.reads_fail &= reader;
+        let reads = ReadState { failing: self.reads_fail };
+        // A gateway that reads since its data had grown old is no longer a reader once it has succeeded.
+        let announces = std::mem::take(&mut self.has_read) || reader;
         // A change of phase is announced at once. A new revision is announced by platform readers
         // alone: announcements by the others would only repeat it to gateways that have it.
-        if self.own.phase != phase || (reader && self.own.known_revision() != revision) {
+        if self.own.phase != phase
+            || self.own.reads != reads
+            || (announces && self.own.known_revision() != revision)
+        {
             self.next_local = Timestamp::default();
         }
         if self.own.phase != phase && [self.own.phase, phase].contains(&Phase::Detached) {
@@ -213,6 +229,14 @@
         self.own.extension = HeartbeatExtension { era: revision.era, settings };
         self.own.age_ms = age.map(|a| u32::try_from(a.as_millis()).unwrap_or(u32::MAX));
         self.own.reader = reader;
+        self.own.reads = reads;
+    }
+
+    /// Records that this gateway has read the platform. `failures` is the number of reads that have failed
+    /// in a row, 0 after one that succeeded.
+    pub fn record_reads(&mut self, failures: u32) {
+        self.reads_fail = failures >= MAX_FAILED_READS;
+        self.has_read |= failures == 0;
     }
 
     /// Sets the number of concurrent calls that the targets of the local failure domain can run.
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -22,13 +22,12 @@
 const DOUBT_TIME: Duration = Duration::from_secs(3);
 
 impl Membership {
-    /// Returns whether this gateway has to read the platform: it is the primary of its failure
-    /// domain, or its data has become so old that no gateway ranked before it seems to read the
-    /// platform. `own_age` is the age of its platform data; without any, the time since its start
-    /// counts.
+    /// Returns whether this gateway has to read the platform: no gateway of its failure domain that
+    /// ranks before it can, or its data has become so old that none of them seems to. `own_age` is the
+    /// age of its platform data; without any, the time since its start counts.
     pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
-        let rank =
-            u32::try_from(self.rank_in_domain(|h| !self.may_ignore_era(h))).unwrap_or(u32::MAX);
+        let can_read = |h: &Heartbeat| !h.reads.failing && !self.may_ignore_era(h);
+        let rank = u32::try_from(self.rank_in_domain(can_read)).unwrap_or(u32::MAX);
         let age = own_age.unwrap_or_else(|| now.since(self.started));
         // Without platform data no call can be served, so the lowest ranks do not wait for long.
         let delay_rank = if own_age.is_none() { rank.min(MAX_STARTUP_RANK) } else { rank };
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -6,7 +6,7 @@
         Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Build, Call,
         CallDigest, Catalog, Change, Decision, Heartbeat, HeartbeatExtension, KnownData,
         LimitField, LoadReport, MESSAGE_GENERATION, NewAttempt, Phase, Probe, ProbeResult,
-        ProcessId, Revision, Route, Share, Source, TargetRecord,
+        ProcessId, ReadState, Revision, Route, Share, Source, TargetRecord,
     },
 };
 use std::{
@@ -184,5 +184,6 @@
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
         build: Build { generation: MESSAGE_GENERATION, version: Arc::from("") },
+        reads: ReadState::default(),
     }
 }
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -14,6 +14,7 @@
 mod platform;
 mod quarantine;
 mod reach;
+mod reading;
 mod resting;
 mod restore;
 mod routes;
--- /dev/null
+++ b/crates/policy/tests/balance/reading.rs
@@ -0,0 +1,261 @@
+//! How long changes of the platform take to reach all gateways of a failure domain whose first
+//! gateways cannot read it.
+
+use crate::{
+    fixture::{first_heartbeat, ms},
+    platform::published,
+};
+use azuretally_policy::{
+    Timestamp,
+    balance::{Catalog, Change, KnownData, Membership, MembershipBuilder, Phase, Revision, Source},
+};
+use indexmap::IndexMap;
+use std::{
+    net::{IpAddr, Ipv4Addr},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Time in which confirmed settings have to be in force at a gateway that can read the platform.
+const IN_FORCE_MS: u64 = 2_000;
+/// Simulated time between two steps.
+const STEP_MS: u64 = 25;
+/// Pause of a gateway after a successful read, after a failed one, and between checks whether it has
+/// to read.
+const READ_INTERVAL_MS: u64 = 1_000;
+const RETRY_MS: u64 = 1_200;
+const CHECK_MS: u64 = 150;
+
+fn ip(number: u16) -> IpAddr {
+    let [high, low] = number.to_be_bytes();
+    IpAddr::V4(Ipv4Addr::new(10, 0, high, low))
+}
+
+/// A gateway without sockets.
+struct Gateway {
+    membership: Membership,
+    catalog: Catalog,
+    /// When it next reads the platform, or checks whether it has to.
+    next_read: u64,
+    reaches_platform: bool,
+    reads: u32,
+    failures: u32,
+}
+
+impl Gateway {
+    fn new(number: u16) -> Self {
+        let own = first_heartbeat(usize::from(number), Arc::from("a"), ip(number));
+        let seeds = vec![ip(1), ip(2)];
+        Self {
+            membership: MembershipBuilder::new(own).seeds(seeds).build(ms(0)),
+            catalog: Catalog::default(),
+            next_read: 0,
+            reaches_platform: true,
+            reads: 0,
+            failures: 0,
+        }
+    }
+
+    fn known(&self) -> KnownData {
+        KnownData { revision: self.catalog.revision(), settings: self.catalog.settings_version() }
+    }
+
+    fn refresh(&mut self, now: Timestamp) {
+        let age = self.catalog.age(now);
+        let reader = self.membership.is_reader(now, age);
+        let known = KnownData { revision: self.catalog.content_revision(), ..self.known() };
+        let phase = match self.catalog.published() {
+            Some(_) => Phase::Ready,
+            None => Phase::Starting,
+        };
+        self.membership.update_status(phase, known, age, reader);
+    }
+
+    fn read(&mut self, at: u64, version: u64) {
+        let now = ms(at);
+        if at < self.next_read {
+            return;
+        }
+        if !self.membership.is_reader(now, self.catalog.age(now)) {
+            self.next_read = at + CHECK_MS;
+            return;
+        }
+        self.reads += 1;
+        if !self.reaches_platform {
+            self.failures += 1;
+            self.membership.record_reads(self.failures);
+            self.next_read = at + RETRY_MS;
+            return;
+        }
+        self.next_read = at + READ_INTERVAL_MS;
+        let changes = vec![Change::Published(published(version))];
+        let revision = Revision::new(1, version);
+        match self.catalog.revision().is_unknown() {
+            true => self.catalog.relist(now, revision, changes, Source::Platform),
+            false => self.catalog.apply(now, revision, changes, Source::Platform),
+        };
+        self.failures = 0;
+        self.membership.record_reads(0);
+        self.refresh(now);
+    }
+}
+
+/// Gateways of one failure domain, and the version that the platform has confirmed.
+struct Domain {
+    gateways: IndexMap<IpAddr, Gateway>,
+    now: u64,
+    /// When each version was confirmed, the first of them 1.
+    confirmed: Vec<u64>,
+}
+
+impl Domain {
+    fn new(size: u16) -> Self {
+        let gateways = (1..=size).map(|number| (ip(number), Gateway::new(number)));
+        Self { gateways: gateways.collect(), now: 0, confirmed: vec![0] }
+    }
+
+    fn publish(&mut self) {
+        self.confirmed.push(self.now);
+    }
+
+    fn version(&self) -> u64 {
+        self.confirmed.len() as u64
+    }
+
+    /// Advances the time by one step.
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        let (at, now, version) = (self.now, ms(self.now), self.version());
+        let mut in_flight = Vec::new();
+        for (from, gateway) in &mut self.gateways {
+            gateway.read(at, version);
+            gateway.refresh(now);
+            in_flight.extend(gateway.membership.tick(now).into_iter().map(|o| (*from, o)));
+        }
+        while let Some((from, outgoing)) = in_flight.pop() {
+            let Some(receiver) = self.gateways.get_mut(&outgoing.to) else { continue };
+            let replies = receiver.membership.receive(now, from, outgoing.message);
+            in_flight.extend(replies.into_iter().map(|o| (outgoing.to, o)));
+        }
+        for index in 0..self.gateways.len() {
+            self.exchange(index);
+        }
+    }
+
+    /// Lets a gateway fetch from a peer that has later data, or confirm its age.
+    fn exchange(&mut self, index: usize) {
+        let now = ms(self.now);
+        let gateway = &self.gateways[index];
+        let known = gateway.known();
+        let age = gateway.catalog.age(now);
+        let confirmed = gateway.membership.confirmed_age(now, known.revision);
+        let peer = gateway.membership.newer_peer(now, known, age);
+        let update = peer.and_then(|(_, ip)| {
+            let catalog = &self.gateways[&ip].catalog;
+            let update = catalog.update_since(known.revision, Some(known.settings));
+            Some((catalog.revision().era, update, catalog.age(now)?))
+        });
+        let gateway = &mut self.gateways[index];
+        if let Some(age) = confirmed
+            && !known.revision.is_unknown()
+        {
+            gateway.catalog.apply(now, known.revision, Vec::new(), Source::Peer(age));
+        }
+        if let Some((era, update, age)) = update {
+            gateway.catalog.apply_update(now, era, update, Source::Peer(age));
+            gateway.refresh(now);
+        }
+    }
+
+    /// Lets the `count` gateways that read the platform first lose it. Returns the others.
+    fn cut_first(&mut self, count: usize) {
+        for age in (1_500..).step_by(250).take(count) {
+            let now = ms(self.now);
+            let sound = self.gateways.values_mut().filter(|g| g.reaches_platform);
+            let old = Some(Duration::from_millis(age));
+            let mut first: Vec<&mut Gateway> =
+                sound.filter(|g| g.membership.is_reader(now, old)).collect();
+            assert_eq!(first.len(), 1, "one gateway ranks first");
+            first[0].reaches_platform = false;
+        }
+    }
+
+    /// Publishes settings at various times and returns the longest time until a version was in force at
+    /// all gateways that reach the platform.
+    fn latest(&mut self, duration: u64) -> u64 {
+        let end = self.now + duration;
+        let mut latest = 0;
+        let mut next = self.now;
+        let mut gap = 475;
+        while self.now < end {
+            if self.now >= next {
+                self.publish();
+                gap = (gap + 175) % 1_400 + 50;
+                next = self.now + gap;
+            }
+            self.step();
+            let sound = self.gateways.values().filter(|g| g.reaches_platform);
+            let oldest = sound.map(|g| g.catalog.settings_version()).min().unwrap_or(0);
+            if let Some(at) = self.confirmed.get(oldest as usize) {
+                latest = latest.max(self.now - at);
+            }
+        }
+        latest
+    }
+}
+
+fn latest_without_first(size: u16, count: usize) -> u64 {
+    let mut domain = Domain::new(size);
+    while domain.now < 6_000 {
+        domain.step();
+    }
+    domain.cut_first(count);
+    domain.latest(60_000)
+}
+
+/// Settings confirmed for longer than the bound were not in force: while the first gateway of the domain
+/// could not read the platform, the next one read only when its data had grown old, and told the others
+/// with its next heartbeat.
+#[test]
+fn settings_are_in_force_in_time_while_the_first_gateway_cannot_read_the_platform() {
+    for (size, count) in [(3, 1), (5, 1), (32, 1), (5, 2), (32, 3)] {
+        let latest = latest_without_first(size, count);
+        assert!(latest <= IN_FORCE_MS, "gateways={size} cut={count} latest={latest} ms");
+    }
+}
+
+#[test]
+fn settings_are_in_force_in_time_while_all_gateways_read_the_platform() {
+    for size in [1, 5, 32] {
+        let latest = latest_without_first(size, 0);
+        assert!(latest <= IN_FORCE_MS, "gateways={size} latest={latest} ms");
+    }
+}
+
+/// Guards against a list of all targets for every gateway, which would be more than the platform can
+/// answer, when it is back after it has answered nobody.
+#[test]
+fn few_gateways_read_a_platform_that_answers_again() {
+    for size in [5, 32] {
+        let mut domain = Domain::new(size);
+        while domain.now < 6_000 {
+            domain.step();
+        }
+        for gateway in domain.gateways.values_mut() {
+            gateway.reaches_platform = false;
+        }
+        while domain.now < 20_000 {
+            domain.step();
+        }
+        for gateway in domain.gateways.values_mut() {
+            gateway.reaches_platform = true;
+            gateway.reads = 0;
+        }
+        while domain.now < 25_000 {
+            domain.step();
+        }
+        let reads: Vec<u32> = domain.gateways.values().map(|g| g.reads).collect();
+        let readers = reads.iter().filter(|count| **count > 0).count();
+        assert!(readers <= usize::from(size / 4 + 2), "gateways={size} reads={reads:?}");
+    }
+}
