fix(policy): do not wait for each of several gateways that fall silent

Callers saw: settings that had been confirmed for longer than the bound of 2 s were not in force at the gateways that were left of a large failure domain, several of whose gateways had gone dark at once.

Cause: a gateway reads the platform once its data is 1.45 s old, and 0.25 s older for each gateway ranked before it that counts as alive. One that has fallen silent counts as alive for three heartbeat intervals, 2.3 s in a domain of 32, so the others waited for each of those that were dark.

Ruled out: the fetch from a reader that is dark (no gateway had anything later to fetch until one had read).

Now a gateway adds to the delay only if it was heard within 1.5 heartbeat intervals. The first 1.7 s remain: a lost heartbeat must not make a second gateway read.

--- a/crates/policy/src/balance/membership/ranking.rs
+++ b/crates/policy/src/balance/membership/ranking.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::heartbeat::{Heartbeat, Phase},
-    Membership,
+    Membership, Peer,
 };
 use indexmap::IndexMap;
 use std::{
@@ -99,13 +99,13 @@
     /// leaving one.
     pub(super) fn rank_in_domain<Counts>(&self, counts: Counts) -> usize
     where
-        Counts: Fn(&Heartbeat) -> bool,
+        Counts: Fn(&Peer) -> bool,
     {
         let own = rank_key(&self.own);
         let leaving = self.own.phase == Phase::Leaving;
         let is_before = |h: &Heartbeat| h.phase != Phase::Leaving && rank_key(h) < own;
-        let alive = self.local_peers().filter(|p| p.alive).map(|p| &p.heartbeat);
-        alive.filter(|h| counts(h) && (leaving || is_before(h))).count()
+        let alive = self.local_peers().filter(|p| p.alive);
+        alive.filter(|p| counts(p) && (leaving || is_before(&p.heartbeat))).count()
     }
 }
 
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -12,6 +12,8 @@
 /// each gateway that ranks before it.
 const TAKEOVER_AGE: (Duration, Duration) =
     (Duration::from_millis(1_450), Duration::from_millis(250));
+/// Heartbeat intervals after which a gateway that is not heard adds no delay.
+const MAX_INTERVALS: f64 = 1.5;
 /// Maximum rank counted in that delay while a gateway has no platform data.
 const MAX_STARTUP_RANK: u32 = 4;
 /// Time for which changes known in another failure domain are left to the local domain's reader,
@@ -26,11 +28,17 @@
     /// ranks before it can, or its data has become so old that none of them seems to. `own_age` is the
     /// age of its platform data; without any, the time since its start counts.
     pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
-        let can_read = |h: &Heartbeat| !h.reads.failing && !self.may_ignore_era(h);
-        let rank = u32::try_from(self.rank_in_domain(can_read)).unwrap_or(u32::MAX);
+        let can_read = |p: &Peer| !p.heartbeat.reads.failing && !self.may_ignore_era(&p.heartbeat);
+        let rank = self.rank_in_domain(can_read);
+        // Of several gateways that fall silent at once, each would otherwise be waited for.
+        let max_silence = self.local_interval().mul_f64(MAX_INTERVALS);
+        let is_heard = |p: &Peer| can_read(p) && now.since(p.heard) <= max_silence;
+        let delay_rank = self.rank_in_domain(is_heard).max(1);
+        let delay_rank = u32::try_from(delay_rank).unwrap_or(u32::MAX);
         let age = own_age.unwrap_or_else(|| now.since(self.started));
         // Without platform data no call can be served, so the lowest ranks do not wait for long.
-        let delay_rank = if own_age.is_none() { rank.min(MAX_STARTUP_RANK) } else { rank };
+        let max_rank = if own_age.is_none() { MAX_STARTUP_RANK } else { u32::MAX };
+        let delay_rank = delay_rank.min(max_rank);
         rank == 0 || age > TAKEOVER_AGE.0 + TAKEOVER_AGE.1 * delay_rank
     }
 
--- a/crates/policy/tests/balance/reading.rs
+++ b/crates/policy/tests/balance/reading.rs
@@ -38,6 +38,8 @@
     /// When it next reads the platform, or checks whether it has to.
     next_read: u64,
     reaches_platform: bool,
+    /// Whether its host is dark.
+    is_dark: bool,
     reads: u32,
     failures: u32,
 }
@@ -51,6 +53,7 @@
             catalog: Catalog::default(),
             next_read: 0,
             reaches_platform: true,
+            is_dark: false,
             reads: 0,
             failures: 0,
         }
@@ -127,13 +130,14 @@
         self.now += STEP_MS;
         let (at, now, version) = (self.now, ms(self.now), self.version());
         let mut in_flight = Vec::new();
-        for (from, gateway) in &mut self.gateways {
+        for (from, gateway) in self.gateways.iter_mut().filter(|(_, g)| !g.is_dark) {
             gateway.read(at, version);
             gateway.refresh(now);
             in_flight.extend(gateway.membership.tick(now).into_iter().map(|o| (*from, o)));
         }
         while let Some((from, outgoing)) = in_flight.pop() {
-            let Some(receiver) = self.gateways.get_mut(&outgoing.to) else { continue };
+            let receiver = self.gateways.get_mut(&outgoing.to).filter(|g| !g.is_dark);
+            let Some(receiver) = receiver else { continue };
             let replies = receiver.membership.receive(now, from, outgoing.message);
             in_flight.extend(replies.into_iter().map(|o| (outgoing.to, o)));
         }
@@ -150,6 +154,7 @@
         let age = gateway.catalog.age(now);
         let confirmed = gateway.membership.confirmed_age(now, known.revision);
         let peer = gateway.membership.newer_peer(now, known, age);
+        let peer = peer.filter(|(_, ip)| !self.gateways[ip].is_dark);
         let update = peer.and_then(|(_, ip)| {
             let catalog = &self.gateways[&ip].catalog;
             let update = catalog.update_since(known.revision, Some(known.settings));
@@ -180,6 +185,18 @@
         }
     }
 
+    /// Returns how long it takes until the latest version is in force at all gateways that reach the
+    /// platform.
+    fn time_to_last_version(&mut self) -> u64 {
+        let start = self.now;
+        let version = self.version();
+        let is_late = |g: &Gateway| g.reaches_platform && g.catalog.settings_version() < version;
+        while self.gateways.values().any(is_late) {
+            self.step();
+        }
+        self.now - start
+    }
+
     /// Publishes settings at various times and returns the longest time until a version was in force at
     /// all gateways that reach the platform.
     fn latest(&mut self, duration: u64) -> u64 {
@@ -259,3 +276,25 @@
         assert!(readers <= usize::from(size / 4 + 2), "gateways={size} reads={reads:?}");
     }
 }
+
+/// Settings confirmed for longer than the bound were not in force in a large failure domain several of
+/// whose gateways had gone dark at once: the others waited for each of them.
+#[test]
+fn settings_are_in_force_in_time_although_the_first_gateways_go_dark() {
+    for (size, count) in [(5, 2), (16, 4), (32, 2), (32, 4), (32, 8)] {
+        let mut worst = 0;
+        for phase in 0..40 {
+            let mut domain = Domain::new(size);
+            while domain.now < 6_000 + phase * STEP_MS {
+                domain.step();
+            }
+            domain.cut_first(count);
+            for gateway in domain.gateways.values_mut() {
+                gateway.is_dark = !gateway.reaches_platform;
+            }
+            domain.publish();
+            worst = worst.max(domain.time_to_last_version());
+        }
+        assert!(worst <= IN_FORCE_MS, "gateways={size} dark={count} latest={worst} ms");
+    }
+}
