fix(gateway): give up relayed settings that the platform does not have

Callers saw (in a test): all calls refused (503), each after 0.3 s, until the gateway is restarted or a later version is written.

Cause: a gateway that is cut off from all targets learns from the answer to a relayed call under which version of the settings it was handled, and serves no later call under an earlier one. It believed any version for good. If the platform lost that version in a restore, and the gateway that had it ended before it handed it on, or named a wrong one, nothing brings it.

Ruled out: peers that are alive and have the version (its heartbeats lead to an update), answers of targets (the other gateway replaces the field).

Now the version is given up once the platform's data is confirmed for a time 2 s after it was named. As long as nothing newer is confirmed, calls are refused as before, so that callers of a gateway that is behind see no setting go back.

On the code before, the call after the confirmation reached no target within 3 s; now it is served.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -49,6 +49,16 @@
 
 /// Time for which a call waits for settings that another gateway is known to use.
 const MAX_UPDATE_WAIT: Duration = Duration::from_millis(300);
+/// Time after which the platform's data would contain settings that another gateway is known to use.
+const MAX_UPDATE_DELAY: Duration = Duration::from_secs(2);
+
+/// Version of the settings under which another gateway has answered a relayed call.
+#[derive(Clone, Copy, Debug, Default)]
+struct RelayedVersion {
+    version: u64,
+    /// When it was first named.
+    named: Timestamp,
+}
 
 /// State shared by all tasks of one gateway.
 ///
@@ -86,7 +96,7 @@
     /// Notified when an attempt broke off, which may call for a check of its target.
     pub attempt_broken: Notify,
     /// Latest version of the settings under which another gateway has answered a relayed call.
-    relayed_version: Cell<u64>,
+    relayed_version: Cell<RelayedVersion>,
     /// Whether this gateway is cut off from all targets.
     cut_off: watch::Sender<bool>,
     routes: RefCell<Option<Rc<RouteTable>>>,
@@ -134,7 +144,7 @@
             call_queued: Notify::new(),
             target_failed: Notify::new(),
             attempt_broken: Notify::new(),
-            relayed_version: Cell::new(0),
+            relayed_version: Cell::default(),
             cut_off: watch::Sender::default(),
             routes: RefCell::default(),
             reading_end: Cell::new(Timestamp::MAX),
@@ -161,7 +171,7 @@
     /// relayed calls under. Waits for an update if they are older, and returns `None` if it does not
     /// arrive in time or no settings have arrived at all.
     pub async fn routes_from(&self, min_version: u64) -> Option<Rc<RouteTable>> {
-        let min_version = min_version.max(self.relayed_version.get());
+        let min_version = min_version.max(self.believed_version());
         let is_current = |table: &Rc<RouteTable>| table.published().version >= min_version;
         let table = self.routes()?;
         if is_current(&table) {
@@ -180,9 +190,21 @@
     }
 
     /// Records that another gateway has answered a relayed call under settings `version`. This one must
-    /// not serve later calls under earlier ones.
+    /// not serve later calls under earlier ones, unless the platform turns out not to have them.
     pub fn record_relayed_version(&self, version: u64) {
-        self.relayed_version.set(version.max(self.relayed_version.get()));
+        if version > self.believed_version() && version != self.relayed_version.get().version {
+            self.relayed_version.set(RelayedVersion { version, named: self.clock.now() });
+        }
+    }
+
+    /// Returns the latest version that another gateway has named in this way, 0 if there is none or if
+    /// the platform has confirmed since that it has no such settings.
+    fn believed_version(&self) -> u64 {
+        let RelayedVersion { version, named } = self.relayed_version.get();
+        let now = self.clock.now();
+        let age = self.catalog.borrow().age(now);
+        let is_refuted = age.is_some_and(|age| now - age > named + MAX_UPDATE_DELAY);
+        if is_refuted { 0 } else { version }
     }
 
     /// Reads and serves calls for the times of a planned stop only. Waiting calls that cannot be
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -13,9 +13,12 @@
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
-    time::timeout,
+    time::{sleep, timeout},
 };
 
+/// Somewhat more than the time for which a gateway believes a version that the platform does not have.
+const BELIEF_TIME: Duration = Duration::from_millis(2_100);
+
 impl Node {
     /// Starts a gateway that is cut off from its only target, which accepts no connection, and knows
     /// the gateways at `peers`.
@@ -288,6 +291,14 @@
 }
 
 impl Node {
+    /// Lets the platform confirm that nothing has changed.
+    fn confirm(&self) {
+        let now = self.gateway.clock.now();
+        let mut catalog = self.gateway.catalog.borrow_mut();
+        let revision = catalog.revision();
+        catalog.apply(now, revision, Vec::new(), Source::Platform);
+    }
+
     /// Lets settings of `version` arrive.
     fn publish(&self, version: u64) {
         let now = self.gateway.clock.now();
@@ -357,3 +368,36 @@
     })
     .await;
 }
+
+/// Guards against a gateway that refuses all calls until its restart: it waited for good for settings that
+/// another gateway had named when it answered a relayed call, and that the platform does not have.
+#[tokio::test]
+async fn settings_named_by_another_gateway_are_given_up_if_the_platform_lacks_them() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let (peer, peer_address) = listen().await;
+        let node = Node::start(&[address]).await;
+        node.meet(&[peer_address]);
+        node.cut_off();
+        let mut caller = node.call("/check/1").await;
+        let (_, mut stream) = accept(&peer).await;
+        let response = "HTTP/1.1 200 OK\r\nx-azuretally-call: a\r\nx-azuretally-relayed: 99\r\n\
+                        content-length: 4\r\n\r\ndone";
+        stream.write_all(response.as_bytes()).await.expect("response sent");
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+        for _ in 0..2 {
+            node.gateway.reach_checked(4, 1);
+        }
+        sleep(BELIEF_TIME).await;
+        // As long as the platform has confirmed nothing since, it may have them.
+        let mut caller = node.call("/check/2").await;
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        node.confirm();
+        let mut caller = node.call("/check/3").await;
+        let (_, mut stream) = accept(&target).await;
+        answer(&mut stream).await;
+        assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+    })
+    .await;
+}
