fix(fleet): keep a heard leaving report while the record of its target lapses

Callers: 1 call, in 2 of 3 runs of the process test on the code before, reached a draining target after its record had lapsed and returned, sent by entries that had only heard that it drains.

Cause: a host list that left the target out confirmed the report, and the next list that had the target without an incarnation cleared it, as if only a new process could return. A record that lapses proves nothing. Ruled out: the entry that saw the target drain; its own mark outlives the record and its test was green.

Fix: a report is cleared by a known other incarnation only, in the host list or in the answer to a probe. A target that names no incarnation is reported with that of the host list. Reports last while the target is listed, and 10 min after the list has lost it, as the entry's own mark does. A target that is leaving by report alone is still probed, else a new process under its name would get no calls for good where the host list has no incarnations; a report without an incarnation ends with a probe that finds the target serving, again as the own mark does. The messages between entries are unchanged.

--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -354,15 +354,19 @@
 
 /// Returns what the response of a target says about the target, beside its load.
 fn target_notice(response: &UpstreamResponse) -> TargetNotice {
-    let header_map = &response.head.headers;
-    let incarnation = header_map.get(headers::TARGET_INCARNATION).and_then(|v| v.to_str().ok());
     TargetNotice {
-        incarnation: incarnation.map(Arc::from),
+        incarnation: target_incarnation(response),
         rest: requested_rest(response),
         draining: is_draining(response),
     }
 }
 
+/// Returns the incarnation of the target, if the response names it.
+pub(super) fn target_incarnation(response: &UpstreamResponse) -> Option<Arc<str>> {
+    let value = response.head.headers.get(headers::TARGET_INCARNATION)?;
+    value.to_str().ok().map(Arc::from)
+}
+
 /// Returns whether the response shows that the target is draining.
 fn is_draining(response: &UpstreamResponse) -> bool {
     response.head.headers.get(headers::TARGET_STATE).is_some_and(|v| v == "draining")
--- a/crates/entry/src/calls/probe.rs
+++ b/crates/entry/src/calls/probe.rs
@@ -3,13 +3,13 @@
 use super::{
     app::App,
     body::RequestBody,
-    exchange::Exchange,
-    handler::{load_report, take_notice},
+    exchange::{Exchange, UpstreamResponse},
+    handler::{load_report, take_notice, target_incarnation},
     limits::PROBE_TIMEOUT,
     pool::ReusePolicy,
-    service::ProbeRequest,
+    service::{ProbeRequest, Service},
 };
-use azuretally_policy::dispatch::Event;
+use azuretally_policy::dispatch::{Event, LoadReport};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{Either, Full};
@@ -45,16 +45,28 @@
                 timeout: PROBE_TIMEOUT,
             };
             let response = exchange.run(request).await.ok();
-            if let Some(response) = &response {
-                take_notice(&app, &service, &target, response);
-            }
-            response.as_ref().and_then(load_report)
+            response.and_then(|response| take_response(&app, &service, &target, &response))
         }
         None => None,
     };
     service.handle(Event::Probed { target, report });
 }
 
+/// Passes on what the response to a probe says about the target. Returns its load report.
+fn take_response(
+    app: &App,
+    service: &Arc<Service>,
+    target: &Arc<str>,
+    response: &UpstreamResponse,
+) -> Option<LoadReport> {
+    take_notice(app, service, target, response);
+    let report = load_report(response)?;
+    if !report.draining {
+        app.context.control.report_serving(target, target_incarnation(response));
+    }
+    Some(report)
+}
+
 fn load_request(address: SocketAddr) -> Option<Request<RequestBody>> {
     Request::get(LOAD_PATH)
         .header(http::header::HOST, address.to_string())
--- a/crates/entry/src/control/control_loop.rs
+++ b/crates/entry/src/control/control_loop.rs
@@ -1,7 +1,7 @@
 //! Event loop that drives the fleet state machine.
 
 use super::{
-    handle::ControlCounters,
+    handle::{ControlCounters, TargetReport},
     load::LoadMeter,
     peers::{Inbox, PeerSockets},
     platform::PlatformClient,
@@ -97,7 +97,7 @@
     }
 
     async fn process_events(&self, mut inbox: Inbox) {
-        let Some(mut leaving_reports) = self.context.control.take_leaving_reports() else { return };
+        let Some(mut reports) = self.context.control.take_reports() else { return };
         let mut ticks = interval(TICK_INTERVAL);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut is_leaving = false;
@@ -105,10 +105,7 @@
             tokio::select! {
                 _ = ticks.tick() => self.handle(Self::tick),
                 Some(bytes) = inbox.recv() => self.handle(|this, now| this.receive(now, &bytes)),
-                Some(report) = leaving_reports.recv() => {
-                    log::info!("control: target {} is leaving", report.target);
-                    self.handle(|this, _| this.fleet.borrow_mut().report_leaving(report));
-                }
+                Some(report) = reports.recv() => self.handle(|this, _| this.apply_report(report)),
                 () = self.context.stop.cancelled(), if !is_leaving => {
                     is_leaving = true;
                     self.handle(|this, _| this.fleet.borrow_mut().leave());
@@ -117,6 +114,20 @@
         }
     }
 
+    /// Passes a report of the request path to the state machine.
+    fn apply_report(&self, report: TargetReport) {
+        let mut fleet = self.fleet.borrow_mut();
+        match report {
+            TargetReport::Leaving(report) => {
+                log::info!("control: target {} is leaving", report.target);
+                fleet.report_leaving(report);
+            }
+            TargetReport::Serving { target, incarnation } => {
+                fleet.report_serving(&target, incarnation.as_deref());
+            }
+        }
+    }
+
     /// Handles one event: reads the clock and detects a pause of the process, runs `handler`, then
     /// performs the actions of the state machine and publishes changes of the view.
     fn handle<Handler>(&self, handler: Handler)
--- a/crates/entry/src/control/handle.rs
+++ b/crates/entry/src/control/handle.rs
@@ -9,8 +9,17 @@
 };
 use tokio::sync::{mpsc, watch};
 
-/// Capacity of the queue of leaving reports.
-const LEAVING_QUEUE_CAPACITY: usize = 256;
+/// Capacity of the queue of reports on targets.
+const REPORT_QUEUE_CAPACITY: usize = 256;
+
+/// Report of the request path on a target.
+#[derive(Debug)]
+pub(super) enum TargetReport {
+    /// It said that it is leaving.
+    Leaving(LeavingReport),
+    /// It answered a probe without saying so.
+    Serving { target: Arc<str>, incarnation: Option<Arc<str>> },
+}
 
 /// Counters of the control thread: messages, platform requests and CPU time.
 #[derive(Debug, Default)]
@@ -43,8 +52,8 @@
 pub struct ControlHandle {
     /// Counters of the control thread.
     pub counters: ControlCounters,
-    leaving_sender: mpsc::Sender<LeavingReport>,
-    leaving_receiver: Mutex<Option<mpsc::Receiver<LeavingReport>>>,
+    report_sender: mpsc::Sender<TargetReport>,
+    report_receiver: Mutex<Option<mpsc::Receiver<TargetReport>>>,
     free_slots: RwLock<IndexMap<Arc<str>, Arc<AtomicU32>>>,
     rotations: RwLock<IndexMap<Arc<str>, AtomicU64>>,
     pauses: watch::Sender<u64>,
@@ -53,11 +62,11 @@
 impl ControlHandle {
     /// Creates a handle with an empty queue and all counters at zero.
     pub fn new() -> Self {
-        let (leaving_sender, leaving_receiver) = mpsc::channel(LEAVING_QUEUE_CAPACITY);
+        let (report_sender, report_receiver) = mpsc::channel(REPORT_QUEUE_CAPACITY);
         Self {
             counters: ControlCounters::default(),
-            leaving_sender,
-            leaving_receiver: Mutex::new(Some(leaving_receiver)),
+            report_sender,
+            report_receiver: Mutex::new(Some(report_receiver)),
             free_slots: RwLock::default(),
             rotations: RwLock::default(),
             pauses: watch::Sender::new(0),
@@ -69,7 +78,14 @@
     /// leads to another one.
     pub fn report_leaving(&self, target: &Arc<str>, incarnation: &str) {
         let report = LeavingReport { target: Arc::clone(target), incarnation: incarnation.into() };
-        let _ = self.leaving_sender.try_send(report);
+        let _ = self.report_sender.try_send(TargetReport::Leaving(report));
+    }
+
+    /// Reports that a target answered a probe without saying that it is leaving. The report is dropped
+    /// if the queue is full; the next probe leads to another one.
+    pub fn report_serving(&self, target: &Arc<str>, incarnation: Option<Arc<str>>) {
+        let target = Arc::clone(target);
+        let _ = self.report_sender.try_send(TargetReport::Serving { target, incarnation });
     }
 
     /// Returns the counter in which the request path keeps its number of free slots for a service.
@@ -104,9 +120,9 @@
         self.pauses.send_modify(|n| *n += 1);
     }
 
-    /// Takes the receiver of leaving reports. Returns `None` if it was taken before.
-    pub(super) fn take_leaving_reports(&self) -> Option<mpsc::Receiver<LeavingReport>> {
-        self.leaving_receiver.lock().take()
+    /// Takes the receiver of reports on targets. Returns `None` if it was taken before.
+    pub(super) fn take_reports(&self) -> Option<mpsc::Receiver<TargetReport>> {
+        self.report_receiver.lock().take()
     }
 
     /// Returns the number of free slots of each service.
--- a/crates/entry/src/control/view_builder.rs
+++ b/crates/entry/src/control/view_builder.rs
@@ -197,7 +197,8 @@
             failure_domain: Arc::from(&*record.failure_domain),
             slots: settings.slots,
             incarnation: record.incarnation.as_deref().map(Arc::from),
-            leaving: record.state == HostState::Leaving || fleet.is_target_leaving(&record.host),
+            leaving: record.state == HostState::Leaving,
+            reported: fleet.is_target_reported(&record.host),
         };
         let target = TargetView { info, address: *address };
         targets.entry(Arc::clone(name)).or_default().insert(Arc::clone(&target.info.name), target);
--- a/crates/policy/examples/dispatch_cost.rs
+++ b/crates/policy/examples/dispatch_cost.rs
@@ -62,6 +62,7 @@
         slots: 2,
         incarnation: None,
         leaving: false,
+        reported: false,
     });
     dispatcher.handle(now, Event::TargetsChanged(infos.collect()), &mut actions);
     let peers = vec![PeerSlots { host: "entry-0".into(), free: 0 }];
--- a/crates/policy/src/dispatch/config.rs
+++ b/crates/policy/src/dispatch/config.rs
@@ -128,8 +128,18 @@
     pub slots: u32,
     /// Incarnation of the target, if the list names it.
     pub incarnation: Option<Arc<str>>,
-    /// Whether the target is leaving and must not get new calls.
+    /// Whether the list marks the target as leaving, so that it must not get new calls.
     pub leaving: bool,
+    /// Whether an entry has reported that it is leaving, with the same effect. Probes can show that
+    /// the report no longer applies.
+    pub reported: bool,
+}
+
+impl TargetInfo {
+    /// Returns whether the target is leaving and must not get new calls.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving || self.reported
+    }
 }
 
 /// One member of the entry set of the service. This entry is listed too if it is a member.
--- a/crates/policy/src/dispatch/ownership.rs
+++ b/crates/policy/src/dispatch/ownership.rs
@@ -45,7 +45,7 @@
 /// assignment and does not depend on hosts.
 fn hashed_slots(targets: &[&TargetInfo]) -> Vec<(u64, usize, u32)> {
     let mut slots = Vec::new();
-    for (target, info) in targets.iter().enumerate().filter(|(_, t)| !t.leaving) {
+    for (target, info) in targets.iter().enumerate().filter(|(_, t)| !t.is_leaving()) {
         slots.extend(
             (0..info.slots.min(MAX_SLOTS))
                 .map(|index| (hash(&info.name, index, ""), target, index)),
--- a/crates/policy/src/dispatch/target.rs
+++ b/crates/policy/src/dispatch/target.rs
@@ -73,7 +73,7 @@
 
     /// Returns whether the target is listed and neither leaving nor draining.
     pub(super) fn is_active(&self) -> bool {
-        !self.removed && !self.draining && !self.info.leaving
+        !self.removed && !self.draining && !self.info.is_leaving()
     }
 
     /// Returns whether the target is active and its breaker is closed.
--- a/crates/policy/src/fleet/heartbeat.rs
+++ b/crates/policy/src/fleet/heartbeat.rs
@@ -102,6 +102,7 @@
         self.run_quorum_check(now);
         self.members.tick(now, self.quorum_check.last_passed());
         self.apply_state_changes();
+        self.leaving_targets.expire(now, &self.listed_targets);
         self.request_missing(now);
         self.send_free_slots(now);
         self.update_lifecycle(now);
--- a/crates/policy/src/fleet/leaving.rs
+++ b/crates/policy/src/fleet/leaving.rs
@@ -2,16 +2,20 @@
 //!
 //! The host list lags and may be stale, so a target also counts as leaving once any entry has seen
 //! it drain and reported it. A report names an incarnation of the target and applies to that one
-//! only: a list that still marks the host as live does not clear it, a list with another
-//! incarnation does. If the list has no incarnations, a report is cleared by a list that marks the
-//! host as live after an earlier list marked it as leaving or left it out.
+//! only: a list or a response that names another one clears it. A record that lapses and returns
+//! without an incarnation proves nothing and does not. A report of an unknown incarnation is cleared
+//! by a probe that finds the target serving. All reports end some time after the list has lost the
+//! target.
 
 use super::message::LeavingReport;
+use crate::Timestamp;
 use indexmap::IndexMap;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// Maximum number of incarnations kept for one target.
 const MAX_INCARNATIONS: usize = 8;
+/// Time for which reports stay in force while the host list lacks the target.
+const UNLISTED_MEMORY: Duration = Duration::from_secs(600);
 
 /// A target in the host list.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -27,20 +31,16 @@
 /// Reports of leaving targets, including those that were cleared.
 #[derive(Clone, Debug, Default)]
 pub struct LeavingTargets {
-    targets: IndexMap<Arc<str>, Incarnations>,
+    targets: IndexMap<Arc<str>, TargetReports>,
 }
 
-type Incarnations = IndexMap<Arc<str>, ReportState>;
-
-/// Progress of a report, given the host lists that came after it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReportState {
-    /// Reported by an entry.
-    Reported,
-    /// A later list marked the host as leaving or left it out.
-    Confirmed,
-    /// A later list named another incarnation, or marked the host as live again after confirming.
-    Cleared,
+/// Reports of one target.
+#[derive(Clone, Debug, Default)]
+struct TargetReports {
+    /// Reported incarnations, with whether the report is in force.
+    incarnations: IndexMap<Arc<str>, bool>,
+    /// Since when the host list has lacked the target, if it does.
+    unlisted_since: Option<Timestamp>,
 }
 
 impl LeavingTargets {
@@ -48,65 +48,92 @@
     ///
     /// A report that was cleared is not accepted again from an entry that lags.
     pub fn add_report(&mut self, report: &LeavingReport) -> bool {
-        let incarnations = self.targets.entry(Arc::clone(&report.target)).or_default();
-        if incarnations.contains_key(&report.incarnation) {
+        let reports = self.targets.entry(Arc::clone(&report.target)).or_default();
+        if reports.incarnations.contains_key(&report.incarnation) {
             return false;
         }
-        if incarnations.len() >= MAX_INCARNATIONS {
-            incarnations.shift_remove_index(0);
+        if reports.incarnations.len() >= MAX_INCARNATIONS {
+            reports.incarnations.shift_remove_index(0);
         }
-        incarnations.insert(Arc::clone(&report.incarnation), ReportState::Reported);
+        reports.incarnations.insert(Arc::clone(&report.incarnation), true);
         true
     }
 
     /// Applies a host list, which must be later than all lists applied before.
     pub fn apply_host_list(&mut self, listed: &IndexMap<Arc<str>, ListedTarget>) {
-        for (target, incarnations) in &mut self.targets {
+        for (target, reports) in &mut self.targets {
             let listed = listed.get(target).filter(|l| !l.leaving);
-            for (incarnation, state) in incarnations {
-                *state = state.after_list(incarnation, listed);
+            if let Some(incarnation) = listed.and_then(|l| l.incarnation.as_deref()) {
+                reports.clear(|reported| is_other_incarnation(reported, Some(incarnation)));
+            }
+        }
+    }
+
+    /// Records that a target answered a probe without being leaving. Returns whether this cleared a
+    /// report.
+    pub fn record_serving(&mut self, target: &str, incarnation: Option<&str>) -> bool {
+        let Some(reports) = self.targets.get_mut(target) else { return false };
+        reports.clear(|r| r.is_empty() || is_other_incarnation(r, incarnation))
+    }
+
+    /// Ends the reports of targets that the host list has lacked for too long.
+    pub fn expire(&mut self, now: Timestamp, listed: &IndexMap<Arc<str>, ListedTarget>) {
+        for (target, reports) in &mut self.targets {
+            if listed.contains_key(target) {
+                reports.unlisted_since = None;
+            } else if now.since(*reports.unlisted_since.get_or_insert(now)) >= UNLISTED_MEMORY {
+                reports.clear(|_| true);
             }
         }
     }
 
     /// Returns whether `listed` must not get new calls.
     pub fn is_leaving(&self, listed: &ListedTarget) -> bool {
-        listed.leaving
-            || self.targets.get(&listed.target).is_some_and(|incarnations| {
-                incarnations.iter().any(|(incarnation, state)| {
-                    *state != ReportState::Cleared && !is_other_incarnation(incarnation, listed)
-                })
-            })
+        listed.leaving || self.is_reported(listed)
+    }
+
+    /// Returns whether a report that applies to `listed` is in force.
+    pub fn is_reported(&self, listed: &ListedTarget) -> bool {
+        self.targets.get(&listed.target).is_some_and(|reports| {
+            let is_other = |r| is_other_incarnation(r, listed.incarnation.as_deref());
+            reports.in_force().any(|reported| !is_other(reported))
+        })
     }
 
     /// Iterates over the reports that are in force.
     pub fn reports(&self) -> impl Iterator<Item = LeavingReport> + '_ {
-        self.targets.iter().flat_map(|(target, incarnations)| {
-            incarnations.iter().filter(|(_, state)| **state != ReportState::Cleared).map(
-                |(incarnation, _)| LeavingReport {
-                    target: Arc::clone(target),
-                    incarnation: Arc::clone(incarnation),
-                },
-            )
+        self.targets.iter().flat_map(|(target, reports)| {
+            reports.in_force().map(|incarnation| LeavingReport {
+                target: Arc::clone(target),
+                incarnation: Arc::clone(incarnation),
+            })
         })
     }
 }
 
-impl ReportState {
-    /// Returns the state after a host list. `listed` is the target in the list, if marked as live.
-    fn after_list(self, incarnation: &str, listed: Option<&ListedTarget>) -> Self {
-        match (self, listed) {
-            (Self::Cleared, _) => Self::Cleared,
-            (_, Some(l)) if is_other_incarnation(incarnation, l) => Self::Cleared,
-            (Self::Confirmed, Some(l)) if l.incarnation.is_none() => Self::Cleared,
-            (state, Some(_)) => state,
-            (_, None) => Self::Confirmed,
+impl TargetReports {
+    fn in_force(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.incarnations.iter().filter_map(|(i, in_force)| in_force.then_some(i))
+    }
+
+    /// Clears the reports of incarnations for which `is_over` returns true. Returns whether one of
+    /// them was in force.
+    fn clear<IsOver>(&mut self, is_over: IsOver) -> bool
+    where
+        IsOver: Fn(&str) -> bool,
+    {
+        let mut cleared = false;
+        for (incarnation, in_force) in &mut self.incarnations {
+            if *in_force && is_over(incarnation) {
+                *in_force = false;
+                cleared = true;
+            }
         }
+        cleared
     }
 }
 
 /// Returns whether both incarnations are known and differ.
-fn is_other_incarnation(incarnation: &str, listed: &ListedTarget) -> bool {
-    let known = listed.incarnation.as_deref().filter(|_| !incarnation.is_empty());
-    known.is_some_and(|l| l != incarnation)
+fn is_other_incarnation(reported: &str, incarnation: Option<&str>) -> bool {
+    !reported.is_empty() && incarnation.is_some_and(|i| i != reported)
 }
--- a/crates/policy/src/fleet/node.rs
+++ b/crates/policy/src/fleet/node.rs
@@ -211,6 +211,11 @@
         self.listed_targets.get(target).is_some_and(|l| self.leaving_targets.is_leaving(l))
     }
 
+    /// Returns whether any entry has reported that the target is leaving.
+    pub fn is_target_reported(&self, target: &str) -> bool {
+        self.listed_targets.get(target).is_some_and(|l| self.leaving_targets.is_reported(l))
+    }
+
     /// Returns whether the published view has changed since the last call, and clears the flag.
     pub fn take_view_changed(&mut self) -> bool {
         std::mem::take(&mut self.view_changed)
@@ -257,8 +262,15 @@
         self.free_slots.set_own(service, free);
     }
 
-    /// Handles a report of the data path that a target is leaving.
-    pub fn report_leaving(&mut self, report: LeavingReport) {
+    /// Handles a report of the data path that a target is leaving. The incarnation in the host list
+    /// stands in for one that the target did not name.
+    pub fn report_leaving(&mut self, mut report: LeavingReport) {
+        if report.incarnation.is_empty()
+            && let Some(listed) = self.listed_targets.get(&report.target)
+            && let Some(incarnation) = &listed.incarnation
+        {
+            report.incarnation = Arc::clone(incarnation);
+        }
         if self.leaving_targets.add_report(&report) {
             self.view_changed = true;
             let gossip = self.gossip_with(Vec::new(), Vec::new(), vec![report]);
@@ -266,6 +278,11 @@
         }
     }
 
+    /// Handles a report of the data path that a target answered a probe without being leaving.
+    pub fn report_serving(&mut self, target: &str, incarnation: Option<&str>) {
+        self.view_changed |= self.leaving_targets.record_serving(target, incarnation);
+    }
+
     /// Handles a pause of the process, after which the state known before may be out of date.
     pub fn handle_pause(&mut self, now: Timestamp) {
         self.monitor.clear();
--- a/crates/policy/tests/dispatch/fixture.rs
+++ b/crates/policy/tests/dispatch/fixture.rs
@@ -71,6 +71,7 @@
         slots,
         incarnation: None,
         leaving: false,
+        reported: false,
     };
     (0..count).map(target).collect()
 }
--- a/crates/policy/tests/dispatch/leaving.rs
+++ b/crates/policy/tests/dispatch/leaving.rs
@@ -152,3 +152,19 @@
         assert!(is_dispatched(&arrive(&mut dispatcher, 4_010, 2)));
     }
 }
+
+/// Guards against a target that drained by the report of another entry and is never asked again.
+#[test]
+fn reported_target_gets_probes_but_no_calls() {
+    let settings = ServiceConfig { probe_share: 1.0, ..config(BalancingPolicy::Owned) };
+    let mut dispatcher = Dispatcher::new(Arc::new(settings), 1);
+    let mut infos = targets(1, 1);
+    infos[0].reported = true;
+    handle(&mut dispatcher, 1_000, Event::TargetsChanged(infos.clone()));
+    assert!(!is_dispatched(&arrive(&mut dispatcher, 1_010, 1)));
+    let actions = handle(&mut dispatcher, 7_000, Event::Tick);
+    assert!(actions.iter().any(|a| matches!(a, Action::Probe { .. })), "{actions:?}");
+    infos[0].leaving = true;
+    handle(&mut dispatcher, 14_000, Event::TargetsChanged(infos));
+    assert_eq!(handle(&mut dispatcher, 14_000, Event::Tick), [], "listed as leaving");
+}
