fix(dispatch): charge the floor of a class what its calls are found to cost

Callers of higher classes waited while calls of a class with a floor of 5% took most slots: in a test with four slots, 76 instead of 4 of 80 starts within 2 s, when all calls had been queued before the first answer; 160 starts of 100 ms in 4 s, 5% being 8, when the calls of the lower class took ten times as long as the others.

Cause: a call was charged the service time expected when it was queued, 1 ms before the first answer or the mean of other operations, and nothing corrected it afterwards. The fair queue among callers had such a correction, the credit of the class did not. Ruled out: the starvation limit; the tests have none.

Fix: the first service time of an operation, or of the service, updates the expected time of all waiting calls. When a call ends, what its start took from the credit is settled with the time that it took. A call that started by its floor, before a higher class, can leave a debt; one that started in turn uses up what credit there is and no more, as before. A debt ends when the queue of the class has been empty: a floor is owed to calls that wait.

--- a/crates/policy/src/dispatch/calls.rs
+++ b/crates/policy/src/dispatch/calls.rs
@@ -46,6 +46,10 @@
     pub(super) flow: u32,
     /// Expected slot time in µs, charged to its caller when the call starts.
     pub(super) cost_us: u64,
+    /// Credit of its class, in µs, that its start used up.
+    pub(super) credit_us: f64,
+    /// Whether the floor of its class let it start before a call of a higher class.
+    pub(super) by_floor: bool,
     /// Current stage.
     pub(super) state: CallState,
     /// Attempts in flight.
@@ -71,6 +75,8 @@
             seq,
             flow: 0,
             cost_us: 0,
+            credit_us: 0.0,
+            by_floor: false,
             state: CallState::Waiting,
             attempts: Vec::new(),
             attempts_made: 0,
--- a/crates/policy/src/dispatch/dispatcher/admission.rs
+++ b/crates/policy/src/dispatch/dispatcher/admission.rs
@@ -99,7 +99,7 @@
     /// Adds a call to the queue.
     fn enqueue(&mut self, now: Timestamp, id: CallId) {
         let Some(tracked) = self.calls.get(&id) else { return };
-        let cost = self.expected_us(tracked.call.operation).max(1.0) as u64;
+        let cost = self.cost_us(tracked.call.operation);
         let p99_us = self.p99_run_us(tracked.call.operation);
         let Some(tracked) = self.calls.get_mut(&id) else { return };
         let remaining = tracked.call.deadline.since(now);
@@ -109,6 +109,22 @@
         self.queue.push(now, tracked, cost);
     }
 
+    /// Updates the expected slot time of all waiting calls.
+    pub(super) fn update_costs(&mut self) {
+        let operations = 0..self.service_times.len();
+        let costs: Vec<u64> = operations.map(|o| self.cost_us(o)).collect();
+        for tracked in self.calls.values_mut().filter(|c| c.is_waiting()) {
+            if let Some(cost) = costs.get(tracked.call.operation) {
+                self.queue.set_cost(tracked, *cost);
+            }
+        }
+    }
+
+    /// Returns the expected slot time of a call in µs, at least 1.
+    fn cost_us(&self, operation: usize) -> u64 {
+        self.expected_us(operation).max(1.0) as u64
+    }
+
     /// Returns why the call cannot be admitted, and the delay after which it could be, or `None` if
     /// it is admitted.
     fn check_admission(
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -340,12 +340,22 @@
             }
         }
         if is_current {
-            let us = elapsed.as_micros() as u64;
             let operation = self.calls.get(&id).map_or(usize::MAX, |c| c.call.operation);
-            if let Some(service_times) = self.service_times.get_mut(operation) {
-                service_times.record(us);
-            }
-            self.overall_times.record(us);
+            self.record_service_time(operation, elapsed.as_micros() as u64);
+        }
+    }
+
+    /// Records the service time of an operation, in µs. The first one replaces what was assumed for
+    /// the waiting calls.
+    fn record_service_time(&mut self, operation: usize, us: u64) {
+        let mut is_first = self.overall_times.mean_us().is_none();
+        self.overall_times.record(us);
+        if let Some(service_times) = self.service_times.get_mut(operation) {
+            is_first |= service_times.mean_us().is_none();
+            service_times.record(us);
+        }
+        if is_first {
+            self.update_costs();
         }
     }
 
--- a/crates/policy/src/dispatch/queue.rs
+++ b/crates/policy/src/dispatch/queue.rs
@@ -30,7 +30,8 @@
     starvation_limit: Option<Duration>,
     /// Last start of a call of the class, or the time at which its queue became non-empty.
     last_start: Timestamp,
-    /// Slot time owed to the class under its floor, in µs.
+    /// Slot time owed to the class under its floor, in µs. Negative if calls that started under it
+    /// took longer than expected.
     credit_us: f64,
     /// Time up to which `credit_us` has been accrued.
     accrued_at: Timestamp,
@@ -95,6 +96,7 @@
         if class.fair.len() == 0 {
             class.last_start = now;
             class.accrued_at = now;
+            class.credit_us = class.credit_us.max(0.0);
         }
         tracked.cost_us = cost;
         tracked.flow = class.fair.push(&tracked.call.caller, tracked.seq, tracked.call.id);
@@ -109,23 +111,35 @@
         self.remove_totals(tracked);
     }
 
+    /// Changes the expected slot time of a waiting call to `cost` µs.
+    pub(super) fn set_cost(&mut self, tracked: &mut TrackedCall, cost: u64) {
+        let class = &mut self.classes[tracked.class];
+        class.work_us = class.work_us.saturating_sub(tracked.cost_us) + cost;
+        tracked.cost_us = cost;
+    }
+
     /// Removes a call that starts now.
-    pub(super) fn start(&mut self, now: Timestamp, tracked: &TrackedCall) {
+    pub(super) fn start(&mut self, now: Timestamp, tracked: &mut TrackedCall) {
+        let is_higher_waiting = self.classes[..tracked.class].iter().any(|c| c.fair.len() > 0);
         let class = &mut self.classes[tracked.class];
+        tracked.by_floor = is_higher_waiting && class.is_floor_due();
         class.fair.start(tracked.flow, tracked.seq, tracked.cost_us);
         class.last_start = now;
-        class.credit_us = (class.credit_us - tracked.cost_us as f64).max(0.0);
+        class.withdraw(tracked);
         self.remove_totals(tracked);
     }
 
     /// Records the end of a call that took `actual` µs.
     pub(super) fn finish(&mut self, tracked: &TrackedCall, actual: u64) {
-        self.classes[tracked.class].fair.finish(tracked.flow, tracked.cost_us, actual);
+        let class = &mut self.classes[tracked.class];
+        class.fair.finish(tracked.flow, tracked.cost_us, actual);
+        class.settle(tracked, actual);
     }
 
     /// Adds a call that was already running when the configuration changed.
     pub(super) fn add_running(&mut self, tracked: &mut TrackedCall) {
         let class = &mut self.classes[tracked.class];
+        (tracked.credit_us, tracked.by_floor) = (0.0, false);
         tracked.flow = class.fair.push(&tracked.call.caller, tracked.seq, tracked.call.id);
         class.fair.start(tracked.flow, tracked.seq, tracked.cost_us);
     }
@@ -243,6 +257,22 @@
         self.credit_us = (self.credit_us + elapsed_us * slots * self.floor).min(max_credit_us);
     }
 
+    /// Takes the expected cost of a call that starts from the credit. A call that starts in the
+    /// order of the classes uses up credit, but no more than there is.
+    fn withdraw(&mut self, tracked: &mut TrackedCall) {
+        let cost_us = tracked.cost_us as f64;
+        let available_us = self.credit_us.max(0.0);
+        tracked.credit_us = if tracked.by_floor { cost_us } else { cost_us.min(available_us) };
+        self.credit_us -= tracked.credit_us;
+    }
+
+    /// Corrects what the start of a call took from the credit once the call has ended after `actual`
+    /// µs.
+    fn settle(&mut self, tracked: &TrackedCall, actual: u64) {
+        let excess_us = tracked.credit_us - actual as f64;
+        self.credit_us += if tracked.by_floor { excess_us } else { excess_us.max(0.0) };
+    }
+
     /// Returns whether the credit pays for a call of mean cost.
     fn is_floor_due(&self) -> bool {
         self.floor > 0.0 && self.credit_us >= self.mean_cost_us()
--- a/crates/policy/tests/dispatch/order.rs
+++ b/crates/policy/tests/dispatch/order.rs
@@ -4,8 +4,8 @@
 use azuretally_policy::{
     Timestamp,
     dispatch::{
-        Action, CallId, Dispatcher, Event, FailureKind, PeerSlots, RefusalReason, TargetRefusal,
-        UnknownReason,
+        Action, CallId, Dispatcher, Event, FailureKind, PeerSlots, RefusalReason, ServiceConfig,
+        TargetRefusal, UnknownReason,
     },
 };
 use azuretally_settings::BalancingPolicy;
@@ -19,7 +19,11 @@
 
 impl Harness {
     fn new(choice: BalancingPolicy, count: usize, slots: u32) -> Self {
-        let dispatcher = Dispatcher::new(Arc::new(config(choice)), 1);
+        Self::with_config(config(choice), count, slots)
+    }
+
+    fn with_config(config: ServiceConfig, count: usize, slots: u32) -> Self {
+        let dispatcher = Dispatcher::new(Arc::new(config), 1);
         let mut harness = Self { dispatcher, now: Timestamp::from_millis(1_000) };
         harness.handle(Event::TargetsChanged(targets(count, slots)));
         harness
@@ -278,3 +282,60 @@
     let patient = relayed.iter().filter(|id| *id % 2 == 1).count();
     assert_eq!(patient, 1, "relayed calls: {relayed:?}");
 }
+
+/// Starts of patient calls in `time` at four slots with a floor of 5% and no starvation limit, when
+/// urgent calls, which take `urgent`, and patient calls, which take `patient`, have all arrived before
+/// the first answer.
+fn patient_starts(urgent: Duration, patient: Duration, time: Duration) -> usize {
+    const URGENT: u64 = 1_800;
+    const PATIENT: u64 = 200;
+    let mut settings = config(BalancingPolicy::Owned);
+    settings.queue_limit = 4_000;
+    settings.classes[1].starvation_limit = None;
+    let mut harness = Harness::with_config(settings, 2, 2);
+    let end = harness.now + time;
+    let mut running: Vec<(Timestamp, CallId, Arc<str>)> = Vec::new();
+    let mut starts = 0;
+    let mut actions = Vec::new();
+    for id in 0..URGENT + PATIENT {
+        actions.extend(harness.arrive(id, if id < URGENT { CHECK } else { PULL }, time * 10));
+    }
+    while harness.now < end {
+        for action in actions.drain(..) {
+            let Action::Dispatch { call, target, .. } = action else { panic!("{action:?}") };
+            let is_patient = call.0 >= URGENT;
+            starts += usize::from(is_patient);
+            let duration = if is_patient { patient } else { urgent };
+            running.push((harness.now + duration, call, target));
+        }
+        harness.now = harness.now + ms(1);
+        while let Some(index) = running.iter().position(|(at, ..)| *at <= harness.now) {
+            let (at, call, target) = running.swap_remove(index);
+            let elapsed = if call.0 >= URGENT { patient } else { urgent };
+            assert_eq!(at, harness.now);
+            let event = Event::Answered { call, target, ok: true, elapsed, report: None };
+            actions.extend(harness.handle(event));
+        }
+    }
+    let waiting = harness.dispatcher.waiting();
+    assert!(waiting > PATIENT as usize, "no urgent call waits");
+    starts
+}
+
+/// Guards against a lower class that gets far more than its floor, because calls that were queued
+/// before the first answer are charged the service time assumed until then.
+#[test]
+fn calls_queued_before_the_first_answer_keep_to_the_floor() {
+    // 5% of 80 calls of 100 ms that four slots run in 2 s.
+    let starts = patient_starts(ms(100), ms(100), ms(2_000));
+    assert!((3..=5).contains(&starts), "patient calls started: {starts}");
+}
+
+/// Guards against a lower class that gets more than its floor, because its calls take longer than
+/// expected and are not charged for it.
+#[test]
+fn calls_that_take_longer_than_expected_use_up_the_floor() {
+    // 5% of the 16 s of slot time in 4 s, in calls of 100 ms.
+    let starts = patient_starts(ms(10), ms(100), ms(4_000));
+    assert!((6..=9).contains(&starts), "patient calls started: {starts}");
+}
