fix(dispatch): charge relayed calls to the floor of their class

Cause: a call that was relayed left the queue like one that never starts, so its class kept its credit, its starvation time went on, and its caller was not charged. Ruled out: the estimate of its cost, which is the same 1 ms for all calls of the test.

Fix: a relay is a start in the queue. Its end settles what it took: the time that it was away, nothing if the peer did not run it, at most the expected time if its answer was lost. Relayed calls are carried over a change of settings like running ones.

--- a/crates/policy/src/dispatch/calls.rs
+++ b/crates/policy/src/dispatch/calls.rs
@@ -25,8 +25,8 @@
     Backoff(Timestamp),
     /// In flight at one target, or at two if hedged.
     Running,
-    /// Relayed to this peer.
-    Relayed(Arc<str>),
+    /// Relayed to a peer.
+    Relayed { peer: Arc<str>, since: Timestamp },
 }
 
 /// A call with its scheduling state and history.
@@ -92,9 +92,12 @@
         Some(self.attempts.swap_remove(index))
     }
 
-    /// Returns whether the call is relayed to `peer`.
-    pub(super) fn is_relayed_to(&self, peer: &str) -> bool {
-        matches!(&self.state, CallState::Relayed(p) if **p == *peer)
+    /// Returns since when the call has been relayed to `host`, if it is.
+    pub(super) fn relayed_since(&self, host: &str) -> Option<Timestamp> {
+        match &self.state {
+            CallState::Relayed { peer, since } if **peer == *host => Some(*since),
+            _ => None,
+        }
     }
 
     /// Returns whether the call is waiting in the queue.
--- a/crates/policy/src/dispatch/dispatcher.rs
+++ b/crates/policy/src/dispatch/dispatcher.rs
@@ -118,7 +118,7 @@
             Event::PeerRefused { call, peer } => {
                 self.handle_peer_refusal(now, call, &peer, actions)
             }
-            Event::PeerDone { call, peer } => self.handle_peer_done(call, &peer),
+            Event::PeerDone { call, peer } => self.handle_peer_done(now, call, &peer),
             Event::CallerDisconnected(call) => self.handle_disconnect(now, call, actions),
             Event::Probed { target, report } => self.handle_probe(now, &target, report),
             Event::ConfigChanged(config) => self.update_config(now, config, actions),
--- a/crates/policy/src/dispatch/dispatcher/changes.rs
+++ b/crates/policy/src/dispatch/dispatcher/changes.rs
@@ -141,7 +141,7 @@
             let last = self.queue.classes() - 1;
             let operation = self.config.operations.get(tracked.call.operation);
             tracked.class = operation.map_or(last, |o| o.class.min(last));
-            if matches!(tracked.state, CallState::Running) {
+            if matches!(tracked.state, CallState::Running | CallState::Relayed { .. }) {
                 self.queue.add_running(tracked);
             }
         }
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -41,7 +41,8 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_contact(now, target, report);
-        if self.finish_relay(id, target) {
+        if let Some(since) = self.finish_relay(id, target) {
+            self.finish_run(now, id, since);
             self.drop_call(id);
             return;
         }
@@ -64,7 +65,8 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_contact(now, target, report);
-        if self.finish_relay(id, target) {
+        if self.finish_relay(id, target).is_some() {
+            self.finish_run(now, id, now);
             self.requeue(now, id, actions);
             return;
         }
@@ -105,8 +107,9 @@
             FailureKind::Timeout => UnknownReason::Timeout,
             FailureKind::Connect | FailureKind::Broken => UnknownReason::Broken,
         };
-        if self.finish_relay(id, target) {
+        if let Some(since) = self.finish_relay(id, target) {
             self.peers.record_failure(now, target);
+            self.finish_unanswered_run(now, id, if not_executed { now } else { since });
             self.handle_relay_failure(now, id, not_executed, unknown, actions);
             return;
         }
@@ -136,15 +139,17 @@
         peer: &Arc<str>,
         actions: &mut Vec<Action>,
     ) {
-        if self.finish_relay(id, peer) {
+        if self.finish_relay(id, peer).is_some() {
             self.peers.record_refusal(peer);
+            self.finish_run(now, id, now);
             self.requeue(now, id, actions);
         }
     }
 
     /// Handles a relayed call that ended at a peer.
-    pub(super) fn handle_peer_done(&mut self, id: CallId, peer: &Arc<str>) {
-        if self.finish_relay(id, peer) {
+    pub(super) fn handle_peer_done(&mut self, now: Timestamp, id: CallId, peer: &Arc<str>) {
+        if let Some(since) = self.finish_relay(id, peer) {
+            self.finish_run(now, id, since);
             self.drop_call(id);
         }
     }
@@ -167,9 +172,10 @@
                 self.cancel_attempts(now, id, actions);
                 self.finish_run(now, id, started);
             }
-            CallState::Relayed(peer) => {
-                let target = Arc::clone(peer);
+            CallState::Relayed { peer, since } => {
+                let (target, since) = (Arc::clone(peer), *since);
                 self.peers.record_relay_end(&target);
+                self.finish_run(now, id, since);
                 actions.push(Action::Cancel { call: id, target });
             }
         }
@@ -446,13 +452,11 @@
         self.calls.get(&id).is_some_and(|c: &TrackedCall| !c.attempts.is_empty())
     }
 
-    /// Ends the relay of a call to `peer`. Returns whether the call was relayed there.
-    fn finish_relay(&mut self, id: CallId, peer: &str) -> bool {
-        let relayed = self.calls.get(&id).is_some_and(|c| c.is_relayed_to(peer));
-        if relayed {
-            self.peers.record_relay_end(peer);
-        }
-        relayed
+    /// Ends the relay of a call to `peer`. Returns since when the call was relayed there, if it was.
+    fn finish_relay(&mut self, id: CallId, peer: &str) -> Option<Timestamp> {
+        let since = self.calls.get(&id)?.relayed_since(peer)?;
+        self.peers.record_relay_end(peer);
+        Some(since)
     }
 
     /// Removes all state of a call.
--- a/crates/policy/src/dispatch/dispatcher/start.rs
+++ b/crates/policy/src/dispatch/dispatcher/start.rs
@@ -45,7 +45,7 @@
         while let Some(id) = self.queue.next(now, f64::from(slots)) {
             match self.choose_destination(now, id) {
                 Destination::Target(index) => self.start_at_target(now, id, index, actions),
-                Destination::Peer(peer) => self.start_at_peer(id, peer, actions),
+                Destination::Peer(peer) => self.start_at_peer(now, id, peer, actions),
                 Destination::Wait(_) if !self.selector.is_late_binding() => {
                     self.back_off_unplaced(now, id, actions);
                 }
@@ -142,13 +142,20 @@
         self.schedule_first_hedge_check(now, id);
     }
 
-    /// Removes a call from the queue and relays it to a peer.
-    fn start_at_peer(&mut self, id: CallId, peer: Arc<str>, actions: &mut Vec<Action>) {
+    /// Removes a call from the queue and relays it to a peer. It counts as a start of its class and
+    /// caller, since it takes a slot that other calls are waiting for.
+    fn start_at_peer(
+        &mut self,
+        now: Timestamp,
+        id: CallId,
+        peer: Arc<str>,
+        actions: &mut Vec<Action>,
+    ) {
         let Some(tracked) = self.calls.get_mut(&id) else { return };
-        self.queue.remove(tracked);
+        self.queue.start(now, tracked);
         self.peers.record_relay(&peer);
         tracked.call.relayable = false;
-        tracked.state = CallState::Relayed(Arc::clone(&peer));
+        tracked.state = CallState::Relayed { peer: Arc::clone(&peer), since: now };
         actions.push(Action::Relay { call: id, peer });
     }
 
--- a/crates/policy/tests/dispatch/order.rs
+++ b/crates/policy/tests/dispatch/order.rs
@@ -339,3 +339,49 @@
     let starts = patient_starts(ms(10), ms(100), ms(4_000));
     assert!((6..=9).contains(&starts), "patient calls started: {starts}");
 }
+
+/// Guards against relayed calls that a peer did not run and that use up the credit of their class.
+#[test]
+fn relayed_call_that_the_peer_refuses_uses_up_no_floor() {
+    let mut harness = Harness::new(BalancingPolicy::OwnedShared, 2, 1);
+    harness.handle(Event::PeersChanged(entry_set(2)));
+    let actions = harness.arrive(0, CHECK, ms(900));
+    let [Action::Dispatch { call: first, target, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    for id in 1..20 {
+        harness.arrive(id, if id % 2 == 0 { CHECK } else { PULL }, ms(900));
+    }
+    harness.now = harness.now + ms(20);
+    let mut set = entry_set(2);
+    set[1].free = 1;
+    let actions = harness.handle(Event::PeersChanged(set));
+    let [Action::Relay { call, peer }] = &actions[..] else { panic!("{actions:?}") };
+    assert_eq!(call.0 % 2, 1, "the floor is due first");
+    harness.handle(Event::PeerRefused { call: *call, peer: Arc::clone(peer) });
+    let (call, target, elapsed) = (*first, Arc::clone(target), ms(1));
+    let answer = Event::Answered { call, target, ok: true, elapsed, report: None };
+    let next = dispatched(&harness.handle(answer));
+    assert_eq!(next.len(), 1, "{next:?}");
+    assert_eq!(next[0] % 2, 1, "the floor is due again");
+}
+
+/// Guards against relayed calls that are lost when the settings change while they run.
+#[test]
+fn relayed_call_ends_once_after_a_change_of_settings() {
+    let mut harness = Harness::new(BalancingPolicy::OwnedShared, 2, 1);
+    let mut set = entry_set(2);
+    set[1].free = 1;
+    harness.handle(Event::PeersChanged(set));
+    let actions: Vec<_> = (0..4).flat_map(|id| harness.arrive(id, CHECK, ms(900))).collect();
+    let relay = |a: &Action| match a {
+        Action::Relay { call, peer } => Some((*call, Arc::clone(peer))),
+        _ => None,
+    };
+    let (call, peer) = actions.iter().find_map(relay).expect("a relayed call");
+    harness.handle(Event::ConfigChanged(Arc::new(config(BalancingPolicy::OwnedShared))));
+    harness.now = harness.now + ms(10);
+    assert_eq!(harness.handle(Event::PeerDone { call, peer: Arc::clone(&peer) }), []);
+    assert_eq!(harness.handle(Event::PeerRefused { call, peer }), []);
+    assert_eq!(harness.dispatcher.waiting(), 2);
+}
