--- a/crates/policy/src/dispatch/calls.rs
+++ b/crates/policy/src/dispatch/calls.rs
@@ -25,8 +25,8 @@
     Backoff(Timestamp),
     /// In flight at one target, or at two if hedged.
     Running,
-    /// Relayed to this peer.
-    Relayed(Arc<str>),
+    /// Relayed to a peer.
+    Relayed { peer: Arc<str>, since: Timestamp },
 }
 
 /// A call with its scheduling state and history.
@@ -46,6 +46,10 @@
     pub(super) flow: u32,
     /// Expected slot time in µs, charged to its caller when the call starts.
     pub(super) cost_us: u64,
+    /// Credit of its class, in µs, that its start used up.
+    pub(super) credit_us: f64,
+    /// Whether the floor of its class let it start before a call of a higher class.
+    pub(super) by_floor: bool,
     /// Current stage.
     pub(super) state: CallState,
     /// Attempts in flight.
@@ -71,6 +75,8 @@
             seq,
             flow: 0,
             cost_us: 0,
+            credit_us: 0.0,
+            by_floor: false,
             state: CallState::Waiting,
             attempts: Vec::new(),
             attempts_made: 0,
@@ -86,9 +92,12 @@
         Some(self.attempts.swap_remove(index))
     }
 
-    /// Returns whether the call is relayed to `peer`.
-    pub(super) fn is_relayed_to(&self, peer: &str) -> bool {
-        matches!(&self.state, CallState::Relayed(p) if **p == *peer)
+    /// Returns since when the call has been relayed to `host`, if it is.
+    pub(super) fn relayed_since(&self, host: &str) -> Option<Timestamp> {
+        match &self.state {
+            CallState::Relayed { peer, since } if **peer == *host => Some(*since),
+            _ => None,
+        }
     }
 
     /// Returns whether the call is waiting in the queue.
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -41,7 +41,8 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_contact(now, target, report);
-        if self.finish_relay(id, target) {
+        if let Some(since) = self.finish_relay(id, target) {
+            self.finish_run(now, id, since);
             self.drop_call(id);
             return;
         }
@@ -64,7 +65,8 @@
         actions: &mut Vec<Action>,
     ) {
         self.record_contact(now, target, report);
-        if self.finish_relay(id, target) {
+        if self.finish_relay(id, target).is_some() {
+            self.finish_run(now, id, now);
             self.requeue(now, id, actions);
             return;
         }
@@ -105,8 +107,9 @@
             FailureKind::Timeout => UnknownReason::Timeout,
             FailureKind::Connect | FailureKind::Broken => UnknownReason::Broken,
         };
-        if self.finish_relay(id, target) {
+        if let Some(since) = self.finish_relay(id, target) {
             self.peers.record_failure(now, target);
+            self.finish_unanswered_run(now, id, if not_executed { now } else { since });
             self.handle_relay_failure(now, id, not_executed, unknown, actions);
             return;
         }
@@ -136,15 +139,17 @@
         peer: &Arc<str>,
         actions: &mut Vec<Action>,
     ) {
-        if self.finish_relay(id, peer) {
+        if self.finish_relay(id, peer).is_some() {
             self.peers.record_refusal(peer);
+            self.finish_run(now, id, now);
             self.requeue(now, id, actions);
         }
     }
 
     /// Handles a relayed call that ended at a peer.
-    pub(super) fn handle_peer_done(&mut self, id: CallId, peer: &Arc<str>) {
-        if self.finish_relay(id, peer) {
+    pub(super) fn handle_peer_done(&mut self, now: Timestamp, id: CallId, peer: &Arc<str>) {
+        if let Some(since) = self.finish_relay(id, peer) {
+            self.finish_run(now, id, since);
             self.drop_call(id);
         }
     }
@@ -167,9 +172,10 @@
                 self.cancel_attempts(now, id, actions);
                 self.finish_run(now, id, started);
             }
-            CallState::Relayed(peer) => {
-                let target = Arc::clone(peer);
+            CallState::Relayed { peer, since } => {
+                let (target, since) = (Arc::clone(peer), *since);
                 self.peers.record_relay_end(&target);
+                self.finish_run(now, id, since);
                 actions.push(Action::Cancel { call: id, target });
             }
         }
@@ -340,12 +346,22 @@
             }
         }
         if is_current {
-            let us = elapsed.as_micros() as u64;
             let operation = self.calls.get(&id).map_or(usize::MAX, |c| c.call.operation);
-            if let Some(service_times) = self.service_times.get_mut(operation) {
-                service_times.record(us);
-            }
-            self.overall_times.record(us);
+            self.record_service_time(operation, elapsed.as_micros() as u64);
+        }
+    }
+
+    /// Records the service time of an operation, in µs. The first one replaces what was assumed for
+    /// the waiting calls.
+    fn record_service_time(&mut self, operation: usize, us: u64) {
+        let mut is_first = self.overall_times.mean_us().is_none();
+        self.overall_times.record(us);
+        if let Some(service_times) = self.service_times.get_mut(operation) {
+            is_first |= service_times.mean_us().is_none();
+            service_times.record(us);
+        }
+        if is_first {
+            self.update_costs();
         }
     }
 
@@ -436,13 +452,11 @@
         self.calls.get(&id).is_some_and(|c: &TrackedCall| !c.attempts.is_empty())
     }
 
-    /// Ends the relay of a call to `peer`. Returns whether the call was relayed there.
-    fn finish_relay(&mut self, id: CallId, peer: &str) -> bool {
-        let relayed = self.calls.get(&id).is_some_and(|c| c.is_relayed_to(peer));
-        if relayed {
-            self.peers.record_relay_end(peer);
-        }
-        relayed
+    /// Ends the relay of a call to `peer`. Returns since when the call was relayed there, if it was.
+    fn finish_relay(&mut self, id: CallId, peer: &str) -> Option<Timestamp> {
+        let since = self.calls.get(&id)?.relayed_since(peer)?;
+        self.peers.record_relay_end(peer);
+        Some(since)
     }
 
     /// Removes all state of a call.
