fix(policy): keep evidence of a crash that cannot be proved yet

Cause: a process counts as ended if it does not answer while another target does. Three crashing calls end most of 12 targets within a second. Then no witness answers, or the gateway takes itself for cut off from all targets, and the evidence was dropped in three places: an attempt that breaks off while cut off, a check that ends while cut off, and a check without an answer of another target. The record of the process lapses before targets are back, so nothing was left to look at again.

Change: such evidence is kept at its gateway (10 s, 64 targets) and checked again each 250 ms while the gateway is not cut off. A record that has lapsed meanwhile, without a planned stop, counts as an end. Evidence that shows late proves little, since a common cause may have ended all targets at once: it counts only if a crash of the same call has been proved, here or at another gateway. Until it can be checked, for 4 s, a call with a proved crash or with two such targets is sent to no target; one with less is tried at one target at a time, and an answer clears it.

Ruled out: to count each late end. Calls that are suspected less than another at the same target now go on.

Tests: the failure message names the arrivals of calls that were never served, and AZURETALLY_CRASH_LOGS keeps the logs of the gateways.

The same elsewhere: a target that is checked while nothing answers was also forgotten once its record vanished or its address was taken; that is mended here for evidence that is kept.

--- a/crates/gateway/tests/crashing_call/deployment.rs
+++ b/crates/gateway/tests/crashing_call/deployment.rs
@@ -17,6 +17,7 @@
     env, fs,
     net::{IpAddr, SocketAddr},
     ops::RangeInclusive,
+    path::PathBuf,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -250,10 +251,21 @@
     /// Ends all processes and tasks.
     pub(crate) async fn shut_down(mut self) {
         self.gateways.clear();
+        self.keep_logs();
         self.stop.cancel();
         while self.tasks.join_next().await.is_some() {}
     }
 
+    /// Copies the logs of the gateways to the directory that `AZURETALLY_CRASH_LOGS` names, if it is set.
+    fn keep_logs(&self) {
+        let Some(kept) = env::var_os("AZURETALLY_CRASH_LOGS").map(PathBuf::from) else { return };
+        fs::create_dir_all(&kept).expect("a directory for logs");
+        for number in 0..GATEWAYS {
+            let name = format!("gateway-{number}.log");
+            fs::copy(self.directory.path().join(&name), kept.join(name)).expect("a log");
+        }
+    }
+
     fn start_gateway(&self, number: u8) -> Gateway {
         let host = self.gateway_host(number);
         let at = |port| SocketAddr::new(host, port);
--- a/crates/gateway/tests/crashing_call/repeated.rs
+++ b/crates/gateway/tests/crashing_call/repeated.rs
@@ -138,6 +138,13 @@
         firsts - self.proper.iter().filter(|a| a.is_served()).count()
     }
 
+    /// Describes the arrivals of the proper calls that were not served although they were sent again.
+    fn describe_unserved(&self) -> String {
+        let sends = self.proper.chunk_by(|_, next| next.is_repeat);
+        let unserved = sends.filter(|sends| !sends.iter().any(Arrival::is_served));
+        unserved.flatten().map(|arrival| arrival.describe() + "\n").collect()
+    }
+
     /// Describes what became of the calls.
     pub(crate) fn describe(&self, deployment: &Deployment, counts: &[Counts]) -> String {
         let mut text = String::new();
@@ -160,7 +167,7 @@
             self.unserved_count(),
             count_statuses(&self.proper),
         );
-        text
+        text + &self.describe_unserved()
     }
 
     /// Asserts that proper calls are served at the end of the run.
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -182,6 +182,7 @@
             let service = self.services.entry(name).or_default();
             service.set_targets(now, &targets, &self.domain);
         }
+        self.forget_departing();
     }
 
     /// Admits, queues or gives up a call that arrived.
@@ -340,7 +341,7 @@
                 decisions.push((id, decision));
                 continue;
             }
-            if self.is_held(id) {
+            if self.is_held(now, id) {
                 continue;
             }
             wait += self.base_seconds(id) / capacity;
@@ -468,7 +469,7 @@
 
     /// Chooses a slot, and requests the probes that are needed for the choice.
     fn choose(&mut self, now: Timestamp, id: u64, good_only: bool) -> Choice {
-        if self.is_held(id) {
+        if self.is_held(now, id) {
             return Choice::Full;
         }
         let Some(state) = self.calls.get(&id) else { return Choice::Full };
--- a/crates/policy/src/balance/balancer/crashes.rs
+++ b/crates/policy/src/balance/balancer/crashes.rs
@@ -4,8 +4,8 @@
     super::{
         call::{Attempt, AttemptOutcome, AttemptResult, Call, Failure, Probe},
         crashes::{
-            AccusedProcess, BrokenTarget, CrashCheck, CrashEvidence, GATHER_TIME, MAX_CHECKS,
-            MAX_GATHER_TIME, WITNESSES,
+            AccusedProcess, BrokenTarget, CrashCheck, CrashEvidence, EvidenceState, GATHER_TIME,
+            MAX_CHECKS, MAX_GATHER_TIME, MAX_KEPT, RECHECK_INTERVAL, WITNESSES,
         },
         quarantine::{CRASH_LIMIT, CallDigest, CallNotice, ProcessId},
         target::{RunningAttempt, Target},
@@ -24,6 +24,8 @@
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(60);
 /// Interval at which the times in notices of calls are brought up to date.
 const REFRESH_INTERVAL: Duration = Duration::from_secs(10);
+/// Targets with unproved evidence on a call from which on it is tried at no other one.
+const MAX_OPEN: usize = 2;
 /// Broken attempts of one call after which it is not sent again while it is suspected.
 const MAX_BROKEN: u32 = 2;
 
@@ -58,15 +60,28 @@
                 break;
             }
             let Some(broken) = self.broken.get(&process) else { continue };
+            if broken.is_expired(now) {
+                self.broken.swap_remove(&process);
+                continue;
+            }
+            if self.is_cut_off() {
+                self.keep_evidence(now, process);
+                continue;
+            }
             let (service, name, since) =
                 (Arc::clone(&broken.service), Arc::clone(&broken.name), broken.since);
             let target = self.services.get(&service).and_then(|s| s.targets.get(&name));
             let Some(target) = target.filter(|t| t.is_usable()) else {
-                self.broken.swap_remove(&process);
+                // While nothing could be proved, its record may have lapsed.
+                if broken.is_kept() && !target.is_some_and(Target::is_departing) {
+                    self.process_ended(now, process);
+                } else {
+                    self.broken.swap_remove(&process);
+                }
                 continue;
             };
             if target.process != process {
-                self.crash_checked(now, process, CrashEvidence::Gone);
+                self.process_ended(now, process);
                 continue;
             }
             // All connections end with the process.
@@ -95,10 +110,59 @@
         process: ProcessId,
         evidence: CrashEvidence,
     ) -> bool {
-        let Some(broken) = self.broken.swap_remove(&process) else { return false };
-        if evidence != CrashEvidence::Gone || self.is_cut_off() {
+        let Some(broken) = self.broken.get_mut(&process) else { return false };
+        broken.is_checking = false;
+        match evidence {
+            CrashEvidence::Alive => {
+                self.broken.swap_remove(&process);
+                false
+            }
+            CrashEvidence::Gone if !self.is_cut_off() => self.process_ended(now, process),
+            CrashEvidence::Gone | CrashEvidence::Unproved => {
+                self.keep_evidence(now, process);
+                false
+            }
+        }
+    }
+
+    /// Records that a process at which attempts broke off has ended. Returns whether that counts
+    /// already.
+    fn process_ended(&mut self, now: Timestamp, process: ProcessId) -> bool {
+        let Some(broken) = self.broken.get(&process) else { return false };
+        if broken.is_kept() && !self.is_confirmed(broken) {
+            let expiry = broken.expiry();
+            if let Some(broken) = self.broken.get_mut(&process) {
+                broken.state = EvidenceState::Late;
+                broken.next_look = expiry;
+            }
             return false;
         }
+        self.record_crash(now, process);
+        self.confirm_late_evidence(now);
+        self.settle_quarantine("check");
+        true
+    }
+
+    /// Returns whether a call that broke off at the target has a crash that was proved.
+    fn is_confirmed(&self, broken: &BrokenTarget) -> bool {
+        broken.digests.iter().any(|digest| self.quarantine.crash_count(digest) > 0)
+    }
+
+    /// Records the ends of processes that showed late, where a crash of the same call has been proved
+    /// since.
+    fn confirm_late_evidence(&mut self, now: Timestamp) {
+        let is_due = |b: &BrokenTarget| {
+            b.state == EvidenceState::Late && !b.is_expired(now) && self.is_confirmed(b)
+        };
+        let due: Vec<ProcessId> =
+            self.broken.iter().filter(|(_, b)| is_due(b)).map(|(process, _)| *process).collect();
+        for process in due {
+            self.record_crash(now, process);
+        }
+    }
+
+    fn record_crash(&mut self, now: Timestamp, process: ProcessId) {
+        let Some(broken) = self.broken.swap_remove(&process) else { return };
         // Other calls only ran beside the one that is suspected already.
         let counts = broken.digests.iter().map(|digest| self.quarantine.crash_count(digest));
         let most = counts.max().unwrap_or(0);
@@ -114,9 +178,41 @@
             ));
             self.note_change(digest);
         }
-        self.settle_quarantine("check");
         self.accuse(now, process);
-        true
+    }
+
+    /// Keeps evidence that cannot be proved now, to be looked at again.
+    fn keep_evidence(&mut self, now: Timestamp, process: ProcessId) {
+        let Some(broken) = self.broken.get_mut(&process) else { return };
+        broken.next_look = now + RECHECK_INTERVAL;
+        if broken.is_kept() {
+            return;
+        }
+        broken.state = EvidenceState::Unproved;
+        self.log_lines.push(format!("crash of target {} unproved, kept", broken.name));
+        let kept = || self.broken.iter().filter(|(_, b)| b.is_kept());
+        if kept().count() > MAX_KEPT
+            && let Some(oldest) = kept().min_by_key(|(_, b)| b.since).map(|(process, _)| *process)
+        {
+            self.broken.swap_remove(&oldest);
+        }
+    }
+
+    /// Looks at the evidence that is kept as soon as possible.
+    pub(super) fn check_kept_evidence(&mut self, now: Timestamp) {
+        for broken in self.broken.values_mut().filter(|b| b.state == EvidenceState::Unproved) {
+            broken.next_look = now;
+        }
+    }
+
+    /// Forgets the evidence that is kept on targets which end as planned.
+    pub(super) fn forget_departing(&mut self) {
+        let services = &self.services;
+        self.broken.retain(|process, broken| {
+            let target = services.get(&broken.service).and_then(|s| s.targets.get(&broken.name));
+            let target = target.filter(|t| t.process == *process);
+            !broken.is_kept() || !target.is_some_and(Target::is_departing)
+        });
     }
 
     /// Returns what is known of the calls that have changed since the last call, to be announced to
@@ -173,6 +269,7 @@
             }
         }
         if !adopted.is_empty() {
+            self.confirm_late_evidence(now);
             self.settle_quarantine("peer");
         }
         (adopted, unknown)
@@ -209,31 +306,55 @@
     }
 
     /// Returns the number of processes that ended under the call, with those that are not checked yet.
+    /// All that could not be proved counts as one.
     pub(super) fn suspicion(&self, digest: &CallDigest) -> usize {
         if self.quarantine.is_empty() && self.broken.is_empty() {
             return 0;
         }
-        let unchecked = self.broken.iter().filter(|(process, broken)| {
+        let (kept, fresh): (Vec<_>, Vec<_>) =
+            self.unrecorded(digest).partition(|broken| broken.is_kept());
+        self.quarantine.crash_count(digest) + fresh.len() + usize::from(!kept.is_empty())
+    }
+
+    /// Returns the targets at which the call broke off and whose end is not recorded.
+    fn unrecorded(&self, digest: &CallDigest) -> impl Iterator<Item = &BrokenTarget> {
+        let broken = self.broken.iter().filter(|(process, broken)| {
             broken.digests.contains(digest) && !self.quarantine.has_crash(digest, process)
         });
-        self.quarantine.crash_count(digest) + unchecked.count()
+        broken.map(|(_, broken)| broken)
     }
 
-    /// Returns whether the call must wait: it would exceed the limit if the checks in progress confirm
-    /// the suspicion, or another call of this content is at a target.
-    pub(super) fn is_held(&self, id: u64) -> bool {
+    /// Returns whether the call must wait: evidence that it crashes targets is to be looked at first, it
+    /// would exceed the limit if the checks in progress confirm the suspicion, or another call of this
+    /// content is at a target.
+    pub(super) fn is_held(&self, now: Timestamp, id: u64) -> bool {
         let Some(state) = self.calls.get(&id) else { return false };
         let digest = &state.call.digest;
         match self.suspicion(digest) {
             0 => false,
             CRASH_LIMIT.. => true,
-            _ => self
-                .calls
-                .iter()
-                .any(|(other, s)| *other != id && s.running > 0 && s.call.digest == *digest),
+            _ => self.awaits_check(now, digest) || self.is_running(id, digest),
         }
     }
 
+    /// Returns whether the call must be sent to no target until the evidence that is kept on it has been
+    /// looked at: a crash of it has been proved, or several targets are concerned. Calls that only ran beside
+    /// one that is suspected more go on.
+    fn awaits_check(&self, now: Timestamp, digest: &CallDigest) -> bool {
+        let own = self.quarantine.crash_count(digest);
+        let is_chief = |b: &&BrokenTarget| {
+            b.digests.iter().all(|other| self.quarantine.crash_count(other) <= own)
+        };
+        let open = self.unrecorded(digest).filter(|b| b.holds_calls(now)).filter(is_chief).count();
+        open >= MAX_OPEN || (open > 0 && own > 0)
+    }
+
+    /// Returns whether another call of the same content is at a target.
+    fn is_running(&self, id: u64, digest: &CallDigest) -> bool {
+        let others = self.calls.iter().filter(|(other, _)| **other != id);
+        others.into_iter().any(|(_, s)| s.running > 0 && s.call.digest == *digest)
+    }
+
     /// Returns whether the call is refused because it is quarantined.
     pub(super) fn is_call_quarantined(&self, id: u64) -> bool {
         self.calls.get(&id).is_some_and(|s| self.quarantine.is_quarantined(&s.call.digest))
@@ -259,9 +380,10 @@
                 self.record_sign(now, running.process, running.since);
                 let Some(state) = self.calls.get(call) else { return };
                 let digest = state.call.digest;
-                for broken in self.broken.values_mut() {
+                self.broken.retain(|_, broken| {
                     broken.digests.swap_remove(&digest);
-                }
+                    !broken.is_kept() || !broken.digests.is_empty()
+                });
                 if self.quarantine.acquit(&digest) {
                     self.log_lines.push(format!("call digest={digest} acquitted"));
                     self.note_change(digest);
@@ -275,7 +397,7 @@
                 let target = self.services.get(&service).and_then(|s| s.targets.get(name));
                 // One that has not been seen alive may have ended before the call.
                 let is_proof = target.is_some_and(|t| t.is_usable() && t.alive);
-                if !is_proof || self.reach.is_cut_off() {
+                if !is_proof {
                     return;
                 }
                 // A gateway that stops sends targets nothing that it does not have to.
@@ -290,8 +412,12 @@
                     digests: IndexSet::new(),
                     next_look: now + GATHER_TIME,
                     is_checking: false,
+                    state: EvidenceState::Fresh,
                 });
                 broken.digests.insert(digest);
+                if self.is_cut_off() {
+                    self.keep_evidence(now, running.process);
+                }
             }
             AttemptOutcome::Moved | AttemptOutcome::Withheld | AttemptOutcome::Failed { .. } => {}
         }
--- a/crates/policy/src/balance/balancer/reaching.rs
+++ b/crates/policy/src/balance/balancer/reaching.rs
@@ -43,6 +43,7 @@
             for target in self.services.values_mut().flat_map(|s| s.targets.values_mut()) {
                 target.end_backoff(now);
             }
+            self.check_kept_evidence(now);
         }
         self.log_lines.push(format!(
             "reach check asked={asked} answered={answered} cut_off={}",
--- a/crates/policy/src/balance/crashes.rs
+++ b/crates/policy/src/balance/crashes.rs
@@ -2,7 +2,7 @@
 //!
 //! A broken attempt alone proves nothing: connections are reset, answers are lost and links are cut.
 //! An end of the process is recorded only if the target accepts no new exchange either, twice, while
-//! another target answers.
+//! another target answers. If none does, the evidence is kept until targets answer again.
 
 use super::{
     call::Probe,
@@ -17,6 +17,14 @@
 pub(super) const GATHER_TIME: Duration = Duration::from_millis(20);
 /// Time after which a target that goes on with other attempts counts as alive.
 pub(super) const MAX_GATHER_TIME: Duration = Duration::from_millis(250);
+/// Interval at which a target is checked again while nothing can be proved.
+pub(super) const RECHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// Time for which evidence that could not be proved at first is kept.
+const KEEP_TIME: Duration = Duration::from_secs(10);
+/// Time for which it keeps the calls concerned from all targets: most are back by then.
+const HOLD_TIME: Duration = Duration::from_secs(4);
+/// Targets for which such evidence is kept.
+pub(super) const MAX_KEPT: usize = 64;
 /// Checks that may be in progress.
 pub(super) const MAX_CHECKS: usize = 8;
 /// Other targets that a check asks, to tell whether this gateway reaches any.
@@ -44,6 +52,18 @@
     Unproved,
 }
 
+/// What is known of the end of a process at which attempts broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum EvidenceState {
+    /// No check has ended yet.
+    Fresh,
+    /// No target could be reached when it was checked.
+    Unproved,
+    /// The process has ended, but that showed late: whatever kept all targets from answering may have
+    /// ended it. A proved crash of the same call confirms it.
+    Late,
+}
+
 /// Target at which attempts broke off.
 #[derive(Clone, Debug)]
 pub(super) struct BrokenTarget {
@@ -56,6 +76,27 @@
     /// When to look whether it has to be checked.
     pub(super) next_look: Timestamp,
     pub(super) is_checking: bool,
+    pub(super) state: EvidenceState,
+}
+
+impl BrokenTarget {
+    pub(super) fn is_kept(&self) -> bool {
+        self.state != EvidenceState::Fresh
+    }
+
+    /// Returns whether the evidence has been kept for too long.
+    pub(super) fn is_expired(&self, now: Timestamp) -> bool {
+        self.is_kept() && now >= self.expiry()
+    }
+
+    pub(super) fn expiry(&self) -> Timestamp {
+        self.since + KEEP_TIME
+    }
+
+    /// Returns whether its calls must be sent to no target until another check.
+    pub(super) fn holds_calls(&self, now: Timestamp) -> bool {
+        self.state == EvidenceState::Unproved && now < self.since + HOLD_TIME
+    }
 }
 
 /// Process whose end calls are suspected of.
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -171,7 +171,12 @@
 
     /// Returns whether calls may be sent to the target at all.
     pub(super) fn is_usable(&self) -> bool {
-        !self.leaving && !self.moved && self.departed.is_none()
+        !self.is_departing() && !self.moved
+    }
+
+    /// Returns whether the target ends as planned.
+    pub(super) fn is_departing(&self) -> bool {
+        self.leaving || self.departed.is_some()
     }
 
     /// Returns whether the target may be asked for its load or a sign of life: a probe uses up a limit
--- a/crates/policy/tests/balance/quarantine.rs
+++ b/crates/policy/tests/balance/quarantine.rs
@@ -162,6 +162,138 @@
     }
 }
 
+impl Fixture {
+    /// Sends `count` copies of the call to targets, under which these break off at `at`. Ids count from `id`.
+    fn break_copies(&mut self, at: u64, id: u64, count: u64, path: &str) {
+        let starts: Vec<_> = (id..id + count)
+            .map(|id| (id, expect_start(self.submit_path(ms(at), id, path))))
+            .collect();
+        for (id, start) in starts {
+            self.end_attempt(ms(at + 1), id, &start.target, BROKEN, None);
+            self.balancer.forget(id);
+        }
+    }
+
+    fn check_reach(&mut self, at: u64, answered: usize) {
+        for _ in 0..2 {
+            self.balancer.reach_checked(ms(at), 4, answered);
+        }
+    }
+}
+
+/// The only evidence of a crash was dropped if no other target answered at the time, so the call was sent to
+/// one target after the other.
+#[test]
+fn crash_without_a_witness_counts_once_targets_answer() {
+    let mut fixture = Fixture::new(6, 0);
+    fixture.break_copies(1_000, 1, 1, "/bad");
+    fixture.check_broken(1_001, CrashEvidence::Unproved);
+    let others = notice("/bad", 0, &[(7, false), (8, false)]);
+    fixture.balancer.merge_calls(ms(1_400), &[others]);
+    assert_eq!(fixture.submit_path(ms(1_500), 2, "/bad"), Decision::Wait);
+    expect_start(fixture.submit_path(ms(1_500), 3, "/good"));
+    fixture.check_broken(1_700, CrashEvidence::Gone);
+    expect_quarantined(fixture.submit_path(ms(2_100), 4, "/bad"));
+}
+
+/// The same while the gateway took itself for cut off from all targets.
+#[test]
+fn crash_seen_while_cut_off_counts_once_targets_answer() {
+    let mut fixture = Fixture::new(6, 0);
+    let starts: Vec<_> =
+        (1..=2).map(|id| expect_start(fixture.submit_path(ms(1_000), id, "/bad"))).collect();
+    fixture.end_attempt(ms(1_001), 1, &starts[0].target, BROKEN, None);
+    fixture.balancer.forget(1);
+    let checks = fixture.balancer.take_crash_checks(ms(1_021));
+    fixture.check_reach(1_100, 0);
+    fixture.end_attempt(ms(1_200), 2, &starts[1].target, BROKEN, None);
+    fixture.balancer.forget(2);
+    fixture.balancer.crash_checked(ms(1_300), checks[0].process, CrashEvidence::Gone);
+    fixture.balancer.merge_calls(ms(1_400), &[notice("/bad", 0, &[(7, false)])]);
+    assert_eq!(fixture.balancer.take_crash_checks(ms(2_000)), Vec::new(), "it is cut off");
+    fixture.check_reach(2_500, 1);
+    assert_eq!(fixture.submit_path(ms(2_500), 3, "/bad"), Decision::Wait);
+    fixture.check_broken(2_500, CrashEvidence::Gone);
+    expect_quarantined(fixture.submit_path(ms(3_000), 4, "/bad"));
+}
+
+/// Evidence that is kept must not blame calls which were broken off by a cut of their gateway.
+#[test]
+fn cut_of_a_gateway_blames_no_call_afterwards() {
+    let mut fixture = Fixture::new(6, 0);
+    fixture.balancer.merge_calls(ms(0), &[notice("/call", 0, &[(7, false)])]);
+    fixture.balancer.merge_calls(ms(0), &[notice("/call", 1, &[])]);
+    fixture.check_reach(900, 0);
+    fixture.break_copies(1_000, 1, 4, "/call");
+    fixture.check_reach(3_000, 1);
+    fixture.check_broken(3_000, CrashEvidence::Alive);
+    expect_start(fixture.submit_path(ms(3_400), 10, "/call"));
+    expect_start(fixture.submit_path(ms(3_400), 11, "/call"));
+    let crashes: usize =
+        fixture.balancer.call_notices(ms(3_400)).iter().map(|n| n.crashes.len()).sum();
+    assert_eq!(crashes, 0);
+    assert_eq!(fixture.balancer.crash_checks_due(), Timestamp::MAX);
+}
+
+/// A call that ran on many targets when all ended at once must be served again.
+#[test]
+fn call_whose_targets_all_ended_at_once_is_tried_again() {
+    let new_fixture = || {
+        let mut fixture = Fixture::new(6, 0);
+        fixture.break_copies(1_000, 1, 4, "/call");
+        fixture.check_broken(1_001, CrashEvidence::Unproved);
+        fixture.check_broken(2_000, CrashEvidence::Gone);
+        fixture
+    };
+    let mut fixture = new_fixture();
+    let start = expect_start(fixture.submit_path(ms(2_500), 10, "/call"));
+    assert_eq!(fixture.submit_path(ms(2_500), 11, "/call"), Decision::Wait);
+    fixture.end_attempt(ms(2_550), 10, &start.target, ANSWERED, None);
+    fixture.balancer.forget(10);
+    assert_eq!(fixture.balancer.quarantined_count(), 0);
+    let decisions = fixture.balancer.dispatch_waiting(ms(2_600));
+    assert!(matches!(decisions[..], [(11, Decision::Start(_))]), "{decisions:?}");
+    expect_start(fixture.submit_path(ms(2_600), 12, "/call"));
+    // A target that ends under the trial confirms what is kept.
+    let mut fixture = new_fixture();
+    fixture.crash(2_500, 10, "/call", CrashEvidence::Gone);
+    expect_quarantined(fixture.submit_path(ms(3_000), 11, "/call"));
+}
+
+/// Proper calls were held back for the whole outage because they had run beside crashing ones on a target whose
+/// end could not be proved.
+#[test]
+fn call_beside_a_suspected_one_is_not_held_back_while_nothing_can_be_proved() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.balancer.merge_calls(ms(0), &[notice("/bad", 0, &[(7, false)])]);
+    let start = expect_start(fixture.submit_path(ms(1_000), 1, "/bad"));
+    expect_start(fixture.submit_path(ms(1_000), 2, "/good"));
+    for id in 1..=2 {
+        fixture.end_attempt(ms(1_050), id, &start.target, BROKEN, None);
+        fixture.balancer.forget(id);
+    }
+    fixture.check_broken(1_050, CrashEvidence::Unproved);
+    // Another target starts.
+    fixture.apply_changes(ms(1_500), vec![Change::Target(record(1, LOCAL))]);
+    assert_eq!(fixture.submit_path(ms(2_000), 3, "/bad"), Decision::Wait);
+    expect_start(fixture.submit_path(ms(2_000), 4, "/good"));
+}
+
+/// Evidence that could never be proved must not hold a call back for good, nor fill the memory.
+#[test]
+fn evidence_is_kept_for_a_limited_time() {
+    let mut fixture = Fixture::new(6, 0);
+    fixture.break_copies(1_000, 1, 1, "/call");
+    for at in (1_001..8_000).step_by(500) {
+        fixture.check_broken(at, CrashEvidence::Unproved);
+    }
+    let start = expect_start(fixture.submit_path(ms(8_000), 2, "/call"));
+    fixture.end_attempt(ms(8_001), 2, &start.target, AttemptOutcome::Refused, None);
+    fixture.balancer.forget(2);
+    assert_eq!(fixture.balancer.take_crash_checks(ms(20_000)), Vec::new());
+    assert_eq!(fixture.balancer.crash_checks_due(), Timestamp::MAX);
+}
+
 #[test]
 fn gateway_that_is_cut_off_records_no_crash() {
     let mut fixture = Fixture::new(6, 0);
