fix(dispatch): allow another trial after one that ended early

Callers: a target got no calls of an entry for good, although it worked again, once the trial call after its failures had timed out before four times its expected time.

Cause: such a timeout says nothing about the target, so nothing was recorded, and the breaker went on waiting for the trial to end. Ruled out: trials that are cancelled or refused, which return the breaker to its open state; failures and answers, which open or close it. No other end of an attempt is left.

Fix: a timeout that says nothing ends the trial without a result, as a cancelled one does.

trial_call_with_a_short_time_limit_is_followed_by_another failed before (no trial 2 s later) and passes now, with the other 54 tests of dispatch.

--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -116,6 +116,8 @@
         let Some(attempt) = self.end_attempt(now, id, target) else { return };
         if kind != FailureKind::Timeout || self.is_overdue(now, &attempt) {
             self.record_target_failure(now, target);
+        } else if let Some(state) = self.targets.get_mut(target) {
+            state.breaker.abort_trial(now);
         }
         if kind == FailureKind::Timeout {
             self.record_timeout(now, id, &attempt);
--- a/crates/policy/tests/dispatch/main.rs
+++ b/crates/policy/tests/dispatch/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the dispatcher through its public interface.
 
 mod arbitrary_events;
+mod breaker;
 mod budgets;
 mod fixture;
 mod leaving;
