fix(fleet): count an acknowledgement for the record that its own ping carried

Seen by entries: a peer could miss the latest record of an entry until digests differed twice, because the entry did not repeat it. Nothing was seen by callers.

Cause: an acknowledgement counted for the record of the latest ping, also when it repeated the number of an earlier one that had carried an earlier record. Ruled out: acknowledgements of unknown pings, which were and are ignored. That any recent acknowledgement ends the count of missed pings is meant: it proves that the peer lives.

Fix: each ping keeps the version of the record that it announced.

late_acknowledgement_counts_for_the_record_of_its_own_ping failed before (the third ping did not carry the record) and passes now, with the other 50 tests of fleet.

--- a/crates/policy/src/fleet/monitor.rs
+++ b/crates/policy/src/fleet/monitor.rs
@@ -23,16 +23,14 @@
 /// State of the pings sent to one peer.
 #[derive(Clone, Debug, Default)]
 struct PeerPings {
-    /// Numbers of the latest pings.
-    recent: VecDeque<u64>,
+    /// Numbers of the latest pings, each with the version counter of this entry's record then.
+    recent: VecDeque<(u64, u64)>,
     /// Whether an acknowledgement has arrived since the latest ping.
     acknowledged: bool,
     /// Consecutive unacknowledged pings.
     missed: u32,
     /// Highest version counter of this entry's record that counts as acknowledged.
     acknowledged_counter: u64,
-    /// Version counter of this entry's record at the latest ping.
-    sent_counter: u64,
 }
 
 /// Contents of a new ping.
@@ -55,11 +53,10 @@
             pings.missed += 1;
         }
         pings.acknowledged = false;
-        pings.recent.push_back(self.last);
+        pings.recent.push_back((self.last, counter));
         if pings.recent.len() > MAX_RECENT_PINGS {
             pings.recent.pop_front();
         }
-        pings.sent_counter = counter;
         Ping {
             number: self.last,
             missed: pings.missed,
@@ -70,12 +67,12 @@
     /// Records an acknowledgement. Returns whether it matches a recent ping.
     pub fn acknowledge(&mut self, host: &str, number: u64) -> bool {
         let Some(pings) = self.peers.get_mut(host) else { return false };
-        if !pings.recent.contains(&number) {
+        let Some((_, counter)) = pings.recent.iter().find(|(n, _)| *n == number) else {
             return false;
-        }
+        };
         pings.acknowledged = true;
         pings.missed = 0;
-        pings.acknowledged_counter = pings.acknowledged_counter.max(pings.sent_counter);
+        pings.acknowledged_counter = pings.acknowledged_counter.max(*counter);
         true
     }
 
--- a/crates/policy/tests/fleet/main.rs
+++ b/crates/policy/tests/fleet/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod membership;
 mod messages;
+mod monitor;
 mod placement;
 mod settings;
 mod slots;
