fix(balance): keep the time of counts when the window of a retry budget changes

Callers: after a change to a longer window a gateway allowed itself more second attempts than its budget, since calls from long before counted again: 910 instead of 10 calls, until the new bucket numbers had caught up.

Cause: buckets are numbered by the time since the origin in bucket widths, and a change of the width left the numbers as they were, so old buckets lay in the future. A change to a shorter window dropped all counts. Ruled out: the sliding itself, which has a property test with a fixed window.

Fix: a change of the window renumbers the buckets; each count is kept at the start of its bucket.

--- a/crates/policy/src/balance/budget.rs
+++ b/crates/policy/src/balance/budget.rs
@@ -39,11 +39,28 @@
         Self { ratio, slack, width, buckets: VecDeque::new() }
     }
 
-    /// Changes ratio, slack and window; recorded counts are kept.
+    /// Changes ratio, slack and window. Recorded counts are kept, each at the start of its bucket.
     pub fn configure(&mut self, ratio: f64, slack: f64, window: Duration) {
         self.ratio = ratio;
         self.slack = slack;
-        self.width = (window / BUCKETS).max(MIN_BUCKET_WIDTH);
+        let old = std::mem::replace(&mut self.width, (window / BUCKETS).max(MIN_BUCKET_WIDTH));
+        if old != self.width {
+            self.renumber(old);
+        }
+    }
+
+    /// Moves the counts from buckets of the width `old` to those of the present one.
+    fn renumber(&mut self, old: Duration) {
+        for bucket in std::mem::take(&mut self.buckets) {
+            let number = bucket.number * width_us(old) / width_us(self.width);
+            match self.buckets.back_mut() {
+                Some(last) if last.number == number => {
+                    last.calls += bucket.calls;
+                    last.extra += bucket.extra;
+                }
+                _ => self.buckets.push_back(Bucket { number, ..bucket }),
+            }
+        }
     }
 
     /// Records a new call.
@@ -81,7 +98,7 @@
     }
 
     fn bucket(&mut self, now: Timestamp) -> &mut Bucket {
-        let number = now.as_micros() / (self.width.as_micros() as u64).max(1);
+        let number = now.as_micros() / width_us(self.width);
         // Keep one bucket more than the window, since the oldest one is only partly inside it.
         let oldest = number.saturating_sub(u64::from(BUCKETS));
         while self.buckets.front().is_some_and(|b| b.number < oldest) {
@@ -94,3 +111,8 @@
         &mut self.buckets[last]
     }
 }
+
+/// Returns the width of a bucket in µs, at least 1.
+fn width_us(width: Duration) -> u64 {
+    (width.as_micros() as u64).max(1)
+}
--- a/crates/policy/tests/balance/routes.rs
+++ b/crates/policy/tests/balance/routes.rs
@@ -153,3 +153,19 @@
         Ok(())
     });
 }
+
+/// Guards against calls from long before that count again once the window has been made longer.
+#[test]
+fn changed_window_of_a_retry_budget_keeps_the_time_of_calls() {
+    let (short, long) = (Duration::from_secs(1), Duration::from_secs(10));
+    let mut budget = RetryBudget::new(0.2, 0.0, short);
+    (100_000..100_900).for_each(|now| budget.record_call(ms(now)));
+    budget.configure(0.2, 0.0, long);
+    (160_000..160_010).for_each(|now| budget.record_call(ms(now)));
+    assert_eq!(budget.calls(ms(160_010)), 10.0, "after a change to a longer window");
+    budget.configure(0.2, 0.0, short);
+    assert_eq!(budget.calls(ms(160_020)), 10.0, "after a change to a shorter window");
+    budget.configure(0.2, 0.0, long);
+    assert_eq!(budget.calls(ms(160_030)), 10.0, "after a second change to a longer window");
+    assert_eq!(budget.calls(ms(175_000)), 0.0);
+}
