fix(dispatch): blame no target for attempts that a pause of the entry ended

Callers: after the process of an entry had been paused, it could take targets that were well out of use for 0.25 s and more, since all calls of before the pause failed at once and opened their breakers.

Cause: an attempt that ended late was recorded as a failed connection or a timeout of the target, however long the entry itself had not run. Only answers were told apart by the end of the last pause. The same held for probes and, for 0.5 s, for peers. Ruled out: timings, which have been discarded after a pause before.

Fix: failures of attempts from before a known pause say nothing about the target, and end a trial without a result. Exchanges that end later than their timeouts allow are reported as ended by a pause (FailureKind::Paused), since the dispatcher mostly hears of them before it hears of the pause. What callers are told is unchanged.

attempts_from_before_a_pause_do_not_open_the_breaker failed before (Connect) and passes now. failures_by_a_pause_do_not_open_the_breaker is new, with the new kind. That the exchange reports the kind after a real pause has no test of its own.

--- a/crates/entry/src/calls/exchange.rs
+++ b/crates/entry/src/calls/exchange.rs
@@ -98,7 +98,7 @@
     ) -> Result<UpstreamResponse, ExchangeError> {
         let started = self.app.context.clock.now();
         let written = AtomicBool::new(false);
-        match timeout(self.timeout, self.send(request, started, &written)).await {
+        let result = match timeout(self.timeout, self.send(request, started, &written)).await {
             Ok(result) => result,
             Err(_) if !written.load(Ordering::Relaxed) => {
                 Err(ExchangeError::before_write(FailureKind::Timeout))
@@ -107,7 +107,16 @@
                 self.app.pool.close_inactive(self.address, started);
                 Err(ExchangeError::after_write(FailureKind::Timeout))
             }
-        }
+        };
+        result.map_err(|error| self.attribute(error, started))
+    }
+
+    /// Attributes a failure to a pause of the process if it comes later than the timeouts allow.
+    fn attribute(&self, error: ExchangeError, started: Timestamp) -> ExchangeError {
+        let limit = if error.not_executed { CONNECT_TIMEOUT } else { self.timeout };
+        let elapsed = self.app.context.clock.now() - started;
+        let is_paused = elapsed > limit + MIN_PAUSE;
+        ExchangeError { kind: if is_paused { FailureKind::Paused } else { error.kind }, ..error }
     }
 
     async fn send(
--- a/crates/entry/src/calls/probe.rs
+++ b/crates/entry/src/calls/probe.rs
@@ -9,7 +9,7 @@
     pool::ReusePolicy,
     service::{ProbeRequest, Service},
 };
-use azuretally_policy::dispatch::{Event, LoadReport};
+use azuretally_policy::dispatch::{Event, FailureKind, LoadReport};
 use bytes::Bytes;
 use http::Request;
 use http_body_util::{Either, Full};
@@ -44,8 +44,11 @@
                 deadline,
                 timeout: PROBE_TIMEOUT,
             };
-            let response = exchange.run(request).await.ok();
-            response.and_then(|response| take_response(&app, &service, &target, &response))
+            match exchange.run(request).await {
+                Ok(response) => take_response(&app, &service, &target, &response),
+                Err(error) if error.kind == FailureKind::Paused => return,
+                Err(_) => None,
+            }
         }
         None => None,
     };
--- a/crates/policy/src/dispatch/dispatcher/outcome.rs
+++ b/crates/policy/src/dispatch/dispatcher/outcome.rs
@@ -104,24 +104,19 @@
         actions: &mut Vec<Action>,
     ) {
         let unknown = match kind {
-            FailureKind::Timeout => UnknownReason::Timeout,
+            FailureKind::Timeout | FailureKind::Paused => UnknownReason::Timeout,
             FailureKind::Connect | FailureKind::Broken => UnknownReason::Broken,
         };
         if let Some(since) = self.finish_relay(id, target) {
-            self.peers.record_failure(now, target);
+            if kind != FailureKind::Paused {
+                self.peers.record_failure(now, target);
+            }
             self.finish_unanswered_run(now, id, if not_executed { now } else { since });
             self.handle_relay_failure(now, id, not_executed, unknown, actions);
             return;
         }
         let Some(attempt) = self.end_attempt(now, id, target) else { return };
-        if kind != FailureKind::Timeout || self.is_overdue(now, &attempt) {
-            self.record_target_failure(now, target);
-        } else if let Some(state) = self.targets.get_mut(target) {
-            state.breaker.abort_trial(now);
-        }
-        if kind == FailureKind::Timeout {
-            self.record_timeout(now, id, &attempt);
-        }
+        self.judge_failure(now, id, &attempt, kind);
         let Some(tracked) = self.calls.get_mut(&id) else { return };
         if !not_executed {
             tracked.may_have_run = Some(unknown);
@@ -133,6 +128,21 @@
         self.retry_or_give_up(now, id, attempt, not_executed, actions);
     }
 
+    /// Records a failed attempt in the state of the target and in the service times, as far as it says
+    /// something about the target. An attempt from before a pause of the process does not.
+    fn judge_failure(&mut self, now: Timestamp, id: CallId, attempt: &Attempt, kind: FailureKind) {
+        let is_current = kind != FailureKind::Paused && attempt.started >= self.resumed_at;
+        let is_short = kind == FailureKind::Timeout && !self.is_overdue(now, attempt);
+        if is_current && !is_short {
+            self.record_target_failure(now, &attempt.target);
+        } else if let Some(state) = self.targets.get_mut(&attempt.target) {
+            state.breaker.abort_trial(now);
+        }
+        if is_current && kind == FailureKind::Timeout {
+            self.record_timeout(now, id, attempt);
+        }
+    }
+
     /// Handles a relayed call that a peer returned without executing it.
     pub(super) fn handle_peer_refusal(
         &mut self,
--- a/crates/policy/src/dispatch/event.rs
+++ b/crates/policy/src/dispatch/event.rs
@@ -64,6 +64,9 @@
     Broken,
     /// The attempt timed out.
     Timeout,
+    /// The own process was paused during the attempt, so its end says nothing about the target or
+    /// peer.
+    Paused,
 }
 
 /// An input to the dispatcher of one service.
--- a/crates/policy/tests/dispatch/arbitrary_events.rs
+++ b/crates/policy/tests/dispatch/arbitrary_events.rs
@@ -217,6 +217,7 @@
                     FailureKind::Connect,
                     FailureKind::Broken,
                     FailureKind::Timeout,
+                    FailureKind::Paused,
                 ])?;
                 let not_executed: bool = self.u.arbitrary()?;
                 if !not_executed {
--- a/crates/policy/tests/dispatch/breaker.rs
+++ b/crates/policy/tests/dispatch/breaker.rs
@@ -68,3 +68,31 @@
     harness.now = harness.now + OPEN_TIME;
     assert!(harness.start_call().is_some(), "no further trial call");
 }
+
+/// Guards against blaming a target for attempts that failed because the own process was paused.
+#[test]
+fn attempts_from_before_a_pause_do_not_open_the_breaker() {
+    const ATTEMPTS: u32 = 8;
+    for kind in [FailureKind::Connect, FailureKind::Broken, FailureKind::Timeout] {
+        let mut harness = Harness::new(BalancingPolicy::Random, ATTEMPTS);
+        let started: Vec<_> = (0..ATTEMPTS).filter_map(|_| harness.start_call()).collect();
+        assert_eq!(started.len(), ATTEMPTS as usize);
+        harness.now = harness.now + ms(600);
+        harness.handle(Event::ProcessPaused(ms(600)));
+        for call in started {
+            harness.fail(call, kind);
+        }
+        assert!(harness.start_call().is_some(), "{kind:?}");
+    }
+}
+
+/// As above, for a pause that shows before the dispatcher hears of it.
+#[test]
+fn failures_by_a_pause_do_not_open_the_breaker() {
+    let mut harness = Harness::new(BalancingPolicy::Owned, 1);
+    for _ in 0..20 {
+        let call = harness.start_call().expect("the breaker is closed");
+        harness.now = harness.now + ms(600);
+        harness.fail(call, FailureKind::Paused);
+    }
+}
