fix(gateway): count messages of other gateways that cannot be read

A datagram or an update that cannot be read, as of a build with other messages, left a line at level debug at most. Nobody saw that two builds did not understand each other.

Such messages are counted by kind and sender (azuretally_unreadable_messages_total) and reported by a warning with the peer's generation and version, at most one in 10 s. Senders that are not known, and those beyond 256 names, are counted as other.

--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -6,9 +6,11 @@
 mod platform;
 mod servers;
 mod sync;
+mod unreadable;
 
 pub use peers::HeartbeatSocket;
 pub use servers::ControlServers;
+pub use unreadable::UnreadableMessages;
 
 use crate::{
     adapter::{CallAdapter, PlatformAdapter},
--- a/crates/gateway/src/control/codec.rs
+++ b/crates/gateway/src/control/codec.rs
@@ -10,6 +10,53 @@
     time::Duration,
 };
 
+/// Kind of a message between gateways.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MessageKind {
+    /// [`Message::Heartbeat`].
+    Heartbeat,
+    /// [`Message::Join`].
+    Join,
+    /// [`Message::Peers`].
+    Peers,
+    /// [`Message::Limits`].
+    Limits,
+    /// [`Message::Calls`].
+    Calls,
+    /// A datagram of another kind, of a later build or of a stranger.
+    Unknown,
+    /// Answer to a request for an update.
+    Update,
+    /// What a gateway says of a call that it relays.
+    Relay,
+    /// What the answer to a relayed call says of a target that leaves.
+    Departure,
+}
+
+impl MessageKind {
+    /// Returns the kind that a datagram names at its beginning.
+    pub fn of_datagram(bytes: &[u8]) -> Self {
+        let kinds = [Self::Heartbeat, Self::Join, Self::Peers, Self::Limits, Self::Calls];
+        let kind = bytes.first().and_then(|number| kinds.get(usize::from(*number)));
+        kind.copied().unwrap_or(Self::Unknown)
+    }
+
+    /// Returns the name used in logs and metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::Heartbeat => "heartbeat",
+            Self::Join => "join",
+            Self::Peers => "peers",
+            Self::Limits => "limits",
+            Self::Calls => "calls",
+            Self::Unknown => "unknown",
+            Self::Update => "update",
+            Self::Relay => "relay",
+            Self::Departure => "departure",
+        }
+    }
+}
+
 /// Encodes a message for one datagram.
 ///
 /// # Errors
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between gateways, and detection of failed peers.
 
 use super::{
-    codec::{decode_message, encode_message},
+    codec::{MessageKind, decode_message, encode_message},
     servers::LIVENESS_PATH,
     sync::known_data,
 };
@@ -78,9 +78,8 @@
             .min(MAX_TICK_INTERVAL);
         tokio::select! {
             received = socket.recv_from(&mut buffer) => match received {
-                Ok((bytes, from)) => {
-                    let message = decode_message(&buffer[..bytes]);
-                    handle_message(&gateway, &socket, from.ip(), message).await;
+                Ok((length, from)) => {
+                    handle_datagram(&gateway, &socket, from.ip(), &buffer[..length]).await;
                 }
                 Err(e) => log::debug!("control: cannot receive heartbeat: {e}"),
             },
@@ -90,19 +89,20 @@
     }
 }
 
-async fn handle_message<Adapter>(
+async fn handle_datagram<Adapter>(
     gateway: &Gateway<Adapter>,
     socket: &UdpSocket,
     from: IpAddr,
-    message: Result<Message, postcard::Error>,
+    bytes: &[u8],
 ) where
     Adapter: CallAdapter + PlatformAdapter,
 {
     let now = gateway.clock.now();
-    let message = match message {
+    let message = match decode_message(bytes) {
         Ok(message) => message,
         Err(e) => {
             log::debug!("control: cannot decode datagram from {from}: {e}");
+            gateway.record_unreadable_message(MessageKind::of_datagram(bytes), from);
             return;
         }
     };
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -1,7 +1,7 @@
 //! Fetches catalog updates from a peer that has a newer revision than this gateway.
 
 use super::{
-    codec::{SyncAnswer, SyncQuery},
+    codec::{MessageKind, SyncAnswer, SyncQuery},
     servers::SYNC_PATH,
 };
 use crate::{
@@ -87,7 +87,10 @@
     if !response.status().is_success() {
         return Err(ClientError::Broken);
     }
-    let answer = SyncAnswer::decode(response.body()).map_err(|_| ClientError::Broken)?;
+    let answer = SyncAnswer::decode(response.body()).map_err(|_| {
+        gateway.record_unreadable_message(MessageKind::Update, address.ip());
+        ClientError::Broken
+    })?;
     let SyncAnswer { age: Some(age), era, update } = answer else {
         return Err(ClientError::Broken);
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -3,6 +3,7 @@
 use crate::{
     adapter::{CallAdapter, PlatformAdapter, TargetNotice},
     clock::Clock,
+    control::UnreadableMessages,
     metrics::Metrics,
     settings::Settings,
     stop::StopTimes,
@@ -69,6 +70,8 @@
     pub balancer: RefCell<Balancer>,
     /// Splits the calls of each route among its services.
     pub split: RefCell<TrafficSplit>,
+    /// Counts and lines on messages of other gateways that could not be read.
+    pub unreadable_messages: RefCell<UnreadableMessages>,
     /// Metrics of the process.
     pub metrics: Metrics,
     /// Cancelled when the planned stop begins: calls in flight are finished first.
@@ -126,6 +129,7 @@
             membership: RefCell::new(membership),
             balancer: RefCell::new(balancer),
             split: RefCell::default(),
+            unreadable_messages: RefCell::default(),
             metrics: Metrics::new(),
             drain: CancellationToken::new(),
             shutdown: CancellationToken::new(),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -87,6 +87,16 @@
     pub generation: u32,
 }
 
+/// Labels of messages of other gateways that could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct UnreadableLabels {
+    /// Kind of the message: `heartbeat`, `join`, `peers`, `limits`, `calls`, `unknown`, `update`, `relay`
+    /// or `departure`.
+    pub message: String,
+    /// Host of the gateway that sent it; `other` if the sender is not known.
+    pub sender: String,
+}
+
 /// Returns a histogram with exponential buckets from 5 ms to about 15 s.
 fn latency_histogram() -> Histogram {
     Histogram::new(exponential_buckets(FIRST_BUCKET_S, BUCKET_GROWTH, BUCKET_COUNT))
@@ -127,6 +137,8 @@
     pub incomplete_settings: Counter,
     /// Routes of the settings in force that cannot be used.
     pub unusable_routes: Gauge,
+    /// Messages of other gateways that could not be read.
+    pub unreadable_messages: Family<UnreadableLabels, Counter>,
     /// Calls that are queued for a target.
     pub waiting_calls: Gauge,
     /// Retries and hedges that this gateway's share of the retry budget currently allows.
@@ -183,6 +195,7 @@
             unreadable_records: Counter::default(),
             incomplete_settings: Counter::default(),
             unusable_routes: Gauge::default(),
+            unreadable_messages: Family::default(),
             waiting_calls: Gauge::default(),
             retry_budget: Family::default(),
             target_connections: Counter::default(),
@@ -230,6 +243,8 @@
         registry.register("incomplete_settings", help, metrics.incomplete_settings.clone());
         let help = "Routes of the settings in force that cannot be used";
         registry.register("unusable_routes", help, metrics.unusable_routes.clone());
+        let help = "Messages of other gateways that could not be read";
+        registry.register("unreadable_messages", help, metrics.unreadable_messages.clone());
         registry.register(
             "waiting_calls",
             "Calls that wait for a target",
@@ -344,6 +359,12 @@
         }
     }
 
+    /// Counts a message of `kind` of the gateway `sender` that could not be read.
+    pub fn record_unreadable_message(&self, kind: &str, sender: &str) {
+        let labels = UnreadableLabels { message: kind.to_owned(), sender: sender.to_owned() };
+        self.unreadable_messages.get_or_create(&labels).inc();
+    }
+
     /// Counts a platform read.
     pub fn record_platform_read(&self, outcome: &str) {
         self.platform_reads
--- /dev/null
+++ b/crates/gateway/tests/unreadable_messages.rs
@@ -0,0 +1,160 @@
+//! Messages of other gateways, or of strangers, that cannot be read.
+#![allow(clippy::expect_used)]
+
+// Other test binaries use the rest of the modules.
+#[allow(dead_code)]
+mod raw;
+#[allow(dead_code)]
+mod stub;
+
+use azuretally_gateway::{
+    control::{self, ControlServers, HeartbeatSocket, codec::encode_message},
+    gateway::Gateway,
+    native::NativeAdapter,
+};
+use azuretally_policy::balance::{Build, Heartbeat, HeartbeatExtension, Message, Phase};
+use raw::{TIMEOUT, accept, run_local};
+use std::{
+    net::{IpAddr, SocketAddr},
+    process,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    io::AsyncWriteExt,
+    net::{TcpListener, UdpSocket},
+    sync::mpsc,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+const UPDATE_PORT: u16 = 9_003;
+const HEARTBEAT_PORT: u16 = 9_004;
+/// Interval between checks of a condition.
+const POLL_INTERVAL: Duration = Duration::from_millis(5);
+
+fn ip(test: u8, number: u8) -> IpAddr {
+    let [.., high, low] = process::id().to_be_bytes();
+    IpAddr::from([127, 224 | (test << 2) | number, high, low])
+}
+
+/// Starts the control plane of a gateway that cannot read the platform.
+async fn start_control(own: IpAddr) -> Rc<Gateway<NativeAdapter>> {
+    let mut settings = stub::settings();
+    settings.listen.directions = SocketAddr::new(own, 9_001);
+    settings.listen.readiness = SocketAddr::new(own, 9_002);
+    settings.listen.news = SocketAddr::new(own, UPDATE_PORT);
+    settings.listen.heartbeats = SocketAddr::new(own, HEARTBEAT_PORT);
+    let (probes, _) = mpsc::unbounded_channel();
+    let gateway = Rc::new(Gateway::new(NativeAdapter, settings.clone(), probes));
+    let heartbeats =
+        HeartbeatSocket::bind(settings.listen.heartbeats).await.expect("the port is free");
+    let servers = ControlServers::bind(&settings.listen).await.expect("the ports are free");
+    spawn_local(control::run(Rc::clone(&gateway), heartbeats, servers));
+    gateway
+}
+
+fn heartbeat(ip: IpAddr, sequence: u64) -> Heartbeat {
+    Heartbeat {
+        host: Arc::from("gateway-2"),
+        domain: Arc::from("a"),
+        incarnation: 1,
+        sequence,
+        call_address: SocketAddr::new(ip, 80),
+        capacity: 200,
+        phase: Phase::Ready,
+        settled: true,
+        revision: 0,
+        age_ms: None,
+        reader: false,
+        remote_primaries: Vec::new(),
+        extension: HeartbeatExtension { era: 2, settings: 0 },
+        build: Build { generation: 9, version: Arc::from("0.9.0") },
+    }
+}
+
+async fn until<Condition>(condition: Condition)
+where
+    Condition: Fn() -> bool,
+{
+    let poll = async {
+        while !condition() {
+            sleep(POLL_INTERVAL).await;
+        }
+    };
+    timeout(TIMEOUT, poll).await.expect("the condition holds in time");
+}
+
+/// Returns the count of unreadable messages in the metrics, 0 if there is none.
+fn count(gateway: &Gateway<NativeAdapter>, message: &str, sender: &str) -> u64 {
+    let name = "azuretally_unreadable_messages_total";
+    let labels = format!("{name}{{message=\"{message}\",sender=\"{sender}\"}} ");
+    let text = gateway.metrics_text();
+    let value = text.lines().find_map(|line| line.strip_prefix(&labels));
+    value.map_or(0, |value| value.parse().expect("a number"))
+}
+
+/// Guards against messages that are dropped unseen, as when builds do not understand each other, and against
+/// a gateway that hears nothing more after one.
+#[tokio::test]
+async fn unreadable_datagrams_are_counted_by_kind_and_sender() {
+    run_local(async {
+        let (own, peer) = (ip(0, 0), ip(0, 1));
+        let gateway = start_control(own).await;
+        let socket = UdpSocket::bind((peer, HEARTBEAT_PORT)).await.expect("a free port");
+        let stranger = UdpSocket::bind((ip(0, 2), HEARTBEAT_PORT)).await.expect("a free port");
+        let to = SocketAddr::new(own, HEARTBEAT_PORT);
+        let alive = encode_message(&Message::Heartbeat(heartbeat(peer, 1))).expect("encoded");
+        socket.send_to(&alive, to).await.expect("sent");
+        until(|| gateway.membership.borrow().alive_count() == 2).await;
+        let damaged: [(&str, &[u8]); 6] = [
+            ("heartbeat", &alive[..20]),
+            ("join", &[1, 200]),
+            ("peers", &[2, 3, 0]),
+            ("limits", &[3, 1, 255]),
+            ("calls", &[4, 1]),
+            ("unknown", &[5, 1, 2, 3]),
+        ];
+        for (_, bytes) in damaged {
+            socket.send_to(bytes, to).await.expect("sent");
+            stranger.send_to(bytes, to).await.expect("sent");
+        }
+        stranger.send_to(&[], to).await.expect("sent");
+        for (kind, _) in damaged {
+            let of_strangers = if kind == "unknown" { 2 } else { 1 };
+            until(|| count(&gateway, kind, "gateway-2") == 1).await;
+            until(|| count(&gateway, kind, "other") == of_strangers).await;
+        }
+        let leaving = Heartbeat { phase: Phase::Leaving, ..heartbeat(peer, 2) };
+        let leaving = encode_message(&Message::Heartbeat(leaving)).expect("encoded");
+        socket.send_to(&leaving, to).await.expect("sent");
+        until(|| gateway.membership.borrow().directions("a").addresses.is_empty()).await;
+    })
+    .await;
+}
+
+/// The same for updates.
+#[tokio::test]
+async fn unreadable_updates_are_counted_by_sender() {
+    run_local(async {
+        let (own, peer) = (ip(1, 0), ip(1, 1));
+        let listener = TcpListener::bind((peer, UPDATE_PORT)).await.expect("a free port");
+        let gateway = start_control(own).await;
+        let announced = Heartbeat { revision: 5, age_ms: Some(0), ..heartbeat(peer, 1) };
+        let now = gateway.clock.now();
+        gateway.membership.borrow_mut().receive(now, peer, Message::Heartbeat(announced));
+        gateway.changed.notify_waiters();
+        loop {
+            let (request, mut stream) = accept(&listener).await;
+            // The other request watches the process.
+            if request.starts_with("GET /news") {
+                let response = b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\n\x7f\xff\xff";
+                stream.write_all(response).await.expect("response sent");
+                break;
+            }
+        }
+        until(|| count(&gateway, "update", "gateway-2") == 1).await;
+    })
+    .await;
+}
--- a/crates/policy/src/balance/membership/builds.rs
+++ b/crates/policy/src/balance/membership/builds.rs
@@ -3,10 +3,10 @@
 //! During an upgrade gateways of two builds work side by side, and some promises hold only at those
 //! of the later one. An operator has to see who runs what, and an upgrade that stays half done.
 
-use super::{Membership, Peer};
+use super::{super::heartbeat::Build, Membership, Peer};
 use crate::Timestamp;
 use indexmap::IndexMap;
-use std::{sync::Arc, time::Duration};
+use std::{net::IpAddr, sync::Arc, time::Duration};
 
 /// Time for which the fleet may be of several generations without a warning, and between two
 /// warnings.
@@ -32,6 +32,13 @@
         counts
     }
 
+    /// Returns the name and the build of the gateway at `ip`, if it is known.
+    pub fn build_at(&self, ip: IpAddr) -> Option<(&Arc<str>, &Build)> {
+        let mut heartbeats = self.peers.values().map(|p| &p.heartbeat);
+        let heartbeat = heartbeats.find(|h| h.call_address.ip() == ip)?;
+        Some((&heartbeat.host, &heartbeat.build))
+    }
+
     /// Returns the warnings since the last call.
     pub fn take_warnings(&mut self) -> Vec<String> {
         std::mem::take(&mut self.builds.warnings)
