fix(policy): keep sums of what other gateways send from overflowing

A record with the greatest number of slots beside another one, or a heartbeat with the greatest capacity behind a small one, ended a gateway of a debug build (attempt to add with overflow); a release build went on with a wrong sum.

damaged_messages_stop_no_gateway sends 4,000 messages and updates, damaged at random (seed 1) or with the greatest values, to a running control plane. Before, it failed at the sum of slots (gateway.rs), and after that fix at the sum of capacities (ranking.rs:28). Now these saturate, and by reading the same holds for the version of a limit, the epoch of a call and the slots of a service.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -280,7 +280,7 @@
         let catalog = self.catalog.borrow();
         let local =
             catalog.targets().filter(|t| t.record.failure_domain == settings.failure_domain);
-        local.map(|t| t.record.slots).sum()
+        local.map(|t| t.record.slots).fold(0, u32::saturating_add)
     }
 
     fn apply_routes(&self) {
--- a/crates/gateway/tests/unreadable_messages.rs
+++ b/crates/gateway/tests/unreadable_messages.rs
@@ -8,12 +8,20 @@
 mod stub;
 
 use azuretally_gateway::{
-    control::{self, ControlServers, HeartbeatSocket, codec::encode_message},
+    control::{
+        self, ControlServers, HeartbeatSocket,
+        codec::{SyncAnswer, encode_message},
+    },
     gateway::Gateway,
     native::NativeAdapter,
 };
-use azuretally_policy::balance::{Build, Heartbeat, HeartbeatExtension, Message, Phase};
-use raw::{TIMEOUT, accept, run_local};
+use azuretally_policy::balance::{
+    Build, CallDigest, CallNotice, CatalogUpdate, Change, Heartbeat, HeartbeatExtension,
+    LimitNotice, Message, Phase, ProcessId, RequestRate, Snapshot, Source,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use raw::{TIMEOUT, accept, published, run_local};
 use std::{
     net::{IpAddr, SocketAddr},
     process,
@@ -33,6 +41,11 @@
 const HEARTBEAT_PORT: u16 = 9_004;
 /// Interval between checks of a condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
+/// Messages that are damaged at random, and how many of them are sent at a time.
+const DAMAGED_MESSAGES: u32 = 4_000;
+const DAMAGED_BURST: u32 = 16;
+/// Seed of the damage.
+const SEED: u64 = 1;
 
 fn ip(test: u8, number: u8) -> IpAddr {
     let [.., high, low] = process::id().to_be_bytes();
@@ -158,3 +171,104 @@
     })
     .await;
 }
+
+/// Returns messages and updates of all kinds, some with the greatest values that they can hold.
+fn originals(peer: IpAddr) -> (Vec<Vec<u8>>, Vec<Vec<u8>>) {
+    let greatest = Heartbeat {
+        capacity: u32::MAX,
+        settled: false,
+        revision: u64::MAX,
+        age_ms: Some(u32::MAX),
+        incarnation: u64::MAX,
+        extension: HeartbeatExtension { era: u64::MAX, settings: u64::MAX },
+        ..heartbeat(peer, u64::MAX - 1)
+    };
+    let small = Heartbeat { host: Arc::from("gateway-3"), capacity: 1, ..heartbeat(peer, 1) };
+    let limit = |version| LimitNotice {
+        target: stub::target(1, 1).name,
+        started: Some(1),
+        version,
+        rate: RequestRate::from_per_second(2.0),
+    };
+    let call = |epoch| CallNotice {
+        digest: CallDigest::default(),
+        epoch,
+        crashes: (0..3).map(|n| (ProcessId::from_number(n), false)).collect(),
+        left_s: u32::MAX,
+    };
+    let messages = [
+        Message::Heartbeat(heartbeat(peer, 2)),
+        Message::Heartbeat(greatest.clone()),
+        Message::Heartbeat(small.clone()),
+        Message::Join(small),
+        Message::Join(greatest),
+        Message::Peers(vec![peer]),
+        Message::Limits(vec![limit(1), limit(u64::MAX)]),
+        Message::Calls(vec![call(1), call(u32::MAX)]),
+    ];
+    let messages = messages.iter().map(|message| encode_message(message).expect("encoded"));
+    let mut target = stub::target(1, u32::MAX);
+    target.warmup = Duration::MAX;
+    let changes = vec![Change::Target(target), Change::Target(stub::target(2, u32::MAX))];
+    let updates = [
+        CatalogUpdate::Full(Snapshot {
+            revision: 5,
+            published: Some(published()),
+            targets: vec![stub::target(1, 1)],
+        }),
+        CatalogUpdate::Changes { revision: 6, changes },
+    ];
+    let updates = updates.into_iter().map(|update| {
+        let answer = SyncAnswer { age: Some(Duration::MAX), era: 1, update };
+        answer.encode().expect("encoded")
+    });
+    (messages.collect(), updates.collect())
+}
+
+/// Changes, adds or removes bytes.
+fn damage(rng: &mut Pcg64Mcg, bytes: &mut Vec<u8>) {
+    for _ in 0..rng.random_range(0..4) {
+        let position = rng.random_range(0..bytes.len());
+        match rng.random_range(0..4) {
+            0 => bytes[position] = rng.random(),
+            1 => bytes[position] ^= 1 << rng.random_range(0..8),
+            2 => bytes.insert(position, rng.random()),
+            _ => bytes.truncate(position.max(1)),
+        }
+    }
+}
+
+/// Guards against bytes that end a gateway, or make it deaf.
+#[tokio::test]
+async fn damaged_messages_stop_no_gateway() {
+    run_local(async {
+        let (own, peer) = (ip(2, 0), ip(2, 1));
+        let gateway = start_control(own).await;
+        let socket = UdpSocket::bind((peer, HEARTBEAT_PORT)).await.expect("a free port");
+        let to = SocketAddr::new(own, HEARTBEAT_PORT);
+        let mut rng = Pcg64Mcg::seed_from_u64(SEED);
+        let (messages, updates) = originals(peer);
+        for number in 0..DAMAGED_MESSAGES {
+            let mut bytes = messages[rng.random_range(0..messages.len())].clone();
+            damage(&mut rng, &mut bytes);
+            socket.send_to(&bytes, to).await.expect("sent");
+            let mut bytes = updates[rng.random_range(0..updates.len())].clone();
+            damage(&mut rng, &mut bytes);
+            if let Ok(SyncAnswer { age: Some(age), era, update }) = SyncAnswer::decode(&bytes) {
+                let now = gateway.clock.now();
+                let source = Source::Peer(age);
+                gateway.catalog.borrow_mut().apply_update(now, era, update, source);
+                gateway.apply_catalog(source);
+            }
+            if number % DAMAGED_BURST == 0 {
+                sleep(Duration::from_millis(1)).await;
+            }
+        }
+        let last = ip(2, 2);
+        let heartbeat = Heartbeat { host: Arc::from("last"), ..heartbeat(last, 1) };
+        let bytes = encode_message(&Message::Heartbeat(heartbeat)).expect("encoded");
+        socket.send_to(&bytes, to).await.expect("sent");
+        until(|| gateway.membership.borrow().build_at(last).is_some()).await;
+    })
+    .await;
+}
--- a/crates/policy/src/balance/limits.rs
+++ b/crates/policy/src/balance/limits.rs
@@ -191,7 +191,7 @@
         if named == self.rate || !(is_lower || known_version == self.version) {
             return false;
         }
-        self.version += 1;
+        self.version = self.version.saturating_add(1);
         self.set_rate(now, named);
         true
     }
--- a/crates/policy/src/balance/membership/ranking.rs
+++ b/crates/policy/src/balance/membership/ranking.rs
@@ -23,9 +23,9 @@
     /// and more if their capacity is too low or the domain has many slots.
     pub(super) fn directed_len(&self, ranked: &[&Heartbeat]) -> usize {
         let min_count = self.per_domain.max((self.slots / SLOTS_PER_GATEWAY) as usize);
-        let mut capacity = 0;
+        let mut capacity = 0_u32;
         let enough = ranked.iter().position(|heartbeat| {
-            capacity += heartbeat.capacity;
+            capacity = capacity.saturating_add(heartbeat.capacity);
             capacity >= MIN_CAPACITY
         });
         enough.map_or(ranked.len(), |last| (last + 1).max(min_count)).min(ranked.len())
--- a/crates/policy/src/balance/quarantine.rs
+++ b/crates/policy/src/balance/quarantine.rs
@@ -246,7 +246,7 @@
         if suspect.crashes.is_empty() {
             return false;
         }
-        suspect.epoch += 1;
+        suspect.epoch = suspect.epoch.saturating_add(1);
         suspect.crashes.clear();
         true
     }
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -345,9 +345,9 @@
     /// Returns the fraction of the local slots that are in use by this gateway.
     pub(super) fn local_usage(&self) -> f64 {
         let local = || self.targets.values().filter(|t| t.local && t.is_usable());
-        let slots: u32 = local().map(|t| t.slots).sum();
+        let slots: f64 = local().map(|t| f64::from(t.slots)).sum();
         let used: usize = local().map(|t| t.running.len()).sum();
-        if slots == 0 { 1.0 } else { used as f64 / f64::from(slots) }
+        if slots == 0.0 { 1.0 } else { used as f64 / slots }
     }
 
     /// Returns the best free slot, or what has to happen before one can be taken.
