fix(policy): relay calls to gateways of earlier builds only without others

A gateway that was cut off from all targets relayed calls to the peers that callers are directed to, of whatever build. A peer of an earlier build may be stale after a restore, send calls that crash targets, and tells nothing of targets that leave.

Peers of the own generation or a later one come first; the others are used if there are none in the failure domain. The load of relayed calls is on fewer gateways while an upgrade begins.

--- a/crates/policy/src/balance/membership/reach.rs
+++ b/crates/policy/src/balance/membership/reach.rs
@@ -30,10 +30,15 @@
     }
 
     /// Returns the addresses for calls of ready gateways to which calls can be relayed: those that
-    /// callers of this failure domain are directed to, or the primaries of the others.
+    /// callers of this failure domain are directed to, or the primaries of the others. Gateways of
+    /// earlier builds, which promise less, are among the first only if there are no others.
     pub fn relay_peers(&self) -> Vec<SocketAddr> {
+        let is_present = |h: &&Heartbeat| h.build.generation >= self.own.build.generation;
         let mut local = self.ranked(&self.own.domain);
         local.retain(|h| h.host != self.own.host);
+        if local.iter().any(is_present) {
+            local.retain(is_present);
+        }
         local.truncate(self.directed_len(&local));
         match local.is_empty() {
             true => self.remote_primaries().into_iter().map(|(_, address)| address).collect(),
--- a/crates/policy/tests/balance/builds.rs
+++ b/crates/policy/tests/balance/builds.rs
@@ -120,3 +120,23 @@
     assert_eq!(confirmed(0, Revision::new(0, 90)), None);
     assert_eq!(confirmed(1, Revision::new(0, 90)), Some(Duration::from_millis(10)));
 }
+
+/// Guards against relays to gateways that lack what this build promises, such as to follow a restored
+/// platform, while there are others.
+#[test]
+fn calls_are_relayed_to_gateways_of_an_earlier_build_only_without_others() {
+    let mut member = member();
+    let address = |number| heartbeat(number, 0, 1).call_address;
+    let mut hear_ready = |number, generation| {
+        let ready = Heartbeat { phase: Phase::Ready, ..heartbeat(number, generation, 1) };
+        let settled = generation == 0;
+        hear(&mut member, 0, Heartbeat { settled, ..ready });
+        member.relay_peers()
+    };
+    assert_eq!(hear_ready(2, 0), [address(2)]);
+    // Earlier ones rank before it.
+    assert_eq!(hear_ready(3, 1), [address(3)]);
+    assert_eq!(hear_ready(4, 0), [address(3)]);
+    let later = hear_ready(5, 2);
+    assert!(later == [address(3)] || later == [address(5)], "{later:?}");
+}
