fix(policy): begin the versions of limits with the time

Callers: a target that had named a limit could get more requests than that. A gateway that restarts counted the versions of limits from 1 and hears nothing of limits that have ended, so a limit that it learned first was ended at all gateways by the later version of an earlier end, until the target's next answer.

Cause: versions are compared between gateways, but each gateway counts from 0 in its own life.

Change: a gateway that knows no version of a limit begins with the time in ms since the Unix epoch, as heartbeats do with their incarnation. All later changes add 1 as before, so of two changes of one known limit the lower still wins.

Mixed builds: the encoding is unchanged (the version was a 64-bit number before). Each build raises the greatest version that it knows, so changes and ends go on in both directions. A limit that a gateway of an earlier build learns first still begins with 1 and has the fault until all are upgraded. A clock that is far behind has it too, one far ahead causes it at the others; both until the target's next answer, as before.

Ruled out: to begin each change with the time. Then of two changes at the same time the later one would win, not the lower limit.

The same elsewhere: epochs of suspected calls also count from 0, but a gateway that starts gets those of all calls that are remembered, acquitted ones included (as far as the reply to its first message holds them).

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -113,11 +113,12 @@
         let clock = Clock::start();
         let now = clock.now();
         let domain = Arc::clone(&settings.failure_domain);
-        let balancer = Balancer::new(
+        let mut balancer = Balancer::new(
             domain,
             balancer_settings(&settings, &BudgetShare { slack: 0.0, directed_gateways: 1 }),
             rand::random(),
         );
+        balancer.set_epoch(epoch_ms());
         let membership = membership_builder(&settings).build(now);
         Self {
             adapter,
@@ -569,12 +570,17 @@
     }
 }
 
-fn membership_builder(settings: &Settings) -> MembershipBuilder {
+/// Returns the time in ms since the Unix epoch.
+fn epoch_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn membership_builder(settings: &Settings) -> MembershipBuilder {
     let own = Heartbeat {
         host: Arc::clone(&settings.host),
         domain: Arc::clone(&settings.failure_domain),
-        incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        incarnation: epoch_ms(),
         sequence: 0,
         call_address: settings.listen.calls,
         capacity: settings.size.capacity(),
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -1,11 +1,12 @@
-//! Tests that decisions of the balancer reach the tasks of their calls.
+//! Tests that decisions of the balancer reach the tasks of their calls, and the state that it starts with.
+#![allow(clippy::expect_used)]
 
 mod stub;
 
 use azuretally_gateway::{gateway::Gateway, native::NativeAdapter};
 use azuretally_policy::balance::{
     Attempt, AttemptOutcome, AttemptResult, Call, CallDigest, Change, Decision, LimitField,
-    LoadReport, Revision, Route, Share, Source,
+    LimitNotice, LoadReport, RequestRate, Revision, Route, Share, Source,
 };
 use std::{sync::Arc, time::Duration};
 use tokio::sync::mpsc;
@@ -63,3 +64,45 @@
     let decision = receiver.try_recv();
     assert!(matches!(decision, Ok(Decision::Start(_))), "the decision was lost: {decision:?}");
 }
+
+/// Lets the only target answer a call, which says `limit`.
+fn answer_one(gateway: &Gateway<NativeAdapter>, id: u64, limit: LimitField) {
+    let mut balancer = gateway.balancer.borrow_mut();
+    let decision = balancer.submit(gateway.clock.now(), call(gateway, id));
+    let Decision::Start(new_attempt) = decision else { panic!("{decision:?}") };
+    let result = AttemptResult {
+        attempt: Attempt { call: id, target: new_attempt.target },
+        outcome: AttemptOutcome::Answered { ok: true, bytes: 1 },
+        report: Some(LoadReport { running: 0, waiting: 0, slots: 1, slowdown: None }),
+        limit,
+    };
+    balancer.attempt_ended(gateway.clock.now(), &result);
+    balancer.forget(id);
+}
+
+/// A limit that a gateway learned right after its start was ended by what others knew from before.
+#[test]
+fn limit_named_to_a_gateway_that_has_started_is_the_latest() {
+    let new_gateway = || {
+        let (probes, _) = mpsc::unbounded_channel();
+        let gateway = Gateway::new(NativeAdapter, stub::settings(), probes);
+        let changes = vec![Change::Target(stub::target(1, 1))];
+        let at = Revision::new(0, 1);
+        gateway.catalog.borrow_mut().apply(gateway.clock.now(), at, changes, Source::Platform);
+        gateway.apply_catalog(Source::Platform);
+        stub::disable_probes(&gateway);
+        gateway
+    };
+    // High enough to be used at once.
+    let limit = RequestRate::from_per_second(1_000_000.0).expect("a valid rate");
+    let old = new_gateway();
+    answer_one(&old, 1, LimitField::Named(limit));
+    let ended = old.balancer.borrow().limits().first().cloned().expect("a limit");
+    let ended = LimitNotice { version: ended.version + 1, rate: None, ..ended };
+    std::thread::sleep(Duration::from_millis(20));
+    let started = new_gateway();
+    answer_one(&started, 1, LimitField::Named(limit));
+    let (adopted, outdated) =
+        started.balancer.borrow_mut().merge_limits(started.clock.now(), &[ended]);
+    assert_eq!((adopted, outdated.len()), (Vec::new(), 1), "the end is from before");
+}
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -100,6 +100,8 @@
     limited: IndexSet<(Arc<str>, Arc<str>)>,
     /// Limits that this gateway has learned from answers and not announced yet.
     limit_changes: Vec<LimitNotice>,
+    /// Time of the origin of timestamps, in ms since the Unix epoch.
+    epoch_ms: u64,
     reach: ReachTracker,
     quarantine: Quarantine,
     /// Targets at which attempts broke off and that have not been checked yet.
@@ -136,6 +138,7 @@
             probes: Vec::new(),
             limited: IndexSet::new(),
             limit_changes: Vec::new(),
+            epoch_ms: 0,
             reach: ReachTracker::default(),
             quarantine: Quarantine::default(),
             broken: IndexMap::new(),
--- a/crates/policy/src/balance/balancer/limiting.rs
+++ b/crates/policy/src/balance/balancer/limiting.rs
@@ -11,7 +11,15 @@
 use crate::Timestamp;
 use std::sync::Arc;
 
+const MICROS_PER_MS: u64 = 1_000;
+
 impl Balancer {
+    /// Sets the time of [`Timestamp::default`] in ms since the Unix epoch, 0 by default. The versions of
+    /// limits begin with the time.
+    pub fn set_epoch(&mut self, epoch_ms: u64) {
+        self.epoch_ms = epoch_ms;
+    }
+
     /// Records the limit that the answer to a probe names. A probe that names none ends no limit.
     pub fn record_probe_limit(&mut self, now: Timestamp, probe: &Probe, field: LimitField) {
         if let LimitField::Named(_) = field {
@@ -125,7 +133,9 @@
     ) {
         let target = self.services.get_mut(service).and_then(|s| s.targets.get_mut(name));
         let Some(target) = target else { return };
-        if target.limit.observe(now, field, known_version) {
+        // Later than what gateways know from before this one started.
+        let first_version = self.epoch_ms + now.as_micros() / MICROS_PER_MS;
+        if target.limit.observe(now, field, known_version, first_version) {
             self.limited.insert((Arc::clone(service), Arc::clone(name)));
             self.limit_changes.push(notice_of(target));
             self.log_lines.push(limit_line(target, "answer"));
--- a/crates/policy/src/balance/limits.rs
+++ b/crates/policy/src/balance/limits.rs
@@ -99,7 +99,9 @@
     pub target: Arc<str>,
     /// Start of the target process, as in its record.
     pub started: Option<u64>,
-    /// Number of changes of the limit that the gateway knows of; the greatest is the latest.
+    /// Version of the limit; the greatest is the latest. It begins with the time in ms since the Unix epoch
+    /// at which a gateway first learned of a limit from an answer, 1 in earlier builds, and each change
+    /// adds 1.
     pub version: u64,
     /// The limit, `None` once it has ended.
     pub rate: Option<RequestRate>,
@@ -172,7 +174,8 @@
     }
 
     /// Records the limit named in the answer to a request that was sent when `known_version` was the
-    /// latest known. Returns whether the limit has changed.
+    /// latest known. Returns whether the limit has changed. A gateway that knows no version yet begins
+    /// with `first_version`.
     ///
     /// An answer can have been overtaken by later ones at other gateways: it can lower the limit, but
     /// it raises or ends it only if its request was sent after the limit became known.
@@ -181,6 +184,7 @@
         now: Timestamp,
         field: LimitField,
         known_version: u64,
+        first_version: u64,
     ) -> bool {
         let named = match field {
             LimitField::Unreadable => return false,
@@ -191,7 +195,7 @@
         if named == self.rate || !(is_lower || known_version == self.version) {
             return false;
         }
-        self.version += 1;
+        self.version = if self.version == 0 { first_version.max(1) } else { self.version + 1 };
         self.set_rate(now, named);
         true
     }
--- a/crates/policy/tests/balance/going_back.rs
+++ b/crates/policy/tests/balance/going_back.rs
@@ -1,7 +1,7 @@
 //! Counts of the platform, of gateways and of limits that go back, at gateways that know different things.
 
 use crate::{
-    fixture::{Fixture, expect_start, first_heartbeat, ms, record, route},
+    fixture::{Fixture, LOCAL, expect_start, first_heartbeat, ms, probe_of, record, route},
     platform::{Store, published},
 };
 use arbtest::arbtest;
@@ -9,8 +9,8 @@
     Timestamp,
     balance::{
         Attempt, AttemptOutcome, AttemptResult, Catalog, CatalogUpdate, Change, Heartbeat,
-        HeartbeatExtension, KnownData, LimitField, LimitShare, Membership, MembershipBuilder,
-        Message, RequestRate, Revision, Source, TargetRecord,
+        HeartbeatExtension, KnownData, LimitField, LimitNotice, LimitShare, Membership,
+        MembershipBuilder, Message, RequestRate, Revision, Source, TargetRecord,
     },
 };
 use std::{net::IpAddr, sync::Arc, time::Duration};
@@ -315,6 +315,48 @@
     assert_eq!((known(&started), known(&old)), (Some(rate), Some(rate)));
 }
 
+/// The same for gateways whose timestamps begin at their own start.
+#[test]
+fn limits_of_a_gateway_are_later_than_what_is_known_from_before_its_start() {
+    let rate = RequestRate::from_per_second(2.0).unwrap_or_else(|| panic!("a valid rate"));
+    let mut old = Fixture::new(1, 0);
+    old.balancer.set_epoch(1_000_000);
+    old.balancer.assign_limits(ms(0), |_, _| LimitShare::Full);
+    call(&mut old, ms(50_000), LimitField::Named(rate));
+    old.balancer.assign_limits(ms(50_000), |_, _| LimitShare::Full);
+    call(&mut old, ms(60_000), LimitField::Absent);
+    let mut started = Fixture::new(1, 0);
+    started.balancer.set_epoch(1_070_000);
+    call(&mut started, ms(10), LimitField::Named(rate));
+    let (adopted, later) = old.balancer.merge_limits(ms(71_000), &started.balancer.limits());
+    assert_eq!((adopted.len(), later), (1, Vec::new()));
+    assert_eq!(old.balancer.limits()[0].rate, Some(rate));
+}
+
+/// Versions of earlier builds begin with 1: changes of what such a gateway has named must count on from there,
+/// and the other way round.
+#[test]
+fn limits_of_earlier_builds_are_changed_and_ended() {
+    let rate =
+        |value| RequestRate::from_per_second(value).unwrap_or_else(|| panic!("a valid rate"));
+    let mut fixture = Fixture::new(1, 0);
+    fixture.balancer.set_epoch(1_700_000_000_000);
+    let earlier = LimitNotice {
+        target: Arc::from("target-0"),
+        started: Some(1),
+        version: 2,
+        rate: Some(rate(2.0)),
+    };
+    fixture.balancer.merge_limits(ms(0), std::slice::from_ref(&earlier));
+    let probe = probe_of(record(0, LOCAL));
+    fixture.balancer.record_probe_limit(ms(10), &probe, LimitField::Named(rate(1.0)));
+    let changed = LimitNotice { version: 3, rate: Some(rate(1.0)), ..earlier };
+    assert_eq!(fixture.balancer.take_limit_changes(), std::slice::from_ref(&changed));
+    let ended = LimitNotice { version: 4, rate: None, ..changed };
+    fixture.balancer.merge_limits(ms(20), &[ended]);
+    assert_eq!(fixture.balancer.limits(), []);
+}
+
 /// Answer of the platform on its way to a gateway.
 #[derive(Clone, Debug)]
 struct PlatformAnswer {
