fix(policy): keep the rest that a process asked for before its record came

Cause: answers do not name their process, so the rest was booked to the process that the record named, and a new record ended it. One call at a time tried the new process, the first one that it served ended that as well. Ruled out: the order of answers (the rest was recorded, and forgotten with the record only).

A process that takes over a name now keeps the rest, with all the time that is left, unless it is known to have started after the rest was asked for: its record has the Unix ms of its start, the gateway notes its own time of day with the answer (AnswerTime, an input of the policy), and the start has to be later by more than 300 ms. Then one call at a time tries it, as before.

The same elsewhere: the mark of a process that says that it leaves was lost in the same way (departing::departure_said_before_the_record_is_known_holds_calls_back failed). It is not handed on for good, since a gateway whose clock is ahead would then lose every target that is restarted under its name, but as a rest of 10 s from the answer. The entry books rests to the incarnation that the answer itself names, and does not have the fault (read, not tested).

Changed tests: processes that start later name a later start, in Unix ms (they named 1 and 2), also in the soak, where the start number of a target is now kept apart from its record. A replaced target of resting_target and leaving_target starts 500 ms after the end of the one before it, no longer 100 ms, since a process that starts within the tolerance keeps the rest; that it gets calls is checked as before. The policy tests of new processes start them at 400 ms and list them at 500 ms, no longer at 100 ms, for the same reason.

--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -1,10 +1,12 @@
 //! Process clock.
 //!
 //! The clock reads `CLOCK_BOOTTIME`, which also advances while the host is suspended. A pause of
-//! the process therefore always shows as a gap between two readings.
+//! the process therefore always shows as a gap between two readings. The time of day is read only to
+//! compare it with what other hosts name.
 
-use azuretally_policy::Timestamp;
+use azuretally_policy::{Timestamp, UnixTime, balance::AnswerTime};
 use rustix::time::{ClockId, clock_gettime};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 /// Boot-time clock whose origin is the call of [`Clock::start`].
 #[derive(Clone, Copy, Debug)]
@@ -22,6 +24,17 @@
     pub fn now(&self) -> Timestamp {
         Timestamp::from_micros(boottime_us().saturating_sub(self.origin_us))
     }
+
+    /// Returns the time for an answer that arrives now.
+    pub fn answer_time(&self) -> AnswerTime {
+        AnswerTime { now: self.now(), unix: UnixTime::from_millis(unix_ms()) }
+    }
+}
+
+/// Returns the time of day in ms since the Unix epoch, 0 before it.
+pub fn unix_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
 }
 
 fn boottime_us() -> u64 {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     adapter::{CallAdapter, PlatformAdapter, TargetNotice},
-    clock::Clock,
+    clock::{Clock, unix_ms},
     metrics::Metrics,
     settings::Settings,
     stop::StopTimes,
@@ -24,7 +24,7 @@
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
@@ -511,9 +511,8 @@
         process: ProcessId,
         notice: &TargetNotice,
     ) {
-        let now = self.clock.now();
-        if notice.leaving
-            && self.balancer.borrow_mut().record_departure(now, service, name, process)
+        let at = self.clock.answer_time();
+        if notice.leaving && self.balancer.borrow_mut().record_departure(at, service, name, process)
         {
             self.metrics.record_departure(service);
         }
@@ -522,7 +521,7 @@
             RetryAfter::Unreadable => self.metrics.record_rest(service, "unreadable"),
             RetryAfter::After(time) => {
                 let mut balancer = self.balancer.borrow_mut();
-                if balancer.record_rest(now, service, name, process, time) {
+                if balancer.record_rest(at, service, name, process, time) {
                     self.metrics.record_rest(service, "asked");
                 }
             }
@@ -532,8 +531,8 @@
     /// Records that another gateway has passed on an answer of `process`, listed as target `name`, which
     /// says that it leaves.
     pub fn record_relayed_departure(&self, name: &str, process: ProcessId) {
-        let now = self.clock.now();
-        let service = self.balancer.borrow_mut().record_relayed_departure(now, name, process);
+        let at = self.clock.answer_time();
+        let service = self.balancer.borrow_mut().record_relayed_departure(at, name, process);
         if let Some(service) = service {
             self.metrics.record_departure(&service);
         }
@@ -570,11 +569,10 @@
 }
 
 fn membership_builder(settings: &Settings) -> MembershipBuilder {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let own = Heartbeat {
         host: Arc::clone(&settings.host),
         domain: Arc::clone(&settings.failure_domain),
-        incarnation: u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX),
+        incarnation: unix_ms(),
         sequence: 0,
         call_address: settings.listen.calls,
         capacity: settings.size.capacity(),
--- a/crates/gateway/tests/resting_target/changes.rs
+++ b/crates/gateway/tests/resting_target/changes.rs
@@ -5,7 +5,9 @@
     progress::wait_until,
     target::Demand,
     verdict::Verdict,
+    waves::FEW_CALLERS,
 };
+use azuretally_policy::balance::TargetRecord;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
@@ -48,15 +50,32 @@
     deployment.replace_target(0).await;
     let start = Instant::now();
     sleep(RETURN_TIME).await;
-    let name = &deployment.targets[0].record.name;
+    let TargetRecord { name, started, .. } = &deployment.targets[0].record;
     let arrivals = deployment.shared.arrivals.lock().clone();
     let calls = arrivals.iter().filter(|a| a.call.is_some() && a.target == *name);
-    let calls = calls.filter(|a| a.started == 2 && a.arrived > start).count();
+    let calls = calls.filter(|a| Some(a.started) == *started && a.arrived > start).count();
     let verdict = finish(deployment).await;
     assert!(calls > 0, "the new process got no calls; {verdict}");
     verdict.assert_rests_kept(1);
 }
 
+/// A target that was restarted under its name while the platform was away asked for rest, and got calls
+/// as soon as its record came.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rests_asked_for_before_the_record_comes_are_kept() {
+    let mut deployment =
+        Deployment::start(Plan { seed: 34, callers: FEW_CALLERS, ..Plan::default() }).await;
+    deployment.platform.leave();
+    deployment.replace_target_unseen(0).await;
+    deployment.targets[0].ask(REST);
+    wait_until(ASKING_TIME, || has_rests(&deployment, 1)).await;
+    deployment.targets[0].ask(Demand::Nothing);
+    deployment.platform.restore(0);
+    deployment.publish_record(0);
+    sleep(FOLLOW_UP).await;
+    finish(deployment).await.assert_rests_kept(1);
+}
+
 /// A later, shorter time must not shorten a rest, and a longer one extends it.
 ///
 /// The answers that name the other times are those to calls that arrive in the first half second.
--- a/crates/gateway/tests/resting_target/deployment.rs
+++ b/crates/gateway/tests/resting_target/deployment.rs
@@ -7,6 +7,7 @@
     platform::{Platform, Variant},
     target::{PROBE_PATH, Shared, Target},
 };
+use azuretally_gateway::clock::unix_ms;
 use azuretally_policy::balance::{
     CallerLimits, Change, PublishedSettings, Route, ServiceSettings, Share, TargetRecord,
 };
@@ -33,6 +34,8 @@
 const WARM_UP: Duration = Duration::from_millis(1_500);
 /// Time within which each gateway must serve calls once targets take them.
 const SERVE_TIME: Duration = Duration::from_secs(3);
+/// Time between the end of a target process and the start of the next one.
+const RESTART_TIME: Duration = Duration::from_millis(500);
 /// Host numbers of the first gateway, of the first target and of the platform.
 const FIRST_GATEWAY: u8 = 10;
 const FIRST_TARGET: u8 = 100;
@@ -97,8 +100,9 @@
         deployment.tasks.spawn(Arc::clone(&platform).run(listener, deployment.stop.clone()));
         assert!(platform.publish(Change::Published(published())), "the platform is away");
         for index in 0..plan.targets {
-            let target = deployment.start_target(index, 1);
+            let target = deployment.start_target(index);
             deployment.targets.push(target);
+            deployment.publish_record(index.into());
         }
         for number in 0..plan.gateways {
             let gateway = deployment.start_gateway(number);
@@ -118,12 +122,16 @@
 
     /// Replaces the target `index` with a new process at the same address and with the same name.
     pub(crate) async fn replace_target(&mut self, index: usize) {
-        let last = &self.targets[index];
-        last.stop.cancel();
-        let started = last.record.started.unwrap_or_default() + 1;
-        sleep(Duration::from_millis(100)).await;
+        self.replace_target_unseen(index).await;
+        self.publish_record(index);
+    }
+
+    /// Like [`replace_target`](Self::replace_target), but the new process has no record yet.
+    pub(crate) async fn replace_target_unseen(&mut self, index: usize) {
+        self.targets[index].stop.cancel();
+        sleep(RESTART_TIME).await;
         let number = u8::try_from(index).expect("few targets");
-        self.targets[index] = self.start_target(number, started);
+        self.targets[index] = self.start_target(number);
     }
 
     /// Removes the record of the target `index`.
@@ -172,10 +180,11 @@
         while self.tasks.join_next().await.is_some() {}
     }
 
-    fn start_target(&mut self, index: u8, started: u64) -> Arc<Target> {
+    /// Starts a process for the target `index`, which has no record yet.
+    fn start_target(&mut self, index: u8) -> Arc<Target> {
         let record = TargetRecord {
             name: Arc::from(format!("target-{index}")),
-            started: Some(started),
+            started: Some(unix_ms()),
             service: Arc::from(SERVICE),
             address: self.network.address(FIRST_TARGET + index, 8_000),
             failure_domain: Arc::from(DOMAINS[usize::from(index) % DOMAINS.len()]),
@@ -185,7 +194,6 @@
             warmup: Duration::ZERO,
         };
         let listener = listen(record.address).expect("a free address");
-        assert!(self.platform.publish(Change::Target(record.clone())), "the platform is away");
         let target = Arc::new(Target::new(record, Arc::clone(&self.shared)));
         self.tasks.spawn(Arc::clone(&target).run(listener, self.stop.clone()));
         target
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -23,6 +23,7 @@
 mod routes;
 mod service;
 mod split;
+mod succession;
 mod target;
 
 pub use balancer::Balancer;
@@ -47,3 +48,4 @@
     Share,
 };
 pub use split::TrafficSplit;
+pub use succession::AnswerTime;
--- a/crates/policy/src/balance/balancer/departing.rs
+++ b/crates/policy/src/balance/balancer/departing.rs
@@ -1,10 +1,9 @@
 //! Targets that say in their answers that they leave.
 
 use super::{
-    super::{quarantine::ProcessId, service::Service},
+    super::{quarantine::ProcessId, service::Service, succession::AnswerTime},
     Balancer,
 };
-use crate::Timestamp;
 use std::sync::Arc;
 
 impl Balancer {
@@ -13,7 +12,7 @@
     /// another process of that name does not leave.
     pub fn record_departure(
         &mut self,
-        now: Timestamp,
+        at: AnswerTime,
         service: &str,
         name: &str,
         process: ProcessId,
@@ -22,7 +21,7 @@
         if target.departed.is_some() {
             return false;
         }
-        target.departed = Some(now);
+        target.departed = Some(at);
         let is_listed = if target.leaving { "leaving" } else { "serving" };
         self.log_lines.push(format!("target {name} says that it leaves, listed as {is_listed}"));
         true
@@ -32,14 +31,14 @@
     /// says that it leaves. Returns the service of the target if that is news.
     pub fn record_relayed_departure(
         &mut self,
-        now: Timestamp,
+        at: AnswerTime,
         name: &str,
         process: ProcessId,
     ) -> Option<Arc<str>> {
         let is_listed = |s: &Service| s.targets.get(name).is_some_and(|t| t.process == process);
         let service = self.services.iter().find(|(_, s)| is_listed(s))?.0;
         let service = Arc::clone(service);
-        self.record_departure(now, &service, name, process).then_some(service)
+        self.record_departure(at, &service, name, process).then_some(service)
     }
 
     /// Returns the number of targets of each service that have said that they leave.
--- a/crates/policy/src/balance/balancer/resting.rs
+++ b/crates/policy/src/balance/balancer/resting.rs
@@ -5,6 +5,7 @@
         call::AttemptResult,
         quarantine::ProcessId,
         service::Service,
+        succession::AnswerTime,
         target::{RunningAttempt, Target},
     },
     Balancer,
@@ -20,10 +21,10 @@
 
 impl Balancer {
     /// Records that an answer of `process`, listed as target `name`, asks for a rest of `time`. Returns
-    /// whether that prolongs its rest. Another process of that name has not asked for it.
+    /// whether that prolongs its rest. Another process that is known under that name has not asked for it.
     pub fn record_rest(
         &mut self,
-        now: Timestamp,
+        at: AnswerTime,
         service: &str,
         name: &str,
         process: ProcessId,
@@ -31,7 +32,7 @@
     ) -> bool {
         let time = time.min(self.settings.max_rest);
         let Some(target) = self.process_mut(service, name, process) else { return false };
-        if !target.rest.ask(now, time) {
+        if !target.rest.ask(at, time) {
             return false;
         }
         let line = format!("target {name} asked for rest, ms={}", time.as_millis());
--- a/crates/policy/src/balance/rest.rs
+++ b/crates/policy/src/balance/rest.rs
@@ -8,7 +8,7 @@
 //! A rest holds for the gateway that was answered: the target may well serve the others, and a gateway
 //! that does not know of it learns it with one refused attempt.
 
-use super::target::RunningAttempt;
+use super::{succession::AnswerTime, target::RunningAttempt};
 use crate::Timestamp;
 use std::time::Duration;
 
@@ -19,14 +19,20 @@
     until: Timestamp,
     /// Whether the target has answered no call since `until` other than by asking for a further rest.
     is_trial: bool,
+    /// Arrival of the latest answer that asked for rest.
+    asked: AnswerTime,
 }
 
 impl TargetRest {
     /// Records that the target asks for `time`. The longest time counts: a shorter one that is asked
     /// for later may come from an answer that was overtaken. Returns whether the rest has become longer.
-    pub(super) fn ask(&mut self, now: Timestamp, time: Duration) -> bool {
-        let until = now + time;
-        let is_longer = until > self.until.max(now);
+    pub(super) fn ask(&mut self, at: AnswerTime, time: Duration) -> bool {
+        if time.is_zero() {
+            return false;
+        }
+        self.asked = at;
+        let until = at.now + time;
+        let is_longer = until > self.until.max(at.now);
         if is_longer {
             self.until = until;
             self.is_trial = true;
@@ -34,12 +40,14 @@
         is_longer
     }
 
-    /// Returns the rest of a process that takes the place of this one. It has asked for nothing under its
-    /// own record, but may have answered before that was known: one call at a time tries it first.
-    pub(super) fn of_successor(&self, now: Timestamp) -> Self {
-        match self.is_resting(now) {
-            true => Self { until: now, is_trial: true },
-            false => Self::default(),
+    /// Returns the rest of a process that takes the place of this one and started at `started`. It keeps
+    /// the rest unless it is known to have started after the rest was asked for. Then one call at a time
+    /// tries it first, since clocks may be wrong.
+    pub(super) fn of_successor(&self, now: Timestamp, started: Option<u64>) -> Self {
+        match (self.asked.is_before(started), self.is_resting(now)) {
+            (false, _) => *self,
+            (true, true) => Self { until: now, is_trial: true, asked: self.asked },
+            (true, false) => Self::default(),
         }
     }
 
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -262,7 +262,7 @@
                     let is_moved = new.started.is_some() && new.process == target.process;
                     let (rest, departed) = match is_moved {
                         true => (target.rest, target.departed),
-                        false => (target.rest.of_successor(now), new.departed),
+                        false => (target.rest_of_successor(now, new.started), new.departed),
                     };
                     *target = Target { running, rest, departed, ..new };
                 }
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -2,7 +2,7 @@
 
 use super::{
     call::Probe, catalog::ListedTarget, limits::TargetLimit, load::TargetLoad,
-    quarantine::ProcessId, rest::TargetRest,
+    quarantine::ProcessId, rest::TargetRest, succession::AnswerTime,
 };
 use crate::Timestamp;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -24,6 +24,9 @@
 /// Time for which a target that has said that it leaves is remembered once the platform does not list it
 /// any more. Its record may come back for a moment from a copy of the platform or a late write.
 const DEPARTURE_MEMORY: Duration = Duration::from_secs(300);
+/// Time after the mark of a process that leaves for which another process gets no calls that may have said
+/// it before its own record was known.
+const SUCCESSOR_REST: Duration = Duration::from_secs(10);
 /// Time for which a pending probe prevents further ones.
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -85,7 +88,7 @@
     /// Rest that the target has asked for.
     pub(super) rest: TargetRest,
     /// When the target itself said that it leaves.
-    pub(super) departed: Option<Timestamp>,
+    pub(super) departed: Option<AnswerTime>,
     /// Whether the process is known to have lived since this gateway knows its record.
     pub(super) alive: bool,
 }
@@ -161,10 +164,20 @@
     /// Returns whether the state is kept although the platform does not list the target: a record may
     /// lapse although its process goes on.
     pub(super) fn is_kept(&self, now: Timestamp) -> bool {
-        let has_departed = self.departed.is_some_and(|at| now.since(at) < DEPARTURE_MEMORY);
+        let has_departed = self.departed.is_some_and(|at| now.since(at.now) < DEPARTURE_MEMORY);
         !self.running.is_empty() || self.rest.is_resting(now) || has_departed
     }
 
+    /// Returns the rest of a process that takes the place of this one and started at `started`. It does
+    /// not take over the mark of a process that leaves, which would be for good.
+    pub(super) fn rest_of_successor(&self, now: Timestamp, started: Option<u64>) -> TargetRest {
+        let mut rest = self.rest.of_successor(now, started);
+        if let Some(at) = self.departed.filter(|at| !at.is_before(started)) {
+            rest.ask(at, SUCCESSOR_REST);
+        }
+        rest
+    }
+
     pub(super) fn is_same_process(&self, listed: &ListedTarget) -> bool {
         self.started == listed.record.started && self.address == listed.record.address
     }
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -13,4 +13,4 @@
 pub mod record;
 pub mod time;
 
-pub use time::Timestamp;
+pub use time::{Timestamp, UnixTime};
--- a/crates/policy/src/time.rs
+++ b/crates/policy/src/time.rs
@@ -35,6 +35,22 @@
     }
 }
 
+/// Time of day by the clock of one host, in ms since the Unix epoch. The clocks of hosts differ.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UnixTime(u64);
+
+impl UnixTime {
+    /// Creates a time from the number of ms since the epoch.
+    pub const fn from_millis(ms: u64) -> Self {
+        Self(ms)
+    }
+
+    /// Returns the time elapsed since `earlier`, or zero if `earlier` is later.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
 impl Add<Duration> for Timestamp {
     type Output = Self;
 
--- a/crates/policy/tests/balance/departing.rs
+++ b/crates/policy/tests/balance/departing.rs
@@ -1,6 +1,6 @@
 //! Targets that say in their answers that they leave, while the platform lists them as serving.
 
-use crate::fixture::{Fixture, LOCAL, expect_start, ms, record, route};
+use crate::fixture::{Fixture, LOCAL, answered_at, expect_start, ms, record, route, successor};
 use azuretally_policy::{
     Timestamp,
     balance::{AttemptOutcome, Change, Decision, GiveUpReason, ProcessId, TargetRecord},
@@ -14,7 +14,7 @@
     fn depart(&mut self, now: Timestamp, number: u8) -> bool {
         let TargetRecord { service, name, started, .. } = record(number, LOCAL);
         let process = ProcessId::new(&name, started);
-        self.balancer.record_departure(now, &service, &name, process)
+        self.balancer.record_departure(answered_at(now), &service, &name, process)
     }
 
     fn target_of_next_call(&mut self, now: Timestamp) -> Option<Arc<str>> {
@@ -80,10 +80,9 @@
 fn new_process_of_the_same_name_does_not_leave() {
     let mut fixture = Fixture::new(1, 0);
     fixture.depart(ms(0), 0);
-    let new = TargetRecord { started: Some(2), ..record(0, LOCAL) };
-    fixture.apply_changes(ms(100), vec![Change::Target(new)]);
-    assert!(!fixture.depart(ms(110), 0), "a late answer of the process before it");
-    assert_eq!(fixture.target_of_next_call(ms(120)).as_deref(), Some("target-0"));
+    fixture.apply_changes(ms(500), vec![Change::Target(successor(0, 400))]);
+    assert!(!fixture.depart(ms(510), 0), "a late answer of the process before it");
+    assert_eq!(fixture.target_of_next_call(ms(520)).as_deref(), Some("target-0"));
 }
 
 /// Leaving targets were probed, and asked whether this gateway reaches any target.
@@ -108,3 +107,24 @@
     fixture.depart(ms(1), 0);
     assert!(!fixture.balancer.wants_requests(ms(2), &service, &name, process));
 }
+
+/// The mark of a process that said so before its record was known was booked to the process before it,
+/// and forgotten with that. It gets no calls for some seconds, and then one.
+#[test]
+fn departure_said_before_the_record_is_known_holds_calls_back() {
+    let mut fixture = Fixture::new(2, 0);
+    fixture.depart(ms(1_000), 0);
+    fixture.apply_changes(ms(1_500), vec![Change::Target(successor(0, 900))]);
+    for now in (1_500..11_000).step_by(500) {
+        assert_eq!(fixture.target_of_next_call(ms(now)).as_deref(), Some("target-1"), "{now} ms");
+    }
+}
+
+/// A clock that is wrong must not take a new process out of service for good.
+#[test]
+fn process_that_may_have_said_so_is_tried_later() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.depart(ms(1_000), 0);
+    fixture.apply_changes(ms(1_500), vec![Change::Target(successor(0, 900))]);
+    assert_eq!(fixture.target_of_next_call(ms(11_000)).as_deref(), Some("target-0"));
+}
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -1,10 +1,10 @@
 //! Balancer with targets, and helpers that send calls to it.
 
 use azuretally_policy::{
-    Timestamp,
+    Timestamp, UnixTime,
     balance::{
-        Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Build, Call,
-        CallDigest, Catalog, Change, Decision, Heartbeat, HeartbeatExtension, KnownData,
+        AnswerTime, Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Build,
+        Call, CallDigest, Catalog, Change, Decision, Heartbeat, HeartbeatExtension, KnownData,
         LimitField, LoadReport, MESSAGE_GENERATION, NewAttempt, Phase, Probe, ProbeResult,
         ProcessId, Revision, Route, Share, Source, TargetRecord,
     },
@@ -18,10 +18,23 @@
 /// Failure domain of the balancer under test.
 pub(crate) const LOCAL: &str = "a";
 
+/// Time of day at `ms(0)`, in Unix ms.
+const EPOCH_MS: u64 = 1_700_000_000_000;
+
 pub(crate) fn ms(ms: u64) -> Timestamp {
     Timestamp::from_millis(ms)
 }
 
+/// Returns the arrival of an answer at `now`.
+pub(crate) fn answered_at(now: Timestamp) -> AnswerTime {
+    AnswerTime { now, unix: UnixTime::from_millis(EPOCH_MS + now.as_micros() / 1_000) }
+}
+
+/// Returns the record of a process that takes the place of target `number` and started at `ms`.
+pub(crate) fn successor(number: u8, ms: u64) -> TargetRecord {
+    TargetRecord { started: Some(EPOCH_MS + ms), ..record(number, LOCAL) }
+}
+
 pub(crate) fn settings() -> BalancerSettings {
     BalancerSettings {
         retry_ratio: 0.2,
--- a/crates/policy/tests/balance/resting.rs
+++ b/crates/policy/tests/balance/resting.rs
@@ -1,6 +1,6 @@
 //! Rests that targets ask for: what reaches them meanwhile, and what callers get.
 
-use crate::fixture::{Fixture, LOCAL, expect_start, ms, record, route};
+use crate::fixture::{Fixture, LOCAL, answered_at, expect_start, ms, record, route, successor};
 use arbtest::arbtest;
 use azuretally_policy::{
     Timestamp,
@@ -18,7 +18,7 @@
     fn rest(&mut self, now: Timestamp, number: u8, time: Duration) {
         let TargetRecord { service, name, started, .. } = record(number, LOCAL);
         let process = ProcessId::new(&name, started);
-        self.balancer.record_rest(now, &service, &name, process, time);
+        self.balancer.record_rest(answered_at(now), &service, &name, process, time);
     }
 
     fn starts(&mut self, now: Timestamp) -> usize {
@@ -194,28 +194,71 @@
 fn new_process_of_the_same_name_does_not_rest() {
     let mut fixture = Fixture::new(1, 0);
     fixture.rest(ms(0), 0, 3 * SECOND);
-    let new = TargetRecord { started: Some(2), ..record(0, LOCAL) };
-    fixture.apply_changes(ms(100), vec![Change::Target(new)]);
-    let (id, target) = fixture.start(ms(100));
+    fixture.apply_changes(ms(500), vec![Change::Target(successor(0, 400))]);
+    let (id, target) = fixture.start(ms(500));
     // An answer of the process before it arrives late.
-    fixture.rest(ms(110), 0, 3 * SECOND);
-    fixture.end_attempt(ms(115), id, &target, ANSWERED, None);
-    fixture.start(ms(120));
+    fixture.rest(ms(510), 0, 3 * SECOND);
+    fixture.end_attempt(ms(515), id, &target, ANSWERED, None);
+    fixture.start(ms(520));
 }
 
-/// All waiting calls were sent to a process that had asked for rest before its own record was known.
+/// The rest of a process that asked for it before its record was known was booked to the process before
+/// it, and forgotten with that.
+#[test]
+fn rest_asked_for_before_the_record_is_known_is_kept() {
+    let mut fixture = Fixture::new(2, 0);
+    fixture.rest(ms(1_000), 0, 3 * SECOND);
+    fixture.apply_changes(ms(1_500), vec![Change::Target(successor(0, 900))]);
+    for now in (1_500..4_000).step_by(50) {
+        let (id, target) = fixture.start(ms(now));
+        assert_eq!(&*target, "target-1", "at {now} ms");
+        fixture.end_attempt(ms(now), id, &target, ANSWERED, None);
+        fixture.balancer.forget(id);
+    }
+}
+
+/// The same for a process whose record is known once its rest is over: all waiting calls were sent to it.
+#[test]
+fn trial_after_a_rest_is_kept_when_the_record_is_known_later() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.rest(ms(1_000), 0, SECOND);
+    fixture.apply_changes(ms(2_100), vec![Change::Target(successor(0, 900))]);
+    fixture.start(ms(2_100));
+    let (_, decision) = fixture.submit(ms(2_110), &route("check", true));
+    assert_eq!(decision, Decision::Wait);
+}
+
+/// A process that does not name its start, or whose clock differs a little, lost its rest.
+#[test]
+fn rest_is_kept_unless_the_process_is_known_to_have_started_later() {
+    let unknown = TargetRecord { started: None, ..record(0, LOCAL) };
+    for (new, is_kept) in
+        [(unknown, true), (successor(0, 1_300), true), (successor(0, 1_301), false)]
+    {
+        let mut fixture = Fixture::new(1, 0);
+        fixture.rest(ms(1_000), 0, 3 * SECOND);
+        fixture.apply_changes(ms(1_400), vec![Change::Target(new)]);
+        let (_, decision) = fixture.submit(ms(1_500), &route("check", true));
+        match is_kept {
+            true => assert_eq!(refusal(decision).0, GiveUpReason::Resting),
+            false => assert_eq!(&*expect_start(decision).target, "target-0"),
+        }
+    }
+}
+
+/// All waiting calls were sent to a process that had asked for rest before its own record was known. Its
+/// clock may be ahead.
 #[test]
 fn new_process_of_a_resting_name_is_tried_by_one_call() {
     let mut fixture = Fixture::new(1, 0);
     fixture.rest(ms(0), 0, 3 * SECOND);
-    let new = TargetRecord { started: Some(2), ..record(0, LOCAL) };
-    fixture.apply_changes(ms(100), vec![Change::Target(new)]);
-    let (id, target) = fixture.start(ms(100));
-    let (_, decision) = fixture.submit(ms(110), &route("check", true));
+    fixture.apply_changes(ms(500), vec![Change::Target(successor(0, 400))]);
+    let (id, target) = fixture.start(ms(500));
+    let (_, decision) = fixture.submit(ms(510), &route("check", true));
     assert_eq!(decision, Decision::Wait);
-    fixture.end_attempt(ms(120), id, &target, AttemptOutcome::Refused, None);
+    fixture.end_attempt(ms(520), id, &target, AttemptOutcome::Refused, None);
     fixture.balancer.forget(id);
-    assert_eq!(fixture.starts(ms(130)), 1);
+    assert_eq!(fixture.starts(ms(530)), 1);
 }
 
 /// A record that lapsed and came back, or named another address, took the rest with it.
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -12,6 +12,7 @@
     targets::{Crash, PROBE_PATH, Target},
     workload::{MOVING, Operation, Workload},
 };
+use azuretally_gateway::clock::unix_ms;
 use azuretally_policy::balance::{
     CallerLimits, PublishedSettings, Route, ServiceSettings, Share, TargetRecord,
 };
@@ -82,6 +83,8 @@
 /// A target with its link.
 #[derive(Debug)]
 pub(crate) struct TargetLink {
+    /// Start number of the target.
+    number: u64,
     pub(crate) target: Arc<Target>,
     pub(crate) record: TargetRecord,
     pub(crate) link: Arc<Link>,
@@ -242,6 +245,7 @@
         address: Option<SocketAddr>,
     ) {
         let number = self.target_count.fetch_add(1, Ordering::SeqCst);
+        let started = unix_ms();
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))
             .await
             .expect("failed to bind a loopback port");
@@ -278,7 +282,7 @@
         }
         let record = TargetRecord {
             name,
-            started: Some(u64::from(number)),
+            started: Some(started),
             service,
             address,
             failure_domain: failure_domain_name(number as usize, self.domains),
@@ -288,14 +292,15 @@
             warmup: Duration::ZERO,
         };
         self.platform.put_target(record.clone());
-        self.targets.lock().push(TargetLink { target, record, link, closed });
+        let number = u64::from(number);
+        self.targets.lock().push(TargetLink { number, target, record, link, closed });
     }
 
     /// Closes all that belongs to a target that has crashed, by its start number. Returns its last
     /// record and whether it was leaving.
     pub(crate) fn close_target(&self, number: u64) -> Option<(TargetRecord, bool)> {
         let mut targets = self.targets.lock();
-        let old = targets.iter_mut().find(|t| t.record.started == Some(number))?;
+        let old = targets.iter_mut().find(|t| t.number == number)?;
         old.closed.cancel();
         let was_leaving = std::mem::replace(&mut old.record.leaving, true);
         Some((old.record.clone(), was_leaving))
