fix(policy): book answers to a process whose record came meanwhile

The record came while the request ran (sent at 831.528 s, record at 831.652, answer at 831.732), the answer was booked to the process for which the attempt had been decided, and dropped as one of a process that was no longer listed. The target said so for a short time only, and was used until it ended. A rest is lost in the same way.

An answer now counts for the process that is listed when it arrives, unless that is known to have started later than the request was sent. For that, and for the rest that a successor keeps, the time of the request is used in place of that of the answer: a process that was not there yet can't have got the request, however long the call ran.

Evidence: with the earlier condition, resting::rest_asked_for_while_the_record_comes_is_kept and departing::departure_said_while_the_record_comes_is_kept failed (2 of 31 of `balance resting:: departing::`). No test with real gateways plays this order.

Changed tests: the late answers of an earlier process in new_process_of_the_same_name_does_not_rest and new_process_of_the_same_name_does_not_leave name the time of their request, before the new process started. What is asked of them is the same.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -145,7 +145,8 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    let timeout = inbound.deadline.since(gateway.clock.now());
+    let sent_at = gateway.clock.now();
+    let timeout = inbound.deadline.since(sent_at);
     let target_request = TargetRequest { target: new_attempt.target.clone(), timeout };
     let adapter = &gateway.adapter;
     let request = inbound.build_request(adapter, &target_request).ok_or(Failure::Broken)?;
@@ -157,7 +158,8 @@
     if response.status() != StatusCode::MISDIRECTED_REQUEST {
         let notice = adapter.parse_notice(response.status(), response.headers());
         *leaving = notice.leaving;
-        gateway.record_notice(&inbound.service, &new_attempt.target, new_attempt.process, &notice);
+        let NewAttempt { target, process, .. } = new_attempt;
+        gateway.record_notice(&inbound.service, target, *process, &notice, sent_at);
     }
     Ok(receive(adapter, pool, inbound, response, connection).await?)
 }
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -107,12 +107,13 @@
     };
     let body: RequestBody = Either::Left(Full::new(Bytes::new()));
     let request = Request::get(&*path).header(HOST, probe.address.to_string()).body(body).ok()?;
+    let sent_at = gateway.clock.now();
     let response = connection.sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
     let name = gateway.adapter.parse_probe_response(&head).target;
     if name.is_none_or(|name| name == probe.target) {
         let notice = gateway.adapter.parse_notice(head.status, &head.headers);
-        gateway.record_notice(&probe.service, &probe.target, probe.process, &notice);
+        gateway.record_notice(&probe.service, &probe.target, probe.process, &notice, sent_at);
     }
     body.collect().await.ok()?;
     pool.release(connection, &head.headers);
--- a/crates/gateway/src/clock.rs
+++ b/crates/gateway/src/clock.rs
@@ -25,9 +25,11 @@
         Timestamp::from_micros(boottime_us().saturating_sub(self.origin_us))
     }
 
-    /// Returns the time for an answer that arrives now.
-    pub fn answer_time(&self) -> AnswerTime {
-        AnswerTime { now: self.now(), unix: UnixTime::from_millis(unix_ms()) }
+    /// Returns the time of an answer that arrives now, to a request that was sent at `sent_at`.
+    pub fn answer_time(&self, sent_at: Timestamp) -> AnswerTime {
+        let now = self.now();
+        let elapsed_ms = now.since(sent_at).as_millis() as u64;
+        AnswerTime { now, sent: UnixTime::from_millis(unix_ms().saturating_sub(elapsed_ms)) }
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -503,15 +503,17 @@
         Membership::call_replies(from, unknown)
     }
 
-    /// Records what an answer of `process`, listed as target `name`, says of itself.
+    /// Records what an answer of `process`, listed as target `name`, says of itself. Its request was sent at
+    /// `sent_at`.
     pub fn record_notice(
         &self,
         service: &Arc<str>,
         name: &str,
         process: ProcessId,
         notice: &TargetNotice,
+        sent_at: Timestamp,
     ) {
-        let at = self.clock.answer_time();
+        let at = self.clock.answer_time(sent_at);
         if notice.leaving && self.balancer.borrow_mut().record_departure(at, service, name, process)
         {
             self.metrics.record_departure(service);
@@ -531,7 +533,7 @@
     /// Records that another gateway has passed on an answer of `process`, listed as target `name`, which
     /// says that it leaves.
     pub fn record_relayed_departure(&self, name: &str, process: ProcessId) {
-        let at = self.clock.answer_time();
+        let at = self.clock.answer_time(self.clock.now());
         let service = self.balancer.borrow_mut().record_relayed_departure(at, name, process);
         if let Some(service) = service {
             self.metrics.record_departure(&service);
--- a/crates/policy/src/balance/balancer/departing.rs
+++ b/crates/policy/src/balance/balancer/departing.rs
@@ -9,7 +9,7 @@
 impl Balancer {
     /// Records that an answer of `process`, listed as target `name`, says that it leaves. Returns whether
     /// that is news. The process gets no further calls, whatever later answers or the platform say;
-    /// another process of that name does not leave.
+    /// a process of that name that started later does not leave.
     pub fn record_departure(
         &mut self,
         at: AnswerTime,
@@ -17,7 +17,7 @@
         name: &str,
         process: ProcessId,
     ) -> bool {
-        let Some(target) = self.process_mut(service, name, process) else { return false };
+        let Some(target) = self.speaker_mut(at, service, name, process) else { return false };
         if target.departed.is_some() {
             return false;
         }
@@ -35,7 +35,8 @@
         name: &str,
         process: ProcessId,
     ) -> Option<Arc<str>> {
-        let is_listed = |s: &Service| s.targets.get(name).is_some_and(|t| t.process == process);
+        let is_listed =
+            |s: &Service| s.targets.get(name).is_some_and(|t| t.may_have_said(at, process));
         let service = self.services.iter().find(|(_, s)| is_listed(s))?.0;
         let service = Arc::clone(service);
         self.record_departure(at, &service, name, process).then_some(service)
--- a/crates/policy/src/balance/balancer/resting.rs
+++ b/crates/policy/src/balance/balancer/resting.rs
@@ -21,7 +21,8 @@
 
 impl Balancer {
     /// Records that an answer of `process`, listed as target `name`, asks for a rest of `time`. Returns
-    /// whether that prolongs its rest. Another process that is known under that name has not asked for it.
+    /// whether that prolongs its rest. A process that has been listed under that name since then has not
+    /// asked for it if it started later.
     pub fn record_rest(
         &mut self,
         at: AnswerTime,
@@ -31,7 +32,7 @@
         time: Duration,
     ) -> bool {
         let time = time.min(self.settings.max_rest);
-        let Some(target) = self.process_mut(service, name, process) else { return false };
+        let Some(target) = self.speaker_mut(at, service, name, process) else { return false };
         if !target.rest.ask(at, time) {
             return false;
         }
@@ -95,7 +96,19 @@
         self.services.get(&state.call.service).and_then(|s: &Service| s.rest_left(now))
     }
 
-    pub(super) fn process_mut(
+    /// Returns the target `name` unless an answer that was booked to `process` comes from another one.
+    pub(super) fn speaker_mut(
+        &mut self,
+        at: AnswerTime,
+        service: &str,
+        name: &str,
+        process: ProcessId,
+    ) -> Option<&mut Target> {
+        let target = self.services.get_mut(service)?.targets.get_mut(name)?;
+        target.may_have_said(at, process).then_some(target)
+    }
+
+    fn process_mut(
         &mut self,
         service: &str,
         name: &str,
--- a/crates/policy/src/balance/succession.rs
+++ b/crates/policy/src/balance/succession.rs
@@ -1,8 +1,9 @@
 //! Processes that take the place of others of the same name.
 //!
 //! Answers do not name the process that gives them. A process that is started under the name of another
-//! one may answer before this gateway knows its record, and what it says is then booked to the process
-//! before it. Only a start that is known to be later than the answer shows that it has not said it.
+//! one may get a request before this gateway knows its record, and what it says is then booked to the
+//! process before it. Only a start that is known to be later than the request shows that it has not said
+//! it.
 
 use crate::{Timestamp, UnixTime};
 use std::time::Duration;
@@ -10,13 +11,13 @@
 /// Largest difference of the clocks of two hosts that are in order.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(300);
 
-/// When an answer arrived, by both clocks of this gateway.
+/// When an answer arrived, and when its request was sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct AnswerTime {
-    /// Time by the clock of the process.
+    /// Arrival of the answer.
     pub now: Timestamp,
-    /// Time of day.
-    pub unix: UnixTime,
+    /// When the request was sent, by the time of day of this gateway.
+    pub sent: UnixTime,
 }
 
 impl AnswerTime {
@@ -24,6 +25,6 @@
     /// not to have given the answer.
     pub(super) fn is_before(&self, started: Option<u64>) -> bool {
         let started = started.map(UnixTime::from_millis);
-        started.is_some_and(|started| started.since(self.unix) > CLOCK_TOLERANCE)
+        started.is_some_and(|started| started.since(self.sent) > CLOCK_TOLERANCE)
     }
 }
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -178,6 +178,11 @@
         rest
     }
 
+    /// Returns whether an answer that arrived at `at` and was booked to `process` may come from this one.
+    pub(super) fn may_have_said(&self, at: AnswerTime, process: ProcessId) -> bool {
+        self.process == process || !at.is_before(self.started)
+    }
+
     pub(super) fn is_same_process(&self, listed: &ListedTarget) -> bool {
         self.started == listed.record.started && self.address == listed.record.address
     }
--- a/crates/policy/tests/balance/departing.rs
+++ b/crates/policy/tests/balance/departing.rs
@@ -12,9 +12,14 @@
 impl Fixture {
     /// Lets an answer of the target say that it leaves. Returns whether that was news.
     fn depart(&mut self, now: Timestamp, number: u8) -> bool {
+        self.depart_later(now, now, number)
+    }
+
+    /// The same for an answer to a request that was sent at `sent`.
+    fn depart_later(&mut self, now: Timestamp, sent: Timestamp, number: u8) -> bool {
         let TargetRecord { service, name, started, .. } = record(number, LOCAL);
         let process = ProcessId::new(&name, started);
-        self.balancer.record_departure(answered_at(now), &service, &name, process)
+        self.balancer.record_departure(answered_at(now, sent), &service, &name, process)
     }
 
     fn target_of_next_call(&mut self, now: Timestamp) -> Option<Arc<str>> {
@@ -81,7 +86,7 @@
     let mut fixture = Fixture::new(1, 0);
     fixture.depart(ms(0), 0);
     fixture.apply_changes(ms(500), vec![Change::Target(successor(0, 400))]);
-    assert!(!fixture.depart(ms(510), 0), "a late answer of the process before it");
+    assert!(!fixture.depart_later(ms(510), ms(50), 0), "a late answer of the process before it");
     assert_eq!(fixture.target_of_next_call(ms(520)).as_deref(), Some("target-0"));
 }
 
@@ -128,3 +133,15 @@
     fixture.apply_changes(ms(1_500), vec![Change::Target(successor(0, 900))]);
     assert_eq!(fixture.target_of_next_call(ms(11_000)).as_deref(), Some("target-0"));
 }
+
+/// The mark of a process whose record came while it had the request was dropped, since the request had been
+/// meant for the process before it. A target that says it for a short time got calls as long as it ran.
+#[test]
+fn departure_said_while_the_record_comes_is_kept() {
+    let mut fixture = Fixture::new(2, 0);
+    fixture.apply_changes(ms(1_500), vec![Change::Target(successor(0, 900))]);
+    assert!(fixture.depart_later(ms(1_510), ms(1_490), 0));
+    for now in (1_510..20_000).step_by(500) {
+        assert_eq!(fixture.target_of_next_call(ms(now)).as_deref(), Some("target-1"), "{now} ms");
+    }
+}
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -25,9 +25,9 @@
     Timestamp::from_millis(ms)
 }
 
-/// Returns the arrival of an answer at `now`.
-pub(crate) fn answered_at(now: Timestamp) -> AnswerTime {
-    AnswerTime { now, unix: UnixTime::from_millis(EPOCH_MS + now.as_micros() / 1_000) }
+/// Returns the time of an answer at `now` to a request that was sent at `sent`.
+pub(crate) fn answered_at(now: Timestamp, sent: Timestamp) -> AnswerTime {
+    AnswerTime { now, sent: UnixTime::from_millis(EPOCH_MS + sent.as_micros() / 1_000) }
 }
 
 /// Returns the record of a process that takes the place of target `number` and started at `ms`.
--- a/crates/policy/tests/balance/resting.rs
+++ b/crates/policy/tests/balance/resting.rs
@@ -16,9 +16,14 @@
 
 impl Fixture {
     fn rest(&mut self, now: Timestamp, number: u8, time: Duration) {
+        self.rest_later(now, now, number, time);
+    }
+
+    /// Lets the first process of a target answer at `now` a request that was sent at `sent`.
+    fn rest_later(&mut self, now: Timestamp, sent: Timestamp, number: u8, time: Duration) {
         let TargetRecord { service, name, started, .. } = record(number, LOCAL);
         let process = ProcessId::new(&name, started);
-        self.balancer.record_rest(answered_at(now), &service, &name, process, time);
+        self.balancer.record_rest(answered_at(now, sent), &service, &name, process, time);
     }
 
     fn starts(&mut self, now: Timestamp) -> usize {
@@ -197,7 +202,7 @@
     fixture.apply_changes(ms(500), vec![Change::Target(successor(0, 400))]);
     let (id, target) = fixture.start(ms(500));
     // An answer of the process before it arrives late.
-    fixture.rest(ms(510), 0, 3 * SECOND);
+    fixture.rest_later(ms(510), ms(50), 0, 3 * SECOND);
     fixture.end_attempt(ms(515), id, &target, ANSWERED, None);
     fixture.start(ms(520));
 }
@@ -217,6 +222,21 @@
     }
 }
 
+/// The rest of a process whose record came while it had the request was dropped, since the request had been
+/// meant for the process before it.
+#[test]
+fn rest_asked_for_while_the_record_comes_is_kept() {
+    let mut fixture = Fixture::new(2, 0);
+    fixture.apply_changes(ms(1_500), vec![Change::Target(successor(0, 900))]);
+    fixture.rest_later(ms(1_510), ms(1_490), 0, 3 * SECOND);
+    for now in (1_510..4_500).step_by(50) {
+        let (id, target) = fixture.start(ms(now));
+        assert_eq!(&*target, "target-1", "at {now} ms");
+        fixture.end_attempt(ms(now), id, &target, ANSWERED, None);
+        fixture.balancer.forget(id);
+    }
+}
+
 /// The same for a process whose record is known once its rest is over: all waiting calls were sent to it.
 #[test]
 fn trial_after_a_rest_is_kept_when_the_record_is_known_later() {
