fix(gateway): relay a call that one gateway refused to a further one

Cause: the call was relayed to one gateway, and its refusal was passed on. While all targets rest for that gateway, the other gateways may well be served, since each rest holds for one gateway.

A gateway that refuses a relayed call as not run and has sent it to no target now says so (x-azuretally-unsent, with the time to come back). That is proof that the call did not run there, so the gateway that relays it tries a further one, two in all as before, and never the one that refused it. If both refuse it, the caller gets the refusal with the shorter time. If the further one is lost, the outcome is unknown. A refusal after an attempt at a target is passed on at once: attempts of a relayed call are not all counted for the retry budget. So is that of a call that crashes targets. Gateways of earlier builds do not say so, and their refusals are passed on as before.

The further one is any ready gateway of the failure domain, or the primary of another: callers are often directed to one gateway only.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -65,6 +65,9 @@
 /// In the response to a relayed call: the target that ran it, if that says that it leaves: the number of
 /// its process and its name, separated by a comma.
 pub const DEPARTED: &str = "x-azuretally-departed";
+/// In the response to a relayed call that the gateway has refused and sent to no target: ms after which
+/// the caller may come back.
+pub const UNSENT: &str = "x-azuretally-unsent";
 /// In all responses of the platform to a gateway: era of its data, a whole number above 0. It rises by
 /// one each time the platform is restored from a copy, after which its revisions continue from an
 /// earlier one. Missing if the platform knows no eras.
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -13,7 +13,7 @@
     adapter::{CallAdapter, CallFailure, PlatformAdapter, header_text},
     gateway::Gateway,
 };
-use azuretally_api::headers::{DEPARTED, RELAYED};
+use azuretally_api::headers::{DEPARTED, RELAYED, UNSENT};
 use azuretally_policy::{
     Timestamp,
     balance::{
@@ -25,7 +25,7 @@
 use http_body::Body;
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
-use std::{convert::Infallible, future::pending, rc::Rc, time::Duration};
+use std::{convert::Infallible, future::pending, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{sync::oneshot, task::yield_now, time::sleep};
 
 /// Maximum number of gateways to which one call is relayed.
@@ -82,6 +82,13 @@
     gateway.adapter.failure_response(failure, id).map(|bytes| Either::Left(Full::new(bytes)))
 }
 
+/// Refusal of a call by another gateway that has sent it to no target.
+struct RelayedRefusal {
+    /// Time after which the caller may come back.
+    delay: Duration,
+    response: ReceivedResponse,
+}
+
 struct CallTask<Adapter>
 where
     Adapter: CallAdapter + PlatformAdapter,
@@ -97,6 +104,11 @@
     relays: usize,
     /// Gateways that may have received a part of the call.
     uncertain_relays: usize,
+    /// Gateway to which the call was relayed last.
+    peer: Option<SocketAddr>,
+    /// Gateway that has refused the call, and its response with the shortest time to come back.
+    refused_by: Option<SocketAddr>,
+    refusal: Option<RelayedRefusal>,
     /// Whether the response comes from another gateway.
     has_relayed_response: bool,
     /// Whether a relay was considered when this gateway was found to be cut off.
@@ -134,6 +146,9 @@
             relay: None,
             relays: 0,
             uncertain_relays: 0,
+            peer: None,
+            refused_by: None,
+            refusal: None,
             has_relayed_response: false,
             saw_cut: false,
             sent_attempts: 0,
@@ -210,12 +225,16 @@
         if self.gateway.balancer.borrow().is_quarantined(&inbound.digest) {
             return false;
         }
-        let peers = self.gateway.relay_peers();
+        let peers = match self.refused_by {
+            Some(peer) => self.gateway.further_relay_peers(peer),
+            None => self.gateway.relay_peers(),
+        };
         let attempts = inbound.route.attempts.saturating_sub(self.sent_attempts);
         if peers.is_empty() || attempts == 0 {
             return false;
         }
         let peer = peers[(inbound.id as usize + self.relays) % peers.len()];
+        self.peer = Some(peer);
         self.relays += 1;
         self.uncertain_relays += 1;
         self.detail = format!("peer={peer}");
@@ -230,35 +249,56 @@
     fn relay_ended(&mut self, outcome: RelayOutcome) -> Decision {
         self.relay = None;
         match outcome {
-            // A refusal by the other gateway speaks for its own attempts alone, not for those of this one or
-            // of a gateway before it.
-            RelayOutcome::Answered(received)
-                if received.head.status.is_success()
+            RelayOutcome::Answered(received) => match unsent_delay(&received) {
+                Some(delay) => self.relay_refused(delay, *received),
+                // A refusal by the other gateway speaks for its own attempts alone, not for those of this
+                // one or of a gateway before it.
+                None if received.head.status.is_success()
                     || (!self.may_have_run() && self.uncertain_relays == 1) =>
-            {
-                self.detail = format!("{} status={}", self.detail, received.head.status.as_u16());
-                let mut received = *received;
-                self.record_departure(&received.head.headers);
-                let version = received.head.headers.remove(RELAYED);
-                let version = version.and_then(|v| v.to_str().ok()?.parse().ok());
-                self.gateway.record_relayed_version(version.unwrap_or(0));
-                self.response = Some(received);
-                self.has_relayed_response = true;
-                return Decision::Deliver;
-            }
+                {
+                    return self.deliver_relayed(*received);
+                }
+                None => {}
+            },
             RelayOutcome::Unsent => self.uncertain_relays -= 1,
-            RelayOutcome::Answered(_) | RelayOutcome::Broken => {}
+            RelayOutcome::Broken => {}
         }
         let is_certain = self.uncertain_relays == 0 && !self.may_have_run();
         let may_repeat = is_certain || self.inbound.route.idempotent;
-        if !self.attempts.is_empty() || (may_repeat && self.start_relay()) {
+        let may_relay = may_repeat && (self.refusal.is_none() || !self.is_ended());
+        if !self.attempts.is_empty() || (may_relay && self.start_relay()) {
             return Decision::Wait;
         }
-        if is_certain {
-            self.gateway.forget_call(self.inbound.id);
-            return self.submit();
+        if !is_certain {
+            let retry_after = Duration::ZERO;
+            return Decision::GiveUp { reason: GiveUpReason::Lost, not_run: false, retry_after };
+        }
+        if let Some(refusal) = self.refusal.take() {
+            return self.deliver_relayed(refusal.response);
+        }
+        self.gateway.forget_call(self.inbound.id);
+        self.submit()
+    }
+
+    /// Records that the other gateway refuses the call, which it has sent to no target.
+    fn relay_refused(&mut self, delay: Duration, response: ReceivedResponse) {
+        self.uncertain_relays -= 1;
+        self.refused_by = self.peer;
+        if self.refusal.as_ref().is_none_or(|known| delay < known.delay) {
+            self.refusal = Some(RelayedRefusal { delay, response });
         }
-        Decision::GiveUp { reason: GiveUpReason::Lost, not_run: false, retry_after: Duration::ZERO }
+    }
+
+    /// Makes `received`, the response of another gateway, the one that the caller gets.
+    fn deliver_relayed(&mut self, mut received: ReceivedResponse) -> Decision {
+        self.detail = format!("{} status={}", self.detail, received.head.status.as_u16());
+        self.record_departure(&received.head.headers);
+        let version = received.head.headers.remove(RELAYED);
+        let version = version.and_then(|v| v.to_str().ok()?.parse().ok());
+        self.gateway.record_relayed_version(version.unwrap_or(0));
+        self.response = Some(received);
+        self.has_relayed_response = true;
+        Decision::Deliver
     }
 
     /// Records what the response of another gateway says of a target that leaves.
@@ -426,8 +466,10 @@
         };
         let ReceivedResponse { mut head, body } = received;
         strip_hop_by_hop_headers(&mut head.headers);
-        // Only gateways say this to each other.
-        head.headers.remove(DEPARTED);
+        // Only gateways say these to each other.
+        for name in [DEPARTED, UNSENT] {
+            head.headers.remove(name);
+        }
         // The other gateway has prepared the headers of a relayed response.
         if !self.has_relayed_response {
             self.gateway.adapter.prepare_response_headers(&mut head.headers);
@@ -458,7 +500,15 @@
             self.gateway.metrics.quarantined_calls.inc();
         }
         let id = self.inbound.call_headers.id.as_deref();
-        let response = self.gateway.adapter.failure_response(failure, id);
+        let mut response = self.gateway.adapter.failure_response(failure, id);
+        if let CallFailure::NotRun(delay) = failure
+            && self.inbound.is_relayed
+            && self.sent_attempts == 0
+            && reason != GiveUpReason::Quarantined
+        {
+            let ms = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+            response.headers_mut().insert(UNSENT, HeaderValue::from(ms));
+        }
         let detail = match failure {
             CallFailure::NotRun(retry_after) => {
                 format!("reason={} retry_after_ms={}", reason.as_str(), retry_after.as_millis())
@@ -483,6 +533,13 @@
     yield_now().await;
 }
 
+/// Returns the time after which the caller may come back if `received` says that another gateway has refused
+/// the call and sent it to no target.
+fn unsent_delay(received: &ReceivedResponse) -> Option<Duration> {
+    let ms = header_text(&received.head.headers, UNSENT)?.parse().ok()?;
+    Some(Duration::from_millis(ms))
+}
+
 async fn poll_relay(relay: &mut Option<LocalBoxFuture<'static, RelayOutcome>>) -> RelayOutcome {
     match relay {
         Some(relay) => relay.await,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -438,6 +438,17 @@
         }
     }
 
+    /// Returns the addresses for calls of the gateways to which a call is relayed that the one at `refused_by`
+    /// has refused.
+    pub fn further_relay_peers(&self, refused_by: SocketAddr) -> Vec<SocketAddr> {
+        let mut peers = match *self.cut_off.borrow() {
+            true => self.membership.borrow().further_relay_peers(),
+            false => Vec::new(),
+        };
+        peers.retain(|peer| *peer != refused_by);
+        peers
+    }
+
     /// Assigns the limits of targets by the present membership, and passes changes on to it.
     pub fn exchange_limits(&self) {
         let now = self.clock.now();
--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -161,6 +161,181 @@
     .await;
 }
 
+/// Answers that the call was refused and sent to no target, and may come back after `delay_ms`.
+async fn refuse(stream: &mut TcpStream, delay_ms: u64) {
+    let response = format!(
+        "HTTP/1.1 503 Service Unavailable\r\nx-azuretally-call: a\r\nx-azuretally-outcome: not-run\r\n\
+         x-azuretally-retry-after-ms: {delay_ms}\r\nx-azuretally-unsent: {delay_ms}\r\n\
+         content-length: 0\r\n\r\n"
+    );
+    stream.write_all(response.as_bytes()).await.expect("response sent");
+}
+
+/// Callers of a gateway that was cut off got few calls served: the only gateway that a call was relayed to
+/// had been asked for rest by nearly all targets, and its refusal was passed on.
+#[tokio::test]
+async fn call_that_one_gateway_refuses_is_served_by_a_further_one() {
+    run_local(async {
+        for path in ["/check/1", "/sale/1"] {
+            let (one, address) = listen().await;
+            let (two, further) = listen().await;
+            let cut_off = Node::start_cut_off(&[address, further]).await;
+            let mut caller = cut_off.call(path).await;
+            let ((_, mut stream), other) = tokio::select! {
+                accepted = accept(&one) => (accepted, &two),
+                accepted = accept(&two) => (accepted, &one),
+            };
+            refuse(&mut stream, 300).await;
+            let (request, mut stream) = accept(other).await;
+            assert!(request.starts_with(&format!("GET {path} ")), "{request}");
+            answer(&mut stream).await;
+            assert!(read_until(&mut caller, "done").await.starts_with("HTTP/1.1 200"));
+            assert_eq!(cut_off.gateway.metrics.relayed_calls.get(), 2);
+        }
+    })
+    .await;
+}
+
+/// A gateway said nothing of whether it had sent a call that it refused, so that the one that relayed it
+/// could not tell whether to try a further one.
+#[tokio::test]
+async fn gateway_says_that_it_has_sent_a_refused_call_to_no_target() {
+    run_local(async {
+        let (target, address) = listen().await;
+        tokio::task::spawn_local(async move {
+            loop {
+                let (_, mut stream) = accept(&target).await;
+                let response = "HTTP/1.1 503 Service Unavailable\r\nx-azuretally-call: a\r\n\
+                                x-target-refused: busy\r\nconnection: close\r\n\
+                                content-length: 0\r\n\r\n";
+                stream.write_all(response.as_bytes()).await.expect("response sent");
+            }
+        });
+        let cases = [(Node::start(&[]).await, true), (Node::start(&[address]).await, false)];
+        for (node, is_unsent) in cases {
+            let mut peer = TcpStream::connect(node.calls).await.expect("the gateway listens");
+            let request = "GET /sale/1 HTTP/1.1\r\nhost: test\r\nx-azuretally-call: a\r\n\
+                           x-azuretally-timeout-ms: 1000\r\n\
+                           x-azuretally-relayed: 2,1,127.0.0.1\r\n\r\n";
+            peer.write_all(request.as_bytes()).await.expect("request sent");
+            let response = read_until(&mut peer, "\r\n\r\n").await;
+            assert!(response.contains("x-azuretally-outcome: not-run"), "{response}");
+            assert_eq!(response.contains("x-azuretally-unsent: "), is_unsent, "{response}");
+            let mut caller = node.call("/sale/2").await;
+            let response = read_until(&mut caller, "\r\n\r\n").await;
+            assert!(!response.contains("x-azuretally-unsent"), "{response}");
+        }
+    })
+    .await;
+}
+
+/// The caller was told the time of the first refusal, however long.
+#[tokio::test]
+async fn shortest_time_of_the_refusals_reaches_the_caller() {
+    run_local(async {
+        for delays in [[2_000, 300], [300, 2_000]] {
+            let (one, address) = listen().await;
+            let (two, further) = listen().await;
+            let cut_off = Node::start_cut_off(&[address, further]).await;
+            let mut caller = cut_off.call("/sale/1").await;
+            for delay_ms in delays {
+                let accepted = tokio::select! {
+                    accepted = accept(&one) => accepted,
+                    accepted = accept(&two) => accepted,
+                };
+                let (_, mut stream) = accepted;
+                refuse(&mut stream, delay_ms).await;
+            }
+            let response = read_until(&mut caller, "\r\n\r\n").await;
+            assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+            assert!(response.contains("x-azuretally-outcome: not-run"), "{response}");
+            assert!(response.contains("x-azuretally-retry-after-ms: 300\r\n"), "{response}");
+            assert!(!response.contains("x-azuretally-unsent"), "{response}");
+        }
+    })
+    .await;
+}
+
+/// A call that a further gateway may have run must not be answered with the refusal of the first one.
+#[tokio::test]
+async fn refusal_does_not_speak_for_a_further_gateway_that_was_lost() {
+    run_local(async {
+        let (one, address) = listen().await;
+        let (two, further) = listen().await;
+        let cut_off = Node::start_cut_off(&[address, further]).await;
+        let mut caller = cut_off.call("/sale/1").await;
+        let (first, second) = tokio::select! {
+            (_, stream) = accept(&one) => (stream, &two),
+            (_, stream) = accept(&two) => (stream, &one),
+        };
+        let mut first = first;
+        refuse(&mut first, 300).await;
+        let (_, stream) = accept(second).await;
+        drop(stream);
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 502"), "{response}");
+        assert!(response.contains("x-azuretally-outcome: unknown"), "{response}");
+    })
+    .await;
+}
+
+/// A refused call must not come to the same gateway again.
+#[tokio::test]
+async fn refusal_by_the_only_gateway_reaches_the_caller() {
+    run_local(async {
+        let (only, address) = listen().await;
+        let cut_off = Node::start_cut_off(&[address]).await;
+        let mut caller = cut_off.call("/check/1").await;
+        let (_, mut stream) = accept(&only).await;
+        refuse(&mut stream, 300).await;
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.contains("x-azuretally-retry-after-ms: 300\r\n"), "{response}");
+    })
+    .await;
+}
+
+/// A call must not go beyond a gateway that does not say that it has sent the call to no target.
+#[tokio::test]
+async fn refusal_after_an_attempt_reaches_the_caller() {
+    run_local(async {
+        let (one, address) = listen().await;
+        let (two, further) = listen().await;
+        let cut_off = Node::start_cut_off(&[address, further]).await;
+        let mut caller = cut_off.call("/check/1").await;
+        let ((_, mut stream), other) = tokio::select! {
+            accepted = accept(&one) => (accepted, &two),
+            accepted = accept(&two) => (accepted, &one),
+        };
+        let refusal = "HTTP/1.1 503 Service Unavailable\r\nx-azuretally-call: a\r\n\
+                       x-azuretally-outcome: not-run\r\ncontent-length: 0\r\n\r\n";
+        stream.write_all(refusal.as_bytes()).await.expect("response sent");
+        let response = read_until(&mut caller, "\r\n\r\n").await;
+        assert!(response.starts_with("HTTP/1.1 503"), "{response}");
+        assert!(timeout(Duration::from_millis(200), other.accept()).await.is_err());
+    })
+    .await;
+}
+
+/// A target must not be able to speak for a gateway: its answer would be dropped and the call sent again.
+#[tokio::test]
+async fn answer_of_a_target_is_not_taken_for_the_refusal_of_a_gateway() {
+    run_local(async {
+        let (target, address) = listen().await;
+        let (one, two) = (Node::start(&[address]).await, Node::start(&[address]).await);
+        let cut_off = Node::start_cut_off(&[one.calls, two.calls]).await;
+        let mut caller = cut_off.call("/sale/1").await;
+        let (_, mut stream) = accept(&target).await;
+        let response = "HTTP/1.1 500 Internal Server Error\r\nx-azuretally-call: a\r\n\
+                        x-azuretally-unsent: 5\r\ncontent-length: 4\r\n\r\ndone";
+        stream.write_all(response.as_bytes()).await.expect("response sent");
+        let response = read_until(&mut caller, "done").await;
+        assert!(response.starts_with("HTTP/1.1 500"), "{response}");
+        assert!(!response.contains("x-azuretally-unsent"), "{response}");
+        assert!(timeout(Duration::from_millis(200), target.accept()).await.is_err());
+    })
+    .await;
+}
+
 /// Two gateways that each take the other for healthy must not send a call to and fro.
 #[tokio::test]
 async fn relayed_call_is_not_relayed_again() {
--- a/crates/policy/src/balance/membership/reach.rs
+++ b/crates/policy/src/balance/membership/reach.rs
@@ -40,4 +40,12 @@
             false => local.into_iter().map(|h| h.call_address).collect(),
         }
     }
+
+    /// Returns the addresses for calls of all ready gateways of this failure domain, and of the primaries
+    /// of the others: a call that one of [`relay_peers`](Self::relay_peers) refuses can be relayed to these.
+    pub fn further_relay_peers(&self) -> Vec<SocketAddr> {
+        let local = self.ranked(&self.own.domain).into_iter();
+        let local = local.filter(|h| h.host != self.own.host).map(|h| h.call_address);
+        local.chain(self.remote_primaries().into_iter().map(|(_, address)| address)).collect()
+    }
 }
