--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     adapter::{CallAdapter, PlatformAdapter, TargetNotice},
-    clock::Clock,
+    clock::{Clock, unix_ms},
     control::UnreadableMessages,
     metrics::Metrics,
     settings::Settings,
@@ -25,7 +25,7 @@
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
-    time::{Duration, SystemTime, UNIX_EPOCH},
+    time::Duration,
 };
 use tokio::{
     sync::{Notify, mpsc, oneshot, watch},
@@ -131,7 +131,7 @@
             balancer_settings(&settings, &BudgetShare { slack: 0.0, directed_gateways: 1 }),
             rand::random(),
         );
-        balancer.set_epoch(epoch_ms());
+        balancer.set_epoch(unix_ms());
         let membership = membership_builder(&settings).build(now);
         Self {
             adapter,
@@ -465,6 +465,17 @@
         }
     }
 
+    /// Returns the addresses for calls of the gateways to which a call is relayed that the one at `refused_by`
+    /// has refused.
+    pub fn further_relay_peers(&self, refused_by: SocketAddr) -> Vec<SocketAddr> {
+        let mut peers = match *self.cut_off.borrow() {
+            true => self.membership.borrow().further_relay_peers(),
+            false => Vec::new(),
+        };
+        peers.retain(|peer| *peer != refused_by);
+        peers
+    }
+
     /// Assigns the limits of targets by the present membership, and passes changes on to it.
     pub fn exchange_limits(&self) {
         let now = self.clock.now();
@@ -530,17 +541,18 @@
         Membership::call_replies(from, unknown)
     }
 
-    /// Records what an answer of `process`, listed as target `name`, says of itself.
+    /// Records what an answer of `process`, listed as target `name`, says of itself. Its request was sent at
+    /// `sent_at`.
     pub fn record_notice(
         &self,
         service: &Arc<str>,
         name: &str,
         process: ProcessId,
         notice: &TargetNotice,
+        sent_at: Timestamp,
     ) {
-        let now = self.clock.now();
-        if notice.leaving
-            && self.balancer.borrow_mut().record_departure(now, service, name, process)
+        let at = self.clock.answer_time(sent_at);
+        if notice.leaving && self.balancer.borrow_mut().record_departure(at, service, name, process)
         {
             self.metrics.record_departure(service);
         }
@@ -549,7 +561,7 @@
             RetryAfter::Unreadable => self.metrics.record_rest(service, "unreadable"),
             RetryAfter::After(time) => {
                 let mut balancer = self.balancer.borrow_mut();
-                if balancer.record_rest(now, service, name, process, time) {
+                if balancer.record_rest(at, service, name, process, time) {
                     self.metrics.record_rest(service, "asked");
                 }
             }
@@ -559,8 +571,8 @@
     /// Records that another gateway has passed on an answer of `process`, listed as target `name`, which
     /// says that it leaves.
     pub fn record_relayed_departure(&self, name: &str, process: ProcessId) {
-        let now = self.clock.now();
-        let service = self.balancer.borrow_mut().record_relayed_departure(now, name, process);
+        let at = self.clock.answer_time(self.clock.now());
+        let service = self.balancer.borrow_mut().record_relayed_departure(at, name, process);
         if let Some(service) = service {
             self.metrics.record_departure(&service);
         }
@@ -596,17 +608,11 @@
     }
 }
 
-/// Returns the time in ms since the Unix epoch.
-fn epoch_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX)
-}
-
 fn membership_builder(settings: &Settings) -> MembershipBuilder {
     let own = Heartbeat {
         host: Arc::clone(&settings.host),
         domain: Arc::clone(&settings.failure_domain),
-        incarnation: epoch_ms(),
+        incarnation: unix_ms(),
         sequence: 0,
         call_address: settings.listen.calls,
         capacity: settings.size.capacity(),
--- a/crates/policy/src/balance/balancer/departing.rs
+++ b/crates/policy/src/balance/balancer/departing.rs
@@ -1,28 +1,27 @@
 //! Targets that say in their answers that they leave.
 
 use super::{
-    super::{quarantine::ProcessId, service::Service},
+    super::{quarantine::ProcessId, service::Service, succession::AnswerTime},
     Balancer,
 };
-use crate::Timestamp;
 use std::sync::Arc;
 
 impl Balancer {
     /// Records that an answer of `process`, listed as target `name`, says that it leaves. Returns whether
     /// that is news. The process gets no further calls, whatever later answers or the platform say;
-    /// another process of that name does not leave.
+    /// a process of that name that started later does not leave.
     pub fn record_departure(
         &mut self,
-        now: Timestamp,
+        at: AnswerTime,
         service: &str,
         name: &str,
         process: ProcessId,
     ) -> bool {
-        let Some(target) = self.process_mut(service, name, process) else { return false };
+        let Some(target) = self.speaker_mut(at, service, name, process) else { return false };
         if target.departed.is_some() {
             return false;
         }
-        target.departed = Some(now);
+        target.departed = Some(at);
         let is_listed = if target.leaving { "leaving" } else { "serving" };
         self.log_lines.push(format!("target {name} says that it leaves, listed as {is_listed}"));
         true
@@ -32,14 +31,15 @@
     /// says that it leaves. Returns the service of the target if that is news.
     pub fn record_relayed_departure(
         &mut self,
-        now: Timestamp,
+        at: AnswerTime,
         name: &str,
         process: ProcessId,
     ) -> Option<Arc<str>> {
-        let is_listed = |s: &Service| s.targets.get(name).is_some_and(|t| t.process == process);
+        let is_listed =
+            |s: &Service| s.targets.get(name).is_some_and(|t| t.may_have_said(at, process));
         let service = self.services.iter().find(|(_, s)| is_listed(s))?.0;
         let service = Arc::clone(service);
-        self.record_departure(now, &service, name, process).then_some(service)
+        self.record_departure(at, &service, name, process).then_some(service)
     }
 
     /// Returns the number of targets of each service that have said that they leave.
