fix(gateway): read datagrams of any length, and count unreadable ones

Callers would see: settings that come late, and directions without the first gateway of a failure domain, in a fleet with long names of many failure domains. The heartbeat of a primary names those of all other domains; one of over 2,048 bytes was cut off by the receiver and dropped with a line at level debug alone, so the primary was dead to its domain.

Ruled out: limits and notices of calls (1,200 bytes at most) and answers to join messages (at most 48 addresses and one for each domain).

Now the receiver takes whatever UDP can carry, and azuretally_unreadable_datagrams_total counts what cannot be read.

Shorter names are not affected.

--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -20,8 +20,9 @@
 };
 use tokio::{net::UdpSocket, time::sleep};
 
-/// Maximum size of a received datagram, in bytes.
-const MAX_DATAGRAM_BYTES: usize = 2_048;
+/// Maximum size of a received datagram, in bytes: more than UDP over IPv4 can carry. What is longer is cut
+/// off.
+const MAX_DATAGRAM_BYTES: usize = 65_536;
 /// Maximum time between two ticks of the membership.
 const MAX_TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which a liveness connection to a peer is replaced.
@@ -102,6 +103,7 @@
     let message = match message {
         Ok(message) => message,
         Err(e) => {
+            gateway.metrics.unreadable_datagrams.inc();
             log::debug!("control: cannot decode datagram from {from}: {e}");
             return;
         }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -123,6 +123,8 @@
     pub platform_reads: Family<PlatformReadLabels, Counter>,
     /// Records of the platform that could not be read, settings among them.
     pub unreadable_records: Counter,
+    /// Datagrams of other gateways that could not be read.
+    pub unreadable_datagrams: Counter,
     /// Versions of the settings that came into force without some of their routes.
     pub incomplete_settings: Counter,
     /// Routes of the settings in force that cannot be used.
@@ -181,6 +183,7 @@
             quarantined_digests: Gauge::default(),
             platform_reads: Family::default(),
             unreadable_records: Counter::default(),
+            unreadable_datagrams: Counter::default(),
             incomplete_settings: Counter::default(),
             unusable_routes: Gauge::default(),
             waiting_calls: Gauge::default(),
@@ -226,6 +229,8 @@
         );
         let help = "Records of the platform that could not be read";
         registry.register("unreadable_records", help, metrics.unreadable_records.clone());
+        let help = "Datagrams of other gateways that could not be read";
+        registry.register("unreadable_datagrams", help, metrics.unreadable_datagrams.clone());
         let help = "Versions of the settings that came into force without some of their routes";
         registry.register("incomplete_settings", help, metrics.incomplete_settings.clone());
         let help = "Routes of the settings in force that cannot be used";
