fix(entry): measure the load of a service in one interval only

Entries: one that came back into an entry set reported all calls that it had taken since it had left as those of the last second, so the service could seem to cause the load of the process, and its set could grow without need.

Cause: running totals were kept up for the services of whose set the entry was a member at the time. Ruled out: the utilization, which always covers one interval.

Fix: the meter keeps the totals of all services at each report. It moved to the policy crate (CallMeter), where it has a test.

--- a/crates/entry/src/control/load.rs
+++ b/crates/entry/src/control/load.rs
@@ -3,7 +3,7 @@
 use crate::context::Context;
 use azuretally_policy::{
     Timestamp,
-    fleet::{Fleet, ServiceLoad},
+    fleet::{CallMeter, Fleet, ServiceLoad},
 };
 use indexmap::IndexMap;
 use rustix::time::{ClockId, clock_gettime};
@@ -22,8 +22,8 @@
     reported_at: Timestamp,
     /// CPU time of the process at the previous report.
     cpu_time: Duration,
-    /// Calls accepted up to the previous report, by service.
-    call_totals: IndexMap<Arc<str>, u64>,
+    /// Counts the calls accepted between reports, by service.
+    calls: CallMeter,
     /// Number of cores that the threads of the request path can use.
     cores: f64,
 }
@@ -36,7 +36,7 @@
         Self {
             reported_at,
             cpu_time: cpu_time(ClockId::ProcessCPUTime),
-            call_totals: IndexMap::new(),
+            calls: CallMeter::default(),
             cores: cores as f64,
         }
     }
@@ -58,23 +58,22 @@
 
     fn loads(&mut self, context: &Context, fleet: &Fleet) -> Vec<ServiceLoad> {
         let Some(settings) = fleet.settings().accepted() else { return Vec::new() };
-        let mut totals: IndexMap<String, u64> = IndexMap::new();
+        let mut totals: IndexMap<Arc<str>, u64> = IndexMap::new();
         for (name, counts) in context.counts.snapshot() {
             if let Some((service, _)) = name.split_once('.') {
-                *totals.entry(service.to_owned()).or_default() += counts.taken;
+                *totals.entry(Arc::from(service)).or_default() += counts.taken;
             }
         }
+        let host = &context.local.host;
+        let sets = &fleet.entry_sets().services;
+        let is_member = |service: &str| sets.get(service).is_some_and(|set| set.contains(host));
+        let calls = self.calls.report(totals, is_member);
         let mut loads = Vec::new();
-        for (service, members) in &fleet.entry_sets().services {
-            if !members.contains(&context.local.host) {
-                continue;
-            }
+        for (service, members) in sets.iter().filter(|(_, members)| members.contains(host)) {
             let Some(published) = settings.value.services.get(service) else { continue };
-            let total = totals.get(&**service).copied().unwrap_or_default();
-            let previous = self.call_totals.insert(Arc::clone(service), total).unwrap_or_default();
             loads.push(ServiceLoad {
                 service: Arc::clone(service),
-                calls: total.saturating_sub(previous),
+                calls: calls.get(service).copied().unwrap_or_default(),
                 size: members.len(),
                 minimum: published.entry_set as usize,
             });
--- a/crates/policy/src/fleet.rs
+++ b/crates/policy/src/fleet.rs
@@ -44,6 +44,6 @@
 pub use revision::PublishedRevision;
 pub use revision_store::{AcceptedDocument, RefusedDocument, RevisionStore, Verdict};
 pub use rings::{RING_COUNT, predecessors, successors};
-pub use sizer::{GROW_THRESHOLD, RESIZE_GOAL, SHRINK_THRESHOLD, ServiceLoad, SetSizer};
+pub use sizer::{CallMeter, GROW_THRESHOLD, RESIZE_GOAL, SHRINK_THRESHOLD, ServiceLoad, SetSizer};
 pub use slots::{FREE_SLOTS_TTL, FreeSlots, SLOT_BYTES_PER_S};
 pub use values::WATCHERS_PER_DOMAIN;
--- a/crates/policy/src/fleet/sizer.rs
+++ b/crates/policy/src/fleet/sizer.rs
@@ -38,6 +38,34 @@
     pub minimum: usize,
 }
 
+/// Counts the calls of each service between reports.
+#[derive(Clone, Debug, Default)]
+pub struct CallMeter {
+    /// Calls up to the previous report.
+    totals: IndexMap<Arc<str>, u64>,
+}
+
+impl CallMeter {
+    /// Returns the calls since the previous report of the services for which `is_member` returns
+    /// true, given the running totals of all services.
+    pub fn report<IsMember>(
+        &mut self,
+        totals: IndexMap<Arc<str>, u64>,
+        is_member: IsMember,
+    ) -> IndexMap<Arc<str>, u64>
+    where
+        IsMember: Fn(&str) -> bool,
+    {
+        let previous = std::mem::replace(&mut self.totals, totals);
+        let members = self.totals.iter().filter(|(service, _)| is_member(service));
+        let calls = members.map(|(service, total)| {
+            let before = previous.get(service).copied().unwrap_or_default();
+            (Arc::clone(service), total.saturating_sub(before))
+        });
+        calls.collect()
+    }
+}
+
 /// Entry set sizes that this entry requests.
 #[derive(Clone, Debug, Default)]
 pub struct SetSizer {
--- a/crates/policy/tests/fleet/slots.rs
+++ b/crates/policy/tests/fleet/slots.rs
@@ -7,10 +7,11 @@
 use azuretally_policy::{
     Timestamp,
     fleet::{
-        FLEET_CALLS_PER_S, FREE_SLOTS_TTL, FreeSlots, Pacer, SLOT_BYTES_PER_S, ServiceLoad,
-        SetSizer, token_interval,
+        CallMeter, FLEET_CALLS_PER_S, FREE_SLOTS_TTL, FreeSlots, Pacer, SLOT_BYTES_PER_S,
+        ServiceLoad, SetSizer, token_interval,
     },
 };
+use indexmap::IndexMap;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::{sync::Arc, time::Duration};
@@ -134,3 +135,15 @@
         assert!(sent < 2_500.0, "{sent} B/s for {members} entries");
     }
 }
+
+/// Guards against an entry set that grows without need: the load of an entry that came back to it
+/// covered all calls since it had left.
+#[test]
+fn load_of_an_entry_that_rejoins_a_set_covers_one_interval() {
+    let totals = |till, office| IndexMap::from([("till".into(), till), ("office".into(), office)]);
+    let is_till = |service: &str| service == "till";
+    let mut meter = CallMeter::default();
+    assert_eq!(meter.report(totals(10, 5), |_| true), totals(10, 5));
+    assert_eq!(meter.report(totals(10, 900), is_till), IndexMap::from([("till".into(), 0)]));
+    assert_eq!(meter.report(totals(30, 1_000), |_| true), totals(20, 100));
+}
