test(testsuite): check that a new process of a drained target gets calls

Entries keep a heard leaving report until they know of another process. This plays the way by which they learn of one where the host list has no incarnations: a probe, and from it the view.

--- a/crates/testsuite/tests/testsuite/leaving.rs
+++ b/crates/testsuite/tests/testsuite/leaving.rs
@@ -4,7 +4,7 @@
     platform::Faults as PlatformFaults,
     target::{Faults, GroupReport},
 };
-use azuretally_testsuite::{Fleet, LoadGenerator, Workload};
+use azuretally_testsuite::{Fleet, LoadGenerator, Workload, eventually};
 use std::time::Duration;
 use tokio::time;
 
@@ -12,6 +12,10 @@
 const LEAVING_BOUND: Duration = Duration::from_secs(2);
 /// Time for which the calls of the target are then counted.
 const OBSERVATION_TIME: Duration = Duration::from_secs(2);
+/// Budget for probes, which find that the target has been replaced, in ms of slot time per second.
+const BUDGET_MS_PER_S: f64 = 100.0;
+/// Time after which a new process of the target must have got a call.
+const REPLACEMENT_LIMIT: Duration = Duration::from_secs(60);
 
 const WORKLOAD: Workload = Workload {
     callers: 12,
@@ -141,3 +145,25 @@
     assert_eq!(calls_at(&after, "till-1"), calls_at(&before, "till-1"));
     fleet.verify(&load.finish().await).await;
 }
+
+/// Guards against a new process that gets no calls for good, under the name of a target that drained,
+/// where the host list names no incarnations.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_process_under_the_name_of_a_drained_target_gets_calls() {
+    let mut fleet = Fleet::builder().published(|p| p.probe_budget = BUDGET_MS_PER_S).start().await;
+    let load = LoadGenerator::start(&fleet, WORKLOAD);
+    time::sleep(Duration::from_millis(300)).await;
+    fleet.set_target_faults(Some(1), Faults { drain: true, ..Faults::default() }).await;
+    time::sleep(LEAVING_BOUND).await;
+    fleet.publish_hosts(&[], &["till-1"]).await;
+    time::sleep(LEAVING_BOUND).await;
+    let before = fleet.target_report().await;
+    fleet.set_target_faults(Some(1), Faults { cold: true, ..Faults::default() }).await;
+    fleet.publish_hosts(&[], &[]).await;
+    eventually("a call of the new process", REPLACEMENT_LIMIT, async || {
+        let now = fleet.target_report().await;
+        (calls_at(&now, "till-1") > calls_at(&before, "till-1")).then_some(())
+    })
+    .await;
+    fleet.verify(&load.finish().await).await;
+}
