test(policy): evidence of crashes is kept for 64 targets at most

Cause: the bound on the number of targets, which came with the evidence that is kept, had no test; the bound in time has one. Measured: with a bound of 1,000 the test fails (90 targets checked after a cut, 64 expected), with that of the code it passes.

--- a/crates/policy/tests/balance/quarantine.rs
+++ b/crates/policy/tests/balance/quarantine.rs
@@ -235,6 +235,27 @@
     assert_eq!(fixture.balancer.crash_checks_due(), Timestamp::MAX);
 }
 
+/// Evidence of a long cut must not grow with the number of targets.
+#[test]
+fn evidence_is_kept_for_a_limited_number_of_targets() {
+    let mut fixture = Fixture::new(100, 0);
+    fixture.check_reach(900, 0);
+    fixture.break_copies(1_000, 1, 90, "/call");
+    fixture.check_reach(1_100, 1);
+    let mut checked = 0;
+    loop {
+        let checks = fixture.balancer.take_crash_checks(ms(1_200));
+        if checks.is_empty() {
+            break;
+        }
+        checked += checks.len();
+        for check in checks {
+            fixture.balancer.crash_checked(ms(1_200), check.process, CrashEvidence::Alive);
+        }
+    }
+    assert_eq!(checked, 64);
+}
+
 /// A call that ran on many targets when all ended at once must be served again.
 #[test]
 fn call_whose_targets_all_ended_at_once_is_tried_again() {
