--- a/crates/policy/src/balance/records.rs
+++ b/crates/policy/src/balance/records.rs
@@ -9,7 +9,7 @@
 pub struct TargetRecord {
     /// Name of the target, which may stay the same across restarts.
     pub name: Arc<str>,
-    /// Start time of the process in ms of its own clock; distinguishes processes of the same name.
+    /// Start of the process, in Unix ms by the clock of its host. Tells processes of one name apart.
     pub started: Option<u64>,
     /// Service that the target provides.
     pub service: Arc<str>,
