--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -286,6 +286,9 @@
     /// Parses the head of a probe response.
     fn parse_probe_response(&self, head: &response::Parts) -> ProbeResponse;
 
+    /// Returns whether the headers of a response name a call. That of a probe names none.
+    fn names_call(&self, headers: &HeaderMap) -> bool;
+
     /// Parses what a target says of itself in the head of any response.
     fn parse_notice(&self, status: StatusCode, headers: &HeaderMap) -> TargetNotice;
 
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -110,6 +110,10 @@
     let sent_at = gateway.clock.now();
     let response = connection.sender.send_request(request).await.ok()?;
     let (head, body) = response.into_parts();
+    // The connection is out of step: the second copy of an answer to an earlier call has arrived.
+    if gateway.adapter.names_call(&head.headers) {
+        return None;
+    }
     let name = gateway.adapter.parse_probe_response(&head).target;
     if name.is_none_or(|name| name == probe.target) {
         let notice = gateway.adapter.parse_notice(head.status, &head.headers);
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -107,6 +107,10 @@
         }
     }
 
+    fn names_call(&self, fields: &HeaderMap) -> bool {
+        fields.contains_key(headers::CALL)
+    }
+
     fn parse_notice(&self, status: StatusCode, fields: &HeaderMap) -> TargetNotice {
         TargetNotice {
             rest: rest_field(status, fields),
--- a/crates/gateway/src/native/published.rs
+++ b/crates/gateway/src/native/published.rs
@@ -3,25 +3,32 @@
 use azuretally_policy::balance::{CallerLimits, Change, PublishedSettings, Route};
 use indexmap::IndexMap;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Value, value::RawValue};
 use std::{sync::Arc, time::Duration};
 
 /// Response body of the platform with changes that may be unreadable.
 #[derive(Debug, Deserialize)]
-pub(super) struct RawChanges {
+pub(super) struct RawChanges<'a> {
     pub(super) revision: u64,
-    changes: Vec<Value>,
+    /// Only told apart at first: one that is nested too deeply, or has a number out of range, would make
+    /// the whole body unreadable.
+    #[serde(borrow)]
+    changes: Vec<&'a RawValue>,
 }
 
-impl RawChanges {
+impl RawChanges<'_> {
     /// Returns the changes as far as they can be read, and the number of parts that cannot be. An
     /// invalid target record counts as gone.
     pub(super) fn parse(&self) -> (Vec<Change>, u32) {
         let mut unreadable = 0;
         let mut changes = Vec::new();
         for raw in &self.changes {
-            let parsed = Change::deserialize(raw).ok();
-            changes.extend(parsed.or_else(|| parse_partly(raw, &mut unreadable)));
+            let Ok(raw) = serde_json::from_str::<Value>(raw.get()) else {
+                unreadable += 1;
+                continue;
+            };
+            let parsed = Change::deserialize(&raw).ok();
+            changes.extend(parsed.or_else(|| parse_partly(&raw, &mut unreadable)));
         }
         (changes, unreadable)
     }
--- a/crates/gateway/tests/native.rs
+++ b/crates/gateway/tests/native.rs
@@ -73,3 +73,27 @@
     body["revision"] = json!("7");
     assert!(matches!(read(&body), Err(ReadError::Decode(_))));
 }
+
+/// Another writer has left a record that no reader can take in. Readers that refuse the whole answer for it
+/// no longer follow the platform.
+#[test]
+fn odd_record_costs_itself_alone() {
+    let deep = format!("{}{}", "[".repeat(5_000), "]".repeat(5_000));
+    let good = changes()["changes"][1].to_string();
+    let odd = [
+        (deep.clone(), false),
+        (format!(r#"{{"target":{{"name":"odd","labels":{deep}}}}}"#), false),
+        (good.replace(r#""slots":2"#, r#""slots":1e999"#), false),
+        (good.replace(r#""slots":2"#, r#""slots":99999999999999999999999"#), true),
+        (good.replace("127.0.0.1:80", "127.0.0.1:65536"), true),
+        (format!(r#"{{"published":{deep}}}"#), false),
+    ];
+    for (odd, is_named) in odd {
+        let body = format!(r#"{{"revision":7,"changes":[{odd},{good}]}}"#);
+        let start = &odd[..odd.len().min(80)];
+        let update = NativeAdapter.parse_changes(StatusCode::OK, body.as_bytes()).expect(start);
+        assert_eq!(update.unreadable, 1, "{start}");
+        assert_eq!(update.changes.last(), Some(&Change::Target(stub::target(1, 2))), "{start}");
+        assert_eq!(update.changes.len(), 1 + usize::from(is_named), "{start}");
+    }
+}
