fix(gateway): read the head of an answer that nobody waits for any more

Cause: when a caller leaves, or another attempt is answered first, the connection of the attempt was closed at once. An answer on its way that asks for rest, or says that the target leaves, was lost, and the gateway went on sending.

Ruled out: closing later in general.

Change: a request that is dropped before the head of its answer hands the connection to a task that reads the head (`calls::unread`). The same for probes that time out. A probe takes an answer that names a call for none only on a connection that has carried a request before, since a check on a new connection proves a sign of life whatever the answer says.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -283,8 +283,8 @@
     /// Parses the head of a target's response to the call with the caller's id `id`.
     fn parse_response(&self, head: &response::Parts, id: Option<&str>) -> TargetResponse;
 
-    /// Parses the head of a probe response.
-    fn parse_probe_response(&self, head: &response::Parts) -> ProbeResponse;
+    /// Parses the headers of a probe response.
+    fn parse_probe_response(&self, headers: &HeaderMap) -> ProbeResponse;
 
     /// Returns whether the headers of a response name a call. That of a probe names none.
     fn names_call(&self, headers: &HeaderMap) -> bool;
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -17,5 +17,6 @@
 mod relay;
 mod server;
 mod task;
+mod unread;
 
 pub use server::Server;
--- a/crates/gateway/src/calls/crash.rs
+++ b/crates/gateway/src/calls/crash.rs
@@ -87,7 +87,7 @@
             return Some(true);
         }
         let head = probe::request(gateway, pool, target, connection).await?;
-        let name = gateway.adapter.parse_probe_response(&head).target;
+        let name = gateway.adapter.parse_probe_response(&head.headers).target;
         Some(name.is_none_or(|name| name == target.target))
     };
     timeout(CHECK_TIMEOUT, exchange).await.is_ok_and(|alive| alive == Some(true))
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -4,6 +4,7 @@
     body::{BufferLimits, BufferedBody, RequestBody, buffer_body},
     inbound::InboundCall,
     pool::{Connection, ConnectionPool},
+    unread::{RequestedTarget, SentRequest},
 };
 use crate::{
     adapter::{CallAdapter, PlatformAdapter, ResponseKind, TargetRequest, TargetResponse},
@@ -14,9 +15,9 @@
     balance::{Attempt, AttemptOutcome, Failure, LimitField, LoadReport, NewAttempt, ProcessId},
 };
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header::CONTENT_ENCODING, response};
+use http::{Request, Response, header::CONTENT_ENCODING, response};
 use hyper::body::Incoming;
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 /// Size up to which a response body is read completely before the caller gets any part of it, so
 /// that a truncated response can be replaced by that of another target.
@@ -151,16 +152,15 @@
     let adapter = &gateway.adapter;
     let request = inbound.build_request(adapter, &target_request).ok_or(Failure::Broken)?;
     let address = new_attempt.address;
-    let target = Some((&*new_attempt.target, new_attempt.process));
-    let upstream = Upstream { gateway, pool, inbound, address, target };
+    let target = RequestedTarget {
+        service: Arc::clone(&inbound.service),
+        name: Arc::clone(&new_attempt.target),
+        process: new_attempt.process,
+        sent_at,
+    };
+    let upstream = Upstream { gateway, pool, inbound, address, target: Some(&target) };
     let (response, connection) = upstream.send(request, sent).await?;
-    // Another process says nothing about this one.
-    if response.status() != StatusCode::MISDIRECTED_REQUEST {
-        let notice = adapter.parse_notice(response.status(), response.headers());
-        *leaving = notice.leaving;
-        let NewAttempt { target, process, .. } = new_attempt;
-        gateway.record_notice(&inbound.service, target, *process, &notice, sent_at);
-    }
+    *leaving = target.record_notice(gateway, &response);
     Ok(receive(adapter, pool, inbound, response, connection).await?)
 }
 
@@ -186,8 +186,8 @@
     pub(super) pool: &'a ConnectionPool,
     pub(super) inbound: &'a InboundCall,
     pub(super) address: SocketAddr,
-    /// Name and process of the target, `None` for another gateway.
-    pub(super) target: Option<(&'a str, ProcessId)>,
+    /// The target, `None` for another gateway.
+    pub(super) target: Option<&'a RequestedTarget>,
 }
 
 impl<Adapter> Upstream<'_, Adapter>
@@ -205,7 +205,7 @@
         let decided_at = gateway.clock.now();
         for _ in 0..MAX_SEND_TRIES {
             let idle = pool.take(address, !inbound.route.idempotent);
-            let mut connection = match idle {
+            let connection = match idle {
                 Some(connection) => connection,
                 None => {
                     if self.target.is_some() {
@@ -224,8 +224,10 @@
                 return Err(SendError::Withheld);
             }
             *sent = true;
-            match connection.sender.try_send_request(request).await {
-                Ok(response) => return Ok((response, connection)),
+            let sent_request =
+                SentRequest::send(connection, request, self.target, pool.unread_answers());
+            match sent_request.head().await {
+                Ok(answer) => return Ok(answer),
                 Err(mut error) => request = error.take_message().ok_or(Failure::Broken)?,
             }
             *sent = false;
@@ -235,9 +237,9 @@
 
     /// Returns whether the target has not asked for rest since the attempt was decided.
     fn wants_request(&self, now: Timestamp) -> bool {
-        self.target.is_none_or(|(name, process)| {
-            let balancer = self.gateway.balancer.borrow();
-            balancer.wants_requests(now, &self.inbound.service, name, process)
+        self.target.is_none_or(|target| {
+            let RequestedTarget { service, name, process, .. } = target;
+            self.gateway.balancer.borrow().wants_requests(now, service, name, *process)
         })
     }
 }
--- a/crates/gateway/src/calls/pool.rs
+++ b/crates/gateway/src/calls/pool.rs
@@ -3,6 +3,7 @@
 use super::{
     allowance::{AllowedStream, ReadAllowance},
     body::RequestBody,
+    unread::UnreadAnswer,
 };
 use crate::{clock::Clock, socket::configure};
 use azuretally_policy::Timestamp;
@@ -18,6 +19,7 @@
 };
 use tokio::{
     net::{TcpSocket, TcpStream},
+    sync::mpsc,
     task::spawn_local,
     time::{sleep, timeout},
 };
@@ -53,6 +55,8 @@
     pub(super) sender: SendRequest<RequestBody>,
     /// Bytes that the target may send.
     pub(super) allowance: ReadAllowance,
+    /// Whether it has carried an earlier request, whose answer the target may send once more.
+    pub(super) is_reused: bool,
     address: SocketAddr,
     driver: AbortOnDropHandle<()>,
 }
@@ -83,12 +87,22 @@
     /// Local address of new connections, any if `None`.
     source: Option<IpAddr>,
     idle: RefCell<IndexMap<SocketAddr, Vec<IdleConnection>>>,
+    unread_answers: mpsc::UnboundedSender<UnreadAnswer>,
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
-    pub(super) fn new(clock: Clock, source: Option<IpAddr>) -> Self {
-        Self { clock, source, idle: RefCell::default() }
+    /// Creates an empty pool. Answers that nobody waits for any more are sent to `unread_answers`.
+    pub(super) fn new(
+        clock: Clock,
+        source: Option<IpAddr>,
+        unread_answers: mpsc::UnboundedSender<UnreadAnswer>,
+    ) -> Self {
+        Self { clock, source, idle: RefCell::default(), unread_answers }
+    }
+
+    /// Returns where answers are sent that nobody waits for any more.
+    pub(super) fn unread_answers(&self) -> &mpsc::UnboundedSender<UnreadAnswer> {
+        &self.unread_answers
     }
 
     /// Takes an idle connection to `address` out of the pool.
@@ -134,11 +148,13 @@
                 log::debug!("calls: connection to {address} ended: {e}");
             }
         });
-        Ok(Connection { sender, allowance, address, driver: AbortOnDropHandle::new(driver) })
+        let driver = AbortOnDropHandle::new(driver);
+        Ok(Connection { sender, allowance, is_reused: false, address, driver })
     }
 
     /// Adds an idle connection, for which the target announced `idle_timeout`.
-    fn insert(&self, connection: Connection, idle_timeout: Option<Duration>) {
+    fn insert(&self, mut connection: Connection, idle_timeout: Option<Duration>) {
+        connection.is_reused = true;
         let idle_since = self.clock.now();
         let expires_at =
             idle_since + idle_timeout.unwrap_or(DEFAULT_IDLE_TIMEOUT).mul_f64(USABLE_IDLE_FRACTION);
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -3,6 +3,7 @@
 use super::{
     body::RequestBody,
     pool::{Connection, ConnectionPool},
+    unread::{RequestedTarget, SentRequest},
 };
 use crate::{
     adapter::{CallAdapter, PlatformAdapter},
@@ -76,7 +77,7 @@
         }
     };
     let head = request(gateway, pool, probe, connection).await?;
-    let probe_response = gateway.adapter.parse_probe_response(&head);
+    let probe_response = gateway.adapter.parse_probe_response(&head.headers);
     let is_same_target = probe_response.target.is_none_or(|name| name == probe.target);
     if is_same_target {
         let now = gateway.clock.now();
@@ -96,7 +97,7 @@
     gateway: &Gateway<Adapter>,
     pool: &ConnectionPool,
     probe: &Probe,
-    mut connection: Connection,
+    connection: Connection,
 ) -> Option<response::Parts>
 where
     Adapter: CallAdapter + PlatformAdapter,
@@ -107,18 +108,20 @@
     };
     let body: RequestBody = Either::Left(Full::new(Bytes::new()));
     let request = Request::get(&*path).header(HOST, probe.address.to_string()).body(body).ok()?;
-    let sent_at = gateway.clock.now();
-    let response = connection.sender.send_request(request).await.ok()?;
-    let (head, body) = response.into_parts();
+    let target = RequestedTarget {
+        service: Arc::clone(&probe.service),
+        name: Arc::clone(&probe.target),
+        process: probe.process,
+        sent_at: gateway.clock.now(),
+    };
+    let sent = SentRequest::send(connection, request, Some(&target), pool.unread_answers());
+    let (response, connection) = sent.head().await.ok()?;
     // The connection is out of step: the second copy of an answer to an earlier call has arrived.
-    if gateway.adapter.names_call(&head.headers) {
+    if connection.is_reused && gateway.adapter.names_call(response.headers()) {
         return None;
     }
-    let name = gateway.adapter.parse_probe_response(&head).target;
-    if name.is_none_or(|name| name == probe.target) {
-        let notice = gateway.adapter.parse_notice(head.status, &head.headers);
-        gateway.record_notice(&probe.service, &probe.target, probe.process, &notice, sent_at);
-    }
+    target.record_notice(gateway, &response);
+    let (head, body) = response.into_parts();
     body.collect().await.ok()?;
     pool.release(connection, &head.headers);
     Some(head)
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -1,7 +1,12 @@
 //! Listens for callers and drains their connections on a planned stop.
 
 use super::{
-    connection::CallerConnection, crash, pool::ConnectionPool, probe, reach, task::handle_call,
+    connection::CallerConnection,
+    crash,
+    pool::ConnectionPool,
+    probe, reach,
+    task::handle_call,
+    unread::{self, UnreadAnswer},
 };
 use crate::{
     StartError,
@@ -56,6 +61,7 @@
     pool: Rc<ConnectionPool>,
     listener: TcpListener,
     probes: mpsc::UnboundedReceiver<Probe>,
+    unread: mpsc::UnboundedReceiver<UnreadAnswer>,
     /// Number of connections accepted so far.
     accepted: Cell<u64>,
 }
@@ -77,8 +83,9 @@
         let listener =
             TcpListener::bind(address).await.change_context(StartError::Bind(address))?;
         let source = gateway.settings().target_source;
-        let pool = Rc::new(ConnectionPool::new(gateway.clock, source));
-        Ok(Self { gateway, pool, listener, probes, accepted: Cell::new(0) })
+        let (unread_sender, unread) = mpsc::unbounded_channel();
+        let pool = Rc::new(ConnectionPool::new(gateway.clock, source, unread_sender));
+        Ok(Self { gateway, pool, listener, probes, unread, accepted: Cell::new(0) })
     }
 
     /// Serves calls until the planned stop is complete, then cancels the shutdown token.
@@ -86,6 +93,9 @@
         let gateway = Rc::clone(&self.gateway);
         let (_, closed) = mpsc::unbounded_channel();
         let probes = std::mem::replace(&mut self.probes, closed);
+        let (_, closed) = mpsc::unbounded_channel();
+        let unread = std::mem::replace(&mut self.unread, closed);
+        let unread_task = unread::run(Rc::clone(&gateway), unread);
         let probe_task = probe::run(Rc::clone(&gateway), Rc::clone(&self.pool), probes);
         let reach_task = reach::run(Rc::clone(&gateway), Rc::clone(&self.pool));
         let crash_task = crash::run(Rc::clone(&gateway), Rc::clone(&self.pool));
@@ -94,6 +104,7 @@
             () = self.accept_and_drain() => {}
             () = maintenance => {}
             () = probe_task => {}
+            () = unread_task => {}
             () = reach_task => {}
             () = crash_task => {}
         }
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -99,11 +99,11 @@
         TargetResponse { kind, report, limit }
     }
 
-    fn parse_probe_response(&self, head: &response::Parts) -> ProbeResponse {
+    fn parse_probe_response(&self, fields: &HeaderMap) -> ProbeResponse {
         ProbeResponse {
-            target: header_text(&head.headers, headers::TARGET).map(Arc::from),
-            report: header_text(&head.headers, headers::TARGET_LOAD).and_then(load_report),
-            limit: limit_field(&head.headers, headers::TARGET_LIMIT),
+            target: header_text(fields, headers::TARGET).map(Arc::from),
+            report: header_text(fields, headers::TARGET_LOAD).and_then(load_report),
+            limit: limit_field(fields, headers::TARGET_LIMIT),
         }
     }
 
