fix(policy): let all gateways of a large domain know each other

Cause: a join message was answered with 48 gateways at most and nothing else told of the others, so in a domain of a hundred each gateway knew about half of the others and ranked those alone. All others also heard of the reader of the platform each 2.4 s only, since the interval of heartbeats grows with the domain, took it for stopped after 1.7 s and read themselves.

Change: a join message is answered with up to 192 gateways in four messages; gateways of domains of more than 48 tell each other parts of what they know, one message each half second for 30 s after the start and one a heartbeat interval later. The first four of a domain send their heartbeats each 0.7 s, and each heartbeat tells when the next one comes, so that a silent leader is found after 2.1 s.

Tests, red before: gateways_of_a_large_domain_know_all_others (52 of 250 known, all of 160 after), leading_gateways_of_a_large_domain_are_heard_often (data up to 2.45 s old, 0.9 s after), silent_leading_gateway_of_a_large_domain_is_replaced_soon.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -374,10 +374,11 @@
             settings: catalog.settings_version(),
         };
         membership.update_status(phase, known, age, reader);
-        let busy = self.load.borrow_mut().busy_fraction(now);
-        let used = busy * self.settings().size.cores * CORE;
+        let mut load = self.load.borrow_mut();
+        load.update(now, self.next_id.get());
+        let used = load.for_calls() * self.settings().size.cores * CORE;
         membership.set_load(used as u32);
-        self.metrics.busy_share.set(busy);
+        self.metrics.busy_share.set(load.busy());
     }
 
     /// Records that a timer which was due at `due` came now.
--- a/crates/gateway/src/load_meter.rs
+++ b/crates/gateway/src/load_meter.rs
@@ -13,31 +13,53 @@
 /// Minimum time between two log lines on lateness.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Weight of a new window in the mean of those without calls.
+const IDLE_WEIGHT: f64 = 0.2;
+
 /// Measures the share of time in which the event loop had work.
 ///
-/// All work of the process but the writing of its log is done by one thread. While that thread does not wait for events,
-/// it either runs or waits for its share of a core, so the fraction of time in which it does not wait is
-/// the fraction of the share that is used.
+/// All work of the process but the writing of its log is done by one thread. While that thread does not
+/// wait for events, it either runs or waits for its share of a core, so the fraction of time in which it
+/// does not wait is the fraction of the share that is used.
 #[derive(Debug, Default)]
 pub struct LoadMeter {
     since: Timestamp,
-    busy: Duration,
-    fraction: f64,
+    /// Time in which the event loop had work, and calls read, until then.
+    before: (Duration, u64),
+    busy: f64,
+    /// Mean of the windows without calls: what control and the start take.
+    idle: f64,
+    for_calls: f64,
 }
 
 impl LoadMeter {
-    /// Returns the fraction of time in which the event loop had work, as of the last complete window.
-    pub fn busy_fraction(&mut self, now: Timestamp) -> f64 {
+    /// Brings the measurement up to date; `calls` is the number of calls read so far.
+    pub fn update(&mut self, now: Timestamp, calls: u64) {
         let window = now.since(self.since);
-        if window >= MIN_WINDOW
-            && let Ok(handle) = Handle::try_current()
-        {
-            let busy = handle.metrics().worker_total_busy_duration(0);
-            let spent = busy.saturating_sub(self.busy);
-            self.fraction = (spent.as_secs_f64() / window.as_secs_f64()).min(1.0);
-            (self.since, self.busy) = (now, busy);
+        let Ok(handle) = Handle::try_current() else { return };
+        if window < MIN_WINDOW {
+            return;
+        }
+        let total = handle.metrics().worker_total_busy_duration(0);
+        let spent = total.saturating_sub(self.before.0);
+        self.busy = (spent.as_secs_f64() / window.as_secs_f64()).min(1.0);
+        if calls == self.before.1 {
+            self.idle += (self.busy - self.idle) * IDLE_WEIGHT;
+            self.for_calls = 0.0;
+        } else {
+            self.for_calls = (self.busy - self.idle).max(0.0);
         }
-        self.fraction
+        (self.since, self.before) = (now, (total, calls));
+    }
+
+    /// Returns the fraction of time in which the event loop had work, in the last complete window.
+    pub fn busy(&self) -> f64 {
+        self.busy
+    }
+
+    /// Returns the part of it that is due to calls.
+    pub fn for_calls(&self) -> f64 {
+        self.for_calls
     }
 }
 
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -115,12 +115,15 @@
     pub failing: bool,
 }
 
-/// Load of a gateway. It follows the state of reads in a datagram; in those of builds before it, it is
+/// Load of a gateway, and when it is heard next. It follows the state of reads in a datagram; in those of builds before it, it is
 /// missing, and they ignore it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct GatewayLoad {
-    /// Processor time that it uses, in thousandths of a core; 0 from builds that do not tell.
+    /// Processor time that its calls use, in thousandths of a core; 0 from builds that do not tell.
     pub used: u32,
+    /// Time after which it sends its next heartbeat to its failure domain at the latest, in ms; 0 from
+    /// builds that do not tell.
+    pub interval_ms: u32,
 }
 
 /// Datagram between gateways.
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -38,6 +38,11 @@
 /// Heartbeat interval for each other live gateway in the domain, used once their sum exceeds the
 /// minimum, so that the message rate of one gateway stays constant.
 const LOCAL_INTERVAL_PER_PEER: Duration = Duration::from_millis(25);
+/// Longest heartbeat interval of the first gateways of a domain: the reader of the platform and those that
+/// callers are directed to. Others take over reading when they have not heard of it for some 1.7 s.
+const LEADING_INTERVAL: Duration = Duration::from_millis(700);
+/// Ranks to which that applies.
+const LEADING_RANKS: usize = 4;
 /// Heartbeat interval to other failure domains.
 const REMOTE_INTERVAL: Duration = Duration::from_secs(2);
 /// Heartbeats that may be missed in a row before a gateway is considered dead.
@@ -63,8 +68,14 @@
 /// Failed reads of the platform in a row after which others read in the place of a gateway. A single one
 /// may be a lost answer.
 const MAX_FAILED_READS: u32 = 2;
-/// Maximum number of gateways of the sender's domain in one reply to a join message.
+/// Maximum number of gateways of the sender's domain in one message.
 const MAX_PEERS_SENT: usize = 48;
+/// Time after its start for which a gateway of a large domain often tells others which gateways it knows,
+/// and the interval; afterwards it does so as often as it sends heartbeats.
+const DISCOVERY_TIME: Duration = Duration::from_secs(30);
+const PART_INTERVAL: Duration = Duration::from_millis(500);
+/// Maximum number of messages with gateways of the sender's domain in reply to a join message.
+const MAX_PEER_MESSAGES: usize = 4;
 
 /// Published data that a gateway knows.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -147,6 +158,8 @@
             next_join: now,
             last_join: now,
             joins_sent: 0,
+            next_part: now,
+            parts_sent: 0,
             reach_changed: false,
             reads_fail: false,
             has_read: false,
@@ -182,6 +195,10 @@
     last_join: Timestamp,
     /// Rounds of join messages since the seeds were set.
     joins_sent: usize,
+    /// When a gateway of a large domain is told some others next.
+    next_part: Timestamp,
+    /// Messages sent with a part of the domain's gateways.
+    parts_sent: usize,
     /// Whether all gateways that know this one have to learn that its reach has changed.
     reach_changed: bool,
     /// Whether the latest reads of the platform have failed.
@@ -300,7 +317,8 @@
                 let own = Message::Heartbeat(self.next_heartbeat());
                 let mut replies = self.limit_outbox.all_for(to);
                 replies.extend(self.call_outbox.all_for(to));
-                replies.push(Outgoing { to, message: Message::Peers(known) });
+                let messages = known.chunks(MAX_PEERS_SENT).map(|c| Message::Peers(c.to_vec()));
+                replies.extend(messages.map(|message| Outgoing { to, message }));
                 replies.push(Outgoing { to, message: own });
                 replies
             }
@@ -352,8 +370,11 @@
                 _ => self.send_heartbeats(unverified.into_iter(), &mut outgoing),
             }
         }
+        let interval = self.own_interval();
+        self.next_local = self.next_local.min(now + interval);
         if now >= self.next_local {
-            self.next_local = now + self.local_interval();
+            self.next_local = now + interval;
+            self.own.load.interval_ms = u32::try_from(interval.as_millis()).unwrap_or(u32::MAX);
             let hosts: Vec<IpAddr> =
                 self.local_peers().map(|p| p.heartbeat.call_address.ip()).collect();
             if self.is_primary() {
@@ -362,6 +383,11 @@
             self.send_heartbeats(hosts.into_iter(), &mut outgoing);
             self.own.remote_primaries = Vec::new();
         }
+        if now >= self.next_part {
+            let is_new = now.since(self.started) < DISCOVERY_TIME;
+            self.next_part = now + if is_new { PART_INTERVAL } else { interval };
+            self.send_some_peers(&mut outgoing);
+        }
         if now >= self.next_remote {
             self.next_remote = now + REMOTE_INTERVAL;
             let hosts = match std::mem::take(&mut self.reach_changed) {
@@ -424,6 +450,15 @@
         MIN_LOCAL_INTERVAL.max(LOCAL_INTERVAL_PER_PEER * u32::try_from(local).unwrap_or(u32::MAX))
     }
 
+    /// Returns the interval at which this gateway sends heartbeats to its failure domain.
+    fn own_interval(&self) -> Duration {
+        let interval = self.local_interval();
+        match self.rank_in_domain(|_| true) < LEADING_RANKS {
+            true => interval.min(LEADING_INTERVAL),
+            false => interval,
+        }
+    }
+
     fn local_peers(&self) -> impl Iterator<Item = &Peer> {
         self.peers.values().filter(|p| p.heartbeat.domain == self.own.domain)
     }
@@ -479,12 +514,29 @@
             .filter(|p| p.heartbeat.host != heartbeat.host)
             .map(|p| p.heartbeat.call_address.ip());
         let primaries = self.remote_contacts();
-        let mut all: Vec<IpAddr> = others.take(MAX_PEERS_SENT).collect();
+        let mut all: Vec<IpAddr> = others.take(MAX_PEERS_SENT * MAX_PEER_MESSAGES).collect();
         all.extend(primaries.into_iter().filter(|ip| *ip != heartbeat.call_address.ip()));
         all.dedup();
         all
     }
 
+    /// Tells one gateway of a large domain a part of those that this one knows, each time another one and
+    /// another part. Join messages are answered with a limited number, and while many gateways start at
+    /// once, those that answer do not know all either.
+    fn send_some_peers(&mut self, outgoing: &mut Vec<Outgoing>) {
+        let alive = self.local_peers().filter(|p| p.alive);
+        let hosts: Vec<IpAddr> = alive.map(|p| p.heartbeat.call_address.ip()).collect();
+        if hosts.len() < MAX_PEERS_SENT {
+            return;
+        }
+        self.parts_sent += 1;
+        let to = hosts[self.parts_sent % hosts.len()];
+        let first = self.parts_sent * MAX_PEERS_SENT;
+        let part = (first..first + MAX_PEERS_SENT).map(|index| hosts[index % hosts.len()]);
+        let message = Message::Peers(part.filter(|host| *host != to).collect());
+        outgoing.push(Outgoing { to, message });
+    }
+
     fn add_unverified(&mut self, host: IpAddr) {
         let known = self.peers.values().any(|p| p.alive && p.heartbeat.call_address.ip() == host);
         if host != self.own.call_address.ip() && !known && !self.unverified.contains(&host) {
@@ -539,15 +591,19 @@
     }
 
     fn expire_silent(&mut self, now: Timestamp) {
-        let local = self.local_interval() * MAX_MISSED;
+        let own = self.local_interval();
+        let local = own * MAX_MISSED;
         let domain = Arc::clone(&self.own.domain);
         let primaries: Vec<SocketAddr> = match self.is_primary() {
             true => self.observed_primaries().into_iter().map(|(_, address)| address).collect(),
             false => Vec::new(),
         };
         for (host, peer) in &mut self.peers {
-            let limit =
-                if peer.heartbeat.domain == domain { local } else { REMOTE_INTERVAL * MAX_MISSED };
+            let limit = match peer.heartbeat.load.interval_ms {
+                _ if peer.heartbeat.domain != domain => REMOTE_INTERVAL * MAX_MISSED,
+                0 => local,
+                ms => Duration::from_millis(ms.into()).clamp(MIN_LOCAL_INTERVAL, own) * MAX_MISSED,
+            };
             if peer.alive && now.since(peer.heard) > limit {
                 peer.alive = false;
                 // Of other failure domains only the primary keeps sending heartbeats.
--- a/crates/policy/src/balance/membership/demand.rs
+++ b/crates/policy/src/balance/membership/demand.rs
@@ -3,9 +3,9 @@
 //!
 //! With one gateway each target has one user that knows its slots without asking, so callers are
 //! directed to as few as can bear the load. Each gateway tells in its heartbeats how much processor
-//! time it uses; what the least busy one uses is taken for the cost of control. Callers spread evenly
-//! over the gateways that they are directed to, so the smallest of these limits how much all can bear,
-//! and gateways that are much smaller than the first ones come in only when those can bear no more.
+//! time its calls use. Callers spread evenly over the gateways that they are directed to, so the
+//! smallest of these limits how much all can bear, and gateways that are much smaller than the first
+//! ones come in only when those can bear no more.
 //!
 //! The load of a gateway that ends is remembered for some seconds, since its callers come to the others.
 
@@ -14,14 +14,12 @@
 use std::{iter, time::Duration};
 
 /// Time constant with which the demand is forgotten once it has fallen.
-const DEMAND_DECAY: Duration = Duration::from_secs(10);
+const DEMAND_DECAY: Duration = Duration::from_secs(5);
 /// Fraction of its capacity that a gateway may use before more gateways are directed to: beyond it, the
 /// time for which a call waits for the processor grows quickly.
 const MAX_BUSY: f64 = 0.6;
 /// The same before much smaller gateways are directed to.
 const SATURATED: f64 = 0.9;
-/// Largest fraction of its capacity that a gateway is assumed to use for control.
-const MAX_CONTROL: f64 = 0.1;
 /// Gateways whose capacity is less than that of the first one divided by this are much smaller.
 const SMALLER: u32 = 2;
 /// Maximum number of gateways that callers are directed to.
@@ -43,7 +41,7 @@
 }
 
 impl Membership {
-    /// Sets the processor time that this gateway uses, in thousandths of a core. It is announced at once if
+    /// Sets the processor time that the calls of this gateway use, in thousandths of a core. It is announced at once if
     /// the gateway has become saturated.
     pub fn set_load(&mut self, used: u32) {
         let was_saturated = is_saturated(&self.own);
@@ -56,13 +54,8 @@
     /// Brings the demand of the local failure domain up to date.
     pub(super) fn update_demand(&mut self, now: Timestamp) {
         let peers = self.local_peers().filter(|p| p.alive).map(|p| &p.heartbeat);
-        let gateways: Vec<&Heartbeat> = peers.chain(iter::once(&self.own)).collect();
-        let least = gateways.iter().map(|h| h.load.used).min().unwrap_or(0);
-        let for_calls = |h: &&Heartbeat| {
-            let control = f64::from(least).min(f64::from(h.capacity) * MAX_CONTROL);
-            f64::from(h.load.used) - control
-        };
-        let current = gateways.iter().map(for_calls).sum();
+        let gateways = peers.chain(iter::once(&self.own));
+        let current = gateways.map(|h| f64::from(h.load.used)).sum();
         self.demand.update(now, current);
     }
 
--- a/crates/policy/tests/balance/membership.rs
+++ b/crates/policy/tests/balance/membership.rs
@@ -298,3 +298,57 @@
     fleet.run(2_500);
     assert_eq!(readers(&fleet), 60, "no gateway waits for long if the primaries deliver no data");
 }
+
+/// In a domain of a hundred gateways, each sends a heartbeat every 2.5 s. Changes of the platform and its
+/// state came as late, and several gateways read the platform since the reader seemed to have stopped.
+#[test]
+fn leading_gateways_of_a_large_domain_are_heard_often() {
+    let mut fleet = Fleet::new(100, 1);
+    fleet.run(12_000);
+    let reader = fleet.members.iter().find(|(_, m)| m.is_reader(fleet.now(), Some(Duration::ZERO)));
+    let reader = *reader.expect("a reader").0;
+    let mut oldest = Duration::ZERO;
+    for _ in 0..100 {
+        fleet.run(100);
+        let now = fleet.now();
+        fleet.members[&reader].update_status(Phase::Ready, known(1), Some(Duration::ZERO), true);
+        let others = fleet.members.iter().filter(|(ip, _)| **ip != reader);
+        let ages = others.filter_map(|(_, m)| m.confirmed_age(now, known(1).revision));
+        oldest = oldest.max(ages.max().unwrap_or(Duration::MAX));
+    }
+    assert!(oldest < Duration::from_millis(900), "{oldest:?}");
+}
+
+/// A leading gateway of a large domain falls silent: its host has lost power.
+#[test]
+fn silent_leading_gateway_of_a_large_domain_is_replaced_soon() {
+    let mut fleet = Fleet::new(100, 1);
+    fleet.run(12_000);
+    let first = fleet.directed(7, "domain-0")[0];
+    let others: Vec<IpAddr> = (1..=100).map(ip).filter(|ip| *ip != first).collect();
+    let naming = |fleet: &Fleet| {
+        let names = |ip: &&IpAddr| {
+            let directions = fleet.members[*ip].directions("domain-0");
+            directions.addresses.iter().any(|address| address.ip() == first)
+        };
+        others.iter().filter(names).count()
+    };
+    assert_eq!(naming(&fleet), 99);
+    fleet.cut = vec![first];
+    fleet.run(2_500);
+    assert_eq!(naming(&fleet), 0, "gateways that still name it");
+}
+
+/// A join message was answered with 48 gateways at most, and nothing else told of the others. In a domain of
+/// a hundred, each gateway ranked those that it knew, so callers were directed to dozens of them.
+#[test]
+fn gateways_of_a_large_domain_know_all_others() {
+    let mut fleet = Fleet::new(160, 1);
+    fleet.run(30_000);
+    let least = fleet.members.values().map(Membership::alive_count).min();
+    assert_eq!(least, Some(160));
+    let first = fleet.directed(1, "domain-0");
+    for number in 2..=160 {
+        assert_eq!(fleet.directed(number, "domain-0"), first, "at gateway {number}");
+    }
+}
