--- a/crates/gateway/tests/load_meter.rs
+++ b/crates/gateway/tests/load_meter.rs
@@ -1,4 +1,5 @@
 //! Measurement of a gateway's own load.
+#![allow(clippy::expect_used)]
 
 use azuretally_gateway::load_meter::{LatenessMeter, LoadMeter};
 use azuretally_policy::Timestamp;
