fix(gateway): read an empty id in the answer to a probe as none

A call that must not be repeated got 504 at its deadline after it had waited for 0.9 s while 16 of 24 slots were free. A target that echoes the id which a probe lacks sends the field with no text, which counted as a name: each probe on a used connection failed, so targets whose slowdown was not known got no calls, and checks of the reach began. Ruled out: the stop of the target (probes failed 200 ms before it), the load of the machine.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -286,7 +286,8 @@
     /// Parses the headers of a probe response.
     fn parse_probe_response(&self, headers: &HeaderMap) -> ProbeResponse;
 
-    /// Returns whether the headers of a response name a call. That of a probe names none.
+    /// Returns whether the headers of a response name a call. That of a probe names none, also if the
+    /// target echoes the id that the probe lacks as an empty one.
     fn names_call(&self, headers: &HeaderMap) -> bool;
 
     /// Parses what a target says of itself in the head of any response.
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -108,7 +108,7 @@
     }
 
     fn names_call(&self, fields: &HeaderMap) -> bool {
-        fields.contains_key(headers::CALL)
+        fields.get_all(headers::CALL).iter().any(|id| !id.is_empty())
     }
 
     fn parse_notice(&self, status: StatusCode, fields: &HeaderMap) -> TargetNotice {
--- a/crates/gateway/tests/native.rs
+++ b/crates/gateway/tests/native.rs
@@ -7,12 +7,13 @@
 #[allow(dead_code)]
 mod stub;
 
+use azuretally_api::headers;
 use azuretally_gateway::{
-    adapter::{PlatformAdapter, PlatformUpdate, ReadError},
+    adapter::{CallAdapter, PlatformAdapter, PlatformUpdate, ReadError},
     native::{NativeAdapter, PublishedChanges},
 };
 use azuretally_policy::balance::Change;
-use http::StatusCode;
+use http::{HeaderMap, HeaderValue, StatusCode};
 use serde_json::{Value, json};
 
 fn read(body: &Value) -> Result<PlatformUpdate, ReadError> {
@@ -97,3 +98,15 @@
         assert_eq!(update.changes.len(), 1 + usize::from(is_named), "{start}");
     }
 }
+
+/// Guards against probes that all fail on used connections, so that a target without faults is left alone.
+#[test]
+fn answer_with_an_empty_id_names_no_call() {
+    let names_call = |id| {
+        let mut fields = HeaderMap::new();
+        fields.insert(headers::CALL, HeaderValue::from_static(id));
+        NativeAdapter.names_call(&fields)
+    };
+    assert!(names_call("call-1"));
+    assert!(!names_call(""));
+}
