fix(gateway): take no check of the reach for failed while the event loop is late

Cause: each step of an exchange waits for its turn in the event loop. With a few hundred tasks ready the turns add up to more than the 250 ms of a check, whatever the targets do. Ruled out: that targets were silent (other gateways used them), that the link was cut. Change: the lateness of the event loop is measured during a check. An unanswered check at a late gateway is void: it changes nothing and is repeated. A check whether a target has ended proves nothing then either.

--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -11,6 +11,7 @@
 mod crash;
 mod exchange;
 mod inbound;
+mod lateness;
 mod pool;
 mod probe;
 mod reach;
--- a/crates/gateway/src/calls/crash.rs
+++ b/crates/gateway/src/calls/crash.rs
@@ -1,6 +1,6 @@
 //! Checks whether targets at which attempts broke off have ended, when the balancer asks for it.
 
-use super::{pool::ConnectionPool, probe, reach};
+use super::{lateness::was_on_time, pool::ConnectionPool, probe, reach};
 use crate::{
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
@@ -45,7 +45,10 @@
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
-    let evidence = examine(&gateway, &pool, &check).await;
+    let evidence = match was_on_time(examine(&gateway, &pool, &check)).await {
+        (CrashEvidence::Gone, false) => CrashEvidence::Unproved,
+        (evidence, _) => evidence,
+    };
     gateway.crash_checked(&check, evidence);
 }
 
--- a/crates/gateway/src/calls/reach.rs
+++ b/crates/gateway/src/calls/reach.rs
@@ -1,6 +1,6 @@
 //! Checks whether this gateway reaches any target, when the balancer asks for it.
 
-use super::{pool::ConnectionPool, probe};
+use super::{lateness::was_on_time, pool::ConnectionPool, probe};
 use crate::{
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
@@ -51,8 +51,11 @@
     for target in &targets {
         gateway.metrics.record_attempt(&target.service, "reach-check");
     }
-    let answered = usize::from(any_answers(gateway, pool, targets).await);
-    gateway.reach_checked(asked, answered);
+    let (is_answered, on_time) = was_on_time(any_answers(gateway, pool, targets)).await;
+    match is_answered || on_time {
+        true => gateway.reach_checked(asked, usize::from(is_answered)),
+        false => gateway.reach_check_void(),
+    }
 }
 
 /// Asks `targets` at the same time. Returns whether one has answered, as soon as one has.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -482,6 +482,12 @@
         }
     }
 
+    /// Records that a check of the reach proved nothing, since this gateway was late itself.
+    pub fn reach_check_void(&self) {
+        self.balancer.borrow_mut().reach_check_void();
+        self.report_target_changes();
+    }
+
     /// Waits until this gateway is cut off from all targets.
     pub async fn until_cut_off(&self) {
         // The sender lives as long as the gateway.
--- a/crates/policy/src/balance/balancer/reaching.rs
+++ b/crates/policy/src/balance/balancer/reaching.rs
@@ -24,7 +24,8 @@
     }
 
     /// Begins a check, and returns the targets to be asked on new connections: some of all services,
-    /// at random. [`Self::reach_checked`] has to follow.
+    /// at random. [`Self::reach_checked`] or
+    /// [`Self::reach_check_void`] has to follow.
     pub fn start_reach_check(&mut self, now: Timestamp) -> Vec<Probe> {
         self.reach.check_started(now);
         let targets = self.services.iter().flat_map(|(name, service)| {
@@ -52,6 +53,12 @@
         changed
     }
 
+    /// Records that a check was unanswered while this gateway was late itself, so that it proves nothing.
+    pub fn reach_check_void(&mut self) {
+        self.reach.check_void();
+        self.log_lines.push("reach check void: event loop late".to_owned());
+    }
+
     /// Records a failure of each target that has not answered the call as expected.
     pub(super) fn suspect_silent(&mut self, now: Timestamp, id: u64) {
         let Some(state) = self.calls.get(&id) else { return };
--- a/crates/policy/src/balance/crashes.rs
+++ b/crates/policy/src/balance/crashes.rs
@@ -48,7 +48,7 @@
     Alive,
     /// The target answered nothing on new connections, or another process uses its address.
     Gone,
-    /// No other target answered either, so that nothing is proved.
+    /// No other target answered either, or this gateway was too late itself, so that nothing is proved.
     Unproved,
 }
 
--- a/crates/policy/src/balance/reach.rs
+++ b/crates/policy/src/balance/reach.rs
@@ -89,6 +89,11 @@
         self.next_check = now + CHECK_INTERVAL;
     }
 
+    /// Records the end of a check that proves nothing. The reasons for it remain.
+    pub(super) fn check_void(&mut self) {
+        self.is_checking = false;
+    }
+
     /// Records the end of a check, which at least one target answered or none. Returns whether
     /// [`Self::is_cut_off`] has changed.
     pub(super) fn check_ended(&mut self, now: Timestamp, answered: bool) -> bool {
--- a/crates/policy/tests/balance/reach.rs
+++ b/crates/policy/tests/balance/reach.rs
@@ -106,6 +106,28 @@
     assert!(matches!(decision, Decision::Start(_)), "targets are no longer in backoff");
 }
 
+/// A gateway with too much to do gets to no answer in time.
+#[test]
+fn void_check_changes_nothing_and_is_repeated() {
+    let mut fixture = Fixture::new(12, 0);
+    for now in (0..30_000).step_by(500) {
+        fixture.fail_call(ms(now));
+        assert!(fixture.is_check_due(ms(now)), "{now}");
+        fixture.balancer.start_reach_check(ms(now));
+        assert!(!fixture.is_check_due(ms(now + 499)), "one check at a time");
+        fixture.balancer.reach_check_void();
+        assert!(!fixture.balancer.is_cut_off());
+    }
+    // One that is cut off stays so.
+    fixture.check(ms(30_000), 0);
+    fixture.check(ms(30_250), 0);
+    assert!(fixture.balancer.is_cut_off());
+    fixture.balancer.start_reach_check(ms(30_750));
+    fixture.balancer.reach_check_void();
+    assert!(fixture.balancer.is_cut_off());
+    assert!(fixture.is_check_due(ms(31_250)));
+}
+
 #[test]
 fn check_asks_few_targets_and_none_that_must_not_be_probed() {
     let mut fixture = Fixture::new(200, 0);
