fix(gateway): probe no targets and blame none while the event loop is late

Cause: a probe takes a few turns of the event loop. At a late gateway it times out though the target has answered, puts its target into backoff, and the call that waits for it asks for the next two. Measured: late_gateway::late_gateway_goes_on_sending_calls, 1,200 calls: 0 sent and 4,764 probes before, 1,200 sent and none probed after.

--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -47,9 +47,12 @@
         log::info!("calls: probe sent target={} limit={limit}", probe.target);
         gateway.metrics.record_limited_request(&probe.service, "probe");
     }
-    let result =
-        timeout(PROBE_TIMEOUT, exchange(&gateway, &pool, &probe)).await.unwrap_or_default();
-    let result = result.unwrap_or(ProbeResult::NoAnswer);
+    let due = gateway.clock.now() + PROBE_TIMEOUT;
+    let result = timeout(PROBE_TIMEOUT, exchange(&gateway, &pool, &probe)).await;
+    if result.is_err() {
+        gateway.record_timer(due);
+    }
+    let result = result.ok().flatten().unwrap_or(ProbeResult::NoAnswer);
     let answered = result != ProbeResult::NoAnswer;
     gateway.metrics.record_attempt(&probe.service, if answered { "probe" } else { "probe-failed" });
     if !answered {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -386,6 +386,7 @@
         let now = self.clock.now();
         let late = now.since(due);
         self.metrics.lateness.observe(late.as_secs_f64());
+        self.balancer.borrow_mut().record_lateness(now, late);
         if self.lateness.borrow_mut().record(now, late) {
             let waiting = self.balancer.borrow().waiting_calls();
             let (ms, connections) = (late.as_millis(), self.tasks.len());
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -13,6 +13,7 @@
 mod limits;
 mod load;
 mod membership;
+mod probing;
 mod quarantine;
 mod queue;
 mod reach;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -23,6 +23,7 @@
     catalog::Catalog,
     crashes::{AccusedProcess, BrokenTarget},
     limits::LimitNotice,
+    probing::ProbeGate,
     quarantine::{CallDigest, ProcessId, Quarantine},
     queue::{QueueRank, WaitQueue},
     reach::ReachTracker,
@@ -123,6 +124,7 @@
     calls: IndexMap<u64, CallState>,
     queues: IndexMap<Arc<str>, WaitQueue>,
     probes: Vec<Probe>,
+    probe_gate: ProbeGate,
     /// Targets whose limits are known, also those that have ended: service and name.
     limited: IndexSet<(Arc<str>, Arc<str>)>,
     /// Limits that this gateway has learned from answers and not announced yet.
@@ -163,6 +165,7 @@
             calls: IndexMap::new(),
             queues: IndexMap::new(),
             probes: Vec::new(),
+            probe_gate: ProbeGate::default(),
             limited: IndexSet::new(),
             limit_changes: Vec::new(),
             epoch_ms: 0,
@@ -188,6 +191,12 @@
         }
     }
 
+    /// Records that a timer of the gateway came `late`: while it is late itself, it probes no targets and
+    /// blames none for answers to probes that it has not read in time.
+    pub fn record_lateness(&mut self, now: Timestamp, late: Duration) {
+        self.probe_gate.record_lateness(now, late);
+    }
+
     /// Announces that the gateway stops at `until`.
     ///
     /// From now on no attempt starts that is not expected to end by then. Waiting calls that cannot
@@ -582,6 +591,7 @@
         let Some(state) = self.calls.get(&id) else { return Choice::Full };
         let Some(service) = self.services.get_mut(&state.call.service) else { return Choice::Full };
         let waiting = self.queues.get(&state.call.service).map_or(0, WaitQueue::len);
+        let probe_rate = if self.probe_gate.is_open(now) { self.settings.probe_rate } else { 0.0 };
         let choice = service.choose(&ChoiceRequest {
             now,
             route: &state.call.route,
@@ -592,13 +602,13 @@
             crossing_cost: self.settings.crossing_cost,
             good_only,
             contended: waiting > usize::from(state.waiting),
-            probe_rate: self.settings.probe_rate,
+            probe_rate,
             offset: (id as usize).wrapping_mul(OFFSET_STRIDE) % service.targets.len().max(1),
         });
         if let Choice::Probe(indices) = &choice {
             for index in indices {
                 let Some((_, target)) = service.targets.get_index_mut(*index) else { continue };
-                target.record_probe(now, self.settings.probe_rate);
+                target.record_probe(now, probe_rate);
                 self.probes.push(target.probe(now, &state.call.service));
             }
         }
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -33,6 +33,8 @@
                 target.unanswered_probes = 0;
             }
             ProbeResult::NoReport => target.unanswered_probes = 0,
+            // The answer may have arrived.
+            ProbeResult::NoAnswer if !self.probe_gate.is_open(now) => {}
             ProbeResult::NoAnswer => {
                 target.record_unanswered_probe(now);
                 self.reach.record_failure(now, &probe.target);
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -10,7 +10,7 @@
 };
 
 /// How long a reported slowdown is used; machines change theirs several times a second.
-const SLOWDOWN_TTL: Duration = Duration::from_millis(20);
+pub(super) const REPORT_TTL: Duration = Duration::from_millis(20);
 /// Time constant with which the calls of other gateways seen in a report are assumed to end.
 const OTHER_CALLS_DECAY: Duration = Duration::from_millis(300);
 /// Time constant with which failures, refusals and slow answers are forgotten.
@@ -129,7 +129,7 @@
 
     /// Returns the reported slowdown if the report is recent enough.
     pub(super) fn recent_slowdown(&self, now: Timestamp) -> Option<f64> {
-        let latest = self.latest.filter(|r| now.since(r.at) <= SLOWDOWN_TTL)?;
+        let latest = self.latest.filter(|r| now.since(r.at) <= REPORT_TTL)?;
         latest.report.slowdown
     }
 
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -113,7 +113,7 @@
     pub(super) good_only: bool,
     /// Whether other calls wait for the service.
     pub(super) contended: bool,
-    /// Probes per second that each target may get.
+    /// Probes per second that each target may get, 0 for none at all.
     pub(super) probe_rate: f64,
     /// Index of the target at which the search begins.
     pub(super) offset: usize,
@@ -434,7 +434,7 @@
         scored: &[ScoredCandidate],
         known_utility: f64,
     ) -> Vec<usize> {
-        if !self.slowdowns.may_be_reported() {
+        if !self.slowdowns.may_be_reported() || request.probe_rate == 0.0 {
             return Vec::new();
         }
         let remote_cost = request.crossing_cost * PROBE_BYTES / 1_000.0;
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod going_back;
 mod hedging;
+mod late_gateway;
 mod limits;
 mod membership;
 mod overload;
