fix(policy): use no record whose address a later process has

A restored copy listed targets that had ended; two of them had had the addresses of targets that rest now, and the gateway probed the later processes under the earlier names. Cause: targets were known by name alone, so nothing related two records of one address. Change: of two records with one address, the one of the process that started later is used. Where a start is not known, both are, as before. Measured: departing::record_of_an_earlier_process_at_an_address_is_not_used was red before (target-0 was probed beside its successor), green after.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -27,6 +27,7 @@
     quarantine::{CallDigest, ProcessId, Quarantine},
     queue::{QueueRank, WaitQueue},
     reach::ReachTracker,
+    records::TargetRecord,
     refusals::RefusalTracker,
     service::{Candidate, Choice, ChoiceRequest, DRAIN_MARGIN, Service},
     target::{RunningAttempt, SeenTarget},
@@ -36,7 +37,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use retries::HEDGE_MARGIN;
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 /// Expected time until the answer, as a fraction of the time until the deadline, above which a call
 /// is given up instead of queued.
@@ -216,7 +217,11 @@
         for name in self.services.keys() {
             listed.insert(Arc::clone(name), Vec::new());
         }
-        for target in catalog.targets() {
+        let latest = latest_starts(catalog);
+        let is_replaced = |record: &TargetRecord| {
+            record.started.is_some() && record.started < latest.get(&record.address).copied()
+        };
+        for target in catalog.targets().filter(|t| !is_replaced(&t.record)) {
             let seen = SeenTarget { listed: target, alive: catalog.is_written(target) };
             listed.entry(Arc::clone(&target.record.service)).or_default().push(seen);
         }
@@ -673,3 +678,16 @@
         Some(target.running.swap_remove(at))
     }
 }
+
+/// Returns when the latest process started at each address. The record of an earlier one outlives it for some
+/// seconds, or comes back with a restored platform; what it is asked would reach the later one.
+fn latest_starts(catalog: &Catalog) -> IndexMap<SocketAddr, u64> {
+    let mut latest = IndexMap::new();
+    for target in catalog.targets() {
+        if let Some(started) = target.record.started {
+            let last = latest.entry(target.record.address).or_insert(started);
+            *last = started.max(*last);
+        }
+    }
+    latest
+}
--- a/crates/policy/tests/balance/departing.rs
+++ b/crates/policy/tests/balance/departing.rs
@@ -145,3 +145,31 @@
         assert_eq!(fixture.target_of_next_call(ms(now)).as_deref(), Some("target-1"), "{now} ms");
     }
 }
+
+/// Guards against requests to a target that rests, under the name of a process that had its address before: a
+/// restored platform lists it again.
+#[test]
+fn record_of_an_earlier_process_at_an_address_is_not_used() {
+    let mut fixture = Fixture::before_first_answer(1, 0);
+    let former = record(0, LOCAL);
+    let later = TargetRecord {
+        name: Arc::from("later"),
+        started: former.started.map(|started| started + 5_000),
+        ..former.clone()
+    };
+    for changes in [vec![later.clone()], vec![former.clone()]] {
+        fixture.apply_changes(ms(10), changes.into_iter().map(Change::Target).collect());
+        let (_, decision) = fixture.submit(ms(20), &route("check", true));
+        assert_eq!(decision, Decision::Wait);
+        let probed: Vec<Arc<str>> =
+            fixture.balancer.take_probes().into_iter().map(|probe| probe.target).collect();
+        assert!(probed.iter().all(|target| *target == later.name), "{probed:?}");
+        let asked = fixture.balancer.start_reach_check(ms(20));
+        assert!(asked.iter().all(|probe| probe.target == later.name), "{asked:?}");
+        fixture.balancer.reach_checked(ms(20), 1, 1);
+    }
+    // Once the later one has gone, nothing speaks against the other one.
+    fixture.apply_changes(ms(30), vec![Change::Gone(later.name)]);
+    let asked = fixture.balancer.start_reach_check(ms(40));
+    assert!(asked.iter().any(|probe| probe.target == former.name), "{asked:?}");
+}
