feat(gateway): a gateway that is busier than the others sheds callers

Cause: callers keep their connections for as long as directions name the gateway, so the gateways that come in for a burst get new callers alone. Weighed: leaving the busy gateway out of directions (all its callers leave at once, and it is idle then); naming more gateways from 45% on (does not move those that are connected). Change: while a gateway uses over 60% of its capacity and is a quarter busier than the others that callers are directed to, each fourth answer is the last one on its connection.

--- a/crates/gateway/src/calls/connection.rs
+++ b/crates/gateway/src/calls/connection.rs
@@ -76,11 +76,11 @@
         self.in_progress.set(true);
     }
 
-    /// Records that the answer to the current call is ready to be written. During a planned stop, it
-    /// is the last answer on the connection and announces that.
+    /// Records that the answer to the current call is ready to be written. If it is to be the last one on the
+    /// connection, it announces that.
     pub(super) fn call_ended<Body>(&self, response: &mut Response<Body>) {
         self.in_progress.set(false);
-        if self.gateway.drain.is_cancelled() {
+        if self.gateway.ends_connection() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
         }
         if response.headers().contains_key(CONNECTION) {
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -77,7 +77,7 @@
         let outgoing = gateway.membership.borrow_mut().tick(now);
         send(&gateway, &socket, &outgoing).await;
         if report_membership_changes(&gateway) || now >= share_due {
-            gateway.update_budget_share();
+            gateway.update_load_shares();
             share_due = now + SHARE_INTERVAL;
         }
         let changed = gateway.changed.notified();
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -46,6 +46,10 @@
 /// to. The remainder covers the probes of the other gateways.
 const DIRECTED_PROBE_SHARE: f64 = 0.8;
 
+/// Answers of which one ends its connection while this gateway sheds callers. Most callers should not move
+/// before the effect on the first ones shows in the loads.
+const ANSWERS_PER_SHED_CALLER: u32 = 4;
+
 /// Thousandths of a core.
 const CORE: f64 = 1_000.0;
 
@@ -109,6 +113,9 @@
     routes: RefCell<Option<Rc<RouteTable>>>,
     load: RefCell<LoadMeter>,
     lateness: RefCell<LatenessMeter>,
+    /// Whether callers should leave their connections to this gateway, and answers since they should.
+    sheds_callers: Cell<bool>,
+    answers: Cell<u32>,
     /// Until when calls are read, [`Timestamp::MAX`] until the planned stop begins.
     reading_end: Cell<Timestamp>,
     /// Until when calls are served, once the planned stop has begun.
@@ -160,6 +167,8 @@
             routes: RefCell::default(),
             load: RefCell::default(),
             lateness: RefCell::default(),
+            sheds_callers: Cell::default(),
+            answers: Cell::default(),
             reading_end: Cell::new(Timestamp::MAX),
             serving_end: watch::Sender::default(),
             waiters: RefCell::default(),
@@ -289,6 +298,33 @@
         self.balancer.borrow_mut().update_settings(balancer_settings);
     }
 
+    /// Follows the loads of the gateways: recomputes this one's share of the budgets, and whether it sheds
+    /// callers.
+    pub fn update_load_shares(&self) {
+        self.update_budget_share();
+        let sheds_callers = self.membership.borrow().sheds_callers();
+        if self.sheds_callers.replace(sheds_callers) != sheds_callers {
+            log::info!("control: sheds callers={sheds_callers}");
+        }
+    }
+
+    /// Returns whether the next answer is the last one on its connection, so that its caller connects anew:
+    /// during a planned stop, or in turn while this gateway sheds callers.
+    pub fn ends_connection(&self) -> bool {
+        if self.drain.is_cancelled() {
+            return true;
+        }
+        if !self.sheds_callers.get() {
+            return false;
+        }
+        self.answers.set(self.answers.get().wrapping_add(1));
+        let is_shed = self.answers.get().is_multiple_of(ANSWERS_PER_SHED_CALLER);
+        if is_shed {
+            self.metrics.shed_callers.inc();
+        }
+        is_shed
+    }
+
     /// Applies a changed catalog to the routes, the balancer and the membership, and logs what
     /// changed.
     pub fn apply_catalog(&self, source: Source) {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -127,6 +127,8 @@
     pub quarantined_calls: Counter,
     /// Processes of targets that ended while they ran calls of this gateway.
     pub target_crashes: Counter,
+    /// Connections ended after an answer so that their callers use other gateways.
+    pub shed_callers: Counter,
     /// Contents of calls that are quarantined.
     pub quarantined_digests: Gauge,
     /// Platform reads.
@@ -194,6 +196,7 @@
             relayed_calls: Counter::default(),
             quarantined_calls: Counter::default(),
             target_crashes: Counter::default(),
+            shed_callers: Counter::default(),
             quarantined_digests: Gauge::default(),
             platform_reads: Family::default(),
             unreadable_records: Counter::default(),
@@ -240,6 +243,8 @@
         registry.register("quarantined_calls", help, metrics.quarantined_calls.clone());
         let help = "Processes of targets that ended while they ran calls of this gateway";
         registry.register("target_crashes", help, metrics.target_crashes.clone());
+        let help = "Connections ended after an answer so that their callers use less busy gateways";
+        registry.register("shed_callers", help, metrics.shed_callers.clone());
         let help = "Contents of calls that are quarantined";
         registry.register("quarantined_digests", help, metrics.quarantined_digests.clone());
         registry.register(
--- a/crates/gateway/tests/late_checks.rs
+++ b/crates/gateway/tests/late_checks.rs
@@ -10,10 +10,9 @@
 
 use azuretally_gateway::{gateway::Gateway, native::NativeAdapter};
 use azuretally_policy::balance::{Phase, Probe, ProbeResult, ProcessId, TargetRecord};
-use raw::{Node, run_local};
+use raw::{Node, run_local, start_target};
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::TcpListener,
     thread,
     time::{Duration, Instant},
 };
@@ -22,8 +21,6 @@
     time::sleep,
 };
 
-const ANSWER: &str =
-    "HTTP/1.1 200 OK\r\nx-azuretally-target-load: 0,0,1,100\r\ncontent-length: 0\r\n\r\n";
 /// Tasks that are always ready, and the time that each of them takes in a turn of the event loop.
 const TASKS: usize = 300;
 const WORK: Duration = Duration::from_millis(1);
@@ -32,25 +29,6 @@
 /// Time after which a gateway whose checks fail on time has found itself cut off.
 const DETECTION: Duration = Duration::from_millis(1_500);
 
-/// Starts a target that answers all requests at once, on threads of its own.
-fn start_target() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            thread::spawn(move || answer_all(stream));
-        }
-    });
-    address
-}
-
-fn answer_all(mut stream: TcpStream) {
-    let mut buffer = [0; 4_096];
-    while stream.read(&mut buffer).is_ok_and(|n| n > 0)
-        && stream.write_all(ANSWER.as_bytes()).is_ok()
-    {}
-}
-
 /// Records that the only target has not answered a probe, which calls for a check of the reach.
 fn fail_probe(gateway: &Gateway<NativeAdapter>) {
     let TargetRecord { service, name, started, address, .. } = stub::target(0, 1);
--- a/crates/policy/src/balance/membership/demand.rs
+++ b/crates/policy/src/balance/membership/demand.rs
@@ -8,6 +8,9 @@
 //! ones come in only when those can bear no more.
 //!
 //! The load of a gateway that ends is remembered for some seconds, since its callers come to the others.
+//!
+//! Callers keep their connections, so directions alone move few of them: a gateway that is busier than the
+//! others asks its callers to connect anew.
 
 use super::Membership;
 use crate::{Timestamp, balance::heartbeat::Heartbeat};
@@ -22,6 +25,8 @@
 const SATURATED: f64 = 0.9;
 /// Gateways whose capacity is less than that of the first one divided by this are much smaller.
 const SMALLER: u32 = 2;
+/// How many times as busy as the others a gateway is that asks its callers to connect anew.
+const MIN_IMBALANCE: f64 = 1.25;
 /// Maximum number of gateways that callers are directed to.
 const MAX_DIRECTED: usize = 64;
 
@@ -51,6 +56,21 @@
         }
     }
 
+    /// Returns whether callers should leave their connections to this gateway: it is busier than a gateway
+    /// should be, and clearly busier than the others that callers are directed to.
+    pub fn sheds_callers(&self) -> bool {
+        let busy = f64::from(self.own.load.used) / f64::from(self.own.capacity.max(1));
+        if busy < MAX_BUSY {
+            return false;
+        }
+        let ranked = self.ranked(&self.own.domain);
+        let directed = ranked.iter().take(self.directed_len(&ranked));
+        let others = || directed.clone().filter(|h| h.host != self.own.host);
+        let used: f64 = others().map(|h| f64::from(h.load.used)).sum();
+        let capacity: f64 = others().map(|h| f64::from(h.capacity)).sum();
+        capacity > 0.0 && busy > MIN_IMBALANCE * used / capacity
+    }
+
     /// Brings the demand of the local failure domain up to date.
     pub(super) fn update_demand(&mut self, now: Timestamp) {
         let peers = self.local_peers().filter(|p| p.alive).map(|p| &p.heartbeat);
--- a/crates/policy/tests/balance/demand.rs
+++ b/crates/policy/tests/balance/demand.rs
@@ -123,6 +123,25 @@
     assert_eq!(domain.directed().len(), 1);
 }
 
+/// Guards against a gateway that keeps the callers of its domain, since these keep their connections, and falls
+/// behind while the others that they are directed to are idle.
+#[test]
+fn gateway_that_is_busier_than_the_others_sheds_callers() {
+    let mut domain = Observer::new(&[LARGE; 3]);
+    domain.membership.set_load(450);
+    domain.observe(&[(1, 150), (2, 150)]);
+    assert!(domain.membership.sheds_callers());
+    domain.observe(&[(1, 400), (2, 400)]);
+    assert!(!domain.membership.sheds_callers(), "all are as busy");
+    domain.membership.set_load(250);
+    domain.observe(&[(1, 50), (2, 50)]);
+    assert!(!domain.membership.sheds_callers(), "it has processor time left");
+    let mut alone = Observer::new(&[LARGE]);
+    alone.membership.set_load(500);
+    alone.observe(&[]);
+    assert!(!alone.membership.sheds_callers(), "there is no other");
+}
+
 /// All gateways have their part of the calls.
 #[test]
 fn evenly_loaded_gateways_remain_directed() {
