fix(policy): leave the first read to the seeds when all gateways start at once

Cause: a gateway that knows no other yet takes itself for the first of its domain. Weighed: a random delay (slower for all, herd only spread), leaving it to the seeds alone (nobody reads while they are down). Change: a gateway that is no seed and knows no other waits for 300 ms from its start. What the seeds answer ends that at once, and so it looks again when the membership changes instead of each 150 ms. Measured: reading::few_gateways_read_the_platform_when_all_start_at_once was red before (16 reads of 16 gateways), green after (at most 4, all have data within 300 ms); without two of the seeds all have data within 600 ms.

--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -42,7 +42,11 @@
     let mut list_complete = false;
     loop {
         if !is_reader(&gateway) {
-            sleep(READER_CHECK_INTERVAL).await;
+            // It may become one as soon as it has found the others.
+            tokio::select! {
+                () = sleep(READER_CHECK_INTERVAL) => {}
+                () = gateway.changed.notified() => {}
+            }
             continue;
         }
         let address = gateway.settings().platform;
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -16,6 +16,9 @@
 const MAX_INTERVALS: f64 = 1.5;
 /// Maximum rank counted in that delay while a gateway has no platform data.
 const MAX_STARTUP_RANK: u32 = 4;
+/// Time after its start for which a gateway that knows no other leaves reading to the seeds, which tell it of the
+/// others. If all start at once, each would otherwise take itself for the first and read.
+const DISCOVERY_DELAY: Duration = Duration::from_millis(300);
 /// Time for which changes known in another failure domain are left to the local domain's reader,
 /// counted from the latest platform data, or from the start of a gateway that has none.
 const REMOTE_DELAY: Duration = Duration::from_millis(1_200);
@@ -28,6 +31,9 @@
     /// ranks before it can, or its data has become so old that none of them seems to. `own_age` is the
     /// age of its platform data; without any, the time since its start counts.
     pub fn is_reader(&self, now: Timestamp, own_age: Option<Duration>) -> bool {
+        if own_age.is_none() && self.awaits_seeds(now) {
+            return false;
+        }
         let can_read = |p: &Peer| !p.heartbeat.reads.failing && !self.may_ignore_era(&p.heartbeat);
         let rank = self.rank_in_domain(can_read);
         // Of several gateways that fall silent at once, each would otherwise be waited for.
@@ -42,6 +48,13 @@
         rank == 0 || age > TAKEOVER_AGE.0 + TAKEOVER_AGE.1 * delay_rank
     }
 
+    /// Returns whether this gateway has just started and may soon learn from the seeds of other gateways.
+    fn awaits_seeds(&self, now: Timestamp) -> bool {
+        let own = self.own.call_address.ip();
+        let has_other_seeds = !self.seeds.is_empty() && !self.seeds.contains(&own);
+        has_other_seeds && self.peers.is_empty() && now.since(self.started) < DISCOVERY_DELAY
+    }
+
     /// Returns the peer to fetch what is later than `known` from: the one with the latest revision or,
     /// among equals, the latest settings, local before remote, and doubtful ones last. `age` is the age of this gateway's data;
     /// remote peers are considered only if no local gateway has delivered data for a while, or if they
--- a/crates/policy/tests/balance/reading.rs
+++ b/crates/policy/tests/balance/reading.rs
@@ -317,3 +317,39 @@
         assert!(latest <= LARGE_IN_FORCE_MS, "dark={count} latest={latest} ms");
     }
 }
+
+/// Returns how many of `size` gateways that start at once read the platform in their first 300 ms, and after
+/// how many ms all have its data. Of the seeds, those before `first_alive` are dark.
+fn cold_start(size: u16, first_alive: u16) -> (u32, u64) {
+    let mut domain = Domain::new(size);
+    for number in 1..first_alive {
+        domain.gateways[&ip(number)].is_dark = true;
+    }
+    let mut early_reads = 0;
+    while domain.gateways.values().any(|g| !g.is_dark && g.catalog.published().is_none()) {
+        domain.step();
+        if domain.now <= 300 {
+            early_reads = domain.gateways.values().map(|g| g.reads).sum();
+        }
+        assert!(domain.now < 10_000, "some have no data");
+    }
+    (early_reads, domain.now)
+}
+
+/// Hundreds of gateways start at once, after a loss of power or for the first time. Each knew no other yet, took
+/// itself for the first and read the platform.
+#[test]
+fn few_gateways_read_the_platform_when_all_start_at_once() {
+    for size in [3, 16, 100] {
+        let (reads, time) = cold_start(size, 1);
+        assert!(reads <= 4, "gateways={size} reads={reads}");
+        assert!(time <= 300, "gateways={size} all have data after {time} ms");
+    }
+}
+
+/// The seeds may be down when the others start.
+#[test]
+fn gateways_that_start_without_their_seeds_read_the_platform_soon() {
+    let (_, time) = cold_start(16, 3);
+    assert!(time <= 600, "all have data after {time} ms");
+}
