--- a/crates/gateway/tests/late_checks.rs
+++ b/crates/gateway/tests/late_checks.rs
@@ -2,15 +2,17 @@
 //! only after the time for them is over.
 #![allow(clippy::expect_used)]
 
+mod answering;
 // Other test binaries use the rest of the modules.
 #[allow(dead_code)]
 mod raw;
 #[allow(dead_code)]
 mod stub;
 
+use answering::start_target;
 use azuretally_gateway::{gateway::Gateway, native::NativeAdapter};
 use azuretally_policy::balance::{Phase, Probe, ProbeResult, ProcessId, TargetRecord};
-use raw::{Node, run_local, start_target};
+use raw::{Node, run_local};
 use std::{
     net::TcpListener,
     thread,
--- a/crates/gateway/tests/raw/mod.rs
+++ b/crates/gateway/tests/raw/mod.rs
@@ -6,14 +6,7 @@
     CallerLimits, Change, PublishedSettings, Revision, Route, ServiceSettings, Share, Source,
     TargetRecord,
 };
-use std::{
-    io::{Read, Write},
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    thread,
-    time::Duration,
-};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream},
@@ -97,33 +90,6 @@
     }
 }
 
-/// Starts a target that answers all requests at once, with the id of their call, on threads of its own.
-pub(crate) fn start_target() -> SocketAddr {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
-    let address = listener.local_addr().expect("bound");
-    thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            thread::spawn(move || answer_all(stream));
-        }
-    });
-    address
-}
-
-fn answer_all(mut stream: std::net::TcpStream) {
-    let mut buffer = [0; 4_096];
-    while let Ok(length @ 1..) = stream.read(&mut buffer) {
-        let request = String::from_utf8_lossy(&buffer[..length]);
-        let id = request.lines().find(|line| line.starts_with("x-azuretally-call:"));
-        let id = id.map(|line| format!("{line}\r\n")).unwrap_or_default();
-        let answer = format!(
-            "HTTP/1.1 200 OK\r\n{id}x-azuretally-target-load: 0,0,1,100\r\ncontent-length: 0\r\n\r\n"
-        );
-        if stream.write_all(answer.as_bytes()).is_err() {
-            break;
-        }
-    }
-}
-
 pub(crate) async fn listen() -> (TcpListener, SocketAddr) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("bound");
--- a/crates/gateway/tests/shed_callers.rs
+++ b/crates/gateway/tests/shed_callers.rs
@@ -1,17 +1,19 @@
 //! A gateway that is busier than the others asks some of its callers to connect anew.
 #![allow(clippy::expect_used)]
 
+mod answering;
 // Other test binaries use the rest of the modules.
 #[allow(dead_code)]
 mod raw;
 #[allow(dead_code)]
 mod stub;
 
+use answering::start_target;
 use azuretally_policy::balance::{
     Build, GatewayLoad, Heartbeat, HeartbeatExtension, MESSAGE_GENERATION, Message, Phase,
     ReadState,
 };
-use raw::{Node, read_until, run_local, start_target};
+use raw::{Node, read_until, run_local};
 use std::{
     net::{IpAddr, SocketAddr},
     sync::Arc,
