fix(entry): read each host of the list by itself

Report of another operator: one odd entry among the backends, nested deeply or with a number or a port out of range, and the machines that read the list no longer followed it. Cause: the list is one document that was parsed in one piece. Change: hosts are told apart first and parsed one by one. A text that is no list is refused as before. Measured: settings::host_that_cannot_be_read_costs_itself_alone was red before (Refused), green after.

--- a/crates/api/src/platform.rs
+++ b/crates/api/src/platform.rs
@@ -12,6 +12,7 @@
 //! `&era=ERA` in a long poll is the era that `REV` belongs to.
 
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
 /// Header field with the revision of the returned value.
@@ -82,4 +83,30 @@
     pub revision: u64,
     /// All live and leaving hosts.
     pub hosts: Vec<HostRecord>,
+    /// Number of hosts that could not be read.
+    #[serde(skip)]
+    pub unreadable: usize,
+}
+
+impl HostList {
+    /// Parses a list, each host by itself: one of an unknown form, which another program may have written, is
+    /// counted and costs no other.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if `text` is no list of hosts at all.
+    pub fn parse(text: &str) -> serde_json::Result<Self> {
+        let raw: RawHostList<'_> = serde_json::from_str(text)?;
+        let read = raw.hosts.iter().filter_map(|host| serde_json::from_str(host.get()).ok());
+        let hosts: Vec<HostRecord> = read.collect();
+        let unreadable = raw.hosts.len() - hosts.len();
+        Ok(Self { revision: raw.revision, hosts, unreadable })
+    }
+}
+
+#[derive(Deserialize)]
+struct RawHostList<'a> {
+    revision: u64,
+    #[serde(borrow)]
+    hosts: Vec<&'a RawValue>,
 }
--- a/crates/entry/src/control/control_loop.rs
+++ b/crates/entry/src/control/control_loop.rs
@@ -272,6 +272,10 @@
                         &document.text,
                     );
                     log::info!("control: {path} revision={} {verdict:?}", document.revision);
+                    let hosts = fleet.hosts().accepted().map_or(0, |list| list.value.unreadable);
+                    if topic == Topic::Hosts && hosts > 0 {
+                        log::warn!("control: {path} without {hosts} hosts that cannot be read");
+                    }
                 }
                 Ok(None) => fleet.record_platform_contact(now),
                 Err(e) => log::debug!("control: {path}: {e}"),
--- a/crates/load/src/core/deployment.rs
+++ b/crates/load/src/core/deployment.rs
@@ -191,7 +191,7 @@
                 ));
             }
         }
-        HostList { revision: 1, hosts }
+        HostList { revision: 1, hosts, unreadable: 0 }
     }
 
     /// Returns the local settings of entry `entry`. The peer key is read from `key_path`.
--- a/crates/load/tests/size.rs
+++ b/crates/load/tests/size.rs
@@ -64,7 +64,7 @@
                 .unwrap(),
         },
     };
-    HostList { revision: 1, hosts: (0..TARGETS).map(host).collect() }
+    HostList { revision: 1, hosts: (0..TARGETS).map(host).collect(), unreadable: 0 }
 }
 
 #[test]
--- a/crates/policy/src/fleet/values.rs
+++ b/crates/policy/src/fleet/values.rs
@@ -67,7 +67,7 @@
 }
 
 fn check_hosts(text: &str) -> Result<HostList, String> {
-    serde_json::from_str(text).map_err(|e| e.to_string())
+    HostList::parse(text).map_err(|e| e.to_string())
 }
 
 impl Fleet {
--- a/crates/policy/tests/fleet/settings.rs
+++ b/crates/policy/tests/fleet/settings.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     cases,
-    cluster::{Cluster, settings},
+    cluster::{Cluster, hosts, settings},
 };
 use azuretally_policy::fleet::{Lifecycle, PublishedRevision, RevisionStore, Topic, Verdict};
 use std::collections::BTreeSet;
@@ -229,3 +229,25 @@
     assert_eq!(store.offer(code(2, 7), "bad"), Verdict::Refused);
     assert_eq!(store.revisions().accepted, code(2, 6));
 }
+
+/// Guards against entries that no longer follow the host list for one odd host in it: nested deeply, or with a number
+/// or a port out of range.
+#[test]
+fn host_that_cannot_be_read_costs_itself_alone() {
+    let mut cluster = Cluster::new(1, SEED);
+    cluster.run_until(3_000, Cluster::has_converged).unwrap();
+    let list = hosts(9, &[0], &[("target-1", None, false)]);
+    let deep = format!("{}1{}", "[".repeat(500), "]".repeat(500));
+    let odd = [
+        format!(r#"{{"host":"deep","more":{deep}}}"#),
+        r#"{"host":"far","failure_domain":"a","state":"live","role":"target","service":"till","address":"127.0.0.1:99999"}"#.to_owned(),
+        r#"{"host":"large","state":1e999}"#.to_owned(),
+        r#"["till"]"#.to_owned(),
+    ];
+    let text = list.replace("]}", &format!(",{}]}}", odd.join(",")));
+    let verdict = cluster.with(0, |f, now| f.apply_platform_document(now, Topic::Hosts, 9, &text));
+    assert_eq!(verdict, Verdict::Accepted);
+    let accepted = cluster.fleet(0).hosts().accepted().unwrap();
+    let names: Vec<&str> = accepted.value.hosts.iter().map(|h| h.host.as_str()).collect();
+    assert_eq!((names.len(), names[1], accepted.value.unreadable), (2, "target-1", odd.len()));
+}
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -216,7 +216,7 @@
                 host.state = HostState::Leaving;
             }
         }
-        let list = HostList { revision: 0, hosts };
+        let list = HostList { hosts, ..HostList::default() };
         let body = serde_json::to_vec(&list).expect("JSON");
         let address = self.platform_address();
         let put = web::exchange(address, Method::PUT, "/v1/hosts", body).await;
@@ -433,7 +433,7 @@
     fn start_platform(&self, directory: &TempDir, at: SocketAddr, hosts: &[HostRecord]) -> Child {
         let settings = directory.path().join("published.toml");
         fs::write(&settings, self.published.to_toml()).expect("settings");
-        let list = HostList { revision: 1, hosts: hosts.to_vec() };
+        let list = HostList { revision: 1, hosts: hosts.to_vec(), unreadable: 0 };
         let hosts = directory.path().join("hosts.json");
         fs::write(&hosts, serde_json::to_vec(&list).expect("JSON")).expect("hosts");
         let args = [
