fix(policy): count a request as the trial after a rest when it is sent

Cause: after a rest one call at a time tries whether the target serves again. Whether an attempt is that trial was decided by the time of its decision.

Ruled out: an answer that ends the trial too early (record_answer looked at the decision as well, which is later or the same), and two decisions in one turn (admits sees the first).

Change: the check before a request is sent records that it is (`Balancer::begin_request`), and withholds a request beside a trial that runs. It also holds for a process that took the place of the one that the attempt was decided for, since that may have kept the rest; until now such a request was always sent.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -220,7 +220,7 @@
             if now >= inbound.deadline || is_old || !gateway.is_serving() {
                 return Err(Failure::Connect.into());
             }
-            if !self.wants_request(now) {
+            if !self.begin_request(now) {
                 return Err(SendError::Withheld);
             }
             *sent = true;
@@ -235,11 +235,11 @@
         Err(Failure::Connect.into())
     }
 
-    /// Returns whether the target has not asked for rest since the attempt was decided.
-    fn wants_request(&self, now: Timestamp) -> bool {
-        self.target.is_none_or(|target| {
-            let RequestedTarget { service, name, process, .. } = target;
-            self.gateway.balancer.borrow().wants_requests(now, service, name, *process)
+    /// Returns whether the request may be sent now: the target may have asked for rest since the attempt
+    /// was decided.
+    fn begin_request(&self, now: Timestamp) -> bool {
+        self.target.is_none_or(|RequestedTarget { service, name, .. }| {
+            self.gateway.balancer.borrow_mut().begin_request(now, service, name, self.inbound.id)
         })
     }
 }
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -628,6 +628,7 @@
         target.running.push(RunningAttempt {
             call: id,
             since: now,
+            sent: now,
             expected: candidate.expected,
             crowded: candidate.crowded,
             scale: candidate.scale,
--- a/crates/policy/src/balance/balancer/resting.rs
+++ b/crates/policy/src/balance/balancer/resting.rs
@@ -41,18 +41,12 @@
         true
     }
 
-    /// Returns whether a request may be sent to `process`, listed as target `name`, although its attempt
-    /// was decided earlier.
-    pub fn wants_requests(
-        &self,
-        now: Timestamp,
-        service: &str,
-        name: &str,
-        process: ProcessId,
-    ) -> bool {
-        let target = self.services.get(service).and_then(|s| s.targets.get(name));
-        let is_unwanted = |t: &Target| t.rest.is_resting(now) || t.departed.is_some();
-        target.is_none_or(|t| t.process != process || !is_unwanted(t))
+    /// Returns whether the request of call `id`, whose attempt at target `name` was decided earlier, may be
+    /// sent now, and records that it is. A target that is not known any more has asked for nothing; one that
+    /// has been listed as another process since may have kept the rest.
+    pub fn begin_request(&mut self, now: Timestamp, service: &str, name: &str, id: u64) -> bool {
+        let target = self.services.get_mut(service).and_then(|s| s.targets.get_mut(name));
+        target.is_none_or(|target| target.begin_request(now, id))
     }
 
     /// Returns the number of resting targets of each service.
@@ -86,7 +80,7 @@
         let Some(state) = self.calls.get(&result.attempt.call) else { return };
         let (service, name) = (Arc::clone(&state.call.service), &result.attempt.target);
         let Some(target) = self.process_mut(&service, name, running.process) else { return };
-        if target.rest.record_answer(running.since) {
+        if target.rest.record_answer(running.sent) {
             self.log_lines.push(format!("target {name} serves again after its rest"));
         }
     }
--- a/crates/policy/src/balance/rest.rs
+++ b/crates/policy/src/balance/rest.rs
@@ -63,9 +63,12 @@
 
     /// Returns whether a call may be sent now beside those that are `running`. After a rest, one call at
     /// a time tries whether the target serves again.
-    pub(super) fn admits(&self, now: Timestamp, running: &[RunningAttempt]) -> bool {
-        let has_trial = self.is_trial && running.iter().any(|r| r.since >= self.until);
-        !self.is_resting(now) && !has_trial
+    pub(super) fn admits<'a, Running>(&self, now: Timestamp, mut running: Running) -> bool
+    where
+        Running: Iterator<Item = &'a RunningAttempt>,
+    {
+        let mut has_trial = || self.is_trial && running.any(|r| r.sent >= self.until);
+        !self.is_resting(now) && !has_trial()
     }
 
     /// Records that the target has answered a call that was sent at `sent`, without asking for a rest.
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -34,7 +34,10 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct RunningAttempt {
     pub(super) call: u64,
+    /// When it was decided.
     pub(super) since: Timestamp,
+    /// When its request was sent, or `since` until then: a connection may have to be opened first.
+    pub(super) sent: Timestamp,
     /// Expected duration in seconds.
     pub(super) expected: f64,
     /// Whether the target was crowded at the start.
@@ -206,7 +209,20 @@
     /// Returns whether the target itself wants no further call now: its limit is used up, or it has
     /// asked for rest.
     pub(super) fn wants_none(&self, now: Timestamp) -> bool {
-        !self.limit.may_send(now) || !self.rest.admits(now, &self.running)
+        !self.limit.may_send(now) || !self.rest.admits(now, self.running.iter())
+    }
+
+    /// Returns whether the request of `call`, whose attempt was decided earlier, may be sent now, and
+    /// records that it is.
+    pub(super) fn begin_request(&mut self, now: Timestamp, call: u64) -> bool {
+        let others = self.running.iter().filter(|r| r.call != call);
+        if self.departed.is_some() || !self.rest.admits(now, others) {
+            return false;
+        }
+        if let Some(running) = self.running.iter_mut().find(|r| r.call == call) {
+            running.sent = now;
+        }
+        true
     }
 
     /// Returns whether the target must get no calls now, because it is in backoff or wants none.
--- a/crates/policy/tests/balance/departing.rs
+++ b/crates/policy/tests/balance/departing.rs
@@ -106,11 +106,11 @@
 #[test]
 fn leaving_target_wants_no_request_that_was_decided_before() {
     let mut fixture = Fixture::new(1, 0);
-    let TargetRecord { service, name, started, .. } = record(0, LOCAL);
-    let process = ProcessId::new(&name, started);
-    assert!(fixture.balancer.wants_requests(ms(0), &service, &name, process));
+    let (id, decision) = fixture.submit(ms(0), &route("check", true));
+    let target = expect_start(decision).target;
+    assert!(fixture.begin_request(ms(0), id, &target));
     fixture.depart(ms(1), 0);
-    assert!(!fixture.balancer.wants_requests(ms(2), &service, &name, process));
+    assert!(!fixture.begin_request(ms(2), id, &target));
 }
 
 /// The mark of a process that said so before its record was known was booked to the process before it,
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -149,6 +149,11 @@
         (self.calls, self.balancer.submit(now, call))
     }
 
+    /// Returns whether the request of call `id` is sent to `target` once it has a connection.
+    pub(crate) fn begin_request(&mut self, now: Timestamp, id: u64, target: &Arc<str>) -> bool {
+        self.balancer.begin_request(now, "service", target, id)
+    }
+
     /// Ends the attempt of call `id` at `target`.
     pub(crate) fn end_attempt(
         &mut self,
--- a/crates/policy/tests/balance/resting.rs
+++ b/crates/policy/tests/balance/resting.rs
@@ -194,6 +194,45 @@
     assert_eq!(fixture.starts(ms(1_050)), 1);
 }
 
+/// A request that was decided before the rest, and whose connection opened after it, counted as none: the
+/// next call was sent beside it.
+#[test]
+fn request_sent_after_the_rest_is_the_trial_whenever_it_was_decided() {
+    let mut fixture = Fixture::new(1, 0);
+    let (old, target) = fixture.start(ms(0));
+    fixture.rest(ms(10), 0, Duration::from_millis(100));
+    assert!(!fixture.begin_request(ms(100), old, &target));
+    assert!(fixture.begin_request(ms(120), old, &target));
+    let (_, decision) = fixture.submit(ms(125), &route("check", true));
+    assert_eq!(decision, Decision::Wait);
+    fixture.end_attempt(ms(130), old, &target, ANSWERED, None);
+    assert_eq!(fixture.starts(ms(130)), 1);
+}
+
+/// The same request was sent beside a trial that had begun while its connection opened.
+#[test]
+fn request_decided_before_the_rest_is_withheld_beside_the_trial() {
+    let mut fixture = Fixture::new(1, 0);
+    let (old, target) = fixture.start(ms(0));
+    fixture.rest(ms(10), 0, Duration::from_millis(100));
+    let (trial, _) = fixture.start(ms(115));
+    assert!(fixture.begin_request(ms(118), trial, &target));
+    assert!(!fixture.begin_request(ms(120), old, &target));
+    assert!(fixture.begin_request(ms(121), trial, &target), "sent again on another connection");
+    fixture.end_attempt(ms(130), trial, &target, ANSWERED, None);
+    assert!(fixture.begin_request(ms(131), old, &target));
+}
+
+/// A request that was decided for the process before was sent to one that has kept its rest.
+#[test]
+fn request_decided_for_the_process_before_is_withheld_in_the_rest() {
+    let mut fixture = Fixture::new(1, 0);
+    let (old, target) = fixture.start(ms(950));
+    fixture.rest(ms(1_000), 0, 3 * SECOND);
+    fixture.apply_changes(ms(1_100), vec![Change::Target(successor(0, 900))]);
+    assert!(!fixture.begin_request(ms(1_110), old, &target));
+}
+
 /// A process that takes the name of a resting one has asked for nothing.
 #[test]
 fn new_process_of_the_same_name_does_not_rest() {
