fix(entry): tell an answer from a late copy of an earlier one

Cause: operators reported a second copy of an answer on a kept connection that reached the next caller, and an old refusal that was written once more, after which calls that ran were refused or ran twice. Both could happen at the entry: HTTP/1.1 pairs answers and requests by their order alone, and the entry compared nothing.

Ruled out: that closing connections with unsolicited bytes is enough. hyper does that while a connection is idle; the copy that comes right after the next request was written is taken for its answer.

Change: each request of an entry to a target has its own number (`x-target-attempt`). An answer with another one, or with none on a connection whose answers had one, is a lost answer: the connection ends, calls that are not idempotent become unknown. The stand-in target copies it; the links of the tests can repeat answers.

--- a/crates/api/src/headers.rs
+++ b/crates/api/src/headers.rs
@@ -39,6 +39,9 @@
 pub const TARGET_REFUSED: &str = "x-target-refused";
 /// In a target's response: incarnation of the target process.
 pub const TARGET_INCARNATION: &str = "x-target-incarnation";
+/// In a request of an entry to a target: a number that the entry gives to no other request. A target that
+/// copies it to its response lets the entry tell the response from a late copy of an earlier one.
+pub const TARGET_ATTEMPT: &str = "x-target-attempt";
 /// In a request to a target: remaining time for the call, in whole ms.
 pub const TARGET_TIMEOUT_MS: &str = "x-target-timeout-ms";
 /// In a reply to a call that was not run: time after which the caller may retry, in whole ms. Sent
--- a/crates/entry/src/calls/app.rs
+++ b/crates/entry/src/calls/app.rs
@@ -4,6 +4,7 @@
 use crate::context::Context;
 use arc_swap::ArcSwap;
 use azuretally_policy::{dispatch::CallId, idempotency::KeyTable};
+use http::HeaderValue;
 use parking_lot::Mutex;
 use std::sync::{
     Arc,
@@ -37,6 +38,7 @@
     /// planned stop waits for them.
     pub(super) tasks: TaskTracker,
     next_id: AtomicU64,
+    next_attempt: AtomicU64,
 }
 
 impl App {
@@ -55,6 +57,7 @@
             abort: CancellationToken::new(),
             tasks,
             next_id: AtomicU64::new(1),
+            next_attempt: AtomicU64::new(1),
         }
     }
 
@@ -62,4 +65,9 @@
     pub(super) fn next_call_id(&self) -> CallId {
         CallId(self.next_id.fetch_add(1, Ordering::Relaxed))
     }
+
+    /// Returns what names a new request to a target.
+    pub(super) fn next_attempt(&self) -> HeaderValue {
+        self.next_attempt.fetch_add(1, Ordering::Relaxed).into()
+    }
 }
--- a/crates/entry/src/calls/attempt.rs
+++ b/crates/entry/src/calls/attempt.rs
@@ -62,6 +62,7 @@
                 let extra_headers = [
                     (HeaderName::from_static(headers::TARGET_TIMEOUT_MS), millis(remaining)),
                     (HeaderName::from_static(headers::HOPS), HeaderValue::from_static("1")),
+                    (HeaderName::from_static(headers::TARGET_ATTEMPT), self.app.next_attempt()),
                 ];
                 let timeout = self.timeout(remaining);
                 let result = self.exchange(address, extra_headers, timeout).await;
@@ -86,10 +87,10 @@
         }
     }
 
-    async fn exchange(
+    async fn exchange<const N: usize>(
         &self,
         address: Option<SocketAddr>,
-        extra_headers: [(HeaderName, HeaderValue); 2],
+        extra_headers: [(HeaderName, HeaderValue); N],
         timeout: Duration,
     ) -> Result<UpstreamResponse, ExchangeError> {
         let unsent = ExchangeError { kind: FailureKind::Connect, not_executed: true };
--- a/crates/entry/src/calls/exchange.rs
+++ b/crates/entry/src/calls/exchange.rs
@@ -7,6 +7,7 @@
     limits::{CONNECT_TIMEOUT, MAX_BUFFERED_BYTES, MIN_PAUSE},
     pool::{Connection, ReusePolicy},
 };
+use azuretally_api::headers;
 use azuretally_policy::{Timestamp, dispatch::FailureKind};
 use bytes::Bytes;
 use http::{
@@ -125,6 +126,7 @@
         started: Timestamp,
         written: &AtomicBool,
     ) -> Result<UpstreamResponse, ExchangeError> {
+        let attempt = request.headers().get(headers::TARGET_ATTEMPT).cloned();
         for _ in 0..MAX_CONNECTION_TRIES {
             let mut connection = self
                 .app
@@ -138,7 +140,7 @@
             }
             written.store(true, Ordering::Relaxed);
             match connection.sender.try_send_request(request).await {
-                Ok(response) => return self.receive(response, connection).await,
+                Ok(response) => return self.receive(response, attempt, connection).await,
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
                     None => return Err(ExchangeError::after_write(FailureKind::Broken)),
@@ -159,10 +161,13 @@
     async fn receive(
         &self,
         response: Response<Incoming>,
-        connection: Connection,
+        attempt: Option<HeaderValue>,
+        mut connection: Connection,
     ) -> Result<UpstreamResponse, ExchangeError> {
         let (head, body) = response.into_parts();
-        if !is_framed(&head, &body) {
+        let named = head.headers.get(headers::TARGET_ATTEMPT);
+        let is_own = attempt.is_none_or(|attempt| connection.is_response_to(&attempt, named));
+        if !is_own || !is_framed(&head, &body) {
             return Err(ExchangeError::after_write(FailureKind::Broken));
         }
         if body.size_hint().exact().is_none_or(|n| n > MAX_BUFFERED_BYTES) {
@@ -188,23 +193,24 @@
 
 /// Builds the request to `address` for a call, or returns `None` if the body of the call has
 /// already been sent and was not buffered.
-pub(super) fn request_from(
+pub(super) fn request_from<const N: usize>(
     inbound: &Inbound,
     address: SocketAddr,
-    extra_headers: [(HeaderName, HeaderValue); 2],
+    extra_headers: [(HeaderName, HeaderValue); N],
 ) -> Option<Request<RequestBody>> {
     let mut request = Request::new(inbound.body.request_body()?);
     *request.method_mut() = inbound.method.clone();
     *request.uri_mut() = inbound.path.clone().into();
-    let headers = request.headers_mut();
-    headers.clone_from(&inbound.headers);
-    remove_hop_headers(headers);
-    headers.remove(HOST);
+    let header_map = request.headers_mut();
+    header_map.clone_from(&inbound.headers);
+    remove_hop_headers(header_map);
+    header_map.remove(headers::TARGET_ATTEMPT);
+    header_map.remove(HOST);
     if let Ok(host) = HeaderValue::from_str(&address.to_string()) {
-        headers.insert(HOST, host);
+        header_map.insert(HOST, host);
     }
     for (name, value) in extra_headers {
-        headers.insert(name, value);
+        header_map.insert(name, value);
     }
     Some(request)
 }
--- a/crates/entry/src/calls/pool.rs
+++ b/crates/entry/src/calls/pool.rs
@@ -9,6 +9,7 @@
 };
 use crate::{clock::Clock, socket::configure};
 use azuretally_policy::Timestamp;
+use http::HeaderValue;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use indexmap::IndexMap;
@@ -46,6 +47,24 @@
     /// Time at which the connection was opened or last released to the pool, normally after a
     /// response.
     last_active: Timestamp,
+    /// Whether a response on the connection has named its attempt, so that all of them must.
+    names_attempts: bool,
+}
+
+impl Connection {
+    /// Returns whether a response that names the attempt `named`, if any, is the one to `attempt`, and not a
+    /// late copy of the response to an earlier request on the connection.
+    pub(super) fn is_response_to(
+        &mut self,
+        attempt: &HeaderValue,
+        named: Option<&HeaderValue>,
+    ) -> bool {
+        self.names_attempts |= named.is_some();
+        match named {
+            Some(named) => named == attempt,
+            None => !self.names_attempts,
+        }
+    }
 }
 
 impl fmt::Debug for Connection {
@@ -148,6 +167,7 @@
             // Connection errors are returned by the request that uses the connection.
             let _ = driver.await;
         });
-        Ok(Connection { sender, address, last_active: self.clock.now() })
+        let last_active = self.clock.now();
+        Ok(Connection { sender, address, last_active, names_attempts: false })
     }
 }
--- a/crates/entry/src/calls/probe.rs
+++ b/crates/entry/src/calls/probe.rs
@@ -9,6 +9,7 @@
     pool::ReusePolicy,
     service::{ProbeRequest, Service},
 };
+use azuretally_api::headers;
 use azuretally_policy::dispatch::{Event, FailureKind, LoadReport};
 use bytes::Bytes;
 use http::Request;
@@ -34,7 +35,7 @@
 async fn probe(app: Arc<App>, probe_request: ProbeRequest) {
     let ProbeRequest { service, target } = probe_request;
     let address = service.targets.load().address(&target);
-    let report = match address.and_then(|a| load_request(a).map(|r| (a, r))) {
+    let report = match address.and_then(|a| load_request(&app, a).map(|r| (a, r))) {
         Some((address, request)) => {
             let deadline = app.context.clock.now() + PROBE_TIMEOUT;
             let exchange = Exchange {
@@ -70,9 +71,10 @@
     Some(report)
 }
 
-fn load_request(address: SocketAddr) -> Option<Request<RequestBody>> {
+fn load_request(app: &App, address: SocketAddr) -> Option<Request<RequestBody>> {
     Request::get(LOAD_PATH)
         .header(http::header::HOST, address.to_string())
+        .header(headers::TARGET_ATTEMPT, app.next_attempt())
         .body(Either::Left(Full::new(Bytes::new())))
         .ok()
 }
--- a/crates/entry/src/calls/reply.rs
+++ b/crates/entry/src/calls/reply.rs
@@ -53,7 +53,12 @@
     ) -> Self {
         let UpstreamResponse { mut head, body } = upstream;
         remove_hop_headers(&mut head.headers);
-        for name in [headers::TARGET_BUSY, headers::TARGET_STATE, headers::TARGET_INCARNATION] {
+        for name in [
+            headers::TARGET_BUSY,
+            headers::TARGET_STATE,
+            headers::TARGET_INCARNATION,
+            headers::TARGET_ATTEMPT,
+        ] {
             head.headers.remove(name);
         }
         let mut response = Response::new(Either::Left(Full::default()));
--- a/crates/gateway/tests/resting_target/verdict.rs
+++ b/crates/gateway/tests/resting_target/verdict.rs
@@ -185,7 +185,9 @@
                 if !record.is_refused() || record.elapsed() > OBJECTIVE {
                     let answer = record.answer.as_ref().map(ToString::to_string);
                     let took = record.elapsed();
-                    self.held.push(format!("call {}: {answer:?} after {took:?}", record.id));
+                    let course = course_of(deployment, record, pairs);
+                    self.held
+                        .push(format!("call {}: {answer:?} after {took:?}\n{course}", record.id));
                 }
             }
         }
@@ -249,6 +251,36 @@
     }
 }
 
+/// Returns what each target saw of `record` and its gateway around the call, in ms since it was sent, and
+/// what the gateways logged of it.
+fn course_of(
+    deployment: &Deployment,
+    record: &CallRecord,
+    pairs: &IndexMap<Pair, Vec<Arrival>>,
+) -> String {
+    let ms = |at: Instant| match at.checked_duration_since(record.sent) {
+        Some(later) => later.as_secs_f64() * 1_000.0,
+        None => -(record.sent - at).as_secs_f64() * 1_000.0,
+    };
+    let mut lines = Vec::new();
+    for ((target, _, gateway), arrivals) in pairs {
+        let is_own = *gateway == record.gateway.ip();
+        let is_near = |a: &&Arrival| {
+            let is_rest = is_own && a.rest.is_some();
+            a.call == Some(record.id)
+                || (is_rest && a.ended.is_some_and(|at| (-4e3..1e3).contains(&ms(at))))
+        };
+        let near = arrivals.iter().filter(is_near).rev().take(MAX_SHOWN);
+        lines.extend(near.map(|a| {
+            let (arrived, ended, rest) = (ms(a.arrived), a.ended.map(ms), a.rest);
+            let call = a.call;
+            format!("    {target}, {gateway}: call {call:?} {arrived:.1} to {ended:.1?}, {rest:?}")
+        }));
+    }
+    lines.extend(deployment.gateways.iter().map(|g| g.log_of(&record.id.to_string())));
+    lines.join("\n")
+}
+
 fn rest_of(arrival: &Arrival) -> Option<Rest> {
     let (asked, rest) = (arrival.ended?, arrival.rest?);
     Some(Rest { asked, until: asked + rest })
--- a/crates/standin/src/proxy/link.rs
+++ b/crates/standin/src/proxy/link.rs
@@ -1,6 +1,6 @@
 //! A link, which forwards connections from a listening address to a target address.
 
-use super::pump::{LinkState, pump};
+use super::pump::{Direction, LinkState};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -13,7 +13,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpSocket, TcpStream},
-    sync::watch,
+    sync::{mpsc, watch},
     task::JoinSet,
 };
 use tokio_util::sync::CancellationToken;
@@ -35,6 +35,9 @@
     pub delay_ms: u64,
     /// Throughput limit of each direction, in bytes per second; 0 means no limit.
     pub drip_bytes_per_s: u64,
+    /// When the client sends its next request on a connection, it gets the latest answer that came since this
+    /// was set once more, late.
+    pub repeat_answers: bool,
 }
 
 /// Connection counters of a link.
@@ -156,14 +159,10 @@
         let reset = {
             let (client_read, client_write) = client.split();
             let (upstream_read, upstream_write) = upstream.split();
-            let to_upstream =
-                pump(client_read, upstream_write, self.state.subscribe(), number, |f| {
-                    f.drop_forward
-                });
-            let to_client =
-                pump(upstream_read, client_write, self.state.subscribe(), number, |f| {
-                    f.drop_backward
-                });
+            let (asked, answers) = mpsc::unbounded_channel();
+            let direction = || Direction { state: self.state.subscribe(), number };
+            let to_upstream = direction().pump_to_upstream(client_read, upstream_write, asked);
+            let to_client = direction().pump_to_client(upstream_read, client_write, answers);
             tokio::select! {
                 () = cut => true,
                 _ = async { tokio::join!(to_upstream, to_client) } => false,
--- a/crates/standin/src/proxy/pump.rs
+++ b/crates/standin/src/proxy/pump.rs
@@ -1,7 +1,7 @@
 //! Forwards the bytes of one direction of a connection.
 
 use super::link::Faults;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use std::time::Duration;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -25,21 +25,110 @@
     pub(super) silent_below: u64,
 }
 
-/// Forwards bytes from `input` to `output` until either ends. Bytes are discarded while the
-/// connection is silenced or `is_dropped` holds for the faults of the link.
-pub(super) async fn pump<IsDropped>(
-    input: ReadHalf<'_>,
-    output: WriteHalf<'_>,
-    state: watch::Receiver<LinkState>,
-    number: u64,
-    is_dropped: IsDropped,
-) where
-    IsDropped: Fn(&Faults) -> bool,
-{
-    let (sender, receiver) = mpsc::channel(QUEUE_CHUNKS);
-    let read = read(input, sender, state.clone());
-    let write = write(output, receiver, state, number, is_dropped);
-    tokio::join!(read, write);
+/// One direction of a connection.
+#[derive(Debug)]
+pub(super) struct Direction {
+    pub(super) state: watch::Receiver<LinkState>,
+    /// Number of the connection.
+    pub(super) number: u64,
+}
+
+impl Direction {
+    /// Forwards bytes of the client until either end closes, and tells `asked` of each part.
+    pub(super) async fn pump_to_upstream(
+        self,
+        input: ReadHalf<'_>,
+        output: WriteHalf<'_>,
+        asked: mpsc::UnboundedSender<()>,
+    ) {
+        let (sender, mut receiver) = mpsc::channel(QUEUE_CHUNKS);
+        let read = read(input, sender, self.state.clone());
+        let write = async {
+            let mut output = output;
+            while let Some(chunk) = receiver.recv().await {
+                // The other direction ends first if the target closes.
+                let _ = asked.send(());
+                if self.write(&mut output, chunk, |f| f.drop_forward).await.is_none() {
+                    return;
+                }
+            }
+            self.close(output, |f| f.drop_forward).await;
+        };
+        tokio::join!(read, write);
+    }
+
+    /// Forwards bytes of the target until either end closes. Each message of `asked` stands for a part of a
+    /// request.
+    pub(super) async fn pump_to_client(
+        self,
+        input: ReadHalf<'_>,
+        output: WriteHalf<'_>,
+        mut asked: mpsc::UnboundedReceiver<()>,
+    ) {
+        let (sender, mut receiver) = mpsc::channel(QUEUE_CHUNKS);
+        let read = read(input, sender, self.state.clone());
+        let write = async {
+            let mut output = output;
+            let mut latest = BytesMut::new();
+            loop {
+                let chunk = tokio::select! {
+                    biased;
+                    Some(()) = asked.recv() => {
+                        (Instant::now(), latest.split().freeze())
+                    }
+                    chunk = receiver.recv() => match chunk {
+                        Some(chunk) => {
+                            if self.state.borrow().faults.repeat_answers {
+                                latest.extend_from_slice(&chunk.1);
+                            }
+                            chunk
+                        }
+                        None => break,
+                    },
+                };
+                if self.write(&mut output, chunk, |f| f.drop_backward).await.is_none() {
+                    return;
+                }
+            }
+            self.close(output, |f| f.drop_backward).await;
+        };
+        tokio::join!(read, write);
+    }
+
+    /// Writes a chunk when it is due, or discards it while the connection is silenced or `is_dropped` holds
+    /// for the faults of the link. Returns `None` if the connection has failed.
+    async fn write<IsDropped>(
+        &self,
+        output: &mut WriteHalf<'_>,
+        (due, chunk): (Instant, Bytes),
+        is_dropped: IsDropped,
+    ) -> Option<()>
+    where
+        IsDropped: Fn(&Faults) -> bool,
+    {
+        time::sleep_until(due).await;
+        if self.is_silent(&self.state.borrow(), &is_dropped) {
+            return Some(());
+        }
+        write_throttled(output, chunk, &self.state).await.ok()
+    }
+
+    /// Closes `output`. A silenced connection must not reveal to either side that the other one has closed.
+    async fn close<IsDropped>(&self, mut output: WriteHalf<'_>, is_dropped: IsDropped)
+    where
+        IsDropped: Fn(&Faults) -> bool,
+    {
+        let mut state = self.state.clone();
+        let _ = state.wait_for(|s| !self.is_silent(s, &is_dropped)).await;
+        let _ = output.shutdown().await;
+    }
+
+    fn is_silent<IsDropped>(&self, state: &LinkState, is_dropped: &IsDropped) -> bool
+    where
+        IsDropped: Fn(&Faults) -> bool,
+    {
+        self.number < state.silent_below || is_dropped(&state.faults)
+    }
 }
 
 async fn read(
@@ -62,31 +151,6 @@
     }
 }
 
-async fn write<IsDropped>(
-    mut output: WriteHalf<'_>,
-    mut receiver: mpsc::Receiver<(Instant, Bytes)>,
-    state: watch::Receiver<LinkState>,
-    number: u64,
-    is_dropped: IsDropped,
-) where
-    IsDropped: Fn(&Faults) -> bool,
-{
-    let is_silent = |s: &LinkState| number < s.silent_below || is_dropped(&s.faults);
-    while let Some((due, chunk)) = receiver.recv().await {
-        time::sleep_until(due).await;
-        if is_silent(&state.borrow()) {
-            continue;
-        }
-        if write_throttled(&mut output, chunk, &state).await.is_err() {
-            return;
-        }
-    }
-    // A silenced connection must not reveal to either side that the other one has closed.
-    let mut state = state;
-    let _ = state.wait_for(|s| !is_silent(s)).await;
-    let _ = output.shutdown().await;
-}
-
 async fn write_throttled(
     output: &mut WriteHalf<'_>,
     mut chunk: Bytes,
--- a/crates/standin/src/target/server.rs
+++ b/crates/standin/src/target/server.rs
@@ -178,6 +178,7 @@
     ) -> Result<Response<ResponseBody>, ConnectionAborted> {
         self.timer.sleep(self.options.net_delay).await;
         let path = request.uri().path();
+        let attempt = request.headers().get(headers::TARGET_ATTEMPT).cloned();
         let rests = self.record_in_rest();
         let mut response = if path == HEALTH_PATH || path == LOAD_PATH {
             self.handle_probe().await
@@ -185,6 +186,9 @@
             self.handle_call(request, rests).await?
         };
         self.add_status_headers(&mut response);
+        if let Some(attempt) = attempt {
+            response.headers_mut().insert(headers::TARGET_ATTEMPT, attempt);
+        }
         self.timer.sleep(self.options.net_delay).await;
         Ok(response)
     }
--- a/crates/testsuite/src/fleet.rs
+++ b/crates/testsuite/src/fleet.rs
@@ -228,6 +228,11 @@
         if self.builder.targets == 1 { "till".to_owned() } else { format!("till-{number}") }
     }
 
+    /// Returns the address of target `number` itself, past its link.
+    pub fn target_address(&self, number: u16) -> SocketAddr {
+        self.network.address(TARGETS_HOST, TARGETS_PORT + number)
+    }
+
     /// Starts a new incarnation of entry `number` on the same addresses.
     pub fn restart(&mut self, number: usize) {
         let seeds = self.seeds();
--- a/crates/testsuite/tests/testsuite/answers.rs
+++ b/crates/testsuite/tests/testsuite/answers.rs
@@ -1,6 +1,6 @@
 //! A caller gets either the complete response to its own request or a failed transfer.
 
-use azuretally_api::record::Outcome;
+use azuretally_api::{headers, record::Outcome};
 use azuretally_standin::{proxy, target::Faults};
 use azuretally_testsuite::{
     Call, CallError, Caller, CompletedCall, Fleet, LoadGenerator, Workload,
@@ -127,6 +127,40 @@
     }
 }
 
+/// Guards against the next caller on a connection getting the late second copy of an earlier response.
+#[tokio::test]
+async fn second_copy_of_a_response_is_not_the_response_to_the_next_call() {
+    let fleet = Fleet::builder().entries(1).targets(1).links().start().await;
+    let to = fleet.direction().await;
+    let faults = proxy::Faults { repeat_answers: true, ..proxy::Faults::default() };
+    fleet.target_links[0].set_faults(faults);
+    let mut answered = 0;
+    for round in 0..10 {
+        let calls = [
+            Call::get("/till/balance", format!("b{round}")),
+            Call::get("/till/balance", format!("l{round}")).response_bytes(150_000),
+            Call::sale(format!("s{round}"), &to),
+        ];
+        for call in calls {
+            match fleet.caller.call(to.address, &call).await {
+                Ok(reply) if reply.is_answered() => {
+                    assert!(call.is_own_response(&reply.body), "{call:?}: {reply:?}");
+                    assert!(reply.header(headers::TARGET_ATTEMPT).is_none(), "{reply:?}");
+                    answered += 1;
+                }
+                Ok(reply) => {
+                    assert_eq!(reply.outcome(), Some(Outcome::Unknown), "{call:?}: {reply:?}");
+                }
+                Err(e) => panic!("{call:?}: {e:?}"),
+            }
+            if call.is_sale() {
+                assert_eq!(fleet.starts(call.run_key()).await, 1);
+            }
+        }
+    }
+    assert!(answered > 10, "{answered} of 30 calls");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn responses_match_their_calls_under_target_faults() {
     let fleet = Fleet::builder().targets(5).service_ms(3.0).start().await;
--- a/crates/testsuite/tests/testsuite/not_run.rs
+++ b/crates/testsuite/tests/testsuite/not_run.rs
@@ -78,6 +78,35 @@
     fleet.verify(&completed).await;
 }
 
+/// An earlier refusal that is written once more, while the target runs the next call, does not refuse that
+/// call: it was sent again, or reported as not run.
+#[tokio::test]
+async fn second_copy_of_a_refusal_refuses_no_other_call() {
+    let fleet = Fleet::builder().entries(1).targets(1).slots(1).links().start().await;
+    let to = fleet.direction().await;
+    let faults = LinkFaults { repeat_answers: true, ..LinkFaults::default() };
+    for round in 0..5 {
+        // The slot is in use, so that the target refuses the call before it takes it.
+        let blocker = Call::get("/till/balance", format!("blocker-{round}")).service_ms(300);
+        let caller = fleet.caller.clone();
+        let at = fleet.target_address(0);
+        let blocking = tokio::spawn(async move { caller.call(at, &blocker).await });
+        time::sleep(Duration::from_millis(50)).await;
+        fleet.target_links[0].set_faults(faults);
+        let call = Call::sale(format!("s{round}"), &to).timeout(Duration::from_millis(1_500));
+        let reply = fleet.caller.call(to.address, &call).await.unwrap();
+        fleet.target_links[0].set_faults(LinkFaults::default());
+        blocking.await.unwrap().unwrap();
+        time::sleep(Duration::from_millis(200)).await;
+        let starts = fleet.starts(call.run_key()).await;
+        assert!(starts <= 1, "{starts} runs: {reply:?}");
+        assert!(!reply.is_not_run() || starts == 0, "it ran: {reply:?}");
+        assert!(!reply.is_answered() || call.is_own_response(&reply.body), "{reply:?}");
+    }
+    let report = fleet.target_report().await;
+    assert!(report.targets.values().any(|t| t.refused_busy > 0), "no call was refused");
+}
+
 /// A relayed call whose response is lost between two entries may have run.
 #[tokio::test]
 async fn relayed_call_with_a_lost_response_is_not_reported_as_not_run() {
--- a/crates/testsuite/tests/testsuite/silence.rs
+++ b/crates/testsuite/tests/testsuite/silence.rs
@@ -15,6 +15,7 @@
     silence_open: true,
     delay_ms: 0,
     drip_bytes_per_s: 0,
+    repeat_answers: false,
 };
 
 const WORKLOAD: Workload = Workload {
