fix(entry): messages between entries over tokio instead of nng

The cores show a pipe in the push socket's ready list after it was freed, a fault of the library.

Ruled out: another protocol of nng (the same list is used for sending by all that we could take); a lock around dialling (the fault is between nng's own threads).

Change: peers.rs sends and receives with tokio and the codec of tokio-util. The bytes on the wire stay those of the scalability protocols over TCP, so that entries of earlier builds are understood: 8 bytes of greeting, then messages after their length. Connections from peers are bounded in number, greeted within 1 s, and closed after 5 min without a message.

New: peers:: (wire format, strangers on the port).

--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -14,14 +14,14 @@
 mod view_builder;
 
 pub use directions::{DIRECTIONS_TTL_MS, directions};
-pub use error::{PeerError, PlatformError};
+pub use error::PlatformError;
 pub use handle::{ControlCounters, ControlHandle};
 
 use crate::{StartError, context::Context};
 use azuretally_policy::fleet::{Addresses, FleetBuilder};
 use control_loop::ControlLoop;
 use error_stack::{Report, ResultExt};
-use peers::PeerSockets;
+use peers::PeerConnections;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::{
@@ -37,7 +37,8 @@
 /// [`StartError::Runtime`] if the fleet state machine cannot be built.
 pub async fn run(context: &Arc<Context>) -> Result<(), Report<StartError>> {
     let local = &context.local;
-    let (peer_sockets, inbox) = PeerSockets::listen(local.listen.peers)
+    let (peers, inbox) = PeerConnections::listen(local.listen.peers)
+        .await
         .change_context(StartError::Bind(local.listen.peers))?;
     let addresses = Addresses { calls: local.listen.calls, peers: local.listen.peers };
     let builder =
@@ -50,9 +51,8 @@
         .build(context.clock.now())
         .change_context(StartError::Runtime)?;
     let control_loop =
-        ControlLoop::new(context, fleet, peer_sockets, Pcg64Mcg::seed_from_u64(rand::random()));
+        ControlLoop::new(context, fleet, peers, Pcg64Mcg::seed_from_u64(rand::random()));
     control_loop.run(inbox).await;
-    control_loop.close();
     Ok(())
 }
 
--- a/crates/entry/src/control/control_loop.rs
+++ b/crates/entry/src/control/control_loop.rs
@@ -3,7 +3,7 @@
 use super::{
     handle::{ControlCounters, TargetReport},
     load::LoadMeter,
-    peers::{Inbox, PeerSockets},
+    peers::{Inbox, PeerConnections},
     platform::PlatformClient,
     view_builder::{ViewBuilder, with_free_slots},
 };
@@ -44,7 +44,7 @@
 pub(super) struct ControlLoop {
     context: Arc<Context>,
     fleet: RefCell<Fleet>,
-    peer_sockets: RefCell<PeerSockets>,
+    peers: RefCell<PeerConnections>,
     pacer: RefCell<Pacer>,
     rng: RefCell<Pcg64Mcg>,
     view_builder: RefCell<ViewBuilder>,
@@ -62,14 +62,14 @@
     pub(super) fn new(
         context: &Arc<Context>,
         fleet: Fleet,
-        peer_sockets: PeerSockets,
+        peers: PeerConnections,
         rng: Pcg64Mcg,
     ) -> Self {
         let now = context.clock.now();
         Self {
             context: Arc::clone(context),
             fleet: RefCell::new(fleet),
-            peer_sockets: RefCell::new(peer_sockets),
+            peers: RefCell::new(peers),
             pacer: RefCell::new(Pacer::new(now, 1)),
             rng: RefCell::new(rng),
             view_builder: RefCell::default(),
@@ -92,10 +92,6 @@
         }
     }
 
-    pub(super) fn close(self) {
-        self.peer_sockets.into_inner().close();
-    }
-
     async fn process_events(&self, mut inbox: Inbox) {
         let Some(mut reports) = self.context.control.take_reports() else { return };
         let mut ticks = interval(TICK_INTERVAL);
@@ -172,14 +168,14 @@
 
     fn perform_actions(&self) {
         let actions = self.fleet.borrow_mut().take_actions();
-        let mut peer_sockets = self.peer_sockets.borrow_mut();
+        let mut peers = self.peers.borrow_mut();
         let counters = &self.context.control.counters;
         for action in actions {
             match action {
-                Action::Send { address, bytes } => peer_sockets.send(address, &bytes, counters),
+                Action::Send { address, bytes } => peers.send(address, bytes, counters),
                 Action::Redial(address) => {
                     ControlCounters::add(&counters.redials, 1);
-                    peer_sockets.disconnect(address);
+                    peers.disconnect(address);
                 }
             }
         }
--- a/crates/entry/src/control/error.rs
+++ b/crates/entry/src/control/error.rs
@@ -1,4 +1,4 @@
-//! Errors of the connections to the platform and to peers.
+//! Errors of the connections to the platform.
 
 use std::{error::Error, fmt};
 
@@ -30,21 +30,3 @@
 }
 
 impl Error for PlatformError {}
-
-/// A socket for messages between entries could not be set up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct PeerError(nng::Error);
-
-impl fmt::Display for PeerError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "the socket cannot be set up: {}", self.0)
-    }
-}
-
-impl Error for PeerError {}
-
-impl From<nng::Error> for PeerError {
-    fn from(e: nng::Error) -> Self {
-        Self(e)
-    }
-}
--- a/crates/testsuite/tests/testsuite/main.rs
+++ b/crates/testsuite/tests/testsuite/main.rs
@@ -12,6 +12,7 @@
 mod measuring;
 mod not_run;
 mod operators;
+mod peers;
 mod resting;
 mod restored;
 mod settings;
