fix(entry): refuse calls that have no time to run after a rest

Cause: while all targets rested, a call waited for the end of the first rest if its run, taken as the bare mean, still fitted; with fewer than 100 known service times no time to run was reserved once it waited.

Ruled out: to reserve that time for all waiting calls.

Change: during a rest a call needs the 99th percentile, or three times the mean while few runs are known, at most a quarter of its time and at least the mean, both when it arrives and while it waits. Best for callers: "not run, come back after the rest" at once is worth more than an unknown outcome after their whole time.

--- a/crates/policy/src/dispatch/dispatcher/admission.rs
+++ b/crates/policy/src/dispatch/dispatcher/admission.rs
@@ -77,6 +77,14 @@
         Some(p99_us as f64)
     }
 
+    /// Returns the time that a call with `remaining` time needs to run after a rest, so that it is not started
+    /// for nothing: the 99th percentile, or with few samples a multiple of the mean, but not less than that.
+    pub(super) fn run_after_rest(&self, operation: usize, remaining: Duration) -> Duration {
+        let expected_us = self.expected_us(operation);
+        let run_us = self.p99_run_us(operation).unwrap_or(expected_us * DEFAULT_P99_FACTOR);
+        micros(run_us).min(remaining / RUN_RESERVE_DIVISOR).max(micros(expected_us))
+    }
+
     /// Returns class and idempotence of an operation. An unknown operation gets the lowest class
     /// and is not idempotent.
     pub(super) fn class_and_idempotence(&self, index: usize) -> (usize, bool) {
@@ -172,7 +180,7 @@
         };
         let wait = at.since(now);
         let run = match self.is_resting(now) {
-            true => micros(self.expected_us(operation)),
+            true => self.run_after_rest(operation, remaining),
             false => Duration::ZERO,
         };
         (wait + run >= remaining).then_some((RefusalReason::NoTarget, wait))
--- a/crates/policy/src/dispatch/dispatcher/rests.rs
+++ b/crates/policy/src/dispatch/dispatcher/rests.rs
@@ -8,7 +8,7 @@
         event::{Action, CallId, RefusalReason, TargetNotice},
     },
 };
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 impl Dispatcher {
     /// Returns the targets that rest at `now`, with the end of their rests.
@@ -62,17 +62,22 @@
         active.map(|t| t.available_at(now)).min()
     }
 
-    /// Gives up the waiting calls whose latest start comes before the end of the first rest, unless a
-    /// peer can take them.
+    /// Gives up the waiting calls that have no time to run after the end of the first rest, unless a peer can
+    /// take them.
     pub(super) fn refuse_during_rest(&mut self, now: Timestamp, actions: &mut Vec<Action>) {
         if self.queue.len() == 0 || !self.is_resting(now) {
             return;
         }
         let Some(at) = self.first_available(now).filter(|at| *at > now) else { return };
-        let late: Vec<CallId> = self.queue.expiring_by(at).collect();
-        for id in late {
-            let Some(call) = self.calls.get(&id).map(|c| c.call.clone()) else { continue };
-            if self.can_relay(now, &call) {
+        let operations = 0..self.service_times.len().max(1);
+        let longest = operations.map(|o| self.run_after_rest(o, Duration::MAX)).max();
+        let soon: Vec<CallId> = self.queue.expiring_by(at + longest.unwrap_or_default()).collect();
+        for id in soon {
+            let Some(tracked) = self.calls.get(&id) else { continue };
+            let (call, latest_start) = (tracked.call.clone(), tracked.latest_start);
+            let run = self.run_after_rest(call.operation, call.deadline.since(now));
+            let is_late = at >= latest_start || at + run >= call.deadline;
+            if !is_late || self.can_relay(now, &call) {
                 continue;
             }
             if let Some(tracked) = self.calls.get(&id) {
--- a/crates/policy/tests/dispatch/resting.rs
+++ b/crates/policy/tests/dispatch/resting.rs
@@ -154,6 +154,24 @@
     }
 }
 
+/// Guards against calls sent after the rest that cannot end before their deadline any more, while few
+/// service times are known: their outcome is unknown, and the work in vain. Choices that send each call at
+/// once try again later instead.
+#[test]
+fn call_that_has_no_time_to_run_after_the_rest_is_refused_at_once() {
+    for choice in [BalancingPolicy::Owned, BalancingPolicy::OwnedShared] {
+        let mut harness = Harness::new(choice, 1);
+        harness.arrive(ms(900));
+        harness.answer(1, 0);
+        harness.ask(0, ms(400), None);
+        let actions = harness.arrive(ms(410));
+        assert_eq!(refused(&actions).len(), 1, "{choice:?}: {actions:?}");
+        let mut actions = harness.arrive(ms(430));
+        actions.extend(harness.advance(ms(430)));
+        assert_eq!(dispatched(&actions), [(3, target_name(0))], "{choice:?}: {actions:?}");
+    }
+}
+
 /// Guards against calls in the queue that wait until their deadline once the last target rests.
 #[test]
 fn waiting_calls_are_refused_when_the_last_target_rests() {
