refactor: one method for the directed gateways, one body for links

Cause: a re-reading of the change. "The gateways that callers are directed to" was put together from `ranked` and `directed_len` in five places, one of them new; the stand-in link had grown two nearly equal pumps; the heartbeat of another gateway was written out in two gateway tests.

Change: `Membership::directed` and `directed_of`; `pump` has one body again, with what the directions tell each other as a `Turn`; tests/peer. Behaviour and assertions are as before.

--- a/crates/gateway/tests/relay.rs
+++ b/crates/gateway/tests/relay.rs
@@ -1,15 +1,17 @@
 //! Calls at a gateway that is cut off from all targets, which it relays to another one.
 #![allow(clippy::expect_used)]
 
+mod peer;
 mod raw;
 mod stub;
 
 use azuretally_policy::balance::{
-    Build, CallDigest, CallNotice, Change, DigestParts, GatewayLoad, Heartbeat, HeartbeatExtension,
-    Message, Phase, ProcessId, PublishedSettings, ReadState, Revision, Source,
+    CallDigest, CallNotice, Change, DigestParts, Message, Phase, ProcessId, PublishedSettings,
+    Revision, Source,
 };
+use peer::heartbeat_of;
 use raw::{Node, TIMEOUT, accept, listen, published, read_until, run_local};
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 use tokio::{
     io::AsyncWriteExt,
     net::{TcpListener, TcpStream},
@@ -35,25 +37,7 @@
     fn meet(&self, peers: &[SocketAddr]) {
         let now = self.gateway.clock.now();
         for peer in peers {
-            let heartbeat = Heartbeat {
-                host: Arc::from(peer.to_string()),
-                domain: Arc::from("a"),
-                incarnation: 1,
-                sequence: 1,
-                call_address: *peer,
-                capacity: 200,
-                phase: Phase::Ready,
-                settled: true,
-                revision: 1,
-                age_ms: Some(0),
-                reader: false,
-                remote_primaries: Vec::new(),
-                extension: HeartbeatExtension::default(),
-                build: Build::default(),
-                reads: ReadState::default(),
-                load: GatewayLoad::default(),
-            };
-            let message = Message::Heartbeat(heartbeat);
+            let message = Message::Heartbeat(heartbeat_of(*peer));
             self.gateway.membership.borrow_mut().receive(now, peer.ip(), message);
         }
     }
--- a/crates/gateway/tests/shed_callers.rs
+++ b/crates/gateway/tests/shed_callers.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::expect_used)]
 
 mod answering;
+mod peer;
 // Other test binaries use the rest of the modules.
 #[allow(dead_code)]
 mod raw;
@@ -9,10 +10,8 @@
 mod stub;
 
 use answering::start_target;
-use azuretally_policy::balance::{
-    Build, GatewayLoad, Heartbeat, HeartbeatExtension, MESSAGE_GENERATION, Message, Phase,
-    ReadState,
-};
+use azuretally_policy::balance::{Build, GatewayLoad, Heartbeat, MESSAGE_GENERATION, Message};
+use peer::{PEER_CAPACITY, heartbeat_of};
 use raw::{Node, read_until, run_local};
 use std::{
     net::{IpAddr, SocketAddr},
@@ -20,30 +19,18 @@
 };
 use tokio::io::AsyncWriteExt;
 
-/// Thousandths of a core that the host of the gateway has.
-const CAPACITY: u32 = 200;
+/// Thousandths of a core that the host of the gateway has, as has that of the other one.
+const CAPACITY: u32 = PEER_CAPACITY;
 const CALLS: usize = 8;
 
 /// Lets `node` know another gateway of its size and failure domain, which uses `used`.
 fn receive_peer(node: &Node, used: u32) {
     let ip = IpAddr::from([127, 0, 0, 77]);
     let heartbeat = Heartbeat {
-        host: Arc::from("gateway-2"),
-        domain: Arc::from("a"),
-        incarnation: 1,
         sequence: u64::from(used),
-        call_address: SocketAddr::new(ip, 80),
-        capacity: CAPACITY,
-        phase: Phase::Ready,
-        settled: true,
-        revision: 1,
-        age_ms: Some(0),
-        reader: false,
-        remote_primaries: Vec::new(),
-        extension: HeartbeatExtension::default(),
         build: Build { generation: MESSAGE_GENERATION, version: Arc::from("") },
-        reads: ReadState::default(),
         load: GatewayLoad { used, interval_ms: 0 },
+        ..heartbeat_of(SocketAddr::new(ip, 80))
     };
     let now = node.gateway.clock.now();
     let mut membership = node.gateway.membership.borrow_mut();
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -287,7 +287,7 @@
 
     /// Estimates the number of gateways in all failure domains to which callers are directed.
     pub fn directed_count(&self) -> usize {
-        let local = self.directed_len(&self.ranked(&self.own.domain)).max(1);
+        let local = self.directed(&self.own.domain).len().max(1);
         (1 + self.remote_primaries().len()) * local
     }
 
@@ -418,10 +418,8 @@
     /// Returns directions for callers of `domain`: its highest-ranked gateways, or those of other
     /// domains if it has none.
     pub fn directions(&self, domain: &str) -> Directions {
-        let ranked = self.ranked(domain);
-        let count = self.directed_len(&ranked);
-        let mut addresses: Vec<SocketAddr> =
-            ranked.into_iter().take(count).map(|h| h.call_address).collect();
+        let directed = self.directed(domain).into_iter();
+        let mut addresses: Vec<SocketAddr> = directed.map(|h| h.call_address).collect();
         let remote = self.remote_primaries();
         if addresses.is_empty() {
             addresses.extend(remote.iter().filter(|(d, _)| **d == *domain).map(|(_, a)| *a));
--- a/crates/policy/src/balance/membership/demand.rs
+++ b/crates/policy/src/balance/membership/demand.rs
@@ -63,9 +63,8 @@
         if busy < MAX_BUSY {
             return false;
         }
-        let ranked = self.ranked(&self.own.domain);
-        let directed = ranked.iter().take(self.directed_len(&ranked));
-        let others = || directed.clone().filter(|h| h.host != self.own.host);
+        let directed = self.directed(&self.own.domain);
+        let others = || directed.iter().filter(|h| h.host != self.own.host);
         let used: f64 = others().map(|h| f64::from(h.load.used)).sum();
         let capacity: f64 = others().map(|h| f64::from(h.capacity)).sum();
         capacity > 0.0 && busy > MIN_IMBALANCE * used / capacity
--- a/crates/policy/src/balance/membership/limits.rs
+++ b/crates/policy/src/balance/membership/limits.rs
@@ -60,11 +60,11 @@
         if self.own.phase != Phase::Ready {
             return LimitAssignment::default();
         }
-        let directed = |ranked: &[&Heartbeat]| {
-            let first = ranked.iter().take(self.directed_len(ranked));
-            first.map(|h| h.call_address).collect::<Vec<SocketAddr>>()
+        let addresses = |gateways: Vec<&Heartbeat>| -> Vec<SocketAddr> {
+            gateways.into_iter().map(|h| h.call_address).collect()
         };
-        let local = directed(&self.ranked(&self.own.domain));
+        let local = addresses(self.directed(&self.own.domain));
+        let with_silent = self.directed_of(self.ranked_with_silent(&self.own.domain));
         let remote = self.remote_primaries();
         let remote_addresses = remote.iter().map(|(_, address)| *address);
         LimitAssignment {
@@ -72,7 +72,7 @@
             domain: Arc::clone(&self.own.domain),
             primaries: local.iter().copied().take(1).chain(remote_addresses).collect(),
             local,
-            local_with_silent: directed(&self.ranked_with_silent(&self.own.domain)),
+            local_with_silent: addresses(with_silent),
             served_domains: remote.into_iter().map(|(domain, _)| domain).collect(),
             has_silent: self.peers.values().any(Peer::is_silent),
         }
--- a/crates/policy/src/balance/membership/ranking.rs
+++ b/crates/policy/src/balance/membership/ranking.rs
@@ -20,7 +20,7 @@
 impl Membership {
     /// Returns to how many of the gateways in `ranked` callers are directed: the configured number,
     /// and more if their capacity is too low, the domain has many slots or its calls need more.
-    pub(super) fn directed_len(&self, ranked: &[&Heartbeat]) -> usize {
+    fn directed_len(&self, ranked: &[&Heartbeat]) -> usize {
         let min_count = self.per_domain.max((self.slots / SLOTS_PER_GATEWAY) as usize);
         let mut capacity = 0_u32;
         let enough = ranked.iter().position(|heartbeat| {
@@ -31,6 +31,17 @@
         self.count_for_demand(ranked, count)
     }
 
+    /// Returns the gateways of `domain` that callers are directed to, by rank.
+    pub(super) fn directed(&self, domain: &str) -> Vec<&Heartbeat> {
+        self.directed_of(self.ranked(domain))
+    }
+
+    /// Returns the gateways that callers are directed to if there are only those in `ranked`.
+    pub(super) fn directed_of<'a>(&self, mut ranked: Vec<&'a Heartbeat>) -> Vec<&'a Heartbeat> {
+        ranked.truncate(self.directed_len(&ranked));
+        ranked
+    }
+
     /// Returns the ready gateways of `domain` by rank.
     pub(super) fn ranked(&self, domain: &str) -> Vec<&Heartbeat> {
         let peers = self.peers.values().filter(|p| p.alive).map(|p| &p.heartbeat);
--- a/crates/policy/src/balance/membership/reach.rs
+++ b/crates/policy/src/balance/membership/reach.rs
@@ -39,10 +39,10 @@
         if local.iter().any(is_present) {
             local.retain(is_present);
         }
-        local.truncate(self.directed_len(&local));
-        match local.is_empty() {
+        let directed = self.directed_of(local);
+        match directed.is_empty() {
             true => self.remote_primaries().into_iter().map(|(_, address)| address).collect(),
-            false => local.into_iter().map(|h| h.call_address).collect(),
+            false => directed.into_iter().map(|h| h.call_address).collect(),
         }
     }
 
--- a/crates/standin/src/proxy/link.rs
+++ b/crates/standin/src/proxy/link.rs
@@ -1,6 +1,7 @@
 //! A link, which forwards connections from a listening address to a target address.
 
-use super::pump::{Direction, LinkState};
+use super::pump::{LinkState, Turn, pump};
+use bytes::BytesMut;
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use std::{
@@ -159,10 +160,14 @@
         let reset = {
             let (client_read, client_write) = client.split();
             let (upstream_read, upstream_write) = upstream.split();
-            let (asked, answers) = mpsc::unbounded_channel();
-            let direction = || Direction { state: self.state.subscribe(), number };
-            let to_upstream = direction().pump_to_upstream(client_read, upstream_write, asked);
-            let to_client = direction().pump_to_client(upstream_read, client_write, answers);
+            let (requests, asked) = mpsc::unbounded_channel();
+            let (requests, answers) =
+                (Turn::Requests(requests), Turn::Answers(asked, BytesMut::new()));
+            let state = || self.state.subscribe();
+            let to_upstream =
+                pump(client_read, upstream_write, state(), number, requests, |f| f.drop_forward);
+            let to_client =
+                pump(upstream_read, client_write, state(), number, answers, |f| f.drop_backward);
             tokio::select! {
                 () = cut => true,
                 _ = async { tokio::join!(to_upstream, to_client) } => false,
--- a/crates/standin/src/proxy/pump.rs
+++ b/crates/standin/src/proxy/pump.rs
@@ -25,110 +25,65 @@
     pub(super) silent_below: u64,
 }
 
-/// One direction of a connection.
+/// What the two directions of a connection tell each other, so that answers can be repeated.
 #[derive(Debug)]
-pub(super) struct Direction {
-    pub(super) state: watch::Receiver<LinkState>,
-    /// Number of the connection.
-    pub(super) number: u64,
+pub(super) enum Turn {
+    /// The direction to the target, which tells of each part of a request.
+    Requests(mpsc::UnboundedSender<()>),
+    /// The direction to the client, with the answer since the last part of a request.
+    Answers(mpsc::UnboundedReceiver<()>, BytesMut),
 }
 
-impl Direction {
-    /// Forwards bytes of the client until either end closes, and tells `asked` of each part.
-    pub(super) async fn pump_to_upstream(
-        self,
-        input: ReadHalf<'_>,
-        output: WriteHalf<'_>,
-        asked: mpsc::UnboundedSender<()>,
-    ) {
-        let (sender, mut receiver) = mpsc::channel(QUEUE_CHUNKS);
-        let read = read(input, sender, self.state.clone());
-        let write = async {
-            let mut output = output;
-            while let Some(chunk) = receiver.recv().await {
+impl Turn {
+    /// Returns the next chunk to be written: of those in `receiver`, or the answer that the next request has
+    /// overtaken once more. Returns `None` at the end. Answers are kept only while they are `repeated`.
+    async fn next<Repeated>(
+        &mut self,
+        receiver: &mut mpsc::Receiver<(Instant, Bytes)>,
+        repeated: Repeated,
+    ) -> Option<(Instant, Bytes)>
+    where
+        Repeated: Fn() -> bool,
+    {
+        match self {
+            Self::Requests(asked) => {
+                let chunk = receiver.recv().await?;
                 // The other direction ends first if the target closes.
                 let _ = asked.send(());
-                if self.write(&mut output, chunk, |f| f.drop_forward).await.is_none() {
-                    return;
-                }
+                Some(chunk)
             }
-            self.close(output, |f| f.drop_forward).await;
-        };
-        tokio::join!(read, write);
-    }
-
-    /// Forwards bytes of the target until either end closes. Each message of `asked` stands for a part of a
-    /// request.
-    pub(super) async fn pump_to_client(
-        self,
-        input: ReadHalf<'_>,
-        output: WriteHalf<'_>,
-        mut asked: mpsc::UnboundedReceiver<()>,
-    ) {
-        let (sender, mut receiver) = mpsc::channel(QUEUE_CHUNKS);
-        let read = read(input, sender, self.state.clone());
-        let write = async {
-            let mut output = output;
-            let mut latest = BytesMut::new();
-            loop {
-                let chunk = tokio::select! {
-                    biased;
-                    Some(()) = asked.recv() => {
-                        (Instant::now(), latest.split().freeze())
+            Self::Answers(asked, latest) => tokio::select! {
+                biased;
+                Some(()) = asked.recv() => Some((Instant::now(), latest.split().freeze())),
+                chunk = receiver.recv() => {
+                    let (due, chunk) = chunk?;
+                    if repeated() {
+                        latest.extend_from_slice(&chunk);
                     }
-                    chunk = receiver.recv() => match chunk {
-                        Some(chunk) => {
-                            if self.state.borrow().faults.repeat_answers {
-                                latest.extend_from_slice(&chunk.1);
-                            }
-                            chunk
-                        }
-                        None => break,
-                    },
-                };
-                if self.write(&mut output, chunk, |f| f.drop_backward).await.is_none() {
-                    return;
+                    Some((due, chunk))
                 }
-            }
-            self.close(output, |f| f.drop_backward).await;
-        };
-        tokio::join!(read, write);
-    }
-
-    /// Writes a chunk when it is due, or discards it while the connection is silenced or `is_dropped` holds
-    /// for the faults of the link. Returns `None` if the connection has failed.
-    async fn write<IsDropped>(
-        &self,
-        output: &mut WriteHalf<'_>,
-        (due, chunk): (Instant, Bytes),
-        is_dropped: IsDropped,
-    ) -> Option<()>
-    where
-        IsDropped: Fn(&Faults) -> bool,
-    {
-        time::sleep_until(due).await;
-        if self.is_silent(&self.state.borrow(), &is_dropped) {
-            return Some(());
+            },
         }
-        write_throttled(output, chunk, &self.state).await.ok()
-    }
-
-    /// Closes `output`. A silenced connection must not reveal to either side that the other one has closed.
-    async fn close<IsDropped>(&self, mut output: WriteHalf<'_>, is_dropped: IsDropped)
-    where
-        IsDropped: Fn(&Faults) -> bool,
-    {
-        let mut state = self.state.clone();
-        let _ = state.wait_for(|s| !self.is_silent(s, &is_dropped)).await;
-        let _ = output.shutdown().await;
     }
+}
 
-    fn is_silent<IsDropped>(&self, state: &LinkState, is_dropped: &IsDropped) -> bool
-    where
-        IsDropped: Fn(&Faults) -> bool,
-    {
-        self.number < state.silent_below || is_dropped(&state.faults)
-    }
+/// Forwards bytes from `input` to `output` until either ends. Bytes are discarded while the
+/// connection is silenced or `is_dropped` holds for the faults of the link.
+pub(super) async fn pump<IsDropped>(
+    input: ReadHalf<'_>,
+    output: WriteHalf<'_>,
+    state: watch::Receiver<LinkState>,
+    number: u64,
+    turn: Turn,
+    is_dropped: IsDropped,
+) where
+    IsDropped: Fn(&Faults) -> bool,
+{
+    let (sender, receiver) = mpsc::channel(QUEUE_CHUNKS);
+    let read = read(input, sender, state.clone());
+    let is_silent = |s: &LinkState| number < s.silent_below || is_dropped(&s.faults);
+    let write = write(output, receiver, state, turn, is_silent);
+    tokio::join!(read, write);
 }
 
 async fn read(
@@ -151,6 +106,30 @@
     }
 }
 
+async fn write<IsSilent>(
+    mut output: WriteHalf<'_>,
+    mut receiver: mpsc::Receiver<(Instant, Bytes)>,
+    mut state: watch::Receiver<LinkState>,
+    mut turn: Turn,
+    is_silent: IsSilent,
+) where
+    IsSilent: Fn(&LinkState) -> bool,
+{
+    let repeated = || state.borrow().faults.repeat_answers;
+    while let Some((due, chunk)) = turn.next(&mut receiver, repeated).await {
+        time::sleep_until(due).await;
+        if is_silent(&state.borrow()) {
+            continue;
+        }
+        if write_throttled(&mut output, chunk, &state).await.is_err() {
+            return;
+        }
+    }
+    // A silenced connection must not reveal to either side that the other one has closed.
+    let _ = state.wait_for(|s| !is_silent(s)).await;
+    let _ = output.shutdown().await;
+}
+
 async fn write_throttled(
     output: &mut WriteHalf<'_>,
     mut chunk: Bytes,
