--- a/review/stand-ins/src/cases.rs
+++ b/review/stand-ins/src/cases.rs
@@ -4,6 +4,7 @@
 mod far;
 mod hang;
 pub mod limit;
+mod parted;
 pub mod popular;
 mod seeds;
 
@@ -19,6 +20,7 @@
         "hang" => hang::run(folder, has_trouble),
         "limit" => limit::run(folder, has_trouble),
         "popular" => popular::run(folder, has_trouble),
+        "parted" => parted::run(folder, has_trouble),
         "seeds" => seeds::run(folder, has_trouble),
         _ => None,
     }
--- a/review/stand-ins/src/deployment.rs
+++ b/review/stand-ins/src/deployment.rs
@@ -2,7 +2,8 @@
 
 use crate::{
     backend::{Backend, Behaviour, Log, Spec},
-    gateway::{Gateway, PORTS},
+    gateway::{Gateway, HEARTBEATS, OWN_HEARTBEATS, PORTS},
+    links::Links,
     record::Record,
     store::{self, Store},
 };
@@ -38,6 +39,17 @@
 impl Deployment {
     /// Prepares a deployment with `per_zone` gateways in each zone. The first one of each zone is a seed.
     pub fn new(folder: &Path, zones: &[&str], per_zone: usize) -> Self {
+        Self::build(folder, zones, per_zone, false)
+    }
+
+    /// Like [`Self::new`], with [`Links`] between the gateways, which can be cut.
+    pub fn with_links(folder: &Path, zones: &[&str], per_zone: usize) -> (Self, Arc<Links>) {
+        let deployment = Self::build(folder, zones, per_zone, true);
+        let links = Links::start(&deployment.gateways);
+        (deployment, links)
+    }
+
+    fn build(folder: &Path, zones: &[&str], per_zone: usize, has_links: bool) -> Self {
         let record = Arc::new(Record::create(&folder.join("record.txt")).expect("a record"));
         let seed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().subsec_nanos()
             ^ std::process::id();
@@ -52,13 +64,26 @@
             .flat_map(|z| (0..per_zone).map(move |n| (z, n, ip(network, z as u8 + 1, n as u8 + 1))))
             .collect();
         let all: Vec<IpAddr> = ips.iter().map(|(_, _, ip)| *ip).collect();
-        let first_port = free_ports(&all, seed);
+        let ports = if has_links { OWN_HEARTBEATS + all.len() as u16 } else { PORTS };
+        let first_port = free_ports(&all, ports, seed);
         let seeds: Vec<IpAddr> =
             ips.iter().filter(|(_, n, _)| *n == 0).map(|(_, _, ip)| *ip).take(3).collect();
         let gateways = ips
             .iter()
-            .map(|(z, n, ip)| {
-                Gateway::new(&directory, n + 1, zones[*z], *ip, first_port, &seeds, platform)
+            .enumerate()
+            .map(|(index, (z, n, ip))| {
+                let own = OWN_HEARTBEATS + index as u16;
+                let heartbeats = if has_links { own } else { HEARTBEATS };
+                Gateway::new(
+                    &directory,
+                    n + 1,
+                    zones[*z],
+                    *ip,
+                    first_port,
+                    &seeds,
+                    platform,
+                    heartbeats,
+                )
             })
             .collect();
         Self {
@@ -164,10 +189,10 @@
 }
 
 /// Finds ports in a row that are free at all addresses.
-fn free_ports(addresses: &[IpAddr], seed: u32) -> u16 {
+fn free_ports(addresses: &[IpAddr], count: u16, seed: u32) -> u16 {
     let mut first = 10_000 + (seed / 7 % 18_000) as u16;
     loop {
-        let is_free = (first..first + PORTS).all(|port| {
+        let is_free = (first..first + count).all(|port| {
             addresses.iter().all(|address| {
                 TcpListener::bind((*address, port)).is_ok()
                     && UdpSocket::bind((*address, port)).is_ok()
--- a/review/stand-ins/src/gateway.rs
+++ b/review/stand-ins/src/gateway.rs
@@ -21,6 +21,8 @@
 pub const CONTROL: u16 = 3;
 pub const HEARTBEATS: u16 = 4;
 pub const METRICS: u16 = 5;
+/// First port for heartbeats of machines that each have one of their own.
+pub const OWN_HEARTBEATS: u16 = 6;
 pub const PORTS: u16 = 6;
 
 pub struct Gateway {
@@ -28,6 +30,8 @@
     pub zone: String,
     pub ip: IpAddr,
     first_port: u16,
+    /// Port for heartbeats.
+    pub heartbeats: u16,
     settings: PathBuf,
     log: PathBuf,
     process: Mutex<Option<Child>>,
@@ -42,6 +46,7 @@
         first_port: u16,
         seeds: &[IpAddr],
         platform: SocketAddr,
+        heartbeats: u16,
     ) -> Self {
         let name = format!("edge-{zone}-{number}");
         let seeds: Vec<String> =
@@ -74,14 +79,23 @@
             at(READY),
             at(DIRECTORY),
             at(CONTROL),
-            at(HEARTBEATS),
+            at(heartbeats),
             at(METRICS),
         );
         let settings = directory.join(format!("{name}.toml"));
         fs::write(&settings, text).expect("the folder is writable");
         let log = directory.join(format!("{name}.log"));
         let zone = zone.to_owned();
-        Self { name, zone, ip, first_port, settings, log, process: Mutex::default() }
+        Self {
+            name,
+            zone,
+            ip,
+            first_port,
+            heartbeats: first_port + heartbeats,
+            settings,
+            log,
+            process: Mutex::default(),
+        }
     }
 
     pub fn at(&self, offset: u16) -> SocketAddr {
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -7,6 +7,7 @@
 mod deployment;
 mod gateway;
 mod http;
+mod links;
 mod net;
 mod record;
 mod store;
