--- a/review/stand-ins/src/cases/crashing.rs
+++ b/review/stand-ins/src/cases/crashing.rs
@@ -43,9 +43,9 @@
 const CALLER: Caller =
     Caller { source: Some(Ipv4Addr::new(127, 9, 9, 9)), headers: "Cookie: session=9\r\n" };
 
-pub fn run(folder: &Path, has_trouble: bool, kind: Kind) -> Option<bool> {
+pub fn run(record: &Path, has_trouble: bool, kind: Kind) -> Option<bool> {
     let zones = ["a", "b"];
-    let deployment = Arc::new(Deployment::new(folder, &zones, 2));
+    let deployment = Arc::new(Deployment::new(record, &zones, 2));
     let route = |name, prefix, kind, timeout_ms| Route {
         name,
         prefix,
--- a/review/stand-ins/src/cases/far.rs
+++ b/review/stand-ins/src/cases/far.rs
@@ -21,9 +21,9 @@
 const NAMED: f64 = 10.0;
 const END: f64 = 90.0;
 
-pub fn run(folder: &Path, has_trouble: bool) -> Option<bool> {
+pub fn run(record: &Path, has_trouble: bool) -> Option<bool> {
     let zones = ["a", "b"];
-    let deployment = Arc::new(Deployment::new(folder, &zones, 2));
+    let deployment = Arc::new(Deployment::new(record, &zones, 2));
     let route = |name, prefix, timeout_ms, latency_ms, service| Route {
         name,
         prefix,
--- a/review/stand-ins/src/cases/hang.rs
+++ b/review/stand-ins/src/cases/hang.rs
@@ -21,9 +21,9 @@
 /// How long consumers wait.
 const TIMEOUT: Duration = Duration::from_millis(8_000);
 
-pub fn run(folder: &Path, has_trouble: bool) -> Option<bool> {
+pub fn run(record: &Path, has_trouble: bool) -> Option<bool> {
     let zones = ["a", "b"];
-    let deployment = Arc::new(Deployment::new(folder, &zones, 2));
+    let deployment = Arc::new(Deployment::new(record, &zones, 2));
     let route = Route {
         name: "lists",
         prefix: "/lists/",
--- a/review/stand-ins/src/cases/parted.rs
+++ b/review/stand-ins/src/cases/parted.rs
@@ -23,9 +23,9 @@
 const PER_ZONE: f64 = 18.0;
 const TIMEOUT: Duration = Duration::from_millis(2_000);
 
-pub fn run(folder: &Path, has_trouble: bool) -> Option<bool> {
+pub fn run(record: &Path, has_trouble: bool) -> Option<bool> {
     let zones = ["a", "b", "c"];
-    let (deployment, links) = Deployment::with_links(folder, &zones, 2);
+    let (deployment, links) = Deployment::with_links(record, &zones, 2);
     let deployment = Arc::new(deployment);
     let route = Route {
         name: "stock",
--- a/review/stand-ins/src/cases/seeds.rs
+++ b/review/stand-ins/src/cases/seeds.rs
@@ -23,9 +23,9 @@
 const PER_ZONE: f64 = 18.0;
 const TIMEOUT: Duration = Duration::from_millis(2_000);
 
-pub fn run(folder: &Path, has_trouble: bool) -> Option<bool> {
+pub fn run(record: &Path, has_trouble: bool) -> Option<bool> {
     let zones = ["a", "b", "c"];
-    let deployment = Arc::new(Deployment::new(folder, &zones, 2));
+    let deployment = Arc::new(Deployment::new(record, &zones, 2));
     let route = Route {
         name: "stock",
         prefix: "/stock/",
--- a/review/stand-ins/src/main.rs
+++ b/review/stand-ins/src/main.rs
@@ -1,4 +1,4 @@
-//! The scripts of the review: `review-stand-ins CASE FOLDER`. Exits with 1 if the rule of the case was
+//! The scripts of the review: `review-stand-ins CASE RECORD`. Exits with 1 if the rule of the case was
 //! broken, with 0 if it held, and with 2 if the case could not run.
 
 mod backend;
@@ -19,15 +19,15 @@
 
 fn main() {
     let mut args = env::args().skip(1);
-    let (Some(case), Some(folder)) = (args.next(), args.next()) else {
-        eprintln!("usage: review-stand-ins CASE FOLDER");
+    let (Some(case), Some(record)) = (args.next(), args.next()) else {
+        eprintln!("usage: review-stand-ins CASE RECORD");
         exit(2);
     };
     let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
-    let folder = PathBuf::from(folder);
+    let record = PathBuf::from(record);
     let (sender, receiver) = std::sync::mpsc::channel();
     let run = thread::spawn(move || {
-        let verdict = panic::catch_unwind(|| cases::run(&case, &folder, has_trouble));
+        let verdict = panic::catch_unwind(|| cases::run(&case, &record, has_trouble));
         let _ = sender.send(verdict);
     });
     // The gateways end with the thread that started them, at the latest.
--- a/review/stand-ins/src/record.rs
+++ b/review/stand-ins/src/record.rs
@@ -1,8 +1,8 @@
-//! The record of a run: what was sent, answered and run.
+//! `record.txt`, the record of a run: what was sent, answered and run.
 
 use std::{
     fs::File,
-    io::{BufWriter, Write},
+    io::{LineWriter, Write},
     path::Path,
     sync::Mutex,
     time::Instant,
@@ -10,12 +10,12 @@
 
 pub struct Record {
     start: Instant,
-    file: Mutex<BufWriter<File>>,
+    file: Mutex<LineWriter<File>>,
 }
 
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
-        let file = Mutex::new(BufWriter::new(File::create(path)?));
+        let file = Mutex::new(LineWriter::new(File::create(path)?));
         Ok(Self { start: Instant::now(), file })
     }
 
