--- a/review/stand-ins-2/src/backend.rs
+++ b/review/stand-ins-2/src/backend.rs
@@ -1,7 +1,7 @@
 //! Stand-in for a backend: one start of one server of a service.
 
 use crate::{
-    http::{Request, Response, serve},
+    http::{Partition, Request, Response, serve},
     record::Record,
     store::Store,
 };
@@ -34,6 +34,7 @@
         work: Duration,
         store: &Arc<Store>,
         record: &Arc<Record>,
+        partition: &Partition,
     ) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port");
         let address = listener.local_addr().expect("an address");
@@ -47,7 +48,7 @@
             running: AtomicU32::new(0),
         });
         let served = Arc::clone(&backend);
-        serve(listener, move |request| served.handle(&request));
+        serve(listener, Arc::clone(partition), move |request| served.handle(&request));
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("a time").as_millis();
         let (store, id, zone) = (Arc::clone(store), id.to_owned(), zone.to_owned());
         let write = move |sequence: u64| {
--- a/review/stand-ins-2/src/gateway.rs
+++ b/review/stand-ins-2/src/gateway.rs
@@ -56,6 +56,7 @@
     child: Child,
     pub host: String,
     pub calls: SocketAddr,
+    pub directions: SocketAddr,
     readiness: SocketAddr,
 }
 
@@ -80,6 +81,7 @@
             child,
             host: settings.host.clone(),
             calls: address(settings.ports.calls),
+            directions: address(settings.ports.directions),
             readiness: address(settings.ports.readiness),
         }
     }
@@ -119,7 +121,7 @@
     let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{}\"", ports.news)).collect();
     let bounds: Vec<String> = bounds.iter().map(|bound| format!("\"{bound}\"")).collect();
     format!(
-        "host = \"{host}\"\nfailure_domain = \"{zone}\"\nplatform = \"{platform}\"\nseeds = [{}]\nadapter = [{}]\n\n\
+        "host = \"{host}\"\nfailure_domain = \"{zone}\"\nplatform = \"{platform}\"\ntarget_source = \"{ip}\"\nseeds = [{}]\nadapter = [{}]\n\n\
          [listen]\ncalls = \"{ip}:{}\"\nreadiness = \"{ip}:{}\"\ndirections = \"{ip}:{}\"\nnews = \"{ip}:{}\"\nheartbeats = \"{ip}:{}\"\n\n\
          [size]\ncores = 0.2\nmemory_mb = 260\ndescriptors = 4100\nlink_mbps = 1000.0\n",
         seeds.join(", "),
--- a/review/stand-ins-2/src/http.rs
+++ b/review/stand-ins-2/src/http.rs
@@ -1,9 +1,10 @@
 //! Small HTTP/1.1 server and client on threads, enough for the stand-ins.
 
 use std::{
+    collections::HashSet,
     io::{self, BufRead, BufReader, Write},
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
-    sync::Arc,
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -112,23 +113,32 @@
     Ok(body)
 }
 
+/// Hosts that are partitioned from the servers: their connections hang, and what they send is lost.
+pub type Partition = Arc<Mutex<HashSet<IpAddr>>>;
+
 /// Serves requests on `listener`, each connection on a thread of its own.
-pub fn serve<Handler>(listener: TcpListener, handler: Handler)
+pub fn serve<Handler>(listener: TcpListener, partition: Partition, handler: Handler)
 where
     Handler: Fn(Request) -> Response + Send + Sync + 'static,
 {
     let handler = Arc::new(handler);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let handler = Arc::clone(&handler);
+            let (handler, partition) = (Arc::clone(&handler), Arc::clone(&partition));
             thread::spawn(move || {
-                let _ = serve_connection(stream, &*handler);
+                let _ = serve_connection(stream, &partition, &*handler);
             });
         }
     });
 }
 
-fn serve_connection(stream: TcpStream, handler: &dyn Fn(Request) -> Response) -> io::Result<()> {
+fn serve_connection(
+    stream: TcpStream,
+    partition: &Partition,
+    handler: &dyn Fn(Request) -> Response,
+) -> io::Result<()> {
+    let peer = stream.peer_addr()?.ip();
+    let is_cut = || partition.lock().is_ok_and(|hosts| hosts.contains(&peer));
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream;
@@ -136,6 +146,12 @@
         let mut words = first.split(' ');
         let target = words.nth(1).unwrap_or_default().to_owned();
         read_body(&mut reader, &headers)?;
+        if is_cut() {
+            while is_cut() {
+                thread::sleep(Duration::from_millis(20));
+            }
+            return Ok(());
+        }
         let response = handler(Request { target, headers });
         let mut bytes = format!(
             "HTTP/1.1 {} x\r\nContent-Length: {}\r\n",
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,6 +2,8 @@
 //! the repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod backend;
+mod deployment;
+mod foreign;
 mod gateway;
 mod http;
 mod record;
@@ -22,6 +24,7 @@
     fs::create_dir_all(&temporary).expect("a temporary folder");
     let outcome = match scenario.as_str() {
         "storm" => storm::run(&root, &temporary, &record, trouble),
+        "foreign" => foreign::run(&root, &temporary, &record, trouble),
         _ => None,
     };
     record.line(&format!("broken={outcome:?}"));
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the platform's metadata store: items, lists and watches.
 
-use crate::http::{Request, Response, serve};
+use crate::http::{Partition, Request, Response, serve};
 use std::{
     collections::{BTreeMap, VecDeque},
     net::{SocketAddr, TcpListener},
@@ -53,7 +53,7 @@
         };
         let store = Arc::new(Self { state: Mutex::new(state), changed: Condvar::new(), address });
         let served = Arc::clone(&store);
-        serve(listener, move |request| served.handle(&request));
+        serve(listener, Partition::default(), move |request| served.handle(&request));
         store
     }
 
--- a/review/stand-ins-2/src/storm.rs
+++ b/review/stand-ins-2/src/storm.rs
@@ -1,15 +1,14 @@
 //! Manifests of many routes in quick succession.
 
 use crate::{
-    backend::Backend,
-    gateway::{Gateway, Ports, Settings, all_ready},
-    http::call,
+    deployment::{start_backends, start_gateways},
+    gateway::Gateway,
+    http::{Partition, call},
     record::Record,
     store::Store,
 };
 use std::{
     fmt::Write,
-    net::IpAddr,
     path::Path,
     sync::Arc,
     thread,
@@ -25,9 +24,6 @@
 const CONFIG: Duration = Duration::from_secs(2);
 /// Time for which callers are watched after the storm.
 const WATCHED: Duration = Duration::from_secs(12);
-/// Machines of the system, one in each of three zones.
-const GATEWAYS: u8 = 3;
-const ZONES: [&str; 3] = ["za-north-a", "za-north-b", "za-north-c"];
 const HOST: &str = "kiosk-gateway.spaza-link.example";
 /// Route that the last version adds.
 const NEW_PATH: &str = "/refunds/";
@@ -90,48 +86,8 @@
     let first = manifest(version, false);
     record.line(&format!("manifest routes={ROUTES} bytes={}", first.len()));
     store.put("op/config", first.as_bytes());
-    for number in 0..3 {
-        let work = Duration::from_millis(20);
-        Backend::start(&format!("i-till-{number}"), "till-api", "za-north-a", work, &store, record);
-        Backend::start(
-            &format!("i-head-{number}"),
-            "head-office-api",
-            "za-north-a",
-            work,
-            &store,
-            record,
-        );
-    }
-    let hosts: Vec<IpAddr> = (1..=GATEWAYS).map(|n| IpAddr::from([127, 48, 2, n])).collect();
-    let ports = Ports::choose(&hosts);
-    let mut gateways: Vec<Gateway> = Vec::new();
-    for (number, ip) in hosts.iter().enumerate() {
-        let zone = ZONES[number % ZONES.len()];
-        let settings = Settings {
-            host: format!("edge-{zone}-{}", number / ZONES.len() + 1),
-            zone: zone.to_owned(),
-            ip: *ip,
-            ports,
-            platform: store.address,
-            seeds: hosts.iter().copied().take(3).collect(),
-            bounds: &[
-                "grace=6s",
-                "config=2000ms",
-                "budget_ratio=0.2",
-                "budget_slack=60",
-                "budget_window=10s",
-                "ttl_max=5s",
-                "probes_per_s=60",
-            ],
-        };
-        gateways.push(Gateway::start(root, folder, &settings));
-    }
-    if !all_ready(&gateways, Duration::from_secs(15)) {
-        record.line("gateways are not ready");
-        return None;
-    }
-    // Longer than `contact`.
-    thread::sleep(Duration::from_secs(5));
+    start_backends(Duration::from_millis(20), &store, record, &Partition::default());
+    let mut gateways: Vec<Gateway> = start_gateways(root, folder, 2, &store, record)?;
     for gateway in &gateways {
         let (status, service) = ask(gateway, "POST", MOVED_PATH, "first");
         record.line(&format!(
