--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -2,6 +2,7 @@
 //! the repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod backend;
+mod crash;
 mod deployment;
 mod foreign;
 mod gateway;
@@ -9,12 +10,16 @@
 mod record;
 mod store;
 mod storm;
+mod unnamed;
 
 use record::Record;
 use std::{env, fs, path::PathBuf, process, sync::Arc};
 
 fn main() {
     let mut args = env::args().skip(1);
+    if env::args().nth(1).is_some_and(|name| name == "backend") {
+        return crash::run_backend(args.skip(1));
+    }
     let (Some(scenario), Some(folder)) = (args.next(), args.next()) else { process::exit(2) };
     let root = env::current_dir().expect("the repository");
     let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt")));
@@ -24,6 +29,8 @@
     fs::create_dir_all(&temporary).expect("a temporary folder");
     let outcome = match scenario.as_str() {
         "storm" => storm::run(&root, &temporary, &record, trouble),
+        "unnamed" => unnamed::run(&root, &temporary, &record, trouble),
+        "crash" => crash::run(&root, &temporary, &record, trouble),
         "foreign" => foreign::run(&root, &temporary, &record, trouble),
         _ => None,
     };
--- a/review/stand-ins-2/src/store.rs
+++ b/review/stand-ins-2/src/store.rs
@@ -76,6 +76,18 @@
         revision
     }
 
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.state.lock().expect("the state");
+        state.revision += 1;
+        let revision = state.revision;
+        state.items.remove(key);
+        let json = format!("{{\"key\":\"{key}\",\"revision\":{revision},\"deleted\":true}}").into();
+        state.events.push_back(Event { revision, at: Instant::now(), json });
+        drop(state);
+        self.changed.notify_all();
+    }
+
     fn handle(&self, request: &Request) -> Response {
         std::thread::sleep(ANSWER_TIME);
         let response = match request.path() {
