--- a/review/stand-ins-2/src/crash.rs
+++ b/review/stand-ins-2/src/crash.rs
@@ -169,6 +169,9 @@
     let store = Store::start();
     store.put("op/config", manifest().as_bytes());
     let (log, is_over) = (Arc::new(Mutex::new(Log::default())), Arc::new(AtomicBool::new(false)));
+    // The backends go on until the last sale has been answered.
+    let sales_over = Arc::new(AtomicBool::new(false));
+    let mut callers = Vec::new();
     let mut tasks = Vec::new();
     for zone in ZONES {
         for number in 0..BACKENDS {
@@ -187,12 +190,12 @@
     let gateways = Arc::new(start_gateways(root, folder, 5, &store, record)?);
     let (sales, lost) = (Arc::new(Mutex::new(0)), Arc::new(Mutex::new(0)));
     for index in 0..gateways.len() * 4 {
-        let (gateways, record, is_over) =
-            (Arc::clone(&gateways), Arc::clone(record), Arc::clone(&is_over));
+        let (gateways, record, sales_over) =
+            (Arc::clone(&gateways), Arc::clone(record), Arc::clone(&sales_over));
         let (sales, lost) = (Arc::clone(&sales), Arc::clone(&lost));
-        tasks.push(thread::spawn(move || {
+        callers.push(thread::spawn(move || {
             for number in 0.. {
-                if is_over.load(Ordering::SeqCst) {
+                if sales_over.load(Ordering::SeqCst) {
                     return;
                 }
                 let id = format!("5a1e{index:02x}{number:06x}");
@@ -221,6 +224,10 @@
             .line(&format!("sent id={id} to={} GET {CRASH_PATH} answer={status:?}", gateway.host));
         thread::sleep(INTERVAL.saturating_sub(sent.elapsed()));
     }
+    sales_over.store(true, Ordering::SeqCst);
+    for caller in callers {
+        caller.join().ok()?;
+    }
     is_over.store(true, Ordering::SeqCst);
     for task in tasks {
         task.join().ok()?;
--- a/review/stand-ins-2/src/main.rs
+++ b/review/stand-ins-2/src/main.rs
@@ -1,5 +1,5 @@
-//! Stand-ins and scenarios of the second review. Usage: `review-stand-ins-2 SCENARIO FOLDER`, in the root of
-//! the repository. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+//! Stand-ins and scenarios of the second review. Usage: `review-stand-ins-2 SCENARIO RECORD`, in the root of
+//! the repository; RECORD is the file that gets what was sent, answered and run. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
 
 mod backend;
 mod crash;
@@ -20,9 +20,9 @@
     if env::args().nth(1).is_some_and(|name| name == "backend") {
         return crash::run_backend(args.skip(1));
     }
-    let (Some(scenario), Some(folder)) = (args.next(), args.next()) else { process::exit(2) };
+    let (Some(scenario), Some(path)) = (args.next(), args.next()) else { process::exit(2) };
     let root = env::current_dir().expect("the repository");
-    let record = Arc::new(Record::create(&PathBuf::from(folder).join("record.txt")));
+    let record = Arc::new(Record::create(&PathBuf::from(path)));
     let trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
     record.line(&format!("scenario={scenario} trouble={trouble}"));
     let temporary = env::temp_dir().join(format!("review-{scenario}-{}", process::id()));
