policy: send nothing to targets of evacuated failure domains

Calls went on reaching an evacuated domain until its targets failed.

The catalog keeps the set of evacuated domains (`evacuation.rs`) with the revision of its last change and the revision up to which it is complete. Reading the platform is no longer left to gateways of earlier builds, whose updates lack evacuations; two tests of the membership name the generation 5 instead of 1 for that reason, and check generation 4 in addition.

The balancer marks the targets of these domains. They are not usable, so they get no first attempts, retries, hedges, probes, reach checks or checks of ended processes; an attempt that was decided but not sent is withheld. Calls are refused with reason=evacuated when an evacuation leaves no usable target.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -10,6 +10,7 @@
 mod call;
 mod catalog;
 mod crashes;
+mod evacuation;
 mod heartbeat;
 mod limits;
 mod load;
@@ -38,6 +39,7 @@
 };
 pub use catalog::{Catalog, ListedTarget, Source};
 pub use crashes::{CrashCheck, CrashEvidence};
+pub use evacuation::EvacuationNotice;
 pub use heartbeat::{
     Build, Directions, GatewayLoad, Heartbeat, HeartbeatExtension, MESSAGE_GENERATION, Message,
     Outgoing, Phase, ReadState,
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -8,6 +8,7 @@
 
 mod crashes;
 mod departing;
+mod evacuating;
 mod learning;
 mod limiting;
 mod reaching;
@@ -236,6 +237,7 @@
             let service = self.services.entry(name).or_default();
             service.set_targets(now, &targets, &self.domain);
         }
+        self.mark_evacuated(catalog.evacuated_domains());
         self.forget_departing();
     }
 
@@ -473,6 +475,7 @@
     fn must_check_all(&self, now: Timestamp, name: &str) -> bool {
         let Some(service) = self.services.get(name) else { return true };
         self.drain_end != Timestamp::MAX
+            || service.is_wholly_evacuated()
             || self.quarantine.quarantined_count() > 0
             || service.limit_wait(now, 0).is_some()
             || service.rest_left(now).is_some()
@@ -480,6 +483,10 @@
 
     /// Returns why a waiting call has to be given up now.
     fn refusal_reason(&self, now: Timestamp, id: u64, pass: &DispatchPass) -> Option<GiveUpReason> {
+        let service = self.calls.get(&id).map(|state| &*state.call.service);
+        if service.is_some_and(|name| self.lacks_targets_by_evacuation(name)) {
+            return Some(GiveUpReason::Evacuated);
+        }
         self.miss_reason(now, id, pass.wait)
             .or_else(|| self.is_call_quarantined(now, id).then_some(GiveUpReason::Quarantined))
             .or_else(|| self.misses_limits(now, id, pass.ahead).then_some(GiveUpReason::Limited))
@@ -539,7 +546,11 @@
         let Some(state) = self.calls.get(&id) else { return Decision::Wait };
         let name = Arc::clone(&state.call.service);
         if !self.services.get(&name).is_some_and(Service::has_usable) {
-            return self.give_up(now, id, GiveUpReason::NoTarget);
+            let reason = match self.lacks_targets_by_evacuation(&name) {
+                true => GiveUpReason::Evacuated,
+                false => GiveUpReason::NoTarget,
+            };
+            return self.give_up(now, id, reason);
         }
         if self.misses_rest(now, id) {
             return self.give_up(now, id, GiveUpReason::Resting);
--- a/crates/policy/src/balance/balancer/crashes.rs
+++ b/crates/policy/src/balance/balancer/crashes.rs
@@ -65,6 +65,9 @@
             if self.broken.values().filter(|b| b.is_checking).count() >= MAX_CHECKS {
                 break;
             }
+            if self.forget_evacuated(process) {
+                continue;
+            }
             let Some(broken) = self.broken.get(&process) else { continue };
             if broken.is_expired(now) {
                 self.broken.swap_remove(&process);
@@ -116,6 +119,9 @@
         process: ProcessId,
         evidence: CrashEvidence,
     ) -> bool {
+        if self.forget_evacuated(process) {
+            return false;
+        }
         let Some(broken) = self.broken.get_mut(&process) else { return false };
         broken.is_checking = false;
         match evidence {
@@ -295,7 +301,7 @@
         for process in due {
             self.accused.swap_remove(&process);
             let targets = self.services.values().flat_map(|s| s.targets.values());
-            if !targets.into_iter().any(|t| t.process == process && t.is_usable()) {
+            if !targets.into_iter().any(|t| t.process == process && t.is_serving()) {
                 continue;
             }
             for digest in self.quarantine.withdraw(process) {
--- a/crates/policy/src/balance/balancer/reaching.rs
+++ b/crates/policy/src/balance/balancer/reaching.rs
@@ -19,8 +19,7 @@
     /// Returns when the next check of the reach is due, [`Timestamp::MAX`] if none is needed.
     /// `peers_cut_off` tells that peers are cut off, so that callers come here instead.
     pub fn reach_check_due(&self, now: Timestamp, peers_cut_off: bool) -> Timestamp {
-        let targets = self.services.values().map(|s| s.targets.len()).sum();
-        self.reach.check_due(now, targets, peers_cut_off)
+        self.reach.check_due(now, self.remaining_targets(), peers_cut_off)
     }
 
     /// Begins a check, and returns the targets to be asked on new connections: some of all services,
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -136,7 +136,9 @@
         let may_have_run = self.calls.get(&id).is_some_and(|s| s.may_have_run);
         let retry_after = match reason {
             GiveUpReason::Quarantined => self.trial_delay(now, id),
-            GiveUpReason::NoTarget => self.jittered_delay(NO_TARGET_RETRY_AFTER.as_secs_f64()),
+            GiveUpReason::NoTarget | GiveUpReason::Evacuated => {
+                self.jittered_delay(NO_TARGET_RETRY_AFTER.as_secs_f64())
+            }
             GiveUpReason::Limited => {
                 let seconds = self.queue_seconds(now, id);
                 // Where this gateway may use none of the limits, another one may.
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -149,6 +149,8 @@
     QueueFull,
     /// The service has no usable target.
     NoTarget,
+    /// All targets that would be usable are in evacuated failure domains.
+    Evacuated,
     /// All usable targets have named limits, which do not admit it before its deadline.
     Limited,
     /// All usable targets have asked for rest, which does not end within its objective.
@@ -170,6 +172,7 @@
             Self::Deadline => "deadline",
             Self::QueueFull => "queue-full",
             Self::NoTarget => "no-target",
+            Self::Evacuated => "evacuated",
             Self::Limited => "limited",
             Self::Resting => "resting",
             Self::Refused => "refused",
@@ -233,8 +236,8 @@
     Refused,
     /// Another process now uses the target's address.
     Moved,
-    /// Nothing was sent: the target has asked for rest, or said that it leaves, after the attempt was
-    /// decided.
+    /// Nothing was sent: the target has asked for rest or said that it leaves, or its failure domain was
+    /// evacuated, after the attempt was decided.
     Withheld,
     /// The exchange failed.
     Failed {
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -11,6 +11,7 @@
 //! ([`RestoredRecords`]).
 
 use super::{
+    evacuation::{EvacuationNotice, Evacuations},
     records::{CatalogUpdate, Change, Snapshot, TargetRecord},
     restore::RestoredRecords,
     revision::Revision,
@@ -84,6 +85,7 @@
     grace_until: Timestamp,
     /// Records that a restored platform lists although they are known to be outdated.
     outdated: RestoredRecords,
+    evacuations: Evacuations,
     log_lines: Vec<String>,
 }
 
@@ -126,6 +128,7 @@
 
     /// Returns the log lines on changes since the last call.
     pub fn take_log_lines(&mut self) -> Vec<String> {
+        self.log_lines.append(&mut self.evacuations.take_log_lines());
         mem::take(&mut self.log_lines)
     }
 
@@ -148,7 +151,12 @@
         for change in changes {
             match change {
                 Change::Published(published) => self.apply_settings(published),
-                // Settings have an order of their own; all else is known.
+                // Settings and evacuations have orders of their own; all else is known.
+                Change::Evacuation { domain, active } if source == Source::Platform => {
+                    if self.evacuations.write(revision, &domain, active) {
+                        self.record_change();
+                    }
+                }
                 _ if !is_later => {}
                 Change::Target(record) => {
                     self.outdated.take(&record.name);
@@ -157,8 +165,12 @@
                     self.apply_record(now, record, is_first);
                 }
                 Change::Gone(name) => self.remove_target(now, &name),
+                Change::Evacuation { .. } => {}
             }
         }
+        if source == Source::Platform {
+            self.evacuations.complete_until(revision);
+        }
         self.content_changes != before
     }
 
@@ -173,14 +185,26 @@
     ) -> bool {
         let mut snapshot =
             Snapshot { revision: revision.number, published: None, targets: Vec::new() };
+        let mut evacuated = IndexSet::new();
         for change in changes {
             match change {
                 Change::Published(published) => snapshot.published = Some(published),
                 Change::Target(record) => snapshot.targets.push(record),
-                Change::Gone(_) => {}
+                Change::Evacuation { domain, active: true } => {
+                    evacuated.insert(domain);
+                }
+                Change::Gone(_) | Change::Evacuation { .. } => {}
             }
         }
-        self.apply_snapshot(now, revision.era, snapshot, source)
+        let changed = self.apply_snapshot(now, revision.era, snapshot, source);
+        // A list that is older than other data may be the latest on evacuations: peers of earlier builds
+        // deliver the data without them.
+        let is_new =
+            revision.era == self.revision.era && self.evacuations.list(revision, evacuated);
+        if is_new {
+            self.record_change();
+        }
+        changed || is_new
     }
 
     /// Replaces the contents with a snapshot of `era`. Returns whether anything other than target
@@ -245,6 +269,9 @@
                 self.apply_record(now, record, false);
             }
         }
+        if self.evacuations.settle(now) {
+            self.record_change();
+        }
         let released = self.content_changes != before;
         let until = self.grace_until;
         let count = self.targets.len();
@@ -320,11 +347,51 @@
         }
     }
 
+    /// Returns the evacuated failure domains.
+    pub fn evacuated_domains(&self) -> &IndexSet<Arc<str>> {
+        self.evacuations.domains()
+    }
+
+    /// Returns whether anything is known of evacuations.
+    pub fn knows_evacuations(&self) -> bool {
+        !self.evacuations.complete().is_unknown()
+    }
+
+    /// Returns whether changes of the evacuated domains up to [`Self::revision`] may be missing.
+    pub fn lacks_evacuations(&self) -> bool {
+        self.evacuations.complete() < self.revision
+    }
+
+    /// Returns the platform revision up to which the evacuated domains are complete.
+    pub fn evacuations_revision(&self) -> Revision {
+        self.evacuations.complete()
+    }
+
+    /// Returns what peers have to know of evacuations, `None` if nothing is known of them.
+    pub fn evacuation_notice(&self) -> Option<EvacuationNotice> {
+        self.evacuations.notice()
+    }
+
+    /// Applies what a peer says of evacuations, whose data is of `era`. The update that came with it has to be
+    /// applied before. Returns whether anything has changed.
+    pub fn apply_evacuations(&mut self, era: u64, notice: &EvacuationNotice) -> bool {
+        let is_usable = era == self.revision.era
+            && notice.complete.era <= era
+            && notice.changed <= notice.complete
+            && !notice.complete.is_unknown();
+        let changed = is_usable && self.evacuations.merge(notice);
+        if changed {
+            self.record_change();
+        }
+        changed
+    }
+
     /// Begins the era of `revision`. If data of an earlier one is known, the records of targets that the
     /// first data lacks may only have to be written again.
     fn begin_era(&mut self, now: Timestamp, revision: Revision) {
         let before = mem::replace(&mut self.revision, revision);
         self.outdated.begin(now);
+        self.evacuations.begin_era(now);
         if before.is_unknown() {
             return;
         }
--- a/crates/policy/src/balance/heartbeat.rs
+++ b/crates/policy/src/balance/heartbeat.rs
@@ -9,9 +9,11 @@
 };
 
 /// Generation of the messages between gateways. Rises with each change of them.
-pub const MESSAGE_GENERATION: u32 = 4;
+pub const MESSAGE_GENERATION: u32 = 5;
 /// Generation from which on gateways tell each other of trials of quarantined calls.
 pub(super) const TRIAL_GENERATION: u32 = 4;
+/// Generation from which on gateways tell each other of evacuations.
+pub(super) const EVACUATION_GENERATION: u32 = 5;
 
 /// Lifecycle phase of a gateway.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -9,6 +9,7 @@
 
 mod builds;
 mod demand;
+mod evacuations;
 mod limits;
 mod notices;
 mod ranking;
--- a/crates/policy/src/balance/membership/reader.rs
+++ b/crates/policy/src/balance/membership/reader.rs
@@ -4,6 +4,7 @@
 use super::{
     super::{heartbeat::Heartbeat, revision::Revision},
     KnownData, Membership, Peer,
+    evacuations::knows_evacuations,
 };
 use crate::Timestamp;
 use std::{net::IpAddr, sync::Arc, time::Duration};
@@ -34,7 +35,13 @@
         if own_age.is_none() && self.awaits_seeds(now) {
             return false;
         }
-        let can_read = |p: &Peer| !p.heartbeat.reads.failing && !self.may_ignore_era(&p.heartbeat);
+        // What is left to a gateway of an earlier build comes without evacuations.
+        let can_read = |p: &Peer| {
+            let heartbeat = &p.heartbeat;
+            !heartbeat.reads.failing
+                && !self.may_ignore_era(heartbeat)
+                && knows_evacuations(heartbeat)
+        };
         let rank = self.rank_in_domain(can_read);
         // Of several gateways that fall silent at once, each would otherwise be waited for.
         let max_silence = self.local_interval().mul_f64(MAX_INTERVALS);
@@ -57,8 +64,8 @@
 
     /// Returns the peer to fetch what is later than `known` from: the one with the latest revision or,
     /// among equals, the latest settings, local before remote, and doubtful ones last. `age` is the age of this gateway's data;
-    /// remote peers are considered only if no local gateway has delivered data for a while, or if they
-    /// have settings that the platform has lost.
+    /// remote peers, and those of builds that know nothing of evacuations, are considered only if no other
+    /// gateway has delivered data for a while, or if they have settings that the platform has lost.
     pub fn newer_peer(
         &self,
         now: Timestamp,
@@ -81,7 +88,9 @@
             let has_settings = extension.era != 0 && extension.settings > known.settings;
             // The domain's own reader may be of a build that ignores a later era.
             let has_later_era = !known.revision.is_unknown() && revision.era > known.revision.era;
-            if include_remote || local(p) {
+            // A gateway that has just started needs targets and settings, whoever delivers them.
+            let is_trusted = knows_evacuations(heartbeat) || known.revision.is_unknown();
+            if include_remote || (local(p) && is_trusted) {
                 // A gateway of an earlier build does not say which settings it has.
                 return has_later || has_settings || (include_remote && self.lacks_era(heartbeat));
             }
@@ -108,12 +117,12 @@
     }
 
     /// Returns the age of the most recent platform data of a peer that knows of no change after
-    /// `revision` in the same era, and that would follow a restored platform.
+    /// `revision` in the same era, and that would follow a restored platform and evacuations.
     pub fn confirmed_age(&self, now: Timestamp, revision: Revision) -> Option<Duration> {
         let same = self.peers.values().filter(|p| {
             let known = p.heartbeat.known_revision();
-            let follows_eras = !self.may_ignore_era(&p.heartbeat);
-            p.alive && follows_eras && known.era == revision.era && known <= revision
+            let is_complete = !self.may_ignore_era(&p.heartbeat) && knows_evacuations(&p.heartbeat);
+            p.alive && is_complete && known.era == revision.era && known <= revision
         });
         let age = |p: &Peer| {
             let reported = Duration::from_millis(u64::from(p.heartbeat.age_ms?));
--- a/crates/policy/src/balance/records.rs
+++ b/crates/policy/src/balance/records.rs
@@ -44,6 +44,14 @@
     Target(TargetRecord),
     /// The record of a target was removed or is malformed.
     Gone(Arc<str>),
+    /// The operator has evacuated a failure domain or ended its evacuation. Never sent to other gateways:
+    /// builds before it cannot read an update with this variant.
+    Evacuation {
+        /// Name of the failure domain.
+        domain: Arc<str>,
+        /// Whether it is evacuated from now on.
+        active: bool,
+    },
 }
 
 /// Complete contents of a catalog, sent to a peer.
--- a/crates/policy/src/balance/revision.rs
+++ b/crates/policy/src/balance/revision.rs
@@ -1,5 +1,6 @@
 //! Order of the platform's data.
 
+use serde::{Deserialize, Serialize};
 use std::fmt;
 
 /// Restores of the platform that a running gateway may have missed.
@@ -9,7 +10,9 @@
 ///
 /// The platform numbers its changes. Each time it is restored from a copy an era begins, in which the
 /// numbers continue from an earlier one. Eras are therefore compared before numbers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Revision {
     /// Era of the data; 0 if the platform names none, or if nothing is known.
     pub era: u64,
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -96,6 +96,8 @@
     pub(super) unlisted: Option<Timestamp>,
     /// Whether the process is known to have lived since this gateway knows its record.
     pub(super) alive: bool,
+    /// Whether its failure domain is evacuated.
+    pub(super) evacuated: bool,
 }
 
 impl Target {
@@ -124,6 +126,7 @@
             departed: None,
             unlisted: None,
             alive: seen.alive,
+            evacuated: false,
         }
     }
 
@@ -204,6 +207,11 @@
 
     /// Returns whether calls may be sent to the target at all.
     pub(super) fn is_usable(&self) -> bool {
+        self.is_serving() && !self.evacuated
+    }
+
+    /// Returns whether the target takes calls, also if its failure domain is evacuated.
+    pub(super) fn is_serving(&self) -> bool {
         !self.is_departing() && !self.moved
     }
 
@@ -228,7 +236,7 @@
     /// records that it is.
     pub(super) fn begin_request(&mut self, now: Timestamp, call: u64) -> bool {
         let others = self.running.iter().filter(|r| r.call != call);
-        if self.departed.is_some() || !self.rest.admits(now, others) {
+        if self.departed.is_some() || self.evacuated || !self.rest.admits(now, others) {
             return false;
         }
         if let Some(running) = self.running.iter_mut().find(|r| r.call == call) {
--- a/crates/policy/tests/balance/builds.rs
+++ b/crates/policy/tests/balance/builds.rs
@@ -102,7 +102,8 @@
     };
     assert!(is_reader(0, Revision::new(0, 90)), "no peer can tell the era");
     assert!(is_reader(0, Revision::new(2, 90)));
-    assert!(!is_reader(1, Revision::new(0, 90)), "a platform without eras");
+    assert!(is_reader(4, Revision::new(0, 90)), "it delivers no evacuations");
+    assert!(!is_reader(5, Revision::new(0, 90)), "a platform without eras");
 }
 
 /// A gateway in touch with the platform was as stale as peers of an earlier build, while the one that reads
@@ -118,7 +119,8 @@
         member.confirmed_age(ms(0), known)
     };
     assert_eq!(confirmed(0, Revision::new(0, 90)), None);
-    assert_eq!(confirmed(1, Revision::new(0, 90)), Some(Duration::from_millis(10)));
+    assert_eq!(confirmed(4, Revision::new(0, 90)), None, "it knows no evacuations");
+    assert_eq!(confirmed(5, Revision::new(0, 90)), Some(Duration::from_millis(10)));
 }
 
 /// Guards against relays to gateways that lack what this build promises, such as to follow a restored
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -8,6 +8,8 @@
 mod demand;
 mod departing;
 mod drain;
+mod evacuating;
+mod evacuations;
 mod fixture;
 mod going_back;
 mod hedging;
--- a/crates/policy/tests/balance/platform.rs
+++ b/crates/policy/tests/balance/platform.rs
@@ -1,7 +1,7 @@
 //! A platform that keeps its changes, for tests in which gateways read it.
 
 use azuretally_policy::balance::{CallerLimits, Change, PublishedSettings, Revision, TargetRecord};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{sync::Arc, time::Duration};
 
 pub(crate) fn published(version: u64) -> PublishedSettings {
@@ -24,6 +24,7 @@
     pub(crate) revision: Revision,
     settings: u64,
     targets: IndexMap<Arc<str>, TargetRecord>,
+    evacuated: IndexSet<Arc<str>>,
     history: Vec<(u64, Change)>,
 }
 
@@ -49,13 +50,22 @@
             Change::Gone(name) => {
                 self.targets.swap_remove(name);
             }
+            Change::Evacuation { domain, active: true } => {
+                self.evacuated.insert(Arc::clone(domain));
+            }
+            Change::Evacuation { domain, .. } => {
+                self.evacuated.swap_remove(domain);
+            }
         }
         self.history.push((self.revision.number, change));
     }
 
     pub(crate) fn list(&self) -> Vec<Change> {
         let targets = self.targets.values().cloned().map(Change::Target);
-        targets.chain([Change::Published(published(self.settings))]).collect()
+        let evacuation = |domain| Change::Evacuation { domain, active: true };
+        let evacuations = self.evacuated.iter().cloned().map(evacuation);
+        let settings = Change::Published(published(self.settings));
+        targets.chain(evacuations).chain([settings]).collect()
     }
 
     pub(crate) fn changes_after(&self, number: u64) -> Vec<Change> {
--- a/crates/soak/src/platform.rs
+++ b/crates/soak/src/platform.rs
@@ -192,6 +192,8 @@
             Change::Target(record) if record.leaving => self.checker.record_leaving(&record.name),
             Change::Target(record) => self.checker.record_listed(&record.name),
             Change::Gone(name) => self.checker.record_leaving(name),
+            // The run evacuates nothing.
+            Change::Evacuation { .. } => {}
         }
         store.apply(change);
     }
@@ -279,6 +281,7 @@
             Change::Gone(name) => {
                 self.targets.shift_remove(&name);
             }
+            Change::Evacuation { .. } => {}
         }
     }
 
@@ -319,7 +322,7 @@
 
 fn subject_of(change: &Change) -> Subject {
     match change {
-        Change::Published(_) => None,
+        Change::Published(_) | Change::Evacuation { .. } => None,
         Change::Target(record) => Some(Arc::clone(&record.name)),
         Change::Gone(name) => Some(Arc::clone(name)),
     }
