gateway: pass evacuations on to peers

A gateway that cannot read the platform could not follow an evacuation.

After its start it uses settings of such a build only once it knows of evacuations, or after 5 s. Probes and checks that were decided before an evacuation are not sent. A gauge shows the number of evacuated domains.

--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -109,6 +109,10 @@
         let table = gateway.routes()?;
         Arc::clone(&table.published().services.get(&probe.service)?.probe_path)
     };
+    // Its failure domain may have been evacuated while the connection was opened.
+    if gateway.balancer.borrow().is_evacuated(&probe.service, &probe.target) {
+        return None;
+    }
     let body: RequestBody = Either::Left(Full::new(Bytes::new()));
     let request = Request::get(&*path).header(HOST, probe.address.to_string()).body(body).ok()?;
     let target = RequestedTarget {
--- a/crates/gateway/src/control/codec.rs
+++ b/crates/gateway/src/control/codec.rs
@@ -4,8 +4,8 @@
 //! the rest of a message, can read it. What a message of an earlier build lacks has its default value.
 
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, GatewayLoad, HeartbeatExtension, Message, ReadState, Revision,
-    TrialNotice,
+    Build, CatalogUpdate, EvacuationNotice, GatewayLoad, HeartbeatExtension, Message, ReadState,
+    Revision, TrialNotice,
 };
 use postcard::{take_from_bytes, to_allocvec, to_extend};
 use std::{
@@ -158,6 +158,9 @@
     pub era: u64,
     /// What is later than the asking gateway's data.
     pub update: CatalogUpdate,
+    /// Evacuated failure domains, `None` if the gateway that answers knows nothing of them or is of an
+    /// earlier build.
+    pub evacuations: Option<EvacuationNotice>,
 }
 
 impl SyncAnswer {
@@ -167,7 +170,8 @@
     ///
     /// Returns the error of the encoder.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        to_extend(&self.era, to_allocvec(&(&self.age, &self.update))?)
+        let bytes = to_extend(&self.era, to_allocvec(&(&self.age, &self.update))?)?;
+        to_extend(&self.evacuations, bytes)
     }
 
     /// Decodes an answer.
@@ -176,8 +180,14 @@
     ///
     /// Returns the error of the decoder.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
-        let ((age, update), rest) = take_from_bytes(bytes)?;
-        let era = if rest.is_empty() { 0 } else { take_from_bytes(rest)?.0 };
-        Ok(Self { age, era, update })
+        let ((age, update), mut rest) = take_from_bytes(bytes)?;
+        let mut answer = Self { age, era: 0, update, evacuations: None };
+        if !rest.is_empty() {
+            (answer.era, rest) = take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (answer.evacuations, _) = take_from_bytes(rest)?;
+        }
+        Ok(answer)
     }
 }
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -3,7 +3,7 @@
 use super::{
     codec::{MessageKind, decode_message, encode_message},
     servers::LIVENESS_PATH,
-    sync::known_data,
+    sync::newer_peer,
 };
 use crate::{
     StartError,
@@ -68,7 +68,7 @@
     let mut share_due = Timestamp::default();
     loop {
         let now = gateway.clock.now();
-        if gateway.catalog.borrow_mut().tick(now) {
+        if gateway.catalog.borrow_mut().tick(now) || gateway.may_use_settings() {
             gateway.apply_catalog(Source::Platform);
         }
         gateway.refresh_membership();
@@ -133,13 +133,9 @@
     Adapter: CallAdapter + PlatformAdapter,
 {
     let now = gateway.clock.now();
-    let (known, age) = {
-        let catalog = gateway.catalog.borrow();
-        (known_data(&catalog), catalog.age(now))
-    };
-    let revision = known.revision;
+    let revision = gateway.catalog.borrow().revision();
+    let has_newer = newer_peer(gateway).is_some();
     let membership = gateway.membership.borrow();
-    let has_newer = membership.newer_peer(now, known, age).is_some();
     if let Some(age) = membership.confirmed_age(now, revision)
         && !revision.is_unknown()
     {
--- a/crates/gateway/src/control/platform.rs
+++ b/crates/gateway/src/control/platform.rs
@@ -55,8 +55,12 @@
             // Its revisions have nothing to do with those of the one before.
             list_complete = false;
         }
-        let known = !gateway.catalog.borrow().revision().is_unknown();
-        let polls = list_complete && known;
+        // After what a peer of an earlier build has delivered, changes of the evacuations may be missing.
+        let is_complete = {
+            let catalog = gateway.catalog.borrow();
+            !catalog.revision().is_unknown() && !catalog.lacks_evacuations()
+        };
+        let polls = list_complete && is_complete;
         let result = match polls {
             true => poll_changes(&gateway, &mut client).await.map(|()| true),
             false => read_all(&gateway, &mut client).await,
--- a/crates/gateway/src/control/servers.rs
+++ b/crates/gateway/src/control/servers.rs
@@ -145,6 +145,7 @@
             age: catalog.age(now),
             era: catalog.revision().era,
             update: catalog.update_since(query.revision, query.settings),
+            evacuations: catalog.evacuation_notice(),
         }
     };
     match answer.encode() {
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -57,14 +57,18 @@
     }
 }
 
-fn newer_peer<Adapter>(gateway: &Gateway<Adapter>) -> Option<(Arc<str>, IpAddr)>
+/// Returns the peer to fetch an update from, if one has later data or evacuations that are missing here.
+pub(super) fn newer_peer<Adapter>(gateway: &Gateway<Adapter>) -> Option<(Arc<str>, IpAddr)>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
     let now = gateway.clock.now();
     let catalog = gateway.catalog.borrow();
     let membership = gateway.membership.borrow();
-    membership.newer_peer(now, known_data(&catalog), catalog.age(now))
+    let lacking = catalog.lacks_evacuations().then(|| catalog.evacuations_revision());
+    lacking
+        .and_then(|complete| membership.evacuation_peer(now, complete))
+        .or_else(|| membership.newer_peer(now, known_data(&catalog), catalog.age(now)))
 }
 
 /// Returns what this gateway knows, target heartbeats included.
@@ -81,6 +85,7 @@
     Adapter: CallAdapter + PlatformAdapter,
 {
     let known = known_data(&gateway.catalog.borrow());
+    let known_evacuations = gateway.catalog.borrow().evacuations_revision();
     let query = SyncQuery { revision: known.revision, settings: Some(known.settings) };
     let path = format!("{SYNC_PATH}?{query}");
     let response = Client::new(address).get(&path, FETCH_TIMEOUT).await?;
@@ -91,13 +96,21 @@
         gateway.record_unreadable_message(MessageKind::Update, address.ip());
         ClientError::Broken
     })?;
-    let SyncAnswer { age: Some(age), era, update } = answer else {
+    let SyncAnswer { age: Some(age), era, update, evacuations } = answer else {
         return Err(ClientError::Broken);
     };
     let now = gateway.clock.now();
     let source = Source::Peer(age);
-    let changed = gateway.catalog.borrow_mut().apply_update(now, era, update, source);
+    let changed = {
+        let mut catalog = gateway.catalog.borrow_mut();
+        let mut changed = catalog.apply_update(now, era, update, source);
+        if let Some(notice) = &evacuations {
+            changed |= catalog.apply_evacuations(era, notice);
+        }
+        changed
+    };
     let latest = known_data(&gateway.catalog.borrow());
+    let latest_evacuations = gateway.catalog.borrow().evacuations_revision();
     log::debug!(
         "control: update from peer {address} after={} revision={} changed={changed}",
         known.revision,
@@ -108,5 +121,5 @@
     } else {
         gateway.refresh_membership();
     }
-    Ok(latest != known)
+    Ok(latest != known || latest_evacuations != known_evacuations)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -61,6 +61,11 @@
 /// Time after which the platform's data would contain settings that another gateway is known to use.
 const MAX_UPDATE_DELAY: Duration = Duration::from_secs(2);
 
+/// Time after the start for which the settings of peers that know nothing of evacuations are not used. A gateway that
+/// neither the platform nor a peer has told of evacuations by then serves calls without them, since it may be
+/// the only one.
+const MAX_EVACUATIONS_WAIT: Duration = Duration::from_secs(5);
+
 /// Version of the settings under which another gateway has answered a relayed call.
 #[derive(Clone, Copy, Debug, Default)]
 struct RelayedVersion {
@@ -335,6 +340,8 @@
         }
         self.apply_routes();
         self.balancer.borrow_mut().set_targets(now, &self.catalog.borrow());
+        let evacuated = self.catalog.borrow().evacuated_domains().len();
+        self.metrics.evacuated_domains.set(i64::try_from(evacuated).unwrap_or(i64::MAX));
         self.membership.borrow_mut().set_domain_slots(self.domain_slots());
         self.refresh_membership();
         self.dispatch_waiting();
@@ -350,7 +357,25 @@
         local.map(|t| t.record.slots).fold(0, u32::saturating_add)
     }
 
+    /// Returns whether the settings may come into force: calls must not be sent to evacuated targets after a
+    /// start, and settings of a peer of an earlier build come without the evacuations.
+    fn is_informed(&self) -> bool {
+        let waited = self.clock.now().since(Timestamp::default());
+        self.catalog.borrow().knows_evacuations() || waited >= MAX_EVACUATIONS_WAIT
+    }
+
+    /// Returns whether settings are known that are to come into force now, since evacuations could not be
+    /// learned in time.
+    pub fn may_use_settings(&self) -> bool {
+        let is_waiting =
+            self.routes.borrow().is_none() && self.catalog.borrow().published().is_some();
+        is_waiting && self.is_informed()
+    }
+
     fn apply_routes(&self) {
+        if !self.is_informed() {
+            return;
+        }
         let published = self.catalog.borrow().published().cloned();
         let Some(published) = published else { return };
         let current = self.routes().map_or(0, |table| table.published().version);
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -121,6 +121,8 @@
     pub departures: Family<ServiceLabels, Counter>,
     /// Targets that have said so and are still remembered.
     pub departed_targets: Family<ServiceLabels, Gauge>,
+    /// Failure domains that are evacuated.
+    pub evacuated_domains: Gauge,
     /// Calls relayed to other gateways.
     pub relayed_calls: Counter,
     /// Calls refused because several targets ended while they ran calls of the same content.
@@ -193,6 +195,7 @@
             resting_targets: Family::default(),
             departures: Family::default(),
             departed_targets: Family::default(),
+            evacuated_domains: Gauge::default(),
             relayed_calls: Counter::default(),
             quarantined_calls: Counter::default(),
             target_crashes: Counter::default(),
@@ -237,6 +240,8 @@
         registry.register("departures", help, metrics.departures.clone());
         let help = "Targets that have said that they leave";
         registry.register("departed_targets", help, metrics.departed_targets.clone());
+        let help = "Failure domains that are evacuated";
+        registry.register("evacuated_domains", help, metrics.evacuated_domains.clone());
         let help = "Calls relayed to other gateways";
         registry.register("relayed_calls", help, metrics.relayed_calls.clone());
         let help = "Calls refused because calls of the same content crashed targets";
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -3,8 +3,8 @@
 
 use azuretally_gateway::control::codec::{SyncAnswer, SyncQuery, decode_message, encode_message};
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, GatewayLoad, Heartbeat, HeartbeatExtension, Message, Phase, ReadState,
-    Revision, Snapshot,
+    Build, CatalogUpdate, EvacuationNotice, GatewayLoad, Heartbeat, HeartbeatExtension, Message,
+    Phase, ReadState, Revision, Snapshot,
 };
 use std::{
     net::{IpAddr, SocketAddr},
@@ -147,13 +147,23 @@
 fn answers_are_understood_between_builds() {
     let update = CatalogUpdate::Full(Snapshot { revision: 5, ..Snapshot::default() });
     let age = Some(Duration::from_millis(20));
-    let answer = SyncAnswer { age, era: 2, update: update.clone() };
+    let revision = Revision::new(2, 5);
+    let evacuations = Some(EvacuationNotice {
+        changed: revision,
+        complete: revision,
+        from_copy: true,
+        written: vec![Arc::from("a")],
+        kept: vec![Arc::from("b")],
+        domains: vec![Arc::from("a"), Arc::from("b/c")],
+    });
+    let answer = SyncAnswer { age, era: 2, update: update.clone(), evacuations };
     let bytes = answer.encode().expect("encoded");
     assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), answer);
     let read: (Option<Duration>, CatalogUpdate) =
         postcard::from_bytes(&bytes).expect("an earlier build reads it");
     assert_eq!(read, (age, update.clone()));
     let bytes = postcard::to_allocvec(&(age, &update)).expect("encoded");
-    assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), SyncAnswer { age, era: 0, update });
+    let earlier = SyncAnswer { age, era: 0, update, evacuations: None };
+    assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), earlier);
     assert!(SyncAnswer::decode(&bytes[..1]).is_err());
 }
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -10,9 +10,9 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Build, CallDigest, CallNotice, CatalogUpdate, Change, DigestParts, GatewayLoad, Heartbeat,
-        HeartbeatExtension, LimitNotice, LimitShare, MembershipBuilder, Message, Phase, ProcessId,
-        ReadState, RequestRate, Revision, Snapshot, TrialNotice,
+        Build, CallDigest, CallNotice, CatalogUpdate, Change, DigestParts, EvacuationNotice,
+        GatewayLoad, Heartbeat, HeartbeatExtension, LimitNotice, LimitShare, MembershipBuilder,
+        Message, Phase, ProcessId, ReadState, RequestRate, Revision, Snapshot, TrialNotice,
     },
 };
 use indexmap::IndexMap;
@@ -175,6 +175,16 @@
     ]
 }
 
+fn evacuations() -> EvacuationNotice {
+    let revision = Revision::new(2, 80);
+    EvacuationNotice {
+        changed: revision,
+        complete: revision,
+        domains: vec![Arc::from("a")],
+        ..EvacuationNotice::default()
+    }
+}
+
 /// Guards against a change of the messages by which a gateway no longer reads those of an earlier build.
 #[test]
 fn messages_of_earlier_builds_are_read() {
@@ -185,7 +195,9 @@
         for (name, update) in updates() {
             let answer = SyncAnswer::decode(&recording.message(name)).expect("an update");
             let age = Some(Duration::from_millis(20));
-            assert_eq!(answer, SyncAnswer { age, era: recording.era(), update }, "{name}");
+            let era = recording.era();
+            let expected = SyncAnswer { age, era, update, evacuations: None };
+            assert_eq!(answer, expected, "{name}");
         }
     }
 }
@@ -202,7 +214,8 @@
             assert!(present.starts_with(earlier), "{name}: {present:x?}, {earlier:x?}");
         }
         for (name, update) in updates() {
-            let answer = SyncAnswer { age: Some(Duration::from_millis(20)), era: 2, update };
+            let age = Some(Duration::from_millis(20));
+            let answer = SyncAnswer { age, era: 2, update, evacuations: Some(evacuations()) };
             let present = answer.encode().expect("encoded");
             assert!(present.starts_with(&recorded[name]), "{name}: {present:x?}");
         }
--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -13,8 +13,8 @@
     native::NativeAdapter,
 };
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, GatewayLoad, Heartbeat, HeartbeatExtension, Message, Phase, ReadState,
-    Snapshot,
+    Build, CatalogUpdate, EvacuationNotice, GatewayLoad, Heartbeat, HeartbeatExtension, Message,
+    Phase, ReadState, Revision, Snapshot,
 };
 use raw::{published, read_until, run_local};
 use std::{
@@ -50,7 +50,11 @@
 fn update(revision: u64) -> Answers {
     let published = (revision > 0).then(published);
     let update = CatalogUpdate::Full(Snapshot { revision, published, targets: Vec::new() });
-    let answer = SyncAnswer { age: Some(Duration::ZERO), era: 0, update };
+    let evacuations = Some(EvacuationNotice {
+        complete: Revision::new(0, revision),
+        ..EvacuationNotice::default()
+    });
+    let answer = SyncAnswer { age: Some(Duration::ZERO), era: 0, update, evacuations };
     Answers::Body(answer.encode().expect("encoded"))
 }
 
--- a/crates/gateway/tests/restored_platform/main.rs
+++ b/crates/gateway/tests/restored_platform/main.rs
@@ -8,6 +8,7 @@
 mod caller;
 mod deployment;
 mod eras;
+mod evacuation;
 #[path = "../planned_stop/gateway.rs"]
 #[allow(dead_code)]
 mod gateway;
--- a/crates/gateway/tests/restored_platform/platform.rs
+++ b/crates/gateway/tests/restored_platform/platform.rs
@@ -156,7 +156,8 @@
     }
 }
 
-/// Returns the last settings and the last record of each target that is still there.
+/// Returns the last settings, the last record of each target that is still there, and the last state of each
+/// evacuation.
 fn current(changes: &[Change]) -> Vec<Change> {
     let mut latest: IndexMap<Arc<str>, &Change> = IndexMap::new();
     for change in changes {
@@ -164,6 +165,10 @@
             Change::Published(_) => latest.insert(Arc::from(""), change),
             Change::Target(record) => latest.insert(Arc::clone(&record.name), change),
             Change::Gone(name) => latest.shift_remove(name),
+            // Key of the store, which no target is named after.
+            Change::Evacuation { domain, .. } => {
+                latest.insert(Arc::from(format!("op/evacuate/{domain}")), change)
+            }
         };
     }
     latest.into_values().cloned().collect()
--- a/crates/gateway/tests/restored_platform/target.rs
+++ b/crates/gateway/tests/restored_platform/target.rs
@@ -53,6 +53,8 @@
     pub(crate) record: TargetRecord,
     /// When calls arrived.
     arrivals: Mutex<Vec<Instant>>,
+    /// When requests of any kind arrived.
+    requests: Mutex<Vec<Instant>>,
     /// Hosts that are cut off from all targets of the test.
     cut_hosts: Arc<CutHosts>,
 }
@@ -62,7 +64,7 @@
 
 impl Target {
     pub(crate) fn new(record: TargetRecord, cut_hosts: Arc<CutHosts>) -> Self {
-        Self { record, arrivals: Mutex::default(), cut_hosts }
+        Self { record, arrivals: Mutex::default(), requests: Mutex::default(), cut_hosts }
     }
 
     /// Returns the number of calls that arrived from `from` until `until`.
@@ -70,6 +72,11 @@
         self.arrivals.lock().iter().filter(|at| (from..until).contains(*at)).count()
     }
 
+    /// Returns the number of calls and probes that arrived since `from`.
+    pub(crate) fn requests_since(&self, from: Instant) -> usize {
+        self.requests.lock().iter().filter(|at| **at >= from).count()
+    }
+
     /// Serves calls until `stop` is cancelled.
     pub(crate) async fn run(self: Arc<Self>, listener: TcpListener, stop: CancellationToken) {
         let mut connections = JoinSet::new();
@@ -92,6 +99,7 @@
         request: Request<Incoming>,
         host: IpAddr,
     ) -> Result<Response<ResponseBody>, ConnectionAborted> {
+        self.requests.lock().push(Instant::now());
         if let Some(requests) = self.cut_hosts.lock().get_mut(&host) {
             *requests += 1;
             return Err(ConnectionAborted);
--- a/crates/gateway/tests/unreadable_messages.rs
+++ b/crates/gateway/tests/unreadable_messages.rs
@@ -16,9 +16,9 @@
     native::NativeAdapter,
 };
 use azuretally_policy::balance::{
-    Build, CallDigest, CallNotice, CatalogUpdate, Change, GatewayLoad, Heartbeat,
-    HeartbeatExtension, LimitNotice, Message, Phase, ProcessId, ReadState, RequestRate, Snapshot,
-    Source, TrialNotice,
+    Build, CallDigest, CallNotice, CatalogUpdate, Change, EvacuationNotice, GatewayLoad, Heartbeat,
+    HeartbeatExtension, LimitNotice, Message, Phase, ProcessId, ReadState, RequestRate, Revision,
+    Snapshot, Source, TrialNotice,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -230,7 +230,14 @@
         CatalogUpdate::Changes { revision: 6, changes },
     ];
     let updates = updates.into_iter().map(|update| {
-        let answer = SyncAnswer { age: Some(Duration::MAX), era: 1, update };
+        let revision = Revision::new(1, 5);
+        let evacuations = Some(EvacuationNotice {
+            changed: revision,
+            complete: revision,
+            domains: vec![Arc::from("a")],
+            ..EvacuationNotice::default()
+        });
+        let answer = SyncAnswer { age: Some(Duration::MAX), era: 1, update, evacuations };
         answer.encode().expect("encoded")
     });
     (messages.collect(), updates.collect())
@@ -265,10 +272,16 @@
             socket.send_to(&bytes, to).await.expect("sent");
             let mut bytes = updates[rng.random_range(0..updates.len())].clone();
             damage(&mut rng, &mut bytes);
-            if let Ok(SyncAnswer { age: Some(age), era, update }) = SyncAnswer::decode(&bytes) {
+            let answer = SyncAnswer::decode(&bytes);
+            if let Ok(SyncAnswer { age: Some(age), era, update, evacuations }) = answer {
                 let now = gateway.clock.now();
                 let source = Source::Peer(age);
-                gateway.catalog.borrow_mut().apply_update(now, era, update, source);
+                let mut catalog = gateway.catalog.borrow_mut();
+                catalog.apply_update(now, era, update, source);
+                for notice in &evacuations {
+                    catalog.apply_evacuations(era, notice);
+                }
+                drop(catalog);
                 gateway.apply_catalog(source);
             }
             if number % DAMAGED_BURST == 0 {
