policy: add evacuations to the random histories of gateways

The histories of changes, restores, starts and late answers now contain evacuations, and answers of peers that know nothing of them. The set of each gateway is checked against that of the platform at the revision up to which it is complete, until the first restore, and at the end.

--- a/crates/gateway/tests/unreadable_messages.rs
+++ b/crates/gateway/tests/unreadable_messages.rs
@@ -278,7 +278,7 @@
                 let source = Source::Peer(age);
                 let mut catalog = gateway.catalog.borrow_mut();
                 catalog.apply_update(now, era, update, source);
-                for notice in &evacuations {
+                if let Some(notice) = &evacuations {
                     catalog.apply_evacuations(era, notice);
                 }
                 drop(catalog);
--- a/crates/policy/tests/balance/going_back.rs
+++ b/crates/policy/tests/balance/going_back.rs
@@ -8,8 +8,8 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Attempt, AttemptOutcome, AttemptResult, Catalog, CatalogUpdate, Change, Heartbeat,
-        HeartbeatExtension, KnownData, LimitField, LimitNotice, LimitShare, Membership,
+        Attempt, AttemptOutcome, AttemptResult, Catalog, CatalogUpdate, Change, EvacuationNotice,
+        Heartbeat, HeartbeatExtension, KnownData, LimitField, LimitNotice, LimitShare, Membership,
         MembershipBuilder, Message, RequestRate, Revision, Source, TargetRecord,
     },
 };
@@ -77,9 +77,36 @@
 }
 
 fn fetch(catalog: &mut Catalog, peer: &Catalog, now: Timestamp) {
-    let update = peer.update_since(catalog.revision(), Some(catalog.settings_version()));
-    let source = Source::Peer(Duration::ZERO);
-    catalog.apply_update(now, peer.revision().era, update, source);
+    PeerAnswer::new(peer, catalog).apply(catalog, now);
+}
+
+/// Returns whether `catalog` has to fetch what `peer` knows.
+fn is_behind(catalog: &Catalog, peer: &Catalog) -> bool {
+    let known = catalog.revision().min(catalog.evacuations_revision());
+    peer.content_revision() > known || peer.settings_version() > catalog.settings_version()
+}
+
+/// Answer of a peer on its way to a gateway.
+#[derive(Clone, Debug)]
+struct PeerAnswer {
+    era: u64,
+    update: CatalogUpdate,
+    evacuations: Option<EvacuationNotice>,
+}
+
+impl PeerAnswer {
+    fn new(peer: &Catalog, asking: &Catalog) -> Self {
+        let update = peer.update_since(asking.revision(), Some(asking.settings_version()));
+        Self { era: peer.revision().era, update, evacuations: peer.evacuation_notice() }
+    }
+
+    fn apply(self, catalog: &mut Catalog, now: Timestamp) {
+        let source = Source::Peer(Duration::ZERO);
+        catalog.apply_update(now, self.era, self.update, source);
+        if let Some(notice) = &self.evacuations {
+            catalog.apply_evacuations(self.era, notice);
+        }
+    }
 }
 
 /// Guards against calls to a process that has ended: its record of the copy, set aside at the restore,
@@ -385,7 +412,7 @@
     catalog: Catalog,
     lists_next: bool,
     from_platform: Option<PlatformAnswer>,
-    from_peer: Option<(u64, CatalogUpdate)>,
+    from_peer: Option<PeerAnswer>,
 }
 
 impl Gateway {
@@ -395,7 +422,8 @@
             return;
         }
         let known = self.catalog.revision();
-        let polls = !known.is_unknown() && !self.lists_next;
+        let is_complete = !known.is_unknown() && !self.catalog.lacks_evacuations();
+        let polls = is_complete && !self.lists_next;
         let answer = if polls { PlatformAnswer::poll(store, known) } else { None };
         self.from_platform = answer.or_else(|| Some(PlatformAnswer::list(store)));
     }
@@ -416,14 +444,40 @@
     }
 
     fn receive_from_peer(&mut self, now: Timestamp) {
-        let Some((era, update)) = self.from_peer.take() else { return };
-        self.catalog.apply_update(now, era, update, Source::Peer(Duration::ZERO));
+        if let Some(answer) = self.from_peer.take() {
+            answer.apply(&mut self.catalog, now);
+        }
     }
 }
 
+const DOMAINS: [&str; 2] = ["a", "b"];
+
+fn evacuation(domain: usize, active: bool) -> Change {
+    Change::Evacuation { domain: Arc::from(DOMAINS[domain]), active }
+}
+
+/// Returns the evacuated domains of a list, sorted.
+fn evacuated_of(list: &[Change]) -> Vec<Arc<str>> {
+    let evacuated = list.iter().filter_map(|change| match change {
+        Change::Evacuation { domain, active: true } => Some(Arc::clone(domain)),
+        _ => None,
+    });
+    let mut domains: Vec<_> = evacuated.collect();
+    domains.sort();
+    domains
+}
+
+fn evacuated_domains(catalog: &Catalog) -> Vec<Arc<str>> {
+    let mut domains: Vec<_> = catalog.evacuated_domains().iter().cloned().collect();
+    domains.sort();
+    domains
+}
+
 /// Any interleaving of changes, restores, starts, and answers that are under way while other data arrives:
 /// nothing reverts, targets that a gateway knows to have left are not used again before their expiry, and
-/// all gateways agree with the platform in the end. Targets don't start again if `restarts` is not set.
+/// all gateways agree with the platform in the end. Targets don't start again if `restarts` is not set. The set of
+/// evacuated domains never goes back, and is that of the platform until a restore. Some answers of peers come from
+/// builds that know nothing of evacuations.
 fn answers_arrive_in_any_order(restarts: bool) {
     const TARGETS: u8 = 5;
     const GATEWAYS: usize = 3;
@@ -439,6 +493,9 @@
         (0..TARGETS).for_each(|number| store.write(of(number, 1, false)));
         let mut copies = vec![store.clone()];
         let mut gateways = vec![Gateway::default(); GATEWAYS];
+        let mut evacuated = [false; DOMAINS.len()];
+        let mut truth = vec![(store.revision, Vec::new())];
+        let mut is_restored = false;
         let mut clock = 0;
         for _ in 0..100 {
             clock += u.int_in_range(1..=50)?;
@@ -447,7 +504,7 @@
             let index = number as usize;
             let at = u.choose_index(GATEWAYS)?;
             let before = gateways[at].catalog.clone();
-            match u.int_in_range(0..=13)? {
+            match u.int_in_range(0..=15)? {
                 0 => {
                     settings += 1;
                     store.write(settings_change(settings));
@@ -465,6 +522,7 @@
                 5 => {
                     let copy = u.choose(&copies)?;
                     store = store.restored_from(copy);
+                    is_restored = true;
                 }
                 6 if u.ratio(1, 4)? => gateways[at] = Gateway::default(),
                 7 | 8 => gateways[at].ask(&store),
@@ -472,16 +530,33 @@
                 11 => {
                     let peer = gateways[u.choose_index(GATEWAYS)?].catalog.clone();
                     let own = &gateways[at].catalog;
-                    let update = peer.update_since(own.revision(), Some(own.settings_version()));
-                    let is_ahead = peer.content_revision() > own.revision()
-                        || peer.settings_version() > own.settings_version();
-                    if is_ahead && gateways[at].from_peer.is_none() {
-                        gateways[at].from_peer = Some((peer.revision().era, update));
+                    if is_behind(own, &peer) && gateways[at].from_peer.is_none() {
+                        let mut answer = PeerAnswer::new(&peer, own);
+                        answer.evacuations.take_if(|_| u.ratio(1, 4).unwrap_or(false));
+                        gateways[at].from_peer = Some(answer);
                     }
                 }
+                14 => {
+                    let domain = u.choose_index(DOMAINS.len())?;
+                    evacuated[domain] ^= true;
+                    store.write(evacuation(domain, evacuated[domain]));
+                }
+                15 => {
+                    gateways[at].catalog.tick(now);
+                }
                 _ => gateways[at].receive_from_peer(now),
             }
+            truth.push((store.revision, evacuated_of(&store.list())));
             let after = &gateways[at].catalog;
+            if let Some(notice) = after.evacuation_notice() {
+                let earlier = before.evacuation_notice().unwrap_or_default();
+                let is_started = before.revision() <= after.revision();
+                assert!(!is_started || notice.changed >= earlier.changed);
+                let known = truth.iter().rfind(|(revision, _)| *revision == notice.complete);
+                if let (false, Some((_, expected))) = (is_restored, known) {
+                    assert_eq!(evacuated_domains(after), *expected);
+                }
+            }
             if !after.revision().is_unknown() {
                 assert!(after.revision() >= before.revision());
                 assert!(after.settings_version() >= before.settings_version());
@@ -504,6 +579,9 @@
             let change = of(number, started[index], false);
             store.write(if left[index] { gone(number) } else { change });
         }
+        for (domain, active) in evacuated.iter().enumerate() {
+            store.write(evacuation(domain, *active));
+        }
         let now = ms(clock + 100);
         for gateway in &mut gateways {
             gateway.receive_from_platform(now);
@@ -520,9 +598,7 @@
         let reader = gateways[0].catalog.clone();
         for gateway in &mut gateways[1..] {
             let own = &mut gateway.catalog;
-            let is_ahead = reader.content_revision() > own.revision()
-                || reader.settings_version() > own.settings_version();
-            if is_ahead {
+            if is_behind(own, &reader) {
                 fetch(own, &reader, end);
             }
         }
@@ -531,6 +607,7 @@
         for gateway in &mut gateways {
             gateway.catalog.tick(ms(clock + 100 + 2 * EXPIRY_MS));
             assert_eq!(gateway.catalog.settings_version(), settings);
+            assert_eq!(evacuated_domains(&gateway.catalog), evacuated_of(&store.list()));
             let mut usable = usable(&gateway.catalog);
             usable.sort();
             assert_eq!(usable, expected);
