gateway, entry: statuses outside the protocol are malformed answers

Cause: hyper reports any status from 100 to 999 as that of an answer, and both daemons passed 101, 600 and 999 of a target on to callers as answered. Change: an answer whose status is not from 200 to 599 counts as malformed, in the one place in each daemon that reads answers of targets and of peers. A call that may run twice goes to another target or gateway; others get 502 with an unknown outcome. The entry answered 504 for every unknown outcome; after a broken or malformed answer it is 502 now, as at the gateway.

--- a/crates/entry/src/calls/exchange.rs
+++ b/crates/entry/src/calls/exchange.rs
@@ -20,6 +20,7 @@
 use hyper::body::Incoming;
 use std::{
     net::SocketAddr,
+    ops::RangeInclusive,
     sync::atomic::{AtomicBool, Ordering},
     time::Duration,
 };
@@ -28,6 +29,8 @@
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
 
+/// Statuses that end an exchange, apart from a change of the protocol, which is never requested.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum number of connections tried while idle ones turn out to be closed.
 const MAX_CONNECTION_TRIES: usize = 4;
 
@@ -167,7 +170,7 @@
         let (head, body) = response.into_parts();
         let named = head.headers.get(headers::TARGET_ATTEMPT);
         let is_own = attempt.is_none_or(|attempt| connection.is_response_to(&attempt, named));
-        if !is_own || !is_framed(&head, &body) {
+        if !is_own || !is_framed(&head, &body) || !FINAL_STATUSES.contains(&head.status.as_u16()) {
             return Err(ExchangeError::after_write(FailureKind::Broken));
         }
         if body.size_hint().exact().is_none_or(|n| n > MAX_BUFFERED_BYTES) {
--- a/crates/entry/src/calls/handler.rs
+++ b/crates/entry/src/calls/handler.rs
@@ -178,7 +178,7 @@
                     }
                     Step::Unknown { reason } => {
                         self.guard.end(Outcome::Unknown, Some(reason.as_str()));
-                        return Reply::unknown(reason.as_str());
+                        return Reply::unanswered(reason);
                     }
                 },
                 Some(result) = attempts.next() => match result {
--- a/crates/entry/src/calls/reply.rs
+++ b/crates/entry/src/calls/reply.rs
@@ -8,6 +8,7 @@
     inbound::StoredReply,
 };
 use azuretally_api::{headers, record::Outcome};
+use azuretally_policy::dispatch::UnknownReason;
 use bytes::Bytes;
 use http::{
     HeaderMap, HeaderValue, Response, StatusCode,
@@ -45,6 +46,15 @@
         Self::without_response(StatusCode::GATEWAY_TIMEOUT, Outcome::Unknown, reason)
     }
 
+    /// Reports that the call was sent, may have been run, and has no answer for `reason`.
+    pub(super) fn unanswered(reason: UnknownReason) -> Self {
+        let status = match reason {
+            UnknownReason::Broken => StatusCode::BAD_GATEWAY,
+            UnknownReason::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        };
+        Self::without_response(status, Outcome::Unknown, reason.as_str())
+    }
+
     /// Forwards the response of a target or peer. The call ends once the body is complete.
     pub(super) fn forwarded(
         outcome: Outcome,
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -17,7 +17,7 @@
 use bytes::Bytes;
 use http::{Request, Response, header::CONTENT_ENCODING, response};
 use hyper::body::Incoming;
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, ops::RangeInclusive, rc::Rc, sync::Arc, time::Duration};
 
 /// Size up to which a response body is read completely before the caller gets any part of it, so
 /// that a truncated response can be replaced by that of another target.
@@ -25,6 +25,8 @@
 /// Maximum time from the decision to send a call until its request is sent: the connect timeout and
 /// a margin. A longer delay means that the process was paused.
 const MAX_DECISION_AGE: Duration = Duration::from_millis(500);
+/// Statuses that end an exchange, apart from a change of the protocol, which is never requested.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
 /// Maximum number of connections tried for one attempt, since idle ones may turn out to be closed.
 const MAX_SEND_TRIES: usize = 3;
 
@@ -264,6 +266,7 @@
     let target_response = adapter.parse_response(&head, inbound.call_headers.id.as_deref());
     // Callers never request a content encoding, so an encoded response is not the target's.
     if target_response.kind == ResponseKind::Unverified
+        || !FINAL_STATUSES.contains(&head.status.as_u16())
         || head.headers.contains_key(CONTENT_ENCODING)
     {
         return Err(Failure::Broken);
--- a/crates/testsuite/tests/testsuite/answers.rs
+++ b/crates/testsuite/tests/testsuite/answers.rs
@@ -3,12 +3,28 @@
 use azuretally_api::{headers, record::Outcome};
 use azuretally_standin::{proxy, target::Faults};
 use azuretally_testsuite::{
-    Call, CallError, Caller, CompletedCall, Fleet, LoadGenerator, Workload,
+    Call, CallError, Caller, CompletedCall, DEFAULT_TIMEOUT, Fleet, LoadGenerator, Workload,
+    eventually,
+};
+use parking_lot::Mutex;
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+    task::JoinSet,
+    time,
 };
-use std::time::{Duration, Instant};
-use tokio::{task::JoinSet, time};
 
 const CALLERS: usize = 300;
+/// Statuses that no answer may have, and those that the protocol cannot express.
+const MALFORMED_STATUSES: [&str; 11] =
+    ["101", "600", "999", "000", "001", "099", "20", "0200", "1000", "-20", "2x0"];
+/// Path of load probes of the stand-in target.
+const LOAD_PATH: &[u8] = b" /-/load ";
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn concurrent_callers_receive_their_own_responses() {
@@ -237,3 +253,112 @@
     let outcomes = fleet.verify(&load.finish().await).await;
     assert!(outcomes.answered > 500, "{outcomes:?}");
 }
+
+/// Replaces the status of each answer of a target to a call, while one is set.
+#[derive(Clone, Default)]
+struct StatusChange {
+    status: Arc<Mutex<Option<&'static str>>>,
+    changed: Arc<Mutex<usize>>,
+}
+
+impl StatusChange {
+    /// Serves the target at `target` on an address of its own.
+    async fn start(&self, target: SocketAddr) -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let change = self.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(change.clone().forward(stream, target));
+            }
+        });
+        address
+    }
+
+    /// Passes the connections to target 0 through this.
+    async fn insert_before_target(&self, fleet: &Fleet) {
+        let link = &fleet.target_links[0];
+        link.retarget(self.start(fleet.target_address(0)).await);
+        link.set_faults(proxy::Faults { cut: true, ..proxy::Faults::default() });
+        let is_closed = async || (link.counts().open == 0).then_some(());
+        eventually("open connections end", DEFAULT_TIMEOUT, is_closed).await;
+        link.set_faults(proxy::Faults::default());
+        fleet.wait_until_serving().await;
+    }
+
+    async fn forward(self, mut client: TcpStream, target: SocketAddr) {
+        let Ok(mut target) = TcpStream::connect(target).await else { return };
+        let (mut request, mut answer) = ([0; 16_384], [0; 16_384]);
+        let mut is_call = false;
+        loop {
+            let sent = tokio::select! {
+                Ok(n @ 1..) = client.read(&mut request) => {
+                    is_call = !request[..n].windows(LOAD_PATH.len()).any(|w| w == LOAD_PATH);
+                    target.write_all(&request[..n]).await
+                }
+                Ok(n @ 1..) = target.read(&mut answer) => {
+                    let answer = self.apply(&answer[..n], is_call);
+                    client.write_all(&answer).await
+                }
+                else => return,
+            };
+            if sent.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn apply(&self, answer: &[u8], is_call: bool) -> Vec<u8> {
+        let rest = answer.strip_prefix(b"HTTP/1.1 200");
+        match (*self.status.lock(), rest) {
+            (Some(status), Some(rest)) if is_call => {
+                *self.changed.lock() += 1;
+                [b"HTTP/1.1 ", status.as_bytes(), rest].concat()
+            }
+            _ => answer.to_vec(),
+        }
+    }
+}
+
+/// The statuses 101, 600 and 999 of a target reached the caller.
+#[tokio::test]
+async fn malformed_status_of_a_target_is_no_answer() {
+    let fleet = Fleet::builder().entries(1).targets(1).links().start().await;
+    let change = StatusChange::default();
+    change.insert_before_target(&fleet).await;
+    let to = fleet.direction().await;
+    for status in MALFORMED_STATUSES {
+        *change.status.lock() = None;
+        fleet.wait_until_serving().await;
+        *change.status.lock() = Some(status);
+        let changed = *change.changed.lock();
+        let sale = Call::sale(format!("s{status}"), &to);
+        let reply = fleet.caller.call(to.address, &sale).await.unwrap();
+        assert_eq!(*change.changed.lock(), changed + 1, "{status}: sent once, {reply:?}");
+        assert_eq!(fleet.starts(sale.run_key()).await, 1, "{status}");
+        assert_eq!(reply.status.as_u16(), 502, "{status}: {reply:?}");
+        assert_eq!(reply.outcome(), Some(Outcome::Unknown), "{status}: {reply:?}");
+    }
+}
+
+/// The statuses 101, 600 and 999 of one target reached callers although another one could answer.
+#[tokio::test]
+async fn malformed_status_is_replaced_by_the_answer_of_another_target() {
+    let fleet = Fleet::builder().entries(1).targets(2).links().start().await;
+    let change = StatusChange::default();
+    change.insert_before_target(&fleet).await;
+    for status in MALFORMED_STATUSES {
+        *change.status.lock() = Some(status);
+        let changed = *change.changed.lock();
+        let deadline = Instant::now() + Duration::from_secs(10);
+        for number in 0.. {
+            if *change.changed.lock() > changed {
+                break;
+            }
+            assert!(Instant::now() < deadline, "{status}: the target got no call");
+            let call = Call::get("/till/balance", format!("b{status}-{number}"));
+            let reply = fleet.call(&call).await.unwrap();
+            assert!(reply.is_answered() && reply.status.is_success(), "{status}: {reply:?}");
+        }
+    }
+}
