balance: keep the rate of cold targets

Targets that are cold crashed when gateways sent them clearly more than the rate of their service: no gateway knew the rate, and a record of the same process with a longer warm-up was taken for a heartbeat.

Services now have a rate for cold targets. One settled gateway of the target's failure domain uses it, from a token bucket; the others send nothing, probes and checks included, until the target is warm. A gateway that has not heard enough seeds, or misses the larger part of its domain, uses no rate. Rates travel behind the answer of `GET /news`, with the remaining cold time in the records. Longer warm-ups are changes.

`cargo test -p azuretally-policy`: 249, 60, 53, 5 and 8 tests passed. Tests of the gateway have not been run yet.

--- a/crates/gateway/src/adapter.rs
+++ b/crates/gateway/src/adapter.rs
@@ -77,6 +77,8 @@
     pub report: Option<LoadReport>,
     /// What the response says about the limit of the target.
     pub limit: LimitField,
+    /// Time until the target is warm, if it says so.
+    pub warmup: Option<Duration>,
 }
 
 /// Failure that the gateway reports to the caller instead of a target's response.
--- a/crates/gateway/src/calls/probe.rs
+++ b/crates/gateway/src/calls/probe.rs
@@ -86,6 +86,9 @@
         let now = gateway.clock.now();
         let mut balancer = gateway.balancer.borrow_mut();
         balancer.record_probe_limit(now, probe, probe_response.limit);
+        if let Some(left) = probe_response.warmup {
+            balancer.record_probe_warmup(now, probe, left);
+        }
     }
     match probe_response.report {
         _ if !is_same_target => None,
--- a/crates/gateway/src/control/codec.rs
+++ b/crates/gateway/src/control/codec.rs
@@ -4,7 +4,7 @@
 //! the rest of a message, can read it. What a message of an earlier build lacks has its default value.
 
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, GatewayLoad, HeartbeatExtension, Message, ReadState, Revision,
+    Build, CatalogUpdate, ColdRates, GatewayLoad, HeartbeatExtension, Message, ReadState, Revision,
     TrialNotice,
 };
 use postcard::{take_from_bytes, to_allocvec, to_extend};
@@ -158,6 +158,8 @@
     pub era: u64,
     /// What is later than the asking gateway's data.
     pub update: CatalogUpdate,
+    /// Rates of cold targets, `None` if the gateway that answers does not know them or is of an earlier build.
+    pub cold_rates: Option<ColdRates>,
 }
 
 impl SyncAnswer {
@@ -167,7 +169,8 @@
     ///
     /// Returns the error of the encoder.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
-        to_extend(&self.era, to_allocvec(&(&self.age, &self.update))?)
+        let bytes = to_extend(&self.era, to_allocvec(&(&self.age, &self.update))?)?;
+        to_extend(&self.cold_rates, bytes)
     }
 
     /// Decodes an answer.
@@ -177,7 +180,8 @@
     /// Returns the error of the decoder.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let ((age, update), rest) = take_from_bytes(bytes)?;
-        let era = if rest.is_empty() { 0 } else { take_from_bytes(rest)?.0 };
-        Ok(Self { age, era, update })
+        let (era, rest) = if rest.is_empty() { (0, rest) } else { take_from_bytes(rest)? };
+        let cold_rates = if rest.is_empty() { None } else { take_from_bytes(rest)?.0 };
+        Ok(Self { age, era, update, cold_rates })
     }
 }
--- a/crates/gateway/src/control/peers.rs
+++ b/crates/gateway/src/control/peers.rs
@@ -74,6 +74,7 @@
         gateway.refresh_membership();
         gateway.refresh_relays();
         gateway.exchange_limits();
+        gateway.assign_cold_targets();
         gateway.exchange_calls();
         let outgoing = gateway.membership.borrow_mut().tick(now);
         send(&gateway, &socket, &outgoing).await;
--- a/crates/gateway/src/control/servers.rs
+++ b/crates/gateway/src/control/servers.rs
@@ -141,10 +141,13 @@
     let query = SyncQuery::parse(request.uri().query().unwrap_or_default());
     let answer = {
         let catalog = gateway.catalog.borrow();
+        let mut update = catalog.update_since(query.revision, query.settings);
+        catalog.update_warmups(now, &mut update);
         SyncAnswer {
             age: catalog.age(now),
             era: catalog.revision().era,
-            update: catalog.update_since(query.revision, query.settings),
+            update,
+            cold_rates: catalog.cold_rates(),
         }
     };
     match answer.encode() {
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -64,7 +64,8 @@
     let now = gateway.clock.now();
     let catalog = gateway.catalog.borrow();
     let membership = gateway.membership.borrow();
-    membership.newer_peer(now, known_data(&catalog), catalog.age(now))
+    let newer = membership.newer_peer(now, known_data(&catalog), catalog.age(now));
+    newer.or_else(|| membership.cold_rates_peer(now).filter(|_| catalog.lacks_cold_rates()))
 }
 
 /// Returns what this gateway knows, target heartbeats included.
@@ -91,22 +92,24 @@
         gateway.record_unreadable_message(MessageKind::Update, address.ip());
         ClientError::Broken
     })?;
-    let SyncAnswer { age: Some(age), era, update } = answer else {
+    let SyncAnswer { age: Some(age), era, update, cold_rates } = answer else {
         return Err(ClientError::Broken);
     };
     let now = gateway.clock.now();
     let source = Source::Peer(age);
     let changed = gateway.catalog.borrow_mut().apply_update(now, era, update, source);
+    let has_rates =
+        cold_rates.is_some_and(|rates| gateway.catalog.borrow_mut().apply_cold_rates(&rates));
     let latest = known_data(&gateway.catalog.borrow());
     log::debug!(
         "control: update from peer {address} after={} revision={} changed={changed}",
         known.revision,
         latest.revision,
     );
-    if changed {
+    if changed || has_rates {
         gateway.apply_catalog(source);
     } else {
         gateway.refresh_membership();
     }
-    Ok(latest != known)
+    Ok(latest != known || has_rates)
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,10 +13,10 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        Balancer, BalancerSettings, Build, CallNotice, Catalog, CrashCheck, CrashEvidence,
-        Decision, GatewayLoad, Heartbeat, HeartbeatExtension, KnownData, LimitNotice,
-        MESSAGE_GENERATION, Membership, MembershipBuilder, Outgoing, Phase, Probe, ProcessId,
-        ReadState, Revision, RouteTable, Source, StreamEnd, TrafficSplit,
+        Balancer, BalancerSettings, Build, CallNotice, Catalog, ColdBound, CrashCheck,
+        CrashEvidence, Decision, GatewayLoad, Heartbeat, HeartbeatExtension, KnownData,
+        LimitNotice, MESSAGE_GENERATION, Membership, MembershipBuilder, Outgoing, Phase, Probe,
+        ProcessId, ReadState, Revision, RouteTable, Source, StreamEnd, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -335,6 +335,7 @@
         }
         self.apply_routes();
         self.balancer.borrow_mut().set_targets(now, &self.catalog.borrow());
+        self.assign_cold_targets();
         self.membership.borrow_mut().set_domain_slots(self.domain_slots());
         self.refresh_membership();
         self.dispatch_waiting();
@@ -450,6 +451,12 @@
         for (service, count) in self.balancer.borrow().departed_targets() {
             self.metrics.set_departed_targets(service, count);
         }
+        for (service, count) in self.balancer.borrow().cold_targets(self.clock.now()) {
+            self.metrics.set_cold_targets(service, count);
+        }
+        for (service, count) in self.balancer.borrow().cold_misses() {
+            self.metrics.set_cold_misses(service, count);
+        }
         self.metrics.encode()
     }
 
@@ -561,6 +568,15 @@
         peers
     }
 
+    /// Assigns the rates of cold targets by the present membership.
+    pub fn assign_cold_targets(&self) {
+        let mut balancer = self.balancer.borrow_mut();
+        if balancer.has_cold_rates() {
+            let assignment = self.membership.borrow().cold_assignment();
+            balancer.assign_cold_targets(self.clock.now(), assignment);
+        }
+    }
+
     /// Assigns the limits of targets by the present membership, and passes changes on to it.
     pub fn exchange_limits(&self) {
         let now = self.clock.now();
@@ -701,6 +717,7 @@
         crossing_cost: settings.crossing_cost_per_kb,
         probe_rate: settings.probes_per_s * DIRECTED_PROBE_SHARE / share.directed_gateways as f64,
         max_rest: Duration::from_millis(settings.max_rest_ms),
+        cold_bound: ColdBound { over: settings.cold_over, slack: settings.cold_slack },
     }
 }
 
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -117,6 +117,10 @@
     pub rests: Family<RestLabels, Counter>,
     /// Targets that rest.
     pub resting_targets: Family<ServiceLabels, Gauge>,
+    /// Cold targets of services that name a rate for them.
+    pub cold_targets: Family<ServiceLabels, Gauge>,
+    /// Calls that found only cold targets without tokens.
+    pub cold_misses: Family<ServiceLabels, Counter>,
     /// Targets that said in an answer that they leave.
     pub departures: Family<ServiceLabels, Counter>,
     /// Targets that have said so and are still remembered.
@@ -191,6 +195,8 @@
             limited_requests: Family::default(),
             rests: Family::default(),
             resting_targets: Family::default(),
+            cold_targets: Family::default(),
+            cold_misses: Family::default(),
             departures: Family::default(),
             departed_targets: Family::default(),
             relayed_calls: Counter::default(),
@@ -233,6 +239,10 @@
         registry.register("rests", "Rests that targets asked for", metrics.rests.clone());
         let help = "Targets that rest";
         registry.register("resting_targets", help, metrics.resting_targets.clone());
+        let help = "Cold targets of services that name a rate for them";
+        registry.register("cold_targets", help, metrics.cold_targets.clone());
+        let help = "Calls that found only cold targets without tokens";
+        registry.register("cold_misses", help, metrics.cold_misses.clone());
         let help = "Targets that said in an answer that they leave";
         registry.register("departures", help, metrics.departures.clone());
         let help = "Targets that have said that they leave";
@@ -350,6 +360,20 @@
         self.resting_targets.get_or_create(&labels).set(count);
     }
 
+    /// Sets the number of cold targets of `service`.
+    pub fn set_cold_targets(&self, service: &Arc<str>, count: usize) {
+        let labels = ServiceLabels { service: service.to_string() };
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.cold_targets.get_or_create(&labels).set(count);
+    }
+
+    /// Raises the number of calls of `service` that found only cold targets without tokens to `count`.
+    pub fn set_cold_misses(&self, service: &Arc<str>, count: u64) {
+        let labels = ServiceLabels { service: service.to_string() };
+        let counter = self.cold_misses.get_or_create(&labels);
+        counter.inc_by(count.saturating_sub(counter.get()));
+    }
+
     /// Counts a target of `service` that said that it leaves.
     pub fn record_departure(&self, service: &Arc<str>) {
         let labels = ServiceLabels { service: service.to_string() };
--- a/crates/gateway/src/native.rs
+++ b/crates/gateway/src/native.rs
@@ -104,6 +104,7 @@
             target: header_text(fields, headers::TARGET).map(Arc::from),
             report: header_text(fields, headers::TARGET_LOAD).and_then(load_report),
             limit: limit_field(fields, headers::TARGET_LIMIT),
+            warmup: None,
         }
     }
 
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -139,6 +139,13 @@
     /// Longest rest that a target may ask for, in ms.
     #[serde(default = "default_rest_ms")]
     pub max_rest_ms: u64,
+    /// Requests that a cold target may get in one second from all gateways together, as a factor on the rate of
+    /// its service.
+    #[serde(default = "default_cold")]
+    pub cold_over: f64,
+    /// Requests in addition.
+    #[serde(default = "default_cold")]
+    pub cold_slack: f64,
     /// Cost of sending 1 kB to another failure domain, as a fraction of the value of a call.
     #[serde(default = "default_crossing")]
     pub crossing_cost_per_kb: f64,
@@ -169,6 +176,10 @@
     3_600_000
 }
 
+fn default_cold() -> f64 {
+    1.0
+}
+
 fn default_read_ms() -> u64 {
     1_000
 }
@@ -232,6 +243,8 @@
             ("retries.window_ms", self.retries.window_ms > 0),
             ("crossing_cost_per_kb", self.crossing_cost_per_kb.is_finite()),
             ("probes_per_s", self.probes_per_s.is_finite() && self.probes_per_s >= 0.0),
+            ("cold_over", self.cold_over.is_finite() && self.cold_over >= 0.0),
+            ("cold_slack", self.cold_slack.is_finite() && self.cold_slack >= 0.0),
             ("read_ms", self.read_ms > 0),
             ("max_rest_ms", self.max_rest_ms > 0),
         ];
--- a/crates/gateway/tests/calls.rs
+++ b/crates/gateway/tests/calls.rs
@@ -41,7 +41,8 @@
 }
 
 fn published() -> PublishedSettings {
-    let service = ServiceSettings { connections: 10, probe_path: Arc::from("/load") };
+    let service =
+        ServiceSettings { connections: 10, probe_path: Arc::from("/load"), cold_rate: None };
     PublishedSettings {
         version: 1,
         routes: vec![route("check", true), route("sale", false)],
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -147,13 +147,16 @@
 fn answers_are_understood_between_builds() {
     let update = CatalogUpdate::Full(Snapshot { revision: 5, ..Snapshot::default() });
     let age = Some(Duration::from_millis(20));
-    let answer = SyncAnswer { age, era: 2, update: update.clone() };
+    let answer = SyncAnswer { age, era: 2, update: update.clone(), cold_rates: None };
     let bytes = answer.encode().expect("encoded");
     assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), answer);
     let read: (Option<Duration>, CatalogUpdate) =
         postcard::from_bytes(&bytes).expect("an earlier build reads it");
     assert_eq!(read, (age, update.clone()));
     let bytes = postcard::to_allocvec(&(age, &update)).expect("encoded");
-    assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), SyncAnswer { age, era: 0, update });
+    assert_eq!(
+        SyncAnswer::decode(&bytes).expect("decoded"),
+        SyncAnswer { age, era: 0, update, cold_rates: None }
+    );
     assert!(SyncAnswer::decode(&bytes[..1]).is_err());
 }
--- a/crates/gateway/tests/crashing_call/deployment.rs
+++ b/crates/gateway/tests/crashing_call/deployment.rs
@@ -297,7 +297,8 @@
 }
 
 fn published() -> PublishedSettings {
-    let service = ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH) };
+    let service =
+        ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH), cold_rate: None };
     let routes = [(LOOK_ROUTE, true), (SALE_ROUTE, false)].map(|(name, idempotent)| Route {
         name: Arc::from(name),
         host: Arc::from("test"),
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -185,7 +185,11 @@
         for (name, update) in updates() {
             let answer = SyncAnswer::decode(&recording.message(name)).expect("an update");
             let age = Some(Duration::from_millis(20));
-            assert_eq!(answer, SyncAnswer { age, era: recording.era(), update }, "{name}");
+            assert_eq!(
+                answer,
+                SyncAnswer { age, era: recording.era(), update, cold_rates: None },
+                "{name}"
+            );
         }
     }
 }
@@ -202,7 +206,12 @@
             assert!(present.starts_with(earlier), "{name}: {present:x?}, {earlier:x?}");
         }
         for (name, update) in updates() {
-            let answer = SyncAnswer { age: Some(Duration::from_millis(20)), era: 2, update };
+            let answer = SyncAnswer {
+                age: Some(Duration::from_millis(20)),
+                era: 2,
+                update,
+                cold_rates: None,
+            };
             let present = answer.encode().expect("encoded");
             assert!(present.starts_with(&recorded[name]), "{name}: {present:x?}");
         }
--- a/crates/gateway/tests/grace.rs
+++ b/crates/gateway/tests/grace.rs
@@ -57,7 +57,8 @@
 }
 
 fn published() -> PublishedSettings {
-    let service = ServiceSettings { connections: 10, probe_path: Arc::from("/load") };
+    let service =
+        ServiceSettings { connections: 10, probe_path: Arc::from("/load"), cold_rate: None };
     PublishedSettings {
         version: 1,
         routes: vec![
--- a/crates/gateway/tests/late_checks.rs
+++ b/crates/gateway/tests/late_checks.rs
@@ -35,7 +35,8 @@
 fn fail_probe(gateway: &Gateway<NativeAdapter>) {
     let TargetRecord { service, name, started, address, .. } = stub::target(0, 1);
     let process = ProcessId::new(&name, started);
-    let probe = Probe { service, process, target: name, address, limit: None, resting: false };
+    let probe =
+        Probe { service, process, target: name, address, limit: None, resting: false, cold: false };
     gateway.balancer.borrow_mut().probe_ended(gateway.clock.now(), &probe, ProbeResult::NoAnswer);
     gateway.target_failed.notify_one();
 }
--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -50,7 +50,7 @@
 fn update(revision: u64) -> Answers {
     let published = (revision > 0).then(published);
     let update = CatalogUpdate::Full(Snapshot { revision, published, targets: Vec::new() });
-    let answer = SyncAnswer { age: Some(Duration::ZERO), era: 0, update };
+    let answer = SyncAnswer { age: Some(Duration::ZERO), era: 0, update, cold_rates: None };
     Answers::Body(answer.encode().expect("encoded"))
 }
 
--- a/crates/gateway/tests/planned_stop/deployment.rs
+++ b/crates/gateway/tests/planned_stop/deployment.rs
@@ -183,7 +183,8 @@
 
 /// Returns the published settings of `version`.
 pub(crate) fn published(version: u64) -> PublishedSettings {
-    let service = ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH) };
+    let service =
+        ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH), cold_rate: None };
     let routes = ROUTES.iter().map(|(name, idempotent, timeout_ms)| Route {
         name: Arc::from(*name),
         host: Arc::from("test"),
--- a/crates/gateway/tests/raw/mod.rs
+++ b/crates/gateway/tests/raw/mod.rs
@@ -30,7 +30,8 @@
         attempts: 2,
         shares: vec![Share { service: Arc::from("service"), weight: 1 }],
     };
-    let service = ServiceSettings { connections: 10, probe_path: Arc::from("/load") };
+    let service =
+        ServiceSettings { connections: 10, probe_path: Arc::from("/load"), cold_rate: None };
     PublishedSettings {
         version: 1,
         routes: vec![route("check", true), route("sale", false)],
--- a/crates/gateway/tests/resting_target/deployment.rs
+++ b/crates/gateway/tests/resting_target/deployment.rs
@@ -227,7 +227,8 @@
 }
 
 fn published() -> PublishedSettings {
-    let service = ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH) };
+    let service =
+        ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH), cold_rate: None };
     let route = Route {
         name: Arc::from("look"),
         host: Arc::from("test"),
--- a/crates/gateway/tests/restored_platform/operator.rs
+++ b/crates/gateway/tests/restored_platform/operator.rs
@@ -57,7 +57,11 @@
 
 impl State {
     fn published(&self) -> PublishedSettings {
-        let settings = ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH) };
+        let settings = ServiceSettings {
+            connections: 200,
+            probe_path: Arc::from(PROBE_PATH),
+            cold_rate: None,
+        };
         let routes = self.routes.iter().map(|route| {
             let service = route.moved.map_or(route.service, |_| Service::Second);
             Route {
--- a/crates/gateway/tests/signals.rs
+++ b/crates/gateway/tests/signals.rs
@@ -219,7 +219,8 @@
         leaving: false,
         warmup: Duration::ZERO,
     };
-    let probe = ServiceSettings { connections: 10, probe_path: Arc::from("/load") };
+    let probe =
+        ServiceSettings { connections: 10, probe_path: Arc::from("/load"), cold_rate: None };
     let settings = PublishedSettings {
         version: 1,
         routes: vec![route],
--- a/crates/gateway/tests/stub/mod.rs
+++ b/crates/gateway/tests/stub/mod.rs
@@ -50,6 +50,7 @@
         address,
         limit: None,
         resting: false,
+        cold: false,
     };
     let now = gateway.clock.now();
     gateway.balancer.borrow_mut().probe_ended(now, &probe, ProbeResult::NoReport);
--- a/crates/gateway/tests/unreadable_messages.rs
+++ b/crates/gateway/tests/unreadable_messages.rs
@@ -230,7 +230,7 @@
         CatalogUpdate::Changes { revision: 6, changes },
     ];
     let updates = updates.into_iter().map(|update| {
-        let answer = SyncAnswer { age: Some(Duration::MAX), era: 1, update };
+        let answer = SyncAnswer { age: Some(Duration::MAX), era: 1, update, cold_rates: None };
         answer.encode().expect("encoded")
     });
     (messages.collect(), updates.collect())
@@ -265,7 +265,9 @@
             socket.send_to(&bytes, to).await.expect("sent");
             let mut bytes = updates[rng.random_range(0..updates.len())].clone();
             damage(&mut rng, &mut bytes);
-            if let Ok(SyncAnswer { age: Some(age), era, update }) = SyncAnswer::decode(&bytes) {
+            if let Ok(SyncAnswer { age: Some(age), era, update, cold_rates: None }) =
+                SyncAnswer::decode(&bytes)
+            {
                 let now = gateway.clock.now();
                 let source = Source::Peer(age);
                 gateway.catalog.borrow_mut().apply_update(now, era, update, source);
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod call;
 mod catalog;
+mod cold;
 mod crashes;
 mod heartbeat;
 mod limits;
@@ -37,6 +38,7 @@
     GiveUpReason, HedgeDecision, NewAttempt, Probe, ProbeResult, StreamEnd,
 };
 pub use catalog::{Catalog, ListedTarget, Source};
+pub use cold::{ColdBound, ColdRates, ColdShare};
 pub use crashes::{CrashCheck, CrashEvidence};
 pub use heartbeat::{
     Build, Directions, GatewayLoad, Heartbeat, HeartbeatExtension, MESSAGE_GENERATION, Message,
@@ -44,7 +46,7 @@
 };
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
-pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
+pub use membership::{ColdAssignment, KnownData, LimitAssignment, Membership, MembershipBuilder};
 pub use quarantine::{CallDigest, CallDigests, CallNotice, DigestParts, ProcessId};
 pub use records::{CatalogUpdate, Change, Snapshot, TargetRecord};
 pub use rest::UNREAD_ANSWER_TIME;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -6,6 +6,7 @@
 //! answered before its deadline is given up at once, so that its caller can retry. While the gateway
 //! drains, the same holds for the time at which it stops.
 
+mod cooling;
 mod crashes;
 mod departing;
 mod learning;
@@ -35,6 +36,7 @@
     target::{RunningAttempt, SeenTarget},
 };
 use crate::Timestamp;
+use cooling::ColdView;
 use indexmap::{IndexMap, IndexSet};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -132,6 +134,8 @@
     limited: IndexSet<(Arc<str>, Arc<str>)>,
     /// Limits that this gateway has learned from answers and not announced yet.
     limit_changes: Vec<LimitNotice>,
+    /// Which rates of cold targets this gateway may use.
+    cold_view: ColdView,
     /// Time of the origin of timestamps, in ms since the Unix epoch.
     epoch_ms: u64,
     reach: ReachTracker,
@@ -174,6 +178,7 @@
             probe_gate: ProbeGate::default(),
             limited: IndexSet::new(),
             limit_changes: Vec::new(),
+            cold_view: ColdView::default(),
             epoch_ms: 0,
             reach: ReachTracker::default(),
             quarantine: Quarantine::default(),
@@ -236,6 +241,7 @@
             let service = self.services.entry(name).or_default();
             service.set_targets(now, &targets, &self.domain);
         }
+        self.update_cold_targets(now, catalog);
         self.forget_departing();
     }
 
@@ -482,7 +488,7 @@
     fn refusal_reason(&self, now: Timestamp, id: u64, pass: &DispatchPass) -> Option<GiveUpReason> {
         self.miss_reason(now, id, pass.wait)
             .or_else(|| self.is_call_quarantined(now, id).then_some(GiveUpReason::Quarantined))
-            .or_else(|| self.misses_limits(now, id, pass.ahead).then_some(GiveUpReason::Limited))
+            .or_else(|| self.misses_limits(now, id, pass.ahead).then(|| self.limit_reason(now, id)))
             .or_else(|| self.misses_rest(now, id).then_some(GiveUpReason::Resting))
     }
 
@@ -541,6 +547,7 @@
         if !self.services.get(&name).is_some_and(Service::has_usable) {
             return self.give_up(now, id, GiveUpReason::NoTarget);
         }
+        self.count_cold_miss(now, &name);
         if self.misses_rest(now, id) {
             return self.give_up(now, id, GiveUpReason::Resting);
         }
@@ -557,7 +564,10 @@
         if wait + self.typical_seconds(id) > left.as_secs_f64() * MAX_WAIT_FRACTION {
             let service = self.services.get(&name);
             let is_limited = service.is_some_and(|s| s.limit_wait(now, 0).is_some());
-            let reason = if is_limited { GiveUpReason::Limited } else { GiveUpReason::Deadline };
+            let reason = match is_limited {
+                true => self.limit_reason(now, id),
+                false => GiveUpReason::Deadline,
+            };
             return self.give_up(now, id, reason);
         }
         if self.misses_drain(now, id, wait) {
@@ -651,6 +661,7 @@
             known: candidate.is_measured(),
             limit_version: target.limit.version(),
             process: target.process,
+            cold: target.cold.take(now),
         });
         target.limit.take(now);
         state.tried.push(Arc::clone(&target.name));
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -137,7 +137,7 @@
         let retry_after = match reason {
             GiveUpReason::Quarantined => self.trial_delay(now, id),
             GiveUpReason::NoTarget => self.jittered_delay(NO_TARGET_RETRY_AFTER.as_secs_f64()),
-            GiveUpReason::Limited => {
+            GiveUpReason::Limited | GiveUpReason::Cold => {
                 let seconds = self.queue_seconds(now, id);
                 // Where this gateway may use none of the limits, another one may.
                 let is_finite = seconds.is_finite();
--- a/crates/policy/src/balance/call.rs
+++ b/crates/policy/src/balance/call.rs
@@ -1,6 +1,7 @@
 //! Calls, attempts and probes: inputs and decisions of the balancer.
 
 use super::{
+    cold::ColdBound,
     limits::{LimitField, RequestRate},
     load::LoadReport,
     quarantine::{CallDigests, ProcessId},
@@ -29,6 +30,8 @@
     pub probe_rate: f64,
     /// Longest rest that a target may ask for.
     pub max_rest: Duration,
+    /// Bound on the requests to a cold target.
+    pub cold_bound: ColdBound,
 }
 
 /// Request for the load of a target.
@@ -46,13 +49,15 @@
     pub limit: Option<RequestRate>,
     /// Whether the target has asked for rest.
     pub resting: bool,
+    /// Whether the target is cold and may get only some requests.
+    pub cold: bool,
 }
 
 impl Probe {
-    /// Returns whether the target may only be connected to: a request would use up its limit, or disturb
-    /// its rest.
+    /// Returns whether the target may only be connected to: a request would use up its limit or its rate
+    /// while it is cold, or disturb its rest.
     pub fn is_silent(&self) -> bool {
-        self.limit.is_some() || self.resting
+        self.limit.is_some() || self.resting || self.cold
     }
 }
 
@@ -151,6 +156,8 @@
     NoTarget,
     /// All usable targets have named limits, which do not admit it before its deadline.
     Limited,
+    /// All usable targets are cold and cannot handle it before its deadline.
+    Cold,
     /// All usable targets have asked for rest, which does not end within its objective.
     Resting,
     /// All its attempts were refused by targets.
@@ -171,6 +178,7 @@
             Self::QueueFull => "queue-full",
             Self::NoTarget => "no-target",
             Self::Limited => "limited",
+            Self::Cold => "cold",
             Self::Resting => "resting",
             Self::Refused => "refused",
             Self::Lost => "lost",
--- a/crates/policy/src/balance/catalog.rs
+++ b/crates/policy/src/balance/catalog.rs
@@ -10,6 +10,8 @@
 //! are kept for the grace period, and records of the copy that are known to be outdated are not used
 //! ([`RestoredRecords`]).
 
+mod cold;
+
 use super::{
     records::{CatalogUpdate, Change, Snapshot, TargetRecord},
     restore::RestoredRecords,
@@ -71,6 +73,8 @@
     published: Option<Arc<PublishedSettings>>,
     /// Platform revision at which the settings were read.
     settings_revision: Revision,
+    /// Version of the settings whose rates of cold targets are known.
+    rates_version: u64,
     /// Version of the last older settings that were reported as ignored.
     ignored_version: u64,
     targets: IndexMap<Arc<str>, ListedTarget>,
@@ -147,7 +151,7 @@
         self.revision = revision;
         for change in changes {
             match change {
-                Change::Published(published) => self.apply_settings(published),
+                Change::Published(published) => self.apply_settings(published, source),
                 // Settings have an order of their own; all else is known.
                 _ if !is_later => {}
                 Change::Target(record) => {
@@ -198,7 +202,7 @@
         if is_older || (revision.is_unknown() && !self.revision.is_unknown()) {
             // A gateway that read the copy may lack settings that others know from an earlier era.
             if let Some(published) = snapshot.published {
-                self.apply_settings(published);
+                self.apply_settings(published, source);
             }
             return self.content_changes != before;
         }
@@ -230,7 +234,7 @@
             }
         }
         if let Some(published) = snapshot.published {
-            self.apply_settings(published);
+            self.apply_settings(published, source);
         }
         self.content_changes != before
     }
@@ -393,7 +397,7 @@
         self.confirmed = self.confirmed.max(Some(confirmed_at));
     }
 
-    fn apply_settings(&mut self, published: PublishedSettings) {
+    fn apply_settings(&mut self, mut published: PublishedSettings, source: Source) {
         let current = self.settings_version();
         if published.version <= current {
             if published.version < current && published.version != self.ignored_version {
@@ -405,6 +409,7 @@
             }
             return;
         }
+        self.keep_cold_rates(&mut published, source);
         let published = self.completed(published);
         self.log_lines.push(format!(
             "settings version={} in force, before {current}, routes={}",
@@ -446,8 +451,7 @@
     /// Applies a record, also one that changes nothing if `is_news`.
     fn apply_record(&mut self, now: Timestamp, record: TargetRecord, is_news: bool) {
         let known = self.targets.get(&record.name);
-        let same =
-            known.is_some_and(|l| l.record.is_equivalent(&record) && l.missing_since.is_none());
+        let same = known.is_some_and(|l| l.is_unchanged(now, &record));
         if same {
             if is_news && let Some(listed) = self.targets.get_mut(&record.name) {
                 listed.revision = self.revision;
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -8,6 +8,7 @@
 //! gateways may do the same work.
 
 mod builds;
+mod cold;
 mod demand;
 mod limits;
 mod notices;
@@ -23,6 +24,8 @@
 };
 use crate::Timestamp;
 use builds::BuildWatch;
+pub use cold::ColdAssignment;
+use cold::Unheard;
 use demand::DomainDemand;
 use indexmap::{IndexMap, IndexSet};
 pub use limits::LimitAssignment;
@@ -171,6 +174,7 @@
             limit_outbox: NoticeOutbox::default(),
             call_outbox: NoticeOutbox::default(),
             builds: BuildWatch::default(),
+            unheard: Unheard::default(),
             log_lines: Vec::new(),
         }
     }
@@ -218,6 +222,7 @@
     limit_outbox: NoticeOutbox<LimitNotice>,
     call_outbox: NoticeOutbox<CallNotice>,
     builds: BuildWatch,
+    unheard: Unheard,
     log_lines: Vec<String>,
 }
 
@@ -302,6 +307,7 @@
 
     /// Handles a message from `from` and returns the replies.
     pub fn receive(&mut self, now: Timestamp, from: IpAddr, message: Message) -> Vec<Outgoing> {
+        self.unheard.record_heard(from, &self.seeds);
         match message {
             Message::Heartbeat(heartbeat) => {
                 let remote = heartbeat.domain != self.own.domain;
@@ -327,6 +333,7 @@
                 replies
             }
             Message::Peers(hosts) => {
+                self.unheard.record_named(now, &hosts);
                 self.unverified.retain(|host| *host != from);
                 for host in hosts {
                     self.add_unverified(host);
@@ -357,6 +364,7 @@
         }
         self.own.settled = settled;
         self.expire_silent(now);
+        self.update_unheard(now);
         self.expire_report(now);
         self.update_demand(now);
         self.watch_builds(now);
--- a/crates/policy/src/balance/membership/limits.rs
+++ b/crates/policy/src/balance/membership/limits.rs
@@ -81,7 +81,7 @@
 
 /// Returns the rank of a gateway for a target: rendezvous hashing, so that few targets move when a
 /// gateway comes or goes.
-fn rank_for(target: &str, gateway: SocketAddr) -> u64 {
+pub(super) fn rank_for(target: &str, gateway: SocketAddr) -> u64 {
     let mut hash = Xxh3Default::new();
     hash.write(target.as_bytes());
     hash.write(gateway.to_string().as_bytes());
--- a/crates/policy/src/balance/routes.rs
+++ b/crates/policy/src/balance/routes.rs
@@ -4,6 +4,7 @@
 //! contradicts the others, must not hold back the rest. Its calls are not answered as if there were no
 //! route, and do not go to the service of a shorter prefix.
 
+use super::limits::RequestRate;
 use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::{fmt, sync::Arc, time::Duration};
@@ -65,6 +66,10 @@
     pub connections: u32,
     /// Path at which a target reports its load.
     pub probe_path: Arc<str>,
+    /// Requests per second that a cold target can handle, `None` if there is no limit. Messages between gateways
+    /// carry it in a block of its own.
+    #[serde(skip)]
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// Limits on requests and connections of callers. A limit that could not be read is 0.
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -1,6 +1,7 @@
 //! Targets of one service, and the choice of a target for a call.
 
 use super::{
+    limits::RequestRate,
     routes::Route,
     target::{PROBE_TIMEOUT, RunningAttempt, SeenTarget, Target},
 };
@@ -228,6 +229,10 @@
     pub(super) is_changed: bool,
     /// When the waiting calls are looked at even if nothing has changed.
     next_dispatch: Timestamp,
+    /// Requests per second that a cold target can handle.
+    pub(super) cold_rate: Option<RequestRate>,
+    /// Calls that have found only cold targets without tokens.
+    pub(super) cold_misses: u64,
 }
 
 impl Default for Service {
@@ -245,6 +250,8 @@
             refusal_rate: 0.0,
             is_changed: false,
             next_dispatch: Timestamp::default(),
+            cold_rate: None,
+            cold_misses: 0,
         }
     }
 }
@@ -321,23 +328,25 @@
         slots * (1.0 - self.slowdowns.slow_share)
     }
 
-    /// Returns the seconds until the limits admit a call that waits behind `ahead` others, infinite
-    /// if this gateway may use none of the limits. `None` if a usable target that does not rest has no
-    /// limit, or if all rest.
+    /// Returns the seconds until the limits and the rates of cold targets admit a call that waits behind
+    /// `ahead` others, infinite if this gateway may use none of the limits. `None` if a usable target that
+    /// does not rest has no limit and is not cold, or if all rest.
     pub(super) fn limit_wait(&self, now: Timestamp, ahead: usize) -> Option<f64> {
         let usable = || self.targets.values().filter(|t| t.is_usable() && !t.rest.is_resting(now));
-        let rates: Option<Vec<f64>> = usable().map(|t| t.limit.own_rate()).collect();
+        let rates: Option<Vec<f64>> = usable().map(|t| t.admitted_rate(now)).collect();
         let rate: f64 = rates.filter(|rates| !rates.is_empty())?.iter().sum();
-        let tokens: f64 = usable().map(|t| t.limit.tokens(now)).sum();
+        let tokens: f64 = usable().map(|t| t.admitted_now(now)).sum();
         let needed = ahead as f64 + 1.0 - tokens;
         if needed <= 0.0 {
             return Some(0.0);
         }
         let handover = usable()
-            .filter(|t| t.limit.own_rate().is_some_and(|rate| rate > 0.0))
+            .filter(|t| t.admitted_rate(now).is_some_and(|rate| rate > 0.0))
             .map(|t| t.limit.handover_left(now).as_secs_f64())
             .fold(f64::INFINITY, f64::min);
-        Some(handover + needed / rate)
+        let warm = usable().filter(|t| t.limit.rate().is_none());
+        let warm = warm.map(|t| t.cold.time_left(now).as_secs_f64()).fold(f64::INFINITY, f64::min);
+        Some((handover + needed / rate).min(warm))
     }
 
     /// Returns the time until the first usable target ends its rest, `None` if one does not rest or there
@@ -522,7 +531,7 @@
             crowded,
             scale,
             local: target.local,
-            known: measured || target.limit.rate().is_some(),
+            known: measured || target.limit.rate().is_some() || target.cold.is_cold(now),
             measured,
             chance,
         })
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -1,7 +1,7 @@
 //! State of one target at this gateway.
 
 use super::{
-    call::Probe, catalog::ListedTarget, limits::TargetLimit, load::TargetLoad,
+    call::Probe, catalog::ListedTarget, cold::ColdTarget, limits::TargetLimit, load::TargetLoad,
     quarantine::ProcessId, rest::TargetRest, succession::AnswerTime,
 };
 use crate::Timestamp;
@@ -51,6 +51,8 @@
     pub(super) limit_version: u64,
     /// Process that runs it.
     pub(super) process: ProcessId,
+    /// Whether it counts for the rate of the target while that is cold.
+    pub(super) cold: bool,
 }
 
 /// Record of a target, with whether its process is known to have lived since the latest list.
@@ -88,6 +90,8 @@
     pub(super) probe_tokens: (f64, Timestamp),
     /// Limit that the target has named, and the use of it.
     pub(super) limit: TargetLimit,
+    /// Use of its rate while it is cold.
+    pub(super) cold: ColdTarget,
     /// Rest that the target has asked for.
     pub(super) rest: TargetRest,
     /// When the target itself said that it leaves.
@@ -120,6 +124,7 @@
             unanswered_probes: 0,
             probe_tokens: (1.0, now),
             limit: TargetLimit::default(),
+            cold: ColdTarget::default(),
             rest: TargetRest::default(),
             departed: None,
             unlisted: None,
@@ -154,6 +159,7 @@
             process: self.process,
             limit: self.limit.rate(),
             resting: self.rest.is_resting(now),
+            cold: self.cold.is_cold(now),
         }
     }
 
@@ -202,6 +208,21 @@
         self.started == listed.record.started && self.address == listed.record.address
     }
 
+    /// Returns the requests per second that this gateway may send, `None` if there is no limit and the target is
+    /// not cold.
+    pub(super) fn admitted_rate(&self, now: Timestamp) -> Option<f64> {
+        match (self.limit.own_rate(), self.cold.own_rate(now)) {
+            (Some(limit), Some(cold)) => Some(limit.min(cold)),
+            (limit, cold) => limit.or(cold),
+        }
+    }
+
+    /// Returns the number of requests that may be sent now, infinite if there is no limit and the target is not
+    /// cold.
+    pub(super) fn admitted_now(&self, now: Timestamp) -> f64 {
+        self.limit.tokens(now).min(self.cold.tokens(now))
+    }
+
     /// Returns whether calls may be sent to the target at all.
     pub(super) fn is_usable(&self) -> bool {
         !self.is_departing() && !self.moved
@@ -215,13 +236,16 @@
     /// Returns whether the target may be asked for its load or a sign of life: a probe uses up a limit
     /// like a call, and disturbs a rest.
     pub(super) fn is_askable(&self, now: Timestamp) -> bool {
-        self.is_usable() && self.limit.rate().is_none() && !self.rest.is_resting(now)
+        let is_cold = self.cold.is_cold(now);
+        self.is_usable() && self.limit.rate().is_none() && !is_cold && !self.rest.is_resting(now)
     }
 
-    /// Returns whether the target itself wants no further call now: its limit is used up, or it has
-    /// asked for rest.
+    /// Returns whether the target wants no further call now: its limit or its rate while it is cold is used up,
+    /// or it has asked for rest.
     pub(super) fn wants_none(&self, now: Timestamp) -> bool {
-        !self.limit.may_send(now) || !self.rest.admits(now, self.running.iter())
+        !self.limit.may_send(now)
+            || !self.cold.may_send(now)
+            || !self.rest.admits(now, self.running.iter())
     }
 
     /// Returns whether the request of `call`, whose attempt was decided earlier, may be sent now, and
@@ -232,6 +256,13 @@
             return false;
         }
         if let Some(running) = self.running.iter_mut().find(|r| r.call == call) {
+            // The target has become cold since the attempt was decided.
+            if !running.cold && self.cold.is_cold(now) {
+                if !self.cold.may_send(now) {
+                    return false;
+                }
+                running.cold = self.cold.take(now);
+            }
             running.sent = now;
         }
         true
--- a/crates/policy/tests/balance/fixture.rs
+++ b/crates/policy/tests/balance/fixture.rs
@@ -4,9 +4,10 @@
     Timestamp, UnixTime,
     balance::{
         AnswerTime, Attempt, AttemptOutcome, AttemptResult, Balancer, BalancerSettings, Build,
-        Call, CallDigests, Catalog, Change, Decision, GatewayLoad, Heartbeat, HeartbeatExtension,
-        KnownData, LimitField, LoadReport, MESSAGE_GENERATION, NewAttempt, Phase, Probe,
-        ProbeResult, ProcessId, ReadState, Revision, Route, Share, Source, TargetRecord,
+        Call, CallDigests, Catalog, Change, ColdBound, Decision, GatewayLoad, Heartbeat,
+        HeartbeatExtension, KnownData, LimitField, LoadReport, MESSAGE_GENERATION, NewAttempt,
+        Phase, Probe, ProbeResult, ProcessId, ReadState, Revision, Route, Share, Source,
+        TargetRecord,
     },
 };
 use std::{
@@ -43,6 +44,7 @@
         crossing_cost: 0.05,
         probe_rate: 20.0,
         max_rest: Duration::from_secs(3_600),
+        cold_bound: ColdBound { over: 1.5, slack: 8.0 },
     }
 }
 
@@ -78,7 +80,7 @@
 pub(crate) fn probe_of(record: TargetRecord) -> Probe {
     let TargetRecord { service, name, started, address, .. } = record;
     let process = ProcessId::new(&name, started);
-    Probe { service, target: name, address, process, limit: None, resting: false }
+    Probe { service, target: name, address, process, limit: None, resting: false, cold: false }
 }
 
 /// Balancer with its catalog.
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -4,6 +4,7 @@
 mod backlog;
 mod builds;
 mod catalog;
+mod cold;
 mod crash_fleet;
 mod demand;
 mod departing;
--- a/crates/policy/tests/balance/routes.rs
+++ b/crates/policy/tests/balance/routes.rs
@@ -10,7 +10,8 @@
 use std::{sync::Arc, time::Duration};
 
 fn published(routes: Vec<Route>) -> PublishedSettings {
-    let service = ServiceSettings { connections: 10, probe_path: Arc::from("/health") };
+    let service =
+        ServiceSettings { connections: 10, probe_path: Arc::from("/health"), cold_rate: None };
     PublishedSettings {
         version: 1,
         routes,
--- a/crates/policy/tests/balance/unreadable.rs
+++ b/crates/policy/tests/balance/unreadable.rs
@@ -17,7 +17,8 @@
 };
 
 fn settings(version: u64, services: &[&str]) -> PublishedSettings {
-    let service = ServiceSettings { connections: 10, probe_path: Arc::from("/load") };
+    let service =
+        ServiceSettings { connections: 10, probe_path: Arc::from("/load"), cold_rate: None };
     let named = services.iter().map(|name| (Arc::from(*name), service.clone()));
     PublishedSettings {
         routes: vec![Route::clone(&route("check", true))],
--- a/crates/soak/src/cluster.rs
+++ b/crates/soak/src/cluster.rs
@@ -204,8 +204,11 @@
         let added = if self.adds_routes { version } else { 0 };
         let checks = self.workload.added_operation();
         let added = (1..=added).map(|n| route_to(MAIN_SERVICE, &added_route(n), &checks));
-        let service_settings =
-            ServiceSettings { connections: 200, probe_path: Arc::from(PROBE_PATH) };
+        let service_settings = ServiceSettings {
+            connections: 200,
+            probe_path: Arc::from(PROBE_PATH),
+            cold_rate: None,
+        };
         let names = (1..=MOVING_SERVICES)
             .map(|v| format!("{MOVING_PREFIX}{v}"))
             .chain([MAIN_SERVICE.to_owned()]);
