--- a/crates/policy/src/balance/membership/cold.rs
+++ b/crates/policy/src/balance/membership/cold.rs
@@ -124,11 +124,7 @@
 
     /// Follows which gateways are heard.
     pub(super) fn update_unheard(&mut self, now: Timestamp) {
-        let own = self.own.call_address.ip();
-        let is_seed = self.seeds.contains(&own);
-        let others = self.seeds.iter().collect::<IndexSet<_>>().len() - usize::from(is_seed);
-        let heard = self.unheard.heard_seeds.len() + usize::from(is_seed);
-        self.unheard.has_joined |= heard * SEEDS_PER_HEARD >= others + usize::from(is_seed);
+        self.unheard.has_joined = self.unheard.has_joined || self.has_heard_seeds();
         for (host, peer) in &self.peers {
             if peer.heartbeat.domain != self.own.domain {
                 continue;
@@ -142,6 +138,14 @@
         self.unheard.expire(now);
     }
 
+    /// Returns whether enough seeds have been heard; this gateway counts if it is one.
+    fn has_heard_seeds(&self) -> bool {
+        let seeds: IndexSet<IpAddr> = self.seeds.iter().copied().collect();
+        let is_seed = seeds.contains(&self.own.call_address.ip());
+        let heard = self.unheard.heard_seeds.len() + usize::from(is_seed);
+        heard * SEEDS_PER_HEARD >= seeds.len()
+    }
+
     /// Returns whether no other gateway has to be expected.
     fn is_alone(&self) -> bool {
         let own = self.own.call_address.ip();
