--- a/crates/gateway/src/control/codec.rs
+++ b/crates/gateway/src/control/codec.rs
@@ -4,8 +4,8 @@
 //! the rest of a message, can read it. What a message of an earlier build lacks has its default value.
 
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, EvacuationNotice, GatewayLoad, HeartbeatExtension, Message, ReadState,
-    Revision, TrialNotice,
+    Build, CatalogUpdate, ColdRates, EvacuationNotice, GatewayLoad, HeartbeatExtension, Message,
+    ReadState, Revision, TrialNotice,
 };
 use postcard::{take_from_bytes, to_allocvec, to_extend};
 use std::{
@@ -161,6 +161,8 @@
     /// Evacuated failure domains, `None` if the gateway that answers knows nothing of them or is of an
     /// earlier build.
     pub evacuations: Option<EvacuationNotice>,
+    /// Rates of cold targets, `None` if the gateway that answers does not know them or is of an earlier build.
+    pub cold_rates: Option<ColdRates>,
 }
 
 impl SyncAnswer {
@@ -171,7 +173,8 @@
     /// Returns the error of the encoder.
     pub fn encode(&self) -> Result<Vec<u8>, postcard::Error> {
         let bytes = to_extend(&self.era, to_allocvec(&(&self.age, &self.update))?)?;
-        to_extend(&self.evacuations, bytes)
+        let bytes = to_extend(&self.evacuations, bytes)?;
+        to_extend(&self.cold_rates, bytes)
     }
 
     /// Decodes an answer.
@@ -181,12 +184,15 @@
     /// Returns the error of the decoder.
     pub fn decode(bytes: &[u8]) -> Result<Self, postcard::Error> {
         let ((age, update), mut rest) = take_from_bytes(bytes)?;
-        let mut answer = Self { age, era: 0, update, evacuations: None };
+        let mut answer = Self { age, era: 0, update, evacuations: None, cold_rates: None };
         if !rest.is_empty() {
             (answer.era, rest) = take_from_bytes(rest)?;
         }
         if !rest.is_empty() {
-            (answer.evacuations, _) = take_from_bytes(rest)?;
+            (answer.evacuations, rest) = take_from_bytes(rest)?;
+        }
+        if !rest.is_empty() {
+            (answer.cold_rates, _) = take_from_bytes(rest)?;
         }
         Ok(answer)
     }
--- a/crates/gateway/src/control/sync.rs
+++ b/crates/gateway/src/control/sync.rs
@@ -69,6 +69,7 @@
     lacking
         .and_then(|complete| membership.evacuation_peer(now, complete))
         .or_else(|| membership.newer_peer(now, known_data(&catalog), catalog.age(now)))
+        .or_else(|| membership.cold_rates_peer(now).filter(|_| catalog.lacks_cold_rates()))
 }
 
 /// Returns what this gateway knows, target heartbeats included.
@@ -96,7 +97,7 @@
         gateway.record_unreadable_message(MessageKind::Update, address.ip());
         ClientError::Broken
     })?;
-    let SyncAnswer { age: Some(age), era, update, evacuations } = answer else {
+    let SyncAnswer { age: Some(age), era, update, evacuations, cold_rates } = answer else {
         return Err(ClientError::Broken);
     };
     let now = gateway.clock.now();
@@ -109,6 +110,8 @@
         }
         changed
     };
+    let has_rates =
+        cold_rates.is_some_and(|rates| gateway.catalog.borrow_mut().apply_cold_rates(&rates));
     let latest = known_data(&gateway.catalog.borrow());
     let latest_evacuations = gateway.catalog.borrow().evacuations_revision();
     log::debug!(
@@ -116,10 +119,10 @@
         known.revision,
         latest.revision,
     );
-    if changed {
+    if changed || has_rates {
         gateway.apply_catalog(source);
     } else {
         gateway.refresh_membership();
     }
-    Ok(latest != known || latest_evacuations != known_evacuations)
+    Ok(latest != known || latest_evacuations != known_evacuations || has_rates)
 }
--- a/crates/gateway/tests/broken_answers.rs
+++ b/crates/gateway/tests/broken_answers.rs
@@ -5,7 +5,7 @@
 mod raw;
 mod stub;
 
-use azuretally_policy::balance::{BalancerSettings, Message, Phase};
+use azuretally_policy::balance::{BalancerSettings, ColdBound, Message, Phase};
 use peer::heartbeat_of;
 use raw::{Node, accept, listen, read_until, run_local};
 use std::{net::SocketAddr, time::Duration};
@@ -40,6 +40,7 @@
     crossing_cost: 0.0,
     probe_rate: 0.0,
     max_rest: Duration::ZERO,
+    cold_bound: ColdBound { over: 1.0, slack: 0.0 },
 };
 
 /// How a connection ends.
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -156,14 +156,14 @@
         kept: vec![Arc::from("b")],
         domains: vec![Arc::from("a"), Arc::from("b/c")],
     });
-    let answer = SyncAnswer { age, era: 2, update: update.clone(), evacuations };
+    let answer = SyncAnswer { age, era: 2, update: update.clone(), evacuations, cold_rates: None };
     let bytes = answer.encode().expect("encoded");
     assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), answer);
     let read: (Option<Duration>, CatalogUpdate) =
         postcard::from_bytes(&bytes).expect("an earlier build reads it");
     assert_eq!(read, (age, update.clone()));
     let bytes = postcard::to_allocvec(&(age, &update)).expect("encoded");
-    let earlier = SyncAnswer { age, era: 0, update, evacuations: None };
+    let earlier = SyncAnswer { age, era: 0, update, evacuations: None, cold_rates: None };
     assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), earlier);
     assert!(SyncAnswer::decode(&bytes[..1]).is_err());
 }
--- a/crates/gateway/tests/earlier_builds.rs
+++ b/crates/gateway/tests/earlier_builds.rs
@@ -196,7 +196,7 @@
             let answer = SyncAnswer::decode(&recording.message(name)).expect("an update");
             let age = Some(Duration::from_millis(20));
             let era = recording.era();
-            let expected = SyncAnswer { age, era, update, evacuations: None };
+            let expected = SyncAnswer { age, era, update, evacuations: None, cold_rates: None };
             assert_eq!(answer, expected, "{name}");
         }
     }
@@ -215,7 +215,13 @@
         }
         for (name, update) in updates() {
             let age = Some(Duration::from_millis(20));
-            let answer = SyncAnswer { age, era: 2, update, evacuations: Some(evacuations()) };
+            let answer = SyncAnswer {
+                age,
+                era: 2,
+                update,
+                evacuations: Some(evacuations()),
+                cold_rates: None,
+            };
             let present = answer.encode().expect("encoded");
             assert!(present.starts_with(&recorded[name]), "{name}: {present:x?}");
         }
--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -54,7 +54,8 @@
         complete: Revision::new(0, revision),
         ..EvacuationNotice::default()
     });
-    let answer = SyncAnswer { age: Some(Duration::ZERO), era: 0, update, evacuations };
+    let answer =
+        SyncAnswer { age: Some(Duration::ZERO), era: 0, update, evacuations, cold_rates: None };
     Answers::Body(answer.encode().expect("encoded"))
 }
 
--- a/crates/gateway/tests/unreadable_messages.rs
+++ b/crates/gateway/tests/unreadable_messages.rs
@@ -237,7 +237,8 @@
             domains: vec![Arc::from("a")],
             ..EvacuationNotice::default()
         });
-        let answer = SyncAnswer { age: Some(Duration::MAX), era: 1, update, evacuations };
+        let answer =
+            SyncAnswer { age: Some(Duration::MAX), era: 1, update, evacuations, cold_rates: None };
         answer.encode().expect("encoded")
     });
     (messages.collect(), updates.collect())
@@ -273,7 +274,8 @@
             let mut bytes = updates[rng.random_range(0..updates.len())].clone();
             damage(&mut rng, &mut bytes);
             let answer = SyncAnswer::decode(&bytes);
-            if let Ok(SyncAnswer { age: Some(age), era, update, evacuations }) = answer {
+            if let Ok(SyncAnswer { age: Some(age), era, update, evacuations, cold_rates }) = answer
+            {
                 let now = gateway.clock.now();
                 let source = Source::Peer(age);
                 let mut catalog = gateway.catalog.borrow_mut();
@@ -281,6 +283,9 @@
                 if let Some(notice) = &evacuations {
                     catalog.apply_evacuations(era, notice);
                 }
+                if let Some(rates) = &cold_rates {
+                    catalog.apply_cold_rates(rates);
+                }
                 drop(catalog);
                 gateway.apply_catalog(source);
             }
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -9,6 +9,7 @@
 mod budget;
 mod call;
 mod catalog;
+mod cold;
 mod crashes;
 mod evacuation;
 mod heartbeat;
@@ -38,6 +39,7 @@
     GiveUpReason, HedgeDecision, NewAttempt, Probe, ProbeResult, StreamEnd,
 };
 pub use catalog::{Catalog, ListedTarget, Source};
+pub use cold::{ColdBound, ColdRates, ColdShare};
 pub use crashes::{CrashCheck, CrashEvidence};
 pub use evacuation::EvacuationNotice;
 pub use heartbeat::{
@@ -46,7 +48,7 @@
 };
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
-pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
+pub use membership::{ColdAssignment, KnownData, LimitAssignment, Membership, MembershipBuilder};
 pub use quarantine::{CallDigest, CallDigests, CallNotice, DigestParts, ProcessId};
 pub use records::{CatalogUpdate, Change, Snapshot, TargetRecord};
 pub use rest::UNREAD_ANSWER_TIME;
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -139,7 +139,7 @@
             GiveUpReason::NoTarget | GiveUpReason::Evacuated => {
                 self.jittered_delay(NO_TARGET_RETRY_AFTER.as_secs_f64())
             }
-            GiveUpReason::Limited => {
+            GiveUpReason::Limited | GiveUpReason::Cold => {
                 let seconds = self.queue_seconds(now, id);
                 // Where this gateway may use none of the limits, another one may.
                 let is_finite = seconds.is_finite();
