policy: order waiting calls by run times with their spread, hold late ones

Under load, calls started at the last moment at which an idle target of the usual speed would still be in time, and ended late. Each gateway also ran its late calls in any free slot, while calls in time waited at other gateways for the same targets.

A call now counts as in time if the 75th percentile of the recent run times of its route, learned as a multiple of the expected time, fits before its objective. The percentile counts for at most three quarters of the objective, so that calls that have just arrived are in time however slow the targets are. A late call takes a slot only after the target has had one free for half of the expected time, as far as the gateway knows. A target that has not been full is free at once, so nothing changes without competition.

backlog::waiting_calls_start_in_order_of_rank expected late calls to take slots at once. It now gives them 120 ms and checks the same order.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -4,6 +4,7 @@
 //! load that a target reports in its answers therefore counts as much as the calls that this
 //! gateway has sent to it.
 
+mod admission;
 mod answers;
 mod balancer;
 mod budget;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -282,7 +282,7 @@
     /// Records the end of an attempt and decides what happens to the call next.
     pub fn attempt_ended(&mut self, now: Timestamp, result: &AttemptResult) -> Decision {
         let id = result.attempt.call;
-        let running = self.remove_running(&result.attempt);
+        let running = self.remove_running(now, &result.attempt);
         self.record_result(now, result, running);
         self.record_evidence(now, result, running);
         let Some(state) = self.calls.get_mut(&id) else { return Decision::Wait };
@@ -391,7 +391,7 @@
         if !service.take_dispatch_due(now) {
             return;
         }
-        for id in queue.overdue(now, |route| service.base_seconds(route)) {
+        for id in queue.overdue(now, |route| service.call_seconds(route)) {
             self.give_up_waiting(now, &name, id, GiveUpReason::Deadline, decisions);
         }
         let mut pass = DispatchPass {
@@ -421,7 +421,7 @@
         let (Some(service), Some(queue)) = (self.services.get(name), self.queues.get(name)) else {
             return Vec::new();
         };
-        let order = queue.in_order(now, |route| service.base_seconds(route));
+        let order = queue.in_order(now, |route| service.call_seconds(route));
         order.skip(skipped).take(DISPATCH_BATCH).collect()
     }
 
@@ -501,8 +501,10 @@
 
     /// Returns the rank of a call among the waiting ones.
     fn queue_rank(&self, now: Timestamp, id: u64) -> QueueRank {
-        let Some(state) = self.calls.get(&id) else { return (true, u32::MAX, Timestamp::MAX) };
-        WaitQueue::rank(now, &state.call, self.base_seconds(id))
+        let unknown = (true, u32::MAX, Timestamp::MAX);
+        let Some(state) = self.calls.get(&id) else { return unknown };
+        let Some(service) = self.services.get(&state.call.service) else { return unknown };
+        WaitQueue::rank(now, &state.call, service.call_seconds(&state.call.route))
     }
 
     /// Returns why the call can no longer be answered in time: not before its deadline, or, if it
@@ -592,7 +594,7 @@
         let queue = name.and_then(|name| self.queues.get(name));
         let found = service.zip(queue);
         found.into_iter().flat_map(move |(service, queue)| {
-            queue.counts_before(now, rank, |route| service.base_seconds(route))
+            queue.counts_before(now, rank, |route| service.call_seconds(route))
         })
     }
 
@@ -652,6 +654,7 @@
             limit_version: target.limit.version(),
             process: target.process,
         });
+        target.record_usage(now);
         target.limit.take(now);
         state.tried.push(Arc::clone(&target.name));
         state.running += 1;
@@ -686,12 +689,13 @@
         }
     }
 
-    fn remove_running(&mut self, attempt: &Attempt) -> Option<RunningAttempt> {
+    fn remove_running(&mut self, now: Timestamp, attempt: &Attempt) -> Option<RunningAttempt> {
         let service = &self.calls.get(&attempt.call)?.call.service;
         let service = self.services.get_mut(service)?;
         let target = service.targets.get_mut(&attempt.target)?;
         let at = target.running.iter().position(|r| r.call == attempt.call)?;
         service.is_changed = true;
+        target.record_usage(now);
         Some(target.running.swap_remove(at))
     }
 }
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -30,6 +30,7 @@
             ProbeResult::Report(report) => {
                 let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
                 target.load.record_report(now, report, own);
+                target.record_usage(now);
                 target.unanswered_probes = 0;
             }
             ProbeResult::NoReport => target.unanswered_probes = 0,
@@ -108,6 +109,7 @@
     if let Some(report) = result.report {
         let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
         target.load.record_report(now, report, own);
+        target.record_usage(now);
     }
     match result.outcome {
         AttemptOutcome::Answered { ok: true, .. } | AttemptOutcome::Began { ok: true, .. } => {
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -176,7 +176,7 @@
             return RETRY_AFTER_RANGE.0;
         };
         let queue = self.queues.get(&state.call.service);
-        let all = queue.map_or(0.0, |queue| queue.total_seconds(|r| service.base_seconds(r)));
+        let all = queue.map_or(0.0, |queue| queue.total_seconds(|r| service.call_seconds(r)));
         all / service.capacity(now).max(MIN_CAPACITY) + service.base_seconds(&state.call.route)
     }
 
--- a/crates/policy/src/balance/queue.rs
+++ b/crates/policy/src/balance/queue.rs
@@ -1,11 +1,11 @@
 //! Calls of one service that wait for a slot, in the order in which they start.
 //!
 //! Calls that can still meet their objective go first, then priority and objective decide. Whether a
-//! call can meet its objective depends on the time and on the service time of its route, and all calls
+//! call can meet its objective depends on the time and on the time that its route needs, and all calls
 //! of a route share both. So the waiting calls of each route are sorted by objective, and the late ones
 //! among them are those before a certain objective. Nothing has to be sorted again as time passes.
 
-use super::{call::Call, routes::Route};
+use super::{admission::CallSeconds, call::Call, routes::Route};
 use crate::Timestamp;
 use indexmap::IndexMap;
 use std::{cmp::Ordering, collections::BTreeSet, ops::Bound, sync::Arc, time::Duration};
@@ -32,8 +32,8 @@
 
 /// Waiting calls of one service.
 ///
-/// The methods that depend on service times take a function that returns the expected seconds of a call
-/// of a route at an idle, warm target of the usual speed.
+/// The methods that depend on service times take a function that returns the time that a call of a route
+/// needs. The order depends on the time that is safe; work is counted at an idle target.
 #[derive(Clone, Debug, Default)]
 pub(super) struct WaitQueue {
     routes: IndexMap<RouteKey, RouteQueue>,
@@ -74,27 +74,31 @@
     }
 
     /// Returns the calls that can no longer be answered before their deadline.
-    pub(super) fn overdue<Base>(&self, now: Timestamp, base: Base) -> Vec<u64>
+    pub(super) fn overdue<Seconds>(&self, now: Timestamp, seconds: Seconds) -> Vec<u64>
     where
-        Base: Fn(&Route) -> f64,
+        Seconds: Fn(&Route) -> CallSeconds,
     {
         let queues = self.routes.values();
         queues
             .flat_map(|queue| {
-                let limit = earliest_end(now, base(&queue.route));
+                let limit = earliest_end(now, seconds(&queue.route).base);
                 queue.by_deadline.range(..(limit, 0)).map(|(_, id)| *id)
             })
             .collect()
     }
 
     /// Returns the waiting calls in the order in which they start.
-    pub(super) fn in_order<Base>(&self, now: Timestamp, base: Base) -> impl Iterator<Item = u64>
+    pub(super) fn in_order<Seconds>(
+        &self,
+        now: Timestamp,
+        seconds: Seconds,
+    ) -> impl Iterator<Item = u64>
     where
-        Base: Fn(&Route) -> f64,
+        Seconds: Fn(&Route) -> CallSeconds,
     {
         let mut runs = Vec::new();
         for (key, queue) in &self.routes {
-            let limit = (earliest_end(now, base(&queue.route)), 0);
+            let limit = (earliest_end(now, seconds(&queue.route).safe), 0);
             let (in_time, late) = (Bound::Included(limit), Bound::Excluded(limit));
             let in_time = queue.by_objective.range((in_time, Bound::Unbounded));
             let late = queue.by_objective.range((Bound::Unbounded, late));
@@ -112,25 +116,25 @@
     }
 
     /// Returns the rank of the call among the waiting ones.
-    pub(super) fn rank(now: Timestamp, call: &Call, base: f64) -> QueueRank {
-        (call.objective < earliest_end(now, base), call.route.priority, call.objective)
+    pub(super) fn rank(now: Timestamp, call: &Call, seconds: CallSeconds) -> QueueRank {
+        (call.objective < earliest_end(now, seconds.safe), call.route.priority, call.objective)
     }
 
     /// Returns the routes of the waiting calls, each with its expected seconds and the number of its calls
     /// that rank before `rank`.
-    pub(super) fn counts_before<Base>(
+    pub(super) fn counts_before<Seconds>(
         &self,
         now: Timestamp,
         rank: QueueRank,
-        base: Base,
+        seconds: Seconds,
     ) -> impl Iterator<Item = (f64, usize)>
     where
-        Base: Fn(&Route) -> f64,
+        Seconds: Fn(&Route) -> CallSeconds,
     {
         let (own_late, own_priority, own_objective) = rank;
         self.routes.iter().map(move |(key, queue)| {
-            let seconds = base(&queue.route);
-            let limit = earliest_end(now, seconds);
+            let CallSeconds { base, safe } = seconds(&queue.route);
+            let limit = earliest_end(now, safe);
             // Of the calls that are as late as this one, those of a more urgent route or with an earlier
             // objective rank before it.
             let end = match key.priority.cmp(&own_priority) {
@@ -146,16 +150,16 @@
                         + count_between(&queue.by_objective, Timestamp::default(), end.min(limit))
                 }
             };
-            (seconds, count)
+            (base, count)
         })
     }
 
     /// Returns the expected seconds of all waiting calls together.
-    pub(super) fn total_seconds<Base>(&self, base: Base) -> f64
+    pub(super) fn total_seconds<Seconds>(&self, seconds: Seconds) -> f64
     where
-        Base: Fn(&Route) -> f64,
+        Seconds: Fn(&Route) -> CallSeconds,
     {
-        self.routes.values().map(|q| base(&q.route) * q.by_objective.len() as f64).sum()
+        self.routes.values().map(|q| seconds(&q.route).base * q.by_objective.len() as f64).sum()
     }
 }
 
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -1,8 +1,9 @@
 //! Targets of one service, and the choice of a target for a call.
 
 use super::{
+    admission::{Admission, CallSeconds},
     routes::Route,
-    target::{PROBE_TIMEOUT, RunningAttempt, SeenTarget, Target},
+    target::{OTHER_CALLS_TOLERANCE, PROBE_TIMEOUT, RunningAttempt, SeenTarget, Target},
 };
 use crate::Timestamp;
 use indexmap::{IndexMap, IndexSet};
@@ -33,9 +34,6 @@
 const WARM_UP_FACTOR: f64 = 2.0;
 /// Exponent that sets how steeply the probability of an answer in time falls around the objective.
 const CHANCE_EXPONENT: f64 = 6.0;
-/// Estimated calls, the new one included, by which a target may exceed its slots and still count as
-/// having a free one. The calls of other gateways are not known exactly.
-const OTHER_CALLS_TOLERANCE: f64 = 0.5;
 /// Probability of an answer in time from which a slot is taken without waiting for a better one.
 const GOOD_CHANCE: f64 = 0.5;
 /// Minimum gain in utility for which a target is probed.
@@ -219,6 +217,7 @@
     pub(super) targets: IndexMap<Arc<str>, Target>,
     route_stats: IndexMap<Arc<str>, RouteStats>,
     slowdowns: SlowdownStats,
+    admission: Admission,
     /// Mean ratio of observed to expected time at crowded targets and at the others.
     crowding: (f64, f64),
     /// Moving average of the fraction of attempts that targets refused.
@@ -241,6 +240,7 @@
                 slow_mean: INITIAL_SLOW_MEAN,
                 usual_mean: 1.0,
             },
+            admission: Admission::default(),
             crowding: (CROWDED_FACTOR, 1.0),
             refusal_rate: 0.0,
             is_changed: false,
@@ -313,6 +313,11 @@
         self.base_seconds(route) * (1.0 + self.crowding.0) / 2.0
     }
 
+    /// Returns the time that a call of `route` needs.
+    pub(super) fn call_seconds(&self, route: &Route) -> CallSeconds {
+        self.admission.call_seconds(route, self.base_seconds(route))
+    }
+
     /// Returns the seconds of work that the targets do per second, without those that have named a limit
     /// or asked for rest.
     pub(super) fn capacity(&self, now: Timestamp) -> f64 {
@@ -376,11 +381,17 @@
     /// Returns the best free slot, or what has to happen before one can be taken.
     pub(super) fn choose(&self, request: &ChoiceRequest<'_>) -> Choice {
         let scored = self.score_candidates(request);
+        let hold = self.call_seconds(request.route).hold_time(request.now, request.objective);
+        let is_ready =
+            |r: &ScoredCandidate| self.targets[r.candidate.index].was_free_for(request.now, hold);
         let best = |known_only: bool| {
             let candidates = scored.iter().filter(|r| r.candidate.known || !known_only);
-            candidates.max_by(|a, b| a.utility.total_cmp(&b.utility)).copied()
+            let ready = candidates.filter(|r| is_ready(r));
+            ready.max_by(|a, b| a.utility.total_cmp(&b.utility)).copied()
         };
-        let Some(any) = best(false) else { return Choice::Full };
+        if scored.is_empty() {
+            return Choice::Full;
+        }
         let known = best(true);
         let known_utility = known.map_or(f64::NEG_INFINITY, |k| k.utility);
         let probes = self.probes_needed(request, &scored, known_utility);
@@ -389,8 +400,8 @@
         }
         let pending =
             scored.iter().any(|r| !r.candidate.known && self.is_probe_pending(request.now, r));
-        let taken = if any.utility > known_utility && !pending { Some(any) } else { known };
-        let Some(taken) = taken else { return Choice::Defer };
+        let any = best(false).filter(|any| any.utility > known_utility && !pending);
+        let Some(taken) = any.or(known) else { return Choice::Defer };
         if request.good_only && taken.candidate.chance < GOOD_CHANCE {
             return Choice::Defer;
         }
@@ -565,6 +576,7 @@
         bytes: usize,
     ) {
         let seconds = now.since(running.since).as_secs_f64();
+        self.admission.record_run(route, self.base_seconds(route), seconds);
         if !running.known {
             return;
         }
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -27,6 +27,9 @@
 /// Time after the mark of a process that leaves for which another process gets no calls that may have said
 /// it before its own record was known.
 const SUCCESSOR_REST: Duration = Duration::from_secs(10);
+/// Estimated calls, the new one included, by which a target may exceed its slots and still count as
+/// having a free one. The calls of other gateways are not known exactly.
+pub(super) const OTHER_CALLS_TOLERANCE: f64 = 0.5;
 /// Time for which a pending probe prevents further ones.
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -76,6 +79,8 @@
     pub(super) warm_at: Timestamp,
     pub(super) running: Vec<RunningAttempt>,
     pub(super) load: TargetLoad,
+    /// When all slots were last known to be in use.
+    pub(super) last_full: Option<Timestamp>,
     /// End of the backoff.
     pub(super) backoff_until: Timestamp,
     /// Another process uses the address; no calls are sent until the record changes.
@@ -114,6 +119,7 @@
             warm_at: listed.read + record.warmup,
             running: Vec::new(),
             load: TargetLoad::default(),
+            last_full: None,
             backoff_until: now,
             moved: false,
             probe_sent: None,
@@ -127,6 +133,19 @@
         }
     }
 
+    /// Notes the time if all slots are in use.
+    pub(super) fn record_usage(&mut self, now: Timestamp) {
+        let used = self.running.len() as f64 + self.load.other_calls(now);
+        if used + OTHER_CALLS_TOLERANCE >= f64::from(self.slots) {
+            self.last_full = Some(now);
+        }
+    }
+
+    /// Returns whether a slot has been free for `time`, as far as is known.
+    pub(super) fn was_free_for(&self, now: Timestamp, time: Duration) -> bool {
+        self.last_full.is_none_or(|at| now.since(at) >= time)
+    }
+
     /// Returns whether a probe may be sent now, at most `rate` per second.
     pub(super) fn may_probe(&self, now: Timestamp, rate: f64) -> bool {
         let none_pending = self.probe_sent.is_none_or(|at| now.since(at) > PROBE_TIMEOUT);
--- a/crates/policy/tests/balance/backlog.rs
+++ b/crates/policy/tests/balance/backlog.rs
@@ -95,17 +95,18 @@
     let [check, sale] = [0, 1].map(|n| fixture.submit(ms(350), &routes[n]).0);
     let later_sale = fixture.submit(ms(351), &routes[1]).0;
     let mut order = Vec::new();
-    let mut now = 360;
-    while let Some((id, target)) = running.pop() {
-        let outcome = AttemptOutcome::Answered { ok: true, bytes: 100 };
-        fixture.end_attempt(ms(now), id, &target, outcome, None);
-        fixture.balancer.forget(id);
+    for now in 360..480 {
+        if let Some((id, target)) = running.pop() {
+            let outcome = AttemptOutcome::Answered { ok: true, bytes: 100 };
+            fixture.end_attempt(ms(now), id, &target, outcome, None);
+            fixture.balancer.forget(id);
+        }
+        // The late calls leave the free slots to other gateways for half of the expected time, 160 ms.
         for (id, decision) in fixture.balancer.dispatch_waiting(ms(now)) {
             let Decision::Start(start) = decision else { panic!("{decision:?}") };
             order.push(id);
             running.push((id, start.target));
         }
-        now += 1;
     }
     assert_eq!(order, [sale, later_sale, check, late_sale, late_check]);
 }
--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -22,5 +22,6 @@
 mod resting;
 mod restore;
 mod routes;
+mod shedding;
 mod trials;
 mod unreadable;
