policy: keep what a gateway on the copy was told of the time before

A gateway that had read only the copy, and had taken the evacuations of the time before the restore from a peer, dropped them again when a second gateway on the copy delivered its set. Two further tests show that an evacuation ends checks of processes without a verdict, and that settings of generation 4 wait for evacuations. Documentation of the whole.

--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -13,8 +13,8 @@
     native::NativeAdapter,
 };
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, EvacuationNotice, GatewayLoad, Heartbeat, HeartbeatExtension, Message,
-    Phase, ReadState, Revision, Snapshot,
+    Build, CatalogUpdate, EvacuationNotice, GatewayLoad, Heartbeat, HeartbeatExtension,
+    MESSAGE_GENERATION, Message, Phase, ReadState, Revision, Snapshot,
 };
 use raw::{published, read_until, run_local};
 use std::{
@@ -34,6 +34,8 @@
 
 /// Time for settings that a peer has to be in force.
 const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same if no peer tells of evacuations.
+const UNINFORMED_TIMEOUT: Duration = Duration::from_secs(7);
 /// Interval between heartbeats of the peers.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Port at which peers serve updates.
@@ -43,10 +45,20 @@
 #[derive(Clone, Debug)]
 enum Answers {
     Body(Vec<u8>),
+    /// The same of a peer of generation 4.
+    EarlierBody(Vec<u8>),
     /// Connections are accepted by the kernel and not read.
     None,
 }
 
+/// Returns what a peer of generation 4 delivers.
+fn earlier_update(revision: u64) -> Answers {
+    let published = Some(published());
+    let update = CatalogUpdate::Full(Snapshot { revision, published, targets: Vec::new() });
+    let bytes = postcard::to_allocvec(&(Some(Duration::ZERO), update)).expect("encoded");
+    Answers::EarlierBody(bytes)
+}
+
 fn update(revision: u64) -> Answers {
     let published = (revision > 0).then(published);
     let update = CatalogUpdate::Full(Snapshot { revision, published, targets: Vec::new() });
@@ -67,7 +79,9 @@
     let listener = TcpListener::bind((ip, UPDATE_PORT)).await.expect("a free port");
     spawn_local(async move {
         loop {
-            let Answers::Body(body) = &answers else { return std::future::pending().await };
+            let (Answers::Body(body) | Answers::EarlierBody(body)) = &answers else {
+                return std::future::pending().await;
+            };
             let (mut stream, _) = listener.accept().await.expect("a connection");
             read_until(&mut stream, "\r\n\r\n").await;
             let head =
@@ -78,7 +92,7 @@
     });
 }
 
-fn heartbeat(ip: IpAddr, sequence: u64) -> Message {
+fn heartbeat(ip: IpAddr, generation: u32, sequence: u64) -> Message {
     Message::Heartbeat(Heartbeat {
         host: Arc::from(ip.to_string()),
         domain: Arc::from("a"),
@@ -93,15 +107,15 @@
         reader: false,
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
-        build: Build::default(),
+        build: Build { generation, version: Arc::from("") },
         reads: ReadState::default(),
         load: GatewayLoad::default(),
     })
 }
 
 /// Starts a gateway that cannot read the platform, with live peers that announce the same revision, and
-/// returns whether it gets the settings in time.
-async fn gets_settings(test: u8, peers: Vec<Answers>) -> bool {
+/// returns whether it gets the settings within `time`.
+async fn gets_settings(test: u8, peers: Vec<Answers>, time: Duration) -> bool {
     let own = peer_ip(test, 0);
     let mut settings = stub::settings();
     settings.listen.directions = SocketAddr::new(own, 9_001);
@@ -116,17 +130,19 @@
     let mut ips = Vec::new();
     for (number, answers) in (1..).zip(peers) {
         let ip = peer_ip(test, number);
+        let is_earlier = matches!(answers, Answers::EarlierBody(_));
         start_peer(ip, answers).await;
-        ips.push(ip);
+        ips.push((ip, if is_earlier { 4 } else { MESSAGE_GENERATION }));
     }
     let control = spawn_local(control::run(Rc::clone(&gateway), heartbeats, servers));
     let start = Instant::now();
     let mut sequence = 0;
-    while gateway.routes().is_none() && start.elapsed() < IN_FORCE_TIMEOUT {
+    while gateway.routes().is_none() && start.elapsed() < time {
         sequence += 1;
-        for ip in &ips {
+        for (ip, generation) in &ips {
             let now = gateway.clock.now();
-            gateway.membership.borrow_mut().receive(now, *ip, heartbeat(*ip, sequence));
+            let heartbeat = heartbeat(*ip, *generation, sequence);
+            gateway.membership.borrow_mut().receive(now, *ip, heartbeat);
         }
         gateway.changed.notify_waiters();
         sleep(HEARTBEAT_INTERVAL).await;
@@ -145,10 +161,23 @@
         let mut test = 0;
         for useless in useless {
             for peers in [vec![update(5), useless.clone()], vec![useless.clone(), update(5)]] {
-                assert!(gets_settings(test, peers).await, "{useless:?}");
+                assert!(gets_settings(test, peers, IN_FORCE_TIMEOUT).await, "{useless:?}");
                 test += 1;
             }
         }
     })
     .await;
 }
+
+/// Guards against calls to an evacuated domain after a restart: what peers of generation 4 deliver says nothing
+/// of evacuations. Where there is nobody else to ask, the gateway serves calls some seconds later.
+#[tokio::test]
+async fn settings_of_earlier_builds_wait_for_evacuations() {
+    run_local(async {
+        assert!(!gets_settings(6, vec![earlier_update(5)], IN_FORCE_TIMEOUT).await);
+        assert!(gets_settings(7, vec![earlier_update(5)], UNINFORMED_TIMEOUT).await);
+        let peers = vec![earlier_update(5), update(5)];
+        assert!(gets_settings(8, peers, IN_FORCE_TIMEOUT).await, "one tells of evacuations");
+    })
+    .await;
+}
--- a/crates/policy/src/balance/evacuation.rs
+++ b/crates/policy/src/balance/evacuation.rs
@@ -88,6 +88,7 @@
         let (listed, written) = (None, IndexSet::new());
         self.window = Some(RestoreWindow { listed, written, due: now + RESTORE_WINDOW });
         self.from_copy = false;
+        self.kept_from = Revision::default();
     }
 
     /// Records that the key of `domain` was written, or removed if not `active`, in the changes up to
@@ -144,7 +145,7 @@
         let mut changed = false;
         if !is_known || notice.changed > self.changed {
             changed = match &self.window {
-                Some(_) if is_known && notice.from_copy && !self.from_copy => {
+                Some(_) if is_known && notice.from_copy && self.knows_better_than_copy() => {
                     self.merge_written(notice)
                 }
                 _ => self.adopt(notice),
@@ -193,6 +194,11 @@
         })
     }
 
+    /// Returns whether the set contains what was known before the restore, of this gateway or of a peer.
+    fn knows_better_than_copy(&self) -> bool {
+        !self.from_copy || !self.kept_from.is_unknown()
+    }
+
     /// Returns whether this gateway, which has read only the copy, has to take over what the sender of
     /// `notice` knows from before the restore.
     fn takes_kept(&self, notice: &EvacuationNotice) -> bool {
--- a/crates/policy/tests/balance/evacuating.rs
+++ b/crates/policy/tests/balance/evacuating.rs
@@ -4,8 +4,8 @@
 use azuretally_policy::{
     Timestamp,
     balance::{
-        AttemptOutcome, Change, Decision, Failure, GiveUpReason, HedgeDecision, NewAttempt,
-        TargetRecord,
+        AttemptOutcome, Change, CrashEvidence, Decision, Failure, GiveUpReason, HedgeDecision,
+        NewAttempt, TargetRecord,
     },
 };
 use std::sync::Arc;
@@ -22,6 +22,13 @@
         self.apply_changes(now, vec![Change::Evacuation { domain: Arc::from(domain), active }]);
     }
 
+    /// Lets an attempt at a local target break off.
+    fn break_off(&mut self, now: Timestamp) {
+        let (id, attempt) = self.started(now);
+        let broken = AttemptOutcome::Failed { failure: Failure::Broken, sent: true };
+        self.end_attempt(now, id, &attempt.target, broken, None);
+    }
+
     /// Starts a call that may run twice, as its first attempt.
     fn started(&mut self, now: Timestamp) -> (u64, NewAttempt) {
         let (id, decision) = self.submit(now, &route("check", true));
@@ -111,21 +118,31 @@
     assert!(!fixture.balancer.is_evacuated("service", "target-100"));
 }
 
-/// The end of a process was checked in the evacuated domain, or concluded from a check that was held back.
+/// The end of a process was checked in the evacuated domain.
 #[test]
 fn target_whose_attempt_broke_off_is_not_checked_in_an_evacuation() {
-    for evacuated_at in [1, 700] {
+    let mut fixture = Fixture::new(2, 2);
+    fixture.break_off(ms(5));
+    fixture.evacuate(ms(10), LOCAL);
+    let checks = fixture.balancer.take_crash_checks(ms(2_000));
+    assert!(checks.is_empty(), "{checks:?}");
+}
+
+/// A check that was under way when the evacuation began sends nothing more. Its silence counted as the end of the
+/// process, and its call as one that crashes targets.
+#[test]
+fn check_that_an_evacuation_holds_back_proves_no_end_of_a_process() {
+    for is_evacuated in [false, true] {
         let mut fixture = Fixture::new(2, 2);
-        let (id, attempt) = fixture.started(ms(0));
-        // A record that was written since the list shows that the process lives.
-        if evacuated_at == 1 {
-            fixture.evacuate(ms(1), LOCAL);
-        }
-        let broken = AttemptOutcome::Failed { failure: Failure::Broken, sent: true };
-        fixture.end_attempt(ms(5), id, &attempt.target, broken, None);
-        fixture.evacuate(ms(evacuated_at), LOCAL);
+        fixture.break_off(ms(5));
         let checks = fixture.balancer.take_crash_checks(ms(2_000));
-        assert!(checks.is_empty(), "{checks:?}");
+        let [check] = checks.as_slice() else { panic!("{checks:?}") };
+        if is_evacuated {
+            fixture.evacuate(ms(2_010), LOCAL);
+        }
+        let is_ended =
+            fixture.balancer.crash_checked(ms(2_500), check.process, CrashEvidence::Gone);
+        assert_eq!(is_ended, !is_evacuated);
     }
 }
 
--- a/crates/policy/tests/balance/evacuations.rs
+++ b/crates/policy/tests/balance/evacuations.rs
@@ -215,6 +215,28 @@
     }
 }
 
+/// Of two gateways that started on the copy, the later one ended the evacuation at the other, which had it from a
+/// peer that knew better.
+#[test]
+fn gateway_started_on_the_copy_keeps_what_it_was_told_of_the_time_before() {
+    let mut old = settled(&["a"]);
+    let mut first = Catalog::default();
+    first.relist(ms(10_000), rev(2, 90), list(&[]), Source::Platform);
+    fetch(&mut old, ms(10_100), &first);
+    fetch(&mut first, ms(10_200), &old);
+    let mut second = Catalog::default();
+    second.relist(ms(10_300), rev(2, 95), list(&[]), Source::Platform);
+    fetch(&mut first, ms(10_400), &second);
+    assert_eq!(evacuated(&first), ["a"]);
+    write(&mut second, ms(10_500), rev(2, 96), vec![evacuation("b", true)]);
+    fetch(&mut first, ms(10_600), &second);
+    assert_eq!(evacuated(&first), ["a", "b"]);
+    fetch(&mut second, ms(10_700), &old);
+    assert_eq!(evacuated(&second), ["a", "b"]);
+    first.tick(ms(10_000 + WINDOW_MS));
+    assert_eq!(evacuated(&first), ["b"]);
+}
+
 /// A follower that has the new era from a peer took the next list, still that of the copy, for the truth.
 #[test]
 fn gateway_that_follows_a_restore_through_a_peer_keeps_the_set_when_it_reads_itself() {
