gateway: fetch the rates of cold targets between builds

A gateway that got its settings from one of generation 4 asks a peer of generation 5 for the rates. The gateways that a gateway does not hear are counted from the known peers at each tick, and primaries of other domains are not missing. Shares are computed at most every 50 ms.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -50,6 +50,10 @@
 /// before the effect on the first ones shows in the loads.
 const ANSWERS_PER_SHED_CALLER: u32 = 4;
 
+/// Interval at which the rates of cold targets are assigned at most: ranking the gateways for each datagram would
+/// cost more in large failure domains.
+const COLD_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Thousandths of a core.
 const CORE: f64 = 1_000.0;
 
@@ -110,6 +114,8 @@
     relayed_version: Cell<RelayedVersion>,
     /// Whether this gateway is cut off from all targets and knows others to which it can relay calls.
     may_relay: watch::Sender<bool>,
+    /// When the rates of cold targets are assigned anew.
+    cold_due: Cell<Timestamp>,
     routes: RefCell<Option<Rc<RouteTable>>>,
     load: RefCell<LoadMeter>,
     lateness: RefCell<LatenessMeter>,
@@ -164,6 +170,7 @@
             attempt_broken: Notify::new(),
             relayed_version: Cell::default(),
             may_relay: watch::Sender::default(),
+            cold_due: Cell::default(),
             routes: RefCell::default(),
             load: RefCell::default(),
             lateness: RefCell::default(),
@@ -570,10 +577,11 @@
 
     /// Assigns the rates of cold targets by the present membership.
     pub fn assign_cold_targets(&self) {
+        let now = self.clock.now();
         let mut balancer = self.balancer.borrow_mut();
-        if balancer.has_cold_rates() {
-            let assignment = self.membership.borrow().cold_assignment();
-            balancer.assign_cold_targets(self.clock.now(), assignment);
+        if now >= self.cold_due.get() && balancer.has_cold_rates() {
+            self.cold_due.set(now + COLD_INTERVAL);
+            balancer.assign_cold_targets(now, self.membership.borrow().cold_assignment());
         }
     }
 
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -3,8 +3,8 @@
 
 use azuretally_gateway::control::codec::{SyncAnswer, SyncQuery, decode_message, encode_message};
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, GatewayLoad, Heartbeat, HeartbeatExtension, Message, Phase, ReadState,
-    Revision, Snapshot,
+    Build, CatalogUpdate, ColdRates, GatewayLoad, Heartbeat, HeartbeatExtension, Message, Phase,
+    ReadState, RequestRate, Revision, Snapshot,
 };
 use std::{
     net::{IpAddr, SocketAddr},
@@ -160,3 +160,27 @@
     );
     assert!(SyncAnswer::decode(&bytes[..1]).is_err());
 }
+
+/// Guards against rates of cold targets that make an answer unreadable for builds before them, or are lost between
+/// builds that know them.
+#[test]
+fn rates_of_cold_targets_stand_behind_the_answer() {
+    let update = CatalogUpdate::Full(Snapshot { revision: 5, ..Snapshot::default() });
+    let age = Some(Duration::from_millis(20));
+    let rate = RequestRate::from_per_second(3.5).expect("a rate");
+    let rates = ColdRates { settings: 7, rates: vec![(Arc::from("till"), rate)] };
+    for cold_rates in [None, Some(ColdRates::default()), Some(rates)] {
+        let answer = SyncAnswer { age, era: 2, update: update.clone(), cold_rates };
+        let bytes = answer.encode().expect("encoded");
+        assert_eq!(SyncAnswer::decode(&bytes).expect("decoded"), answer);
+        let earlier: (Option<Duration>, CatalogUpdate, u64) =
+            postcard::from_bytes(&bytes).expect("an earlier build reads it");
+        assert_eq!(earlier, (age, update.clone(), 2));
+        // A block that a later build adds is ignored.
+        let later = [bytes.as_slice(), &[1, 2, 3]].concat();
+        assert_eq!(SyncAnswer::decode(&later).expect("decoded"), answer);
+    }
+    let bytes = postcard::to_allocvec(&(&age, &update, 2_u64)).expect("encoded");
+    let earlier = SyncAnswer::decode(&bytes).expect("decoded");
+    assert_eq!(earlier, SyncAnswer { age, era: 2, update, cold_rates: None });
+}
--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -13,8 +13,8 @@
     native::NativeAdapter,
 };
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, GatewayLoad, Heartbeat, HeartbeatExtension, Message, Phase, ReadState,
-    Snapshot,
+    Build, CatalogUpdate, ColdRates, GatewayLoad, Heartbeat, HeartbeatExtension, Message, Phase,
+    ReadState, RequestRate, Snapshot,
 };
 use raw::{published, read_until, run_local};
 use std::{
@@ -74,7 +74,7 @@
     });
 }
 
-fn heartbeat(ip: IpAddr, sequence: u64) -> Message {
+fn heartbeat(ip: IpAddr, sequence: u64, generation: u32) -> Message {
     Message::Heartbeat(Heartbeat {
         host: Arc::from(ip.to_string()),
         domain: Arc::from("a"),
@@ -89,15 +89,18 @@
         reader: false,
         remote_primaries: Vec::new(),
         extension: HeartbeatExtension::default(),
-        build: Build::default(),
+        build: Build { generation, ..Build::default() },
         reads: ReadState::default(),
         load: GatewayLoad::default(),
     })
 }
 
-/// Starts a gateway that cannot read the platform, with live peers that announce the same revision, and
-/// returns whether it gets the settings in time.
-async fn gets_settings(test: u8, peers: Vec<Answers>) -> bool {
+/// Starts a gateway that cannot read the platform, with live peers of a generation that announce the same revision,
+/// and returns whether what it knows fulfils `condition` in time.
+async fn learns<Condition>(test: u8, peers: Vec<(Answers, u32)>, condition: Condition) -> bool
+where
+    Condition: Fn(&Gateway<NativeAdapter>) -> bool,
+{
     let own = peer_ip(test, 0);
     let mut settings = stub::settings();
     settings.listen.directions = SocketAddr::new(own, 9_001);
@@ -110,26 +113,27 @@
         HeartbeatSocket::bind(settings.listen.heartbeats).await.expect("the port is free");
     let servers = ControlServers::bind(&settings.listen).await.expect("the ports are free");
     let mut ips = Vec::new();
-    for (number, answers) in (1..).zip(peers) {
+    for (number, (answers, generation)) in (1..).zip(peers) {
         let ip = peer_ip(test, number);
         start_peer(ip, answers).await;
-        ips.push(ip);
+        ips.push((ip, generation));
     }
     let control = spawn_local(control::run(Rc::clone(&gateway), heartbeats, servers));
     let start = Instant::now();
     let mut sequence = 0;
-    while gateway.routes().is_none() && start.elapsed() < IN_FORCE_TIMEOUT {
+    while !condition(&gateway) && start.elapsed() < IN_FORCE_TIMEOUT {
         sequence += 1;
-        for ip in &ips {
+        for (ip, generation) in &ips {
             let now = gateway.clock.now();
-            gateway.membership.borrow_mut().receive(now, *ip, heartbeat(*ip, sequence));
+            let heartbeat = heartbeat(*ip, sequence, *generation);
+            gateway.membership.borrow_mut().receive(now, *ip, heartbeat);
         }
         gateway.changed.notify_waiters();
         sleep(HEARTBEAT_INTERVAL).await;
     }
     gateway.shutdown.cancel();
     control.await.expect("no panic");
-    gateway.routes().is_some()
+    condition(&gateway)
 }
 
 /// Guards against settings that come late or never while a peer has them, since another one that announces
@@ -141,10 +145,45 @@
         let mut test = 0;
         for useless in useless {
             for peers in [vec![update(5), useless.clone()], vec![useless.clone(), update(5)]] {
-                assert!(gets_settings(test, peers).await, "{useless:?}");
+                let peers = peers.into_iter().map(|answers| (answers, 0)).collect();
+                let has_settings = |gateway: &Gateway<_>| gateway.routes().is_some();
+                assert!(learns(test, peers, has_settings).await, "{useless:?}");
                 test += 1;
             }
         }
     })
     .await;
 }
+
+/// Guards against cold targets that get calls at will during an upgrade: settings of a peer of an earlier build name no
+/// rates, and were not asked for again.
+#[tokio::test]
+async fn rates_of_cold_targets_are_fetched_from_a_peer_that_knows_them() {
+    run_local(async {
+        let rate = RequestRate::from_per_second(3.5).expect("a rate");
+        let rates = ColdRates { settings: 1, rates: vec![(Arc::from("service"), rate)] };
+        let published = published();
+        assert_eq!(published.version, rates.settings);
+        let update = CatalogUpdate::Full(Snapshot {
+            revision: 5,
+            published: Some(published),
+            targets: vec![stub::target(1, 2)],
+        });
+        let age = Some(Duration::ZERO);
+        let earlier = postcard::to_allocvec(&(age, &update, 0_u64)).expect("encoded");
+        let later = SyncAnswer { age, era: 0, update, cold_rates: Some(rates) };
+        let later = later.encode().expect("encoded");
+        let knows_rate = |gateway: &Gateway<_>| {
+            let catalog = gateway.catalog.borrow();
+            let published = catalog.published();
+            published.and_then(|p| p.services["service"].cold_rate) == Some(rate)
+                && gateway.balancer.borrow().has_cold_rates()
+        };
+        let earlier = (Answers::Body(earlier), 4);
+        let later = (Answers::Body(later), 5);
+        assert!(learns(6, vec![earlier.clone(), later.clone()], knows_rate).await);
+        assert!(learns(7, vec![later, earlier.clone()], knows_rate).await);
+        assert!(!learns(8, vec![earlier], knows_rate).await, "no peer knows it");
+    })
+    .await;
+}
--- a/crates/policy/src/balance/cold.rs
+++ b/crates/policy/src/balance/cold.rs
@@ -57,7 +57,7 @@
 }
 
 /// Part of the rate of a cold target that this gateway may use.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
 pub enum ColdShare {
     /// Another gateway uses it, or this one does not know the others well enough.
     #[default]
--- a/crates/policy/src/balance/membership.rs
+++ b/crates/policy/src/balance/membership.rs
@@ -307,7 +307,6 @@
 
     /// Handles a message from `from` and returns the replies.
     pub fn receive(&mut self, now: Timestamp, from: IpAddr, message: Message) -> Vec<Outgoing> {
-        self.unheard.record_heard(from, &self.seeds);
         match message {
             Message::Heartbeat(heartbeat) => {
                 let remote = heartbeat.domain != self.own.domain;
@@ -333,7 +332,7 @@
                 replies
             }
             Message::Peers(hosts) => {
-                self.unheard.record_named(now, &hosts);
+                self.record_named(now, &hosts);
                 self.unverified.retain(|host| *host != from);
                 for host in hosts {
                     self.add_unverified(host);
--- a/crates/policy/src/balance/membership/cold.rs
+++ b/crates/policy/src/balance/membership/cold.rs
@@ -71,21 +71,6 @@
 }
 
 impl Unheard {
-    /// Records a message from `host`.
-    pub(super) fn record_heard(&mut self, host: IpAddr, seeds: &[IpAddr]) {
-        self.named.swap_remove(&host);
-        if !self.has_joined && seeds.contains(&host) {
-            self.heard_seeds.insert(host);
-        }
-    }
-
-    /// Records that another gateway has named `hosts`.
-    pub(super) fn record_named(&mut self, now: Timestamp, hosts: &[IpAddr]) {
-        for host in hosts.iter().take(MAX_REMEMBERED.saturating_sub(self.named.len())) {
-            self.named.insert(*host, now);
-        }
-    }
-
     fn expire(&mut self, now: Timestamp) {
         self.silent.retain(|_, heard| now.since(*heard) < SILENT_MEMORY);
         self.named.retain(|_, at| now.since(*at) < NAMED_MEMORY);
@@ -122,10 +107,25 @@
         Some((Arc::clone(&found.host), found.call_address.ip()))
     }
 
+    /// Records that another gateway has named `hosts`. Those that are known have been heard.
+    pub(super) fn record_named(&mut self, now: Timestamp, hosts: &[IpAddr]) {
+        let addresses = self.peers.values().map(|p| p.heartbeat.call_address.ip());
+        let known: IndexSet<IpAddr> = addresses.chain([self.own.call_address.ip()]).collect();
+        for host in hosts.iter().filter(|host| !known.contains(*host)) {
+            if self.unheard.named.len() < MAX_REMEMBERED {
+                self.unheard.named.insert(*host, now);
+            }
+        }
+    }
+
     /// Follows which gateways are heard.
     pub(super) fn update_unheard(&mut self, now: Timestamp) {
-        self.unheard.has_joined = self.unheard.has_joined || self.has_heard_seeds();
         for (host, peer) in &self.peers {
+            let address = peer.heartbeat.call_address.ip();
+            self.unheard.named.swap_remove(&address);
+            if !self.unheard.has_joined && self.seeds.contains(&address) {
+                self.unheard.heard_seeds.insert(address);
+            }
             if peer.heartbeat.domain != self.own.domain {
                 continue;
             }
@@ -136,6 +136,7 @@
             }
         }
         self.unheard.expire(now);
+        self.unheard.has_joined = self.unheard.has_joined || self.has_heard_seeds();
     }
 
     /// Returns whether enough seeds have been heard; this gateway counts if it is one.
@@ -157,12 +158,15 @@
         self.local_peers().filter(counts).count()
     }
 
-    /// Returns the number of gateways that may be alive and are not heard. Some of those that were only named may
-    /// be of other domains.
+    /// Returns the number of gateways that may be alive and are not heard. Of other domains, only the primary hears
+    /// any.
     fn missing_count(&self) -> usize {
-        let is_known =
-            |host: &IpAddr| self.peers.values().any(|p| p.heartbeat.call_address.ip() == *host);
-        let named = self.unheard.named.keys().filter(|host| !is_known(host)).count();
+        if self.unheard.named.is_empty() {
+            return self.unheard.silent.len();
+        }
+        let remote = self.remote_primaries();
+        let is_remote = |host: &IpAddr| remote.iter().any(|(_, address)| address.ip() == *host);
+        let named = self.unheard.named.keys().filter(|host| !is_remote(host)).count();
         self.unheard.silent.len() + named
     }
 }
--- a/crates/policy/tests/balance/cold.rs
+++ b/crates/policy/tests/balance/cold.rs
@@ -670,3 +670,51 @@
     assert_eq!(share(&member), ColdShare::Full);
     assert_eq!(member.cold_assignment().share("b", "target-0"), ColdShare::None);
 }
+
+/// Returns the shares that a gateway of a domain of four has of 40 targets, after `silent` others have fallen silent, or
+/// `ended` ones have closed their connections, `later` ms before.
+fn shares_without(silent: usize, ended: usize, later: u64) -> IndexMap<ColdShare, usize> {
+    let mut member = membership(0, &[0, 1, 2, 3]);
+    let gone = 1 + silent + ended;
+    for now in (0..5_000 + later).step_by(200) {
+        for number in 1..4 {
+            let mut heartbeat = first_heartbeat(number, Arc::from(LOCAL), host_ip(number));
+            (heartbeat.phase, heartbeat.settled) = (Phase::Ready, now >= 3_000);
+            // The least capacity ranks last, so that callers are directed to all of them.
+            heartbeat.capacity = 20;
+            heartbeat.sequence = now + 1;
+            if now < 5_000 || number >= gone {
+                let message = Message::Heartbeat(heartbeat);
+                member.receive(ms(now), host_ip(number), message);
+            }
+            if now == 5_000 && (1 + silent..gone).contains(&number) {
+                member.connection_lost(ms(now), &format!("gateway-{number}"));
+            }
+        }
+        member.tick(ms(now));
+    }
+    let assignment = member.cold_assignment();
+    let mut counts = IndexMap::new();
+    for target in 0..40 {
+        let share = assignment.share(LOCAL, &format!("target-{target}"));
+        *counts.entry(share).or_default() += 1;
+    }
+    counts
+}
+
+/// A gateway that misses the majority of its domain may be the one that is cut off, also after the time for which silent
+/// ones are remembered for other purposes.
+#[test]
+fn gateway_that_misses_others_uses_less_or_nothing() {
+    let has = |counts: &IndexMap<ColdShare, usize>, share| counts.contains_key(&share);
+    for later in [3_000, 120_000] {
+        assert!(has(&shares_without(0, 0, later), ColdShare::Full));
+        assert!(has(&shares_without(0, 3, later), ColdShare::Full), "ended processes send nothing");
+        let contested = shares_without(1, 0, later);
+        assert!(has(&contested, ColdShare::Contested) && !has(&contested, ColdShare::Full));
+        assert!(has(&shares_without(2, 0, later), ColdShare::Contested));
+        let none = shares_without(3, 0, later);
+        assert_eq!(none.keys().collect::<Vec<_>>(), [&ColdShare::None], "after {later} ms");
+    }
+    assert!(has(&shares_without(3, 0, 700_000), ColdShare::Full), "it is the only one left");
+}
