--- a/crates/gateway/tests/peer_updates.rs
+++ b/crates/gateway/tests/peer_updates.rs
@@ -13,8 +13,8 @@
     native::NativeAdapter,
 };
 use azuretally_policy::balance::{
-    Build, CatalogUpdate, EvacuationNotice, GatewayLoad, Heartbeat, HeartbeatExtension,
-    MESSAGE_GENERATION, Message, Phase, ReadState, Revision, Snapshot,
+    Build, CatalogUpdate, ColdRates, EvacuationNotice, GatewayLoad, Heartbeat, HeartbeatExtension,
+    MESSAGE_GENERATION, Message, Phase, ReadState, RequestRate, Revision, Snapshot,
 };
 use raw::{published, read_until, run_local};
 use std::{
@@ -117,6 +117,20 @@
 /// Starts a gateway that cannot read the platform, with live peers that announce the same revision, and
 /// returns whether it gets the settings within `time`.
 async fn gets_settings(test: u8, peers: Vec<Answers>, time: Duration) -> bool {
+    learns(test, peers, time, |gateway| gateway.routes().is_some()).await
+}
+
+/// Starts a gateway that cannot read the platform, with live peers that announce the same revision, and
+/// returns whether what it knows fulfils `condition` within `time`.
+async fn learns<Condition>(
+    test: u8,
+    peers: Vec<Answers>,
+    time: Duration,
+    condition: Condition,
+) -> bool
+where
+    Condition: Fn(&Gateway<NativeAdapter>) -> bool,
+{
     let own = peer_ip(test, 0);
     let mut settings = stub::settings();
     settings.listen.directions = SocketAddr::new(own, 9_001);
@@ -138,7 +152,7 @@
     let control = spawn_local(control::run(Rc::clone(&gateway), heartbeats, servers));
     let start = Instant::now();
     let mut sequence = 0;
-    while gateway.routes().is_none() && start.elapsed() < time {
+    while !condition(&gateway) && start.elapsed() < time {
         sequence += 1;
         for (ip, generation) in &ips {
             let now = gateway.clock.now();
@@ -150,7 +164,7 @@
     }
     gateway.shutdown.cancel();
     control.await.expect("no panic");
-    gateway.routes().is_some()
+    condition(&gateway)
 }
 
 /// Guards against settings that come late or never while a peer has them, since another one that announces
@@ -186,3 +200,39 @@
     })
     .await;
 }
+
+/// Guards against cold targets that get calls at will during an upgrade: settings of a peer of an earlier build name no
+/// rates, and were not asked for again.
+#[tokio::test]
+async fn rates_of_cold_targets_are_fetched_from_a_peer_that_knows_them() {
+    run_local(async {
+        let rate = RequestRate::from_per_second(3.5).expect("a rate");
+        let rates = ColdRates { settings: 1, rates: vec![(Arc::from("service"), rate)] };
+        let published = published();
+        assert_eq!(published.version, rates.settings);
+        let update = CatalogUpdate::Full(Snapshot {
+            revision: 5,
+            published: Some(published),
+            targets: vec![stub::target(1, 2)],
+        });
+        let age = Some(Duration::ZERO);
+        let earlier = postcard::to_allocvec(&(age, &update, 0_u64)).expect("encoded");
+        let evacuations =
+            Some(EvacuationNotice { complete: Revision::new(0, 5), ..EvacuationNotice::default() });
+        let later = SyncAnswer { age, era: 0, update, evacuations, cold_rates: Some(rates) };
+        let later = later.encode().expect("encoded");
+        let time = IN_FORCE_TIMEOUT;
+        let knows_rate = |gateway: &Gateway<_>| {
+            let catalog = gateway.catalog.borrow();
+            let published = catalog.published();
+            published.and_then(|p| p.services["service"].cold_rate) == Some(rate)
+                && gateway.balancer.borrow().has_cold_rates()
+        };
+        let earlier = Answers::EarlierBody(earlier);
+        let later = Answers::Body(later);
+        assert!(learns(10, vec![earlier.clone(), later.clone()], time, knows_rate).await);
+        assert!(learns(11, vec![later, earlier.clone()], time, knows_rate).await);
+        assert!(!learns(12, vec![earlier], time, knows_rate).await, "no peer knows it");
+    })
+    .await;
+}
