policy, gateway: full targets that do not answer or reset connections

Cause: an attempt that a full target had never accepted occupied a slot in the gateway's count until the deadline of its call, and resets by a full target counted as faults and led to a backoff. Change: the new module balance/occupancy.rs compares reports with the unanswered attempts that must have arrived before the report was asked for. If two reports at least 50 ms apart count fewer calls, the difference was never accepted: it occupies no slot, and a call that may run twice is considered for a second attempt at once, within the retry budget. A connection that ends before the head of an answer, at a target whose latest report shows queueing, is no fault: the load of others is corrected and no backoff starts. Silent targets are asked for a report, at the usual probe rate.

--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod load;
 mod membership;
+mod occupancy;
 mod probing;
 mod quarantine;
 mod queue;
@@ -45,6 +46,7 @@
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{KnownData, LimitAssignment, Membership, MembershipBuilder};
+pub use occupancy::{FullTargetEvent, FullTargetNotice};
 pub use quarantine::{CallDigest, CallDigests, CallNotice, DigestParts, ProcessId};
 pub use records::{CatalogUpdate, Change, Snapshot, TargetRecord};
 pub use rest::UNREAD_ANSWER_TIME;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -8,6 +8,7 @@
 
 mod crashes;
 mod departing;
+mod filling;
 mod learning;
 mod limiting;
 mod reaching;
@@ -25,6 +26,7 @@
     catalog::Catalog,
     crashes::{AccusedProcess, BrokenTarget},
     limits::LimitNotice,
+    occupancy::{FullTargetNotice, Progress},
     probing::ProbeGate,
     quarantine::{CallDigest, ProcessId, Quarantine},
     queue::{QueueRank, WaitQueue},
@@ -152,6 +154,8 @@
     /// When calls that have not come again are forgotten.
     next_expiry: Timestamp,
     log_lines: Vec<String>,
+    /// Attempts that full targets have not accepted, and that the gateway has not been told of yet.
+    full_notices: Vec<FullTargetNotice>,
     /// When the gateway stops, [`Timestamp::MAX`] if it does not.
     drain_end: Timestamp,
     random: Pcg64Mcg,
@@ -186,6 +190,7 @@
             next_refresh: Timestamp::default(),
             next_expiry: Timestamp::default(),
             log_lines: Vec::new(),
+            full_notices: Vec::new(),
             drain_end: Timestamp::MAX,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
@@ -391,7 +396,9 @@
         if !service.take_dispatch_due(now) {
             return;
         }
-        for id in queue.overdue(now, |route| service.base_seconds(route)) {
+        let overdue = queue.overdue(now, |route| service.base_seconds(route));
+        self.probe_silent(now, &name);
+        for id in overdue {
             self.give_up_waiting(now, &name, id, GiveUpReason::Deadline, decisions);
         }
         let mut pass = DispatchPass {
@@ -651,6 +658,7 @@
             known: candidate.is_measured(),
             limit_version: target.limit.version(),
             process: target.process,
+            progress: Progress::Decided,
         });
         target.limit.take(now);
         state.tried.push(Arc::clone(&target.name));
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -1,8 +1,14 @@
 //! State of one target at this gateway.
 
 use super::{
-    call::Probe, catalog::ListedTarget, limits::TargetLimit, load::TargetLoad,
-    quarantine::ProcessId, rest::TargetRest, succession::AnswerTime,
+    call::Probe,
+    catalog::ListedTarget,
+    limits::TargetLimit,
+    load::TargetLoad,
+    occupancy::{Occupancy, Progress},
+    quarantine::ProcessId,
+    rest::TargetRest,
+    succession::AnswerTime,
 };
 use crate::Timestamp;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -51,6 +57,8 @@
     pub(super) limit_version: u64,
     /// Process that runs it.
     pub(super) process: ProcessId,
+    /// How far it has come.
+    pub(super) progress: Progress,
 }
 
 /// Record of a target, with whether its process is known to have lived since the latest list.
@@ -76,6 +84,8 @@
     pub(super) warm_at: Timestamp,
     pub(super) running: Vec<RunningAttempt>,
     pub(super) load: TargetLoad,
+    /// What its reports say of the running attempts.
+    pub(super) occupancy: Occupancy,
     /// End of the backoff.
     pub(super) backoff_until: Timestamp,
     /// Another process uses the address; no calls are sent until the record changes.
@@ -114,6 +124,7 @@
             warm_at: listed.read + record.warmup,
             running: Vec::new(),
             load: TargetLoad::default(),
+            occupancy: Occupancy::default(),
             backoff_until: now,
             moved: false,
             probe_sent: None,
@@ -233,6 +244,7 @@
         }
         if let Some(running) = self.running.iter_mut().find(|r| r.call == call) {
             running.sent = now;
+            running.progress = Progress::Sent;
         }
         true
     }
@@ -282,6 +294,7 @@
         let ratio = |r: &RunningAttempt| {
             now.since(r.since).as_secs_f64() / r.expected.max(MIN_EXPECTED_SECONDS)
         };
-        self.running.iter().map(ratio).fold(1.0, |a, b| a.max(b / OVERDUE_AGE))
+        let accepted = self.running.iter().filter(|r| r.progress != Progress::Unaccepted);
+        accepted.map(ratio).fold(1.0, |a, b| a.max(b / OVERDUE_AGE))
     }
 }
