--- a/crates/policy/tests/balance/main.rs
+++ b/crates/policy/tests/balance/main.rs
@@ -17,6 +17,7 @@
 mod late_gateway;
 mod limits;
 mod membership;
+mod occupancy;
 mod overload;
 mod platform;
 mod quarantine;
