--- a/crates/gateway/tests/planned_stop/gateway.rs
+++ b/crates/gateway/tests/planned_stop/gateway.rs
@@ -101,9 +101,14 @@
         fs::write(&self.settings, current + text).expect("the settings file is writable");
     }
 
+    /// Returns the id of the process.
+    pub(crate) fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     /// Returns the resident memory of the process, in kB.
     pub(crate) fn memory_kb(&self) -> u64 {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.process.id()));
+        let status = fs::read_to_string(format!("/proc/{}/status", self.process_id()));
         let status = status.expect("the process runs");
         let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
         line.and_then(|line| line.trim().strip_suffix(" kB")?.parse().ok()).expect("a size")
