gateway: one byte budget for the connections of all ports

1,000 callers that each stop one byte short of a 250 kB body made a gateway of 64 MB hold 343,820 kB, since nothing bounded what all bodies take together. Callers that send a byte at a time held all connections, and requests for liveness all connections of the port between gateways. The kernel took some MB of answers for each caller that does not read.

`policy::budget` counts what connections hold and chooses those to end: the largest product of bytes and time without progress first, never one whose request is being served. `gateway::budget` counts heads (with 256 bytes a field), bodies, and answers that are not written yet, at the ports for calls, directions, readiness, peers and metrics, against a quarter of `size.memory_mb`. Bodies are kept in chunks of 8 KiB; without room they wait unread for 0.8 s at most, then the call is refused as not run. At the limit of connections, the one that is without progress for the longest time gives way; all control ports together have 600. The next request on a connection is handled once the answer before it has been taken by the kernel, which holds at most 128 KiB unsent (`TCP_NOTSENT_LOWAT`, set through socket2, which tokio already brings). A 385th request for liveness gets 503.

The pipelines and slow readers of the tests now name a call.

--- a/crates/gateway/src/calls/body.rs
+++ b/crates/gateway/src/calls/body.rs
@@ -1,6 +1,7 @@
 //! Bodies of calls and responses.
 
 use super::{allowance::ReadAllowance, pool::Connection, streams::StreamWatch};
+use crate::budget::Holding;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use http_body_util::{BodyExt, Either, Full};
@@ -22,6 +23,17 @@
 /// Body of a response to a caller.
 pub(super) type ResponseBody = Either<Full<Bytes>, PrefixedBody>;
 
+/// Returns how many bytes of `body` are kept.
+pub(super) fn kept_bytes(body: &ResponseBody) -> u64 {
+    match body {
+        Either::Left(body) => body.size_hint().lower(),
+        Either::Right(body) => body.first.as_ref().map_or(0, Bytes::len) as u64,
+    }
+}
+
+/// Size of the chunks in which a body is buffered, in bytes.
+const CHUNK_BYTES: usize = 8 * 1_024;
+
 /// Error that ended a body early.
 ///
 /// The transfer is aborted, so that a truncated body cannot look complete.
@@ -31,6 +43,8 @@
     Truncated,
     /// The body exceeds the size limit.
     TooLarge,
+    /// There is no room to keep it.
+    NoRoom,
 }
 
 impl fmt::Display for BodyError {
@@ -38,6 +52,7 @@
         match self {
             Self::Truncated => f.write_str("the body is truncated"),
             Self::TooLarge => f.write_str("the body exceeds the size limit"),
+            Self::NoRoom => f.write_str("there is no room for the body"),
         }
     }
 }
@@ -161,16 +176,26 @@
     pub(super) partial: usize,
 }
 
-/// Reads a body until its end, or until it exceeds the limits. Renews the allowance of the connection
-/// that it is read from, if it has one, with each part.
+/// Where a body is read from, which decides what happens if there is no room to keep more of it.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum BodySource<'a> {
+    /// A caller, whose body waits unread.
+    Caller(&'a Holding),
+    /// A target or another gateway, whose body is passed on as it arrives. The allowance of the connection is
+    /// renewed with each part.
+    Upstream(&'a Holding, &'a ReadAllowance),
+}
+
+/// Reads a body until its end, until it exceeds the limits, or until there is no room to keep it.
 ///
 /// # Errors
 ///
-/// Returns [`BodyError::Truncated`] if the connection ended before the body did.
+/// Returns [`BodyError::Truncated`] if the connection ended before the body did, and
+/// [`BodyError::NoRoom`] if the body of a caller got no room in time.
 pub(super) async fn buffer_body(
     mut body: Incoming,
     limits: BufferLimits,
-    allowance: Option<&ReadAllowance>,
+    source: BodySource<'_>,
 ) -> Result<BufferedBody, BodyError> {
     if body.is_end_stream() {
         return Ok(BufferedBody::Complete(Bytes::new()));
@@ -179,21 +204,64 @@
     if is_large && limits.partial == 0 {
         return Ok(BufferedBody::Partial(Bytes::new(), body));
     }
-    let mut buffer: Vec<u8> = Vec::new();
+    let mut buffer = ChunkedBuffer::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Truncated)?;
-        if let Some(allowance) = allowance {
+        if let BodySource::Upstream(_, allowance) = source {
             allowance.renew();
         }
         let Ok(data) = frame.into_data() else { continue };
         // Most bodies are a single frame, which needs no copy.
-        if buffer.is_empty() && body.is_end_stream() {
+        if buffer.length == 0 && body.is_end_stream() {
             return Ok(BufferedBody::Complete(data));
         }
-        buffer.extend_from_slice(&data);
-        if buffer.len() > limits.complete || (is_large && buffer.len() >= limits.partial) {
-            return Ok(BufferedBody::Partial(buffer.into(), body));
+        let has_room = match source {
+            BodySource::Caller(holding) => {
+                let room = holding.keep_body(buffer.capacity_with(data.len())).await;
+                room.map_err(|_| BodyError::NoRoom)?;
+                true
+            }
+            BodySource::Upstream(holding, _) => holding.keep_answer(data.len() as u64),
+        };
+        buffer.extend(&data);
+        let is_partial = buffer.length > limits.complete
+            || (is_large && buffer.length >= limits.partial)
+            || (!has_room && !body.is_end_stream());
+        if is_partial {
+            return Ok(BufferedBody::Partial(buffer.into_bytes(), body));
+        }
+    }
+    Ok(BufferedBody::Complete(buffer.into_bytes()))
+}
+
+/// Bytes in chunks of one size. Buffers that grow by being copied would leave gaps in the memory, which many
+/// callers at a time make larger than what is kept.
+#[derive(Debug, Default)]
+struct ChunkedBuffer {
+    chunks: Vec<Vec<u8>>,
+    length: usize,
+}
+
+impl ChunkedBuffer {
+    /// Returns the memory that the buffer takes with `added` bytes more.
+    fn capacity_with(&self, added: usize) -> u64 {
+        (self.length + added).next_multiple_of(CHUNK_BYTES) as u64
+    }
+
+    fn extend(&mut self, mut bytes: &[u8]) {
+        self.length += bytes.len();
+        while !bytes.is_empty() {
+            if self.chunks.last().is_none_or(|chunk| chunk.len() == CHUNK_BYTES) {
+                self.chunks.push(Vec::with_capacity(CHUNK_BYTES));
+            }
+            let Some(chunk) = self.chunks.last_mut() else { return };
+            let (added, rest) = bytes.split_at(bytes.len().min(CHUNK_BYTES - chunk.len()));
+            chunk.extend_from_slice(added);
+            bytes = rest;
         }
     }
-    Ok(BufferedBody::Complete(buffer.into()))
+
+    fn into_bytes(self) -> Bytes {
+        self.chunks.concat().into()
+    }
 }
--- a/crates/gateway/src/calls/connection.rs
+++ b/crates/gateway/src/calls/connection.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     adapter::{CallAdapter, PlatformAdapter},
+    budget::Holding,
     gateway::Gateway,
     socket::ConnectionState,
 };
@@ -36,6 +37,7 @@
     from: SocketAddr,
     opened_at: Timestamp,
     state: Arc<ConnectionState>,
+    holding: Rc<Holding>,
     calls: Cell<u64>,
     in_progress: Cell<bool>,
     result: RefCell<Option<Result<(), hyper::Error>>>,
@@ -51,6 +53,7 @@
         number: u64,
         from: SocketAddr,
         state: Arc<ConnectionState>,
+        holding: Rc<Holding>,
     ) -> Self {
         let opened_at = gateway.clock.now();
         Self {
@@ -59,6 +62,7 @@
             from,
             opened_at,
             state,
+            holding,
             calls: Cell::new(0),
             in_progress: Cell::new(false),
             result: RefCell::default(),
@@ -70,15 +74,17 @@
         Origin { caller: self.from.ip(), connection: self.number }
     }
 
-    /// Records that the head of a call was read.
-    pub(super) fn call_started(&self) {
+    /// Records that the head of a call with `fields` header fields was read.
+    pub(super) fn call_started(&self, fields: usize) {
+        self.holding.begin_request(fields);
         self.calls.set(self.calls.get() + 1);
         self.in_progress.set(true);
     }
 
-    /// Records that the answer to the current call is ready to be written. If it is to be the last one on the
-    /// connection, it announces that.
-    pub(super) fn call_ended<Body>(&self, response: &mut Response<Body>) {
+    /// Records that the answer to the current call, of which `kept` bytes are kept, is ready to be written. If
+    /// it is to be the last one on the connection, it announces that.
+    pub(super) fn call_ended<Body>(&self, response: &mut Response<Body>, kept: u64) {
+        self.holding.end_request(kept);
         self.in_progress.set(false);
         if self.gateway.ends_connection() {
             response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
@@ -96,6 +102,7 @@
 
     fn reason(&self) -> &'static str {
         match &*self.result.borrow() {
+            None if self.holding.is_ended() => "ended",
             None => "interrupted",
             Some(Err(e)) if e.is_timeout() => "idle-timeout",
             Some(Err(e)) if e.is_parse() => "malformed",
--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -1,7 +1,7 @@
 //! A single attempt to send a call to a target.
 
 use super::{
-    body::{BufferLimits, BufferedBody, RequestBody, buffer_body},
+    body::{BodySource, BufferLimits, BufferedBody, RequestBody, buffer_body},
     inbound::InboundCall,
     pool::{Connection, ConnectionPool},
     unread::{RequestedTarget, SentRequest},
@@ -270,7 +270,8 @@
     }
     connection.allowance.renew();
     let limits = BufferLimits { complete: MAX_BUFFERED_BYTES, partial: 0 };
-    let buffered = buffer_body(body, limits, Some(&connection.allowance)).await;
+    let source = BodySource::Upstream(&inbound.holding, &connection.allowance);
+    let buffered = buffer_body(body, limits, source).await;
     let body = match buffered {
         Ok(BufferedBody::Complete(bytes)) => {
             pool.release(connection, &head.headers);
--- a/crates/gateway/src/calls/inbound.rs
+++ b/crates/gateway/src/calls/inbound.rs
@@ -1,11 +1,14 @@
 //! Reading calls from callers and building requests to targets.
 
 use super::{
-    body::{BodyError, BufferLimits, BufferedBody, PrefixedBody, RequestBody, buffer_body},
+    body::{
+        BodyError, BodySource, BufferLimits, BufferedBody, PrefixedBody, RequestBody, buffer_body,
+    },
     connection::Origin,
 };
 use crate::{
     adapter::{CallAdapter, CallFailure, CallHeaders, PlatformAdapter, TargetRequest},
+    budget::Holding,
     control::codec::MessageKind,
     gateway::Gateway,
 };
@@ -51,6 +54,8 @@
 const UNUSABLE_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time after which a caller may retry elsewhere if the gateway stops before it has read the call.
 const STOPPED_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Time after which a caller may retry if there was no room for its call.
+const NO_ROOM_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 const PROXY_CONNECTION: HeaderName = HeaderName::from_static("proxy-connection");
@@ -89,6 +94,8 @@
     pub(super) deadline: Timestamp,
     /// Hashes by which it is recognized when it comes again.
     pub(super) digests: CallDigests,
+    /// What the process holds for the caller's connection.
+    pub(super) holding: Rc<Holding>,
     method: Method,
     uri: Uri,
     headers: HeaderMap,
@@ -113,6 +120,7 @@
     pub(super) async fn read<Adapter>(
         gateway: &Gateway<Adapter>,
         origin: Origin,
+        holding: Rc<Holding>,
         request: Request<Incoming>,
     ) -> Result<Self, RejectedCall>
     where
@@ -140,8 +148,14 @@
         if body.size_hint().lower() > limit {
             return Err(reject(CallFailure::TooLarge));
         }
+        if !holding.has_room_for_head() {
+            return Err(reject(CallFailure::NotRun(NO_ROOM_RETRY_AFTER)));
+        }
         let buffered = tokio::select! {
-            buffered = timeout(time_limit, buffer_body(body, BODY_LIMITS, None)) => buffered,
+            buffered = timeout(
+                time_limit,
+                buffer_body(body, BODY_LIMITS, BodySource::Caller(&holding)),
+            ) => buffered,
             () = gateway.serving_ended() => {
                 return Err(reject(CallFailure::NotRun(STOPPED_RETRY_AFTER)));
             }
@@ -158,6 +172,7 @@
         if !gateway.is_reading() {
             return Err(reject(CallFailure::NotRun(STOPPED_RETRY_AFTER)));
         }
+        holding.begin_serving();
         let mut headers = parts.headers;
         strip_hop_by_hop_headers(&mut headers);
         Ok(Self {
@@ -170,6 +185,7 @@
             arrived_at,
             deadline: arrived_at + time_limit,
             digests,
+            holding,
             method: parts.method,
             uri: parts.uri,
             headers,
@@ -344,6 +360,7 @@
     match e {
         BodyError::TooLarge => CallFailure::TooLarge,
         BodyError::Truncated => CallFailure::Malformed,
+        BodyError::NoRoom => CallFailure::NotRun(NO_ROOM_RETRY_AFTER),
     }
 }
 
--- a/crates/gateway/src/calls/server.rs
+++ b/crates/gateway/src/calls/server.rs
@@ -1,6 +1,7 @@
 //! Listens for callers and drains their connections on a planned stop.
 
 use super::{
+    body::kept_bytes,
     connection::CallerConnection,
     crash,
     pool::ConnectionPool,
@@ -15,9 +16,13 @@
     socket::{CallerStream, accept_backlog},
     stop::StopTimes,
 };
-use azuretally_policy::balance::{Probe, StreamEnd};
+use azuretally_policy::{
+    balance::{Probe, StreamEnd},
+    budget::Port,
+};
 use error_stack::{Report, ResultExt};
-use hyper::{server::conn::http1, service::service_fn};
+use http::Request;
+use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::{
     rt::{TokioIo, TokioTimer},
     server::graceful::GracefulShutdown,
@@ -106,6 +111,7 @@
         let reach_task = reach::run(Rc::clone(&gateway), Rc::clone(&self.pool));
         let crash_task = crash::run(Rc::clone(&gateway), Rc::clone(&self.pool));
         let maintenance = run_maintenance(Rc::clone(&gateway), Rc::clone(&self.pool));
+        let budget = Rc::clone(&gateway.budget);
         tokio::select! {
             () = self.accept_and_drain() => {}
             () = maintenance => {}
@@ -114,6 +120,7 @@
             () = stream_task => {}
             () = reach_task => {}
             () = crash_task => {}
+            () = budget.run() => {}
         }
         gateway.shutdown.cancel();
     }
@@ -183,8 +190,8 @@
         let limit = memory_limit
             .min(size.descriptors.saturating_sub(RESERVED_DESCRIPTORS))
             .max(MIN_CONNECTION_LIMIT);
-        if gateway.tasks.len() as u64 >= limit {
-            log::warn!("calls: connection from {from} refused at the limit, open={limit}");
+        let limit = usize::try_from(limit).unwrap_or(usize::MAX);
+        if !gateway.budget.make_place(limit, |port| port == Port::Calls) {
             return;
         }
         let limits = gateway.routes().map(|t| t.published().limits);
@@ -193,20 +200,30 @@
         let Ok(stream) = CallerStream::new(stream, STALL_TIMEOUT) else { return };
         let number = self.accepted.get() + 1;
         self.accepted.set(number);
-        let account =
-            Rc::new(CallerConnection::new(Rc::clone(gateway), number, from, stream.state()));
+        let holding = Rc::new(gateway.budget.open(Port::Calls, stream.state()));
+        let account = CallerConnection::new(
+            Rc::clone(gateway),
+            number,
+            from,
+            stream.state(),
+            Rc::clone(&holding),
+        );
+        let account = Rc::new(account);
         let service = {
             let gateway = Rc::clone(gateway);
             let pool = Rc::clone(&self.pool);
             let account = Rc::clone(&account);
-            service_fn(move |request| {
-                account.call_started();
+            let holding = Rc::clone(&holding);
+            service_fn(move |request: Request<Incoming>| {
+                account.call_started(request.headers().len());
                 let origin = account.origin();
-                let call = handle_call(Rc::clone(&gateway), Rc::clone(&pool), origin, request);
-                let account = Rc::clone(&account);
+                let (gateway, pool) = (Rc::clone(&gateway), Rc::clone(&pool));
+                let (account, holding) = (Rc::clone(&account), Rc::clone(&holding));
                 async move {
-                    let mut response = call.await?;
-                    account.call_ended(&mut response);
+                    holding.written().await;
+                    let mut response = handle_call(gateway, pool, origin, holding, request).await?;
+                    let kept = kept_bytes(response.body());
+                    account.call_ended(&mut response, kept);
                     Ok::<_, Infallible>(response)
                 }
             })
@@ -219,7 +236,10 @@
             .serve_connection(TokioIo::new(stream), service);
         let connection = graceful.watch(connection);
         gateway.tasks.spawn_local(async move {
-            let result = connection.await;
+            let result = tokio::select! {
+                result = connection => result,
+                () = holding.ended() => return,
+            };
             if let Err(e) = &result {
                 log::debug!("calls: connection from {from} ended: {e}");
             }
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -11,6 +11,7 @@
 };
 use crate::{
     adapter::{CallAdapter, CallFailure, PlatformAdapter, header_text},
+    budget::Holding,
     control::codec::MessageKind,
     gateway::Gateway,
 };
@@ -40,24 +41,26 @@
     gateway: Rc<Gateway<Adapter>>,
     pool: Rc<ConnectionPool>,
     origin: Origin,
+    holding: Rc<Holding>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
     let has_body = !request.body().is_end_stream();
-    let (mut response, body_read) = match InboundCall::read(&gateway, origin, request).await {
-        Ok(inbound) => {
-            let complete = inbound.body_complete_flag();
-            let relayed_version = inbound.is_relayed.then_some(inbound.version);
-            let mut response = CallTask::new(gateway, pool, inbound).run().await;
-            if let Some(version) = relayed_version {
-                response.headers_mut().insert(RELAYED, HeaderValue::from(version));
+    let (mut response, body_read) =
+        match InboundCall::read(&gateway, origin, holding, request).await {
+            Ok(inbound) => {
+                let complete = inbound.body_complete_flag();
+                let relayed_version = inbound.is_relayed.then_some(inbound.version);
+                let mut response = CallTask::new(gateway, pool, inbound).run().await;
+                if let Some(version) = relayed_version {
+                    response.headers_mut().insert(RELAYED, HeaderValue::from(version));
+                }
+                (response, complete.is_none_or(|complete| complete.get()))
             }
-            (response, complete.is_none_or(|complete| complete.get()))
-        }
-        Err(rejected) => (rejection_response(&gateway, origin, &rejected), !has_body),
-    };
+            Err(rejected) => (rejection_response(&gateway, origin, &rejected), !has_body),
+        };
     // The rest of the body stands where the next call would begin.
     if !body_read {
         response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
--- a/crates/gateway/src/control/servers.rs
+++ b/crates/gateway/src/control/servers.rs
@@ -5,11 +5,11 @@
     StartError,
     adapter::{CallAdapter, PlatformAdapter},
     gateway::Gateway,
-    http::{NoAnswer, serve},
+    http::{NoAnswer, PortBudget, serve},
     settings::Listen,
     stop::StopTimes,
 };
-use azuretally_policy::balance::Phase;
+use azuretally_policy::{balance::Phase, budget::Port};
 use bytes::Bytes;
 use error_stack::{Report, ResultExt};
 use http::{Request, Response, StatusCode, header::CONTENT_TYPE};
@@ -21,6 +21,9 @@
 /// Path whose requests are never answered: a peer holds a request open and learns from the closed
 /// connection that this process has ended.
 pub(super) const LIVENESS_PATH: &str = "/life";
+/// Maximum number of such requests that are held open. Only the gateways of one failure domain hold them, one
+/// each; the other connections of the port are left to catalog updates.
+const MAX_LIVENESS_REQUESTS: usize = 384;
 
 /// Listening sockets of the control servers.
 #[derive(Debug)]
@@ -57,24 +60,28 @@
         let shutdown = || gateway.shutdown.clone();
         let grace = Duration::from_millis(gateway.settings().stop.grace_ms);
         let close_timeout = StopTimes::new(grace).closing;
-        let directions = serve(self.directions, shutdown(), close_timeout, {
+        let budget = |port| PortBudget { budget: Rc::clone(&gateway.budget), port };
+        let directions =
+            serve(self.directions, shutdown(), close_timeout, budget(Port::Directions), {
+                let gateway = Rc::clone(&gateway);
+                move |request| ready(Ok(answer_directions(&gateway, &request)))
+            });
+        let readiness =
+            serve(self.readiness, shutdown(), close_timeout, budget(Port::Readiness), {
+                let gateway = Rc::clone(&gateway);
+                move |request| ready(Ok(answer_readiness(&gateway, &request)))
+            });
+        let sync = serve(self.sync, shutdown(), close_timeout, budget(Port::Peers), {
             let gateway = Rc::clone(&gateway);
-            move |request| ready(Ok(answer_directions(&gateway, &request)))
-        });
-        let readiness = serve(self.readiness, shutdown(), close_timeout, {
-            let gateway = Rc::clone(&gateway);
-            move |request| ready(Ok(answer_readiness(&gateway, &request)))
-        });
-        let sync = serve(self.sync, shutdown(), close_timeout, {
-            let gateway = Rc::clone(&gateway);
-            move |request: Request<()>| answer_sync(Rc::clone(&gateway), request)
+            let held = Rc::new(());
+            move |request: Request<()>| answer_sync(Rc::clone(&gateway), Rc::clone(&held), request)
         });
         let metrics = async {
             let Some(listener) = self.metrics else { return };
             let gateway = Rc::clone(&gateway);
             let handler =
                 move |_: Request<()>| ready(Ok(Response::new(Bytes::from(gateway.metrics_text()))));
-            serve(listener, shutdown(), close_timeout, handler).await;
+            serve(listener, shutdown(), close_timeout, budget(Port::Metrics), handler).await;
         };
         tokio::join!(directions, readiness, sync, metrics);
     }
@@ -116,14 +123,20 @@
     }
 }
 
+/// Answers a request of another gateway. `held` is shared by all requests in progress.
 async fn answer_sync<Adapter>(
     gateway: Rc<Gateway<Adapter>>,
+    held: Rc<()>,
     request: Request<()>,
 ) -> Result<Response<Bytes>, NoAnswer>
 where
     Adapter: CallAdapter + PlatformAdapter,
 {
     match request.uri().path() {
+        // An answer does not say that the process has ended, as a closed connection would.
+        LIVENESS_PATH if Rc::strong_count(&held) > MAX_LIVENESS_REQUESTS => {
+            Ok(empty_response(StatusCode::SERVICE_UNAVAILABLE))
+        }
         LIVENESS_PATH => {
             gateway.shutdown.cancelled().await;
             Err(NoAnswer)
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     adapter::{CallAdapter, PlatformAdapter, TargetNotice},
+    budget::Budget,
     clock::{Clock, unix_ms},
     control::UnreadableMessages,
     load_meter::{LatenessMeter, LoadMeter},
@@ -92,6 +93,8 @@
     pub unreadable_messages: RefCell<UnreadableMessages>,
     /// Metrics of the process.
     pub metrics: Metrics,
+    /// Bytes that connections of all ports hold.
+    pub budget: Rc<Budget>,
     /// Cancelled when the planned stop begins: calls in flight are finished first.
     pub drain: CancellationToken,
     /// Cancelled when draining is complete: every task ends.
@@ -146,6 +149,8 @@
         );
         balancer.set_epoch(unix_ms());
         let membership = membership_builder(&settings).build(now);
+        let metrics = Metrics::new();
+        let budget = Rc::new(Budget::new(clock, metrics.budget.clone(), &settings.size));
         Self {
             adapter,
             clock,
@@ -154,7 +159,8 @@
             balancer: RefCell::new(balancer),
             split: RefCell::default(),
             unreadable_messages: RefCell::default(),
-            metrics: Metrics::new(),
+            metrics,
+            budget,
             drain: CancellationToken::new(),
             shutdown: CancellationToken::new(),
             tasks: TaskTracker::new(),
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -1,8 +1,12 @@
 //! HTTP/1.1 server and client for the control plane. Calls have a server and client of their own.
 
-use crate::socket::{CallerStream, accept_backlog, configure};
+use crate::{
+    budget::{Budget, Holding},
+    socket::{CallerStream, accept_backlog, configure},
+};
+use azuretally_policy::budget::Port;
 use bytes::Bytes;
-use http::{Request, Response, header::HOST};
+use http::{Request, Response, StatusCode, header::HOST};
 use http_body_util::{BodyExt, Empty, Full, Limited};
 use hyper::{
     body::Incoming, client::conn::http1 as client, server::conn::http1 as server,
@@ -27,6 +31,9 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of open connections of one server.
 const MAX_CONNECTIONS: usize = 512;
+/// Maximum number of open connections of all servers of the control plane. Half of the descriptors that
+/// connections of callers leave; the rest is for connections to targets and to the platform.
+const MAX_ALL_CONNECTIONS: usize = 600;
 /// The time for closing divided by this number is the time in which requests are still read.
 const READ_TIME_DIVISOR: u32 = 8;
 /// Maximum size of a response body that a client accepts, in bytes.
@@ -46,14 +53,37 @@
 
 impl Error for NoAnswer {}
 
+/// Byte budget of the process, as the server of one port uses it.
+#[derive(Clone, Debug)]
+pub struct PortBudget {
+    /// Budget of the process.
+    pub budget: Rc<Budget>,
+    /// Port of the server.
+    pub port: Port,
+}
+
+impl PortBudget {
+    /// Returns an accepted connection with what is held for it, or `None` if there is no place for it.
+    fn open(&self, stream: TcpStream) -> Option<(CallerStream, Holding)> {
+        let Self { budget, port } = self;
+        let has_place = budget.make_place(MAX_CONNECTIONS, |other| other == *port)
+            && budget.make_place(MAX_ALL_CONNECTIONS, |other| other != Port::Calls);
+        let stream = has_place.then(|| CallerStream::new(stream, ACK_TIMEOUT).ok()).flatten()?;
+        let holding = budget.open(*port, stream.state());
+        Some((stream, holding))
+    }
+}
+
 /// Serves requests on `listener` with `handler` until `shutdown` is cancelled.
 ///
 /// Requests that have arrived by then are still answered. All connections are closed within
-/// `close_timeout`. Request bodies are not read. Connections beyond a fixed limit are closed at once.
+/// `close_timeout`. Request bodies are not read. At the limit of open connections, the one that is without
+/// progress for the longest time is ended, or else the new one. What connections hold counts to `budget`.
 pub async fn serve<Handler, Fut>(
     listener: TcpListener,
     shutdown: CancellationToken,
     close_timeout: Duration,
+    budget: PortBudget,
     handler: Handler,
 ) where
     Handler: Fn(Request<()>) -> Fut + 'static,
@@ -61,8 +91,9 @@
 {
     let handler = Rc::new(handler);
     let read_time = close_timeout / READ_TIME_DIVISOR;
-    let serve_stream =
-        |stream| serve_connection(stream, shutdown.clone(), read_time, Rc::clone(&handler));
+    let serve_stream = |(stream, holding)| {
+        serve_connection(stream, holding, shutdown.clone(), read_time, Rc::clone(&handler))
+    };
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
@@ -74,12 +105,13 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if connections.len() < MAX_CONNECTIONS {
-            connections.spawn_local(serve_stream(stream));
+        if let Some(opened) = budget.open(stream) {
+            connections.spawn_local(serve_stream(opened));
         }
     }
-    for (stream, _) in accept_backlog(&listener).into_iter().take(MAX_CONNECTIONS) {
-        connections.spawn_local(serve_stream(stream));
+    let backlog = accept_backlog(&listener).into_iter();
+    for opened in backlog.filter_map(|(stream, _)| budget.open(stream)) {
+        connections.spawn_local(serve_stream(opened));
     }
     drop(listener);
     let closed = async { while connections.join_next().await.is_some() {} };
@@ -90,7 +122,8 @@
 
 /// Serves the requests of one connection. After `shutdown` further ones are read for `read_time`.
 async fn serve_connection<Handler, Fut>(
-    stream: TcpStream,
+    stream: CallerStream,
+    holding: Holding,
     shutdown: CancellationToken,
     read_time: Duration,
     handler: Rc<Handler>,
@@ -98,12 +131,27 @@
     Handler: Fn(Request<()>) -> Fut + 'static,
     Fut: Future<Output = Result<Response<Bytes>, NoAnswer>> + 'static,
 {
-    let service = service_fn(move |request: Request<Incoming>| {
-        let (parts, _) = request.into_parts();
-        let response = handler(Request::from_parts(parts, ()));
-        async move { Ok::<_, NoAnswer>(response.await?.map(Full::new)) }
-    });
-    let Ok(stream) = CallerStream::new(stream, ACK_TIMEOUT) else { return };
+    let holding = Rc::new(holding);
+    let service = {
+        let holding = Rc::clone(&holding);
+        service_fn(move |request: Request<Incoming>| {
+            let (parts, _) = request.into_parts();
+            holding.begin_request(parts.headers.len());
+            let (handler, holding) = (Rc::clone(&handler), Rc::clone(&holding));
+            async move {
+                holding.written().await;
+                holding.begin_serving();
+                let mut response = handler(Request::from_parts(parts, ())).await?;
+                let kept = response.body().len() as u64;
+                if !holding.has_room_for_answer(kept) {
+                    response = Response::new(Bytes::new());
+                    *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
+                holding.end_request(response.body().len() as u64);
+                Ok::<_, NoAnswer>(response.map(Full::new))
+            }
+        })
+    };
     // All requests may be repeated, so those after the last answer may be discarded.
     stream.state().announce_close();
     let connection = server::Builder::new()
@@ -118,6 +166,7 @@
     };
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
+        () = holding.ended() => return,
         () = closing => {
             connection.as_mut().graceful_shutdown();
             connection.await
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`adapter`]. All balancing decisions are made by `azuretally_policy::balance`.
 
 pub mod adapter;
+pub mod budget;
 pub mod calls;
 pub mod clock;
 pub mod control;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -64,7 +64,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct ConnectionLabels {
     /// Why the connection ended: `closed`, `caller-closed`, `caller-reset`, `caller-timeout`,
-    /// `idle-timeout`, `malformed`, `failed` or `interrupted`.
+    /// `idle-timeout`, `malformed`, `failed`, `ended` by the byte budget or `interrupted`.
     pub reason: String,
     /// Whether bytes of the caller were unread, so that the kernel reset the connection: `true` or
     /// `false`.
@@ -73,6 +73,45 @@
     pub undelivered: String,
 }
 
+/// Labels of the connections that the process ended for lack of room.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct EndedConnectionLabels {
+    /// `bytes` if the byte budget was used up, `connections` if too many were open.
+    pub reason: String,
+}
+
+/// Metrics of the byte budget.
+#[derive(Clone, Debug, Default)]
+pub struct BudgetMetrics {
+    /// Bytes that connections of all ports hold, as far as they count.
+    pub held_bytes: Gauge,
+    /// Requests refused because the budget was used up.
+    pub refused_requests: Counter,
+    /// Connections closed at once because too many were open.
+    pub refused_connections: Counter,
+    /// Connections ended before their callers.
+    pub ended_connections: Family<EndedConnectionLabels, Counter>,
+}
+
+impl BudgetMetrics {
+    /// Counts a connection that is ended for `reason`.
+    pub fn record_ended_connection(&self, reason: &str) {
+        let labels = EndedConnectionLabels { reason: reason.to_owned() };
+        self.ended_connections.get_or_create(&labels).inc();
+    }
+
+    fn register(&self, registry: &mut Registry) {
+        let help = "Bytes that connections hold of the byte budget";
+        registry.register_with_unit("held", help, Unit::Bytes, self.held_bytes.clone());
+        let help = "Requests refused because the byte budget was used up";
+        registry.register("requests_without_room", help, self.refused_requests.clone());
+        let help = "Connections closed at once because too many were open";
+        registry.register("refused_connections", help, self.refused_connections.clone());
+        let help = "Connections ended because the byte budget or their limit was used up";
+        registry.register("connections_without_room", help, self.ended_connections.clone());
+    }
+}
+
 /// Labels of a platform read.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct PlatformReadLabels {
@@ -166,6 +205,8 @@
     pub alive_gateways: Gauge,
     /// Gateways that are alive, this one included, by the generation of their messages.
     pub generations: Family<GenerationLabels, Gauge>,
+    /// Byte budget.
+    pub budget: BudgetMetrics,
 }
 
 impl fmt::Debug for Metrics {
@@ -219,6 +260,7 @@
             platform_revision: Gauge::default(),
             alive_gateways: Gauge::default(),
             generations: Family::default(),
+            budget: BudgetMetrics::default(),
             registry: Registry::default(),
         };
         registry.register("calls", "Calls that ended", metrics.calls.clone());
@@ -289,6 +331,7 @@
         registry.register("living_gateways", "Gateways that live", metrics.alive_gateways.clone());
         let help = "Gateways that live, by the generation of their messages";
         registry.register("gateway_generations", help, metrics.generations.clone());
+        metrics.budget.register(&mut registry);
         Self { registry, ..metrics }
     }
 
--- a/crates/gateway/src/socket.rs
+++ b/crates/gateway/src/socket.rs
@@ -15,6 +15,7 @@
     ioctl::{self, Getter, Opcode},
     net::sockopt::set_tcp_user_timeout,
 };
+use socket2::SockRef;
 use std::{
     ffi::c_int,
     io::{self, ErrorKind, IoSlice},
@@ -32,9 +33,13 @@
 use tokio::{
     io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::{TcpListener, TcpStream},
+    sync::Notify,
     time::{Instant, Sleep, sleep},
 };
 
+/// Bytes that the kernel holds for a caller beyond what the caller has room for. A whole buffered answer fits.
+/// Otherwise the kernel would take some MB of answers for each caller that does not read.
+const MAX_UNSENT_BYTES: u32 = 128 * 1_024;
 /// Interval at which the delivery of bytes is checked while some are undelivered.
 const DELIVERY_CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// Period over which the rate of delivery is measured while bytes are undelivered.
@@ -122,6 +127,12 @@
     failure: Mutex<Option<ErrorKind>>,
     unread_bytes: AtomicU64,
     undelivered_bytes: AtomicU64,
+    /// Bytes read and written so far.
+    read_bytes: AtomicU64,
+    written_bytes: AtomicU64,
+    /// Whether the last write could not be done, because the caller does not read.
+    write_blocked: AtomicBool,
+    write_unblocked: Notify,
 }
 
 impl ConnectionState {
@@ -155,6 +166,36 @@
         self.undelivered_bytes.load(Ordering::Relaxed)
     }
 
+    /// Returns the number of bytes read from the caller so far.
+    pub fn read_bytes(&self) -> u64 {
+        self.read_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of bytes passed to the kernel for the caller so far.
+    pub fn written_bytes(&self) -> u64 {
+        self.written_bytes.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the kernel takes what is to be written. Returns at once unless the last write could not be
+    /// done.
+    pub async fn writable(&self) {
+        loop {
+            let unblocked = self.write_unblocked.notified();
+            if !self.write_blocked.load(Ordering::Relaxed) {
+                return;
+            }
+            unblocked.await;
+        }
+    }
+
+    /// Records whether a write could be done.
+    fn set_write_blocked(&self, is_blocked: bool) {
+        let was_blocked = self.write_blocked.swap(is_blocked, Ordering::Relaxed);
+        if was_blocked && !is_blocked {
+            self.write_unblocked.notify_waiters();
+        }
+    }
+
     /// Records the error of `result`, if it is the first one.
     fn record<T>(&self, result: &io::Result<T>) {
         if let Err(e) = result {
@@ -200,6 +241,7 @@
     /// Returns an error if the connection is already closed.
     pub fn new(stream: TcpStream, stall_timeout: Duration) -> io::Result<Self> {
         stream.set_nodelay(true)?;
+        SockRef::from(&stream).set_tcp_notsent_lowat(MAX_UNSENT_BYTES)?;
         if unacknowledged_bytes(&stream).is_err() {
             // Without the progress, the kernel's limit is the only bound.
             set_user_timeout(&stream, stall_timeout)?;
@@ -226,9 +268,12 @@
     }
 
     /// Records the result of a write.
-    fn record_write(&mut self, result: &io::Result<usize>) {
+    fn record_write(&mut self, result: &Poll<io::Result<usize>>) {
+        self.state.set_write_blocked(result.is_pending());
+        let Poll::Ready(result) = result else { return };
         self.state.record(result);
         if let Ok(written) = result {
+            self.state.written_bytes.fetch_add(*written as u64, Ordering::Relaxed);
             self.delivery.record_write(*written);
         }
     }
@@ -330,6 +375,8 @@
         let filled = buf.filled().len();
         let result = ready!(Pin::new(&mut self.stream).poll_read(cx, buf));
         self.state.record(&result);
+        let read = buf.filled().len() - filled;
+        self.state.read_bytes.fetch_add(read as u64, Ordering::Relaxed);
         if result.is_err() || (buf.filled().len() == filled && buf.remaining() > 0) {
             self.state.peer_closed.store(true, Ordering::Relaxed);
         }
@@ -344,9 +391,9 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         self.check_delivery(cx)?;
-        let result = ready!(Pin::new(&mut self.stream).poll_write(cx, bytes));
+        let result = Pin::new(&mut self.stream).poll_write(cx, bytes);
         self.record_write(&result);
-        Poll::Ready(result)
+        result
     }
 
     fn poll_write_vectored(
@@ -355,9 +402,9 @@
         slices: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         self.check_delivery(cx)?;
-        let result = ready!(Pin::new(&mut self.stream).poll_write_vectored(cx, slices));
+        let result = Pin::new(&mut self.stream).poll_write_vectored(cx, slices);
         self.record_write(&result);
-        Poll::Ready(result)
+        result
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/gateway/tests/hostile_callers/bodies.rs
+++ b/crates/gateway/tests/hostile_callers/bodies.rs
@@ -7,6 +7,8 @@
 
 /// Callers of a crowd; their bodies take 100 MB.
 const CALLERS: usize = 400;
+/// Callers of a crowd whose bodies take 250 MB.
+const MANY_CALLERS: usize = 1_000;
 /// Size of a body that a gateway keeps for a second attempt, in bytes.
 const BODY_BYTES: usize = 250_000;
 /// Callers whose bodies are endless.
@@ -57,6 +59,14 @@
         .await;
 }
 
+/// The same with as many callers as the gateway may have connections, so that what each takes besides its body
+/// counts as well.
+#[tokio::test]
+async fn unfinished_bodies_on_all_connections_are_bounded() {
+    let crowd = |d: &Deployment| Crowd::new(MANY_CALLERS, d.gateway.calls, unfinished(ROUTED));
+    assert_bounded(|d| crowd(d).in_pieces(5_000)).await;
+}
+
 /// The same without an announced length.
 #[tokio::test]
 async fn unfinished_bodies_in_chunks_are_bounded() {
--- a/crates/gateway/tests/hostile_callers/heads.rs
+++ b/crates/gateway/tests/hostile_callers/heads.rs
@@ -14,7 +14,8 @@
 
 /// Returns a head without its end that consists of short fields.
 fn short_fields(path: &str, fields: usize) -> Vec<u8> {
-    let mut head = format!("GET {path} HTTP/1.1\r\nhost: test\r\n").into_bytes();
+    let mut head =
+        format!("GET {path} HTTP/1.1\r\nhost: test\r\nx-azuretally-call: crowd\r\n").into_bytes();
     for _ in 0..fields {
         head.extend_from_slice(b"a:b\r\n");
     }
--- a/crates/gateway/tests/hostile_callers/pipelines.rs
+++ b/crates/gateway/tests/hostile_callers/pipelines.rs
@@ -9,7 +9,9 @@
 const CALLERS: usize = 200;
 
 fn pipeline(path: &str, calls: usize) -> Vec<u8> {
-    format!("GET {path} HTTP/1.1\r\nhost: test\r\n\r\n").repeat(calls).into_bytes()
+    format!("GET {path} HTTP/1.1\r\nhost: test\r\nx-azuretally-call: crowd\r\n\r\n")
+        .repeat(calls)
+        .into_bytes()
 }
 
 /// Answers that nobody reads are held by the gateway. The calls occupy the target, so ordinary ones are sent
--- a/crates/gateway/tests/hostile_callers/slow.rs
+++ b/crates/gateway/tests/hostile_callers/slow.rs
@@ -37,7 +37,7 @@
 #[tokio::test]
 async fn slowly_read_answers_are_bounded() {
     let deployment = Deployment::start().await;
-    let head = "GET /look/1/2000000 HTTP/1.1\r\nhost: test\r\n\r\n";
+    let head = "GET /look/1/2000000 HTTP/1.1\r\nhost: test\r\nx-azuretally-call: crowd\r\n\r\n";
     let crowd = Crowd::new(READERS, deployment.gateway.calls, head);
     crowd.manner(Manner::ReadSlowly).meet_alone(&deployment).await;
     deployment.finish(DESCRIPTORS).await;
--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -6,6 +6,7 @@
 //! be explained afterwards from its inputs.
 
 pub mod balance;
+pub mod budget;
 pub mod chart;
 pub mod dispatch;
 pub mod fleet;
