gateway: bounded work while the byte budget is used up

Each body that waited for room looked at all connections whenever one of them held less, and each accepted connection was counted anew. A choice is made at most every 20 ms now, and connections are counted as they open and end.

--- a/crates/gateway/src/budget.rs
+++ b/crates/gateway/src/budget.rs
@@ -25,7 +25,7 @@
 const BUDGET_DIVISOR: u64 = 4;
 /// Interval at which the bytes and the progress of all connections are read.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(250);
-/// Minimum interval between two reviews while the budget is used up.
+/// Minimum interval between reviews while the budget is used up.
 const MIN_REVIEW_INTERVAL: Duration = Duration::from_millis(20);
 /// Time for which a body waits unread for room. Connections are ended after 500 ms without progress.
 const ROOM_TIMEOUT: Duration = Duration::from_millis(800);
@@ -139,11 +139,10 @@
             return true;
         }
         let now = self.clock.now();
+        // Each choice looks at all connections, and many bodies may wait for room.
         if now.since(self.reviewed_at.get()) >= MIN_REVIEW_INTERVAL {
-            self.review();
+            self.review(bytes);
         }
-        let chosen = self.policy.borrow_mut().make_room(now, bytes);
-        self.end(chosen, EndReason::Bytes);
         self.policy.borrow().has_room(bytes)
     }
 
@@ -163,16 +162,16 @@
     pub async fn run(&self) {
         loop {
             sleep(REVIEW_INTERVAL).await;
-            self.review();
-            self.make_room(0);
+            self.review(0);
             let held = self.policy.borrow().held();
             self.metrics.held_bytes.set(i64::try_from(held).unwrap_or(i64::MAX));
             self.write_line();
         }
     }
 
-    /// Reads the bytes and the progress of all connections.
-    fn review(&self) {
+    /// Reads the bytes and the progress of all connections, and ends some if `bytes` more do not fit into the
+    /// budget.
+    fn review(&self, bytes: u64) {
         let now = self.clock.now();
         self.reviewed_at.set(now);
         let before = self.policy.borrow().held();
@@ -184,6 +183,8 @@
         if self.policy.borrow().held() < before {
             self.freed.notify_waiters();
         }
+        let chosen = self.policy.borrow_mut().make_room(now, bytes);
+        self.end(chosen, EndReason::Bytes);
     }
 
     fn end(&self, ids: impl IntoIterator<Item = u64>, reason: EndReason) {
--- a/crates/policy/src/budget.rs
+++ b/crates/policy/src/budget.rs
@@ -61,12 +61,15 @@
     held: u64,
     next_id: u64,
     connections: IndexMap<u64, Connection>,
+    /// Connections of each port that were not chosen to be ended.
+    counts: IndexMap<Port, usize>,
 }
 
 impl ByteBudget {
     /// Creates a budget of `limit` bytes.
     pub fn new(limit: u64) -> Self {
-        Self { limit, held: 0, next_id: 0, connections: IndexMap::new() }
+        let (connections, counts) = (IndexMap::new(), IndexMap::new());
+        Self { limit, held: 0, next_id: 0, connections, counts }
     }
 
     /// Returns the limit in bytes.
@@ -87,7 +90,7 @@
     /// Returns the number of connections of the ports that `is_counted` accepts. Those that were chosen to be
     /// ended are left out.
     pub fn count(&self, is_counted: impl Fn(Port) -> bool) -> usize {
-        self.connections.values().filter(|c| !c.is_ending && is_counted(c.port)).count()
+        self.counts.iter().filter(|&(&port, _)| is_counted(port)).map(|(_, count)| count).sum()
     }
 
     /// Adds a connection that was accepted on `port`, and returns its id.
@@ -103,6 +106,7 @@
             is_ending: false,
         };
         self.connections.insert(id, connection);
+        *self.counts.entry(port).or_default() += 1;
         id
     }
 
@@ -110,6 +114,15 @@
     pub fn close(&mut self, id: u64) {
         if let Some(connection) = self.connections.swap_remove(&id) {
             self.held -= connection.bytes;
+            if !connection.is_ending {
+                self.uncount(connection.port);
+            }
+        }
+    }
+
+    fn uncount(&mut self, port: Port) {
+        if let Some(count) = self.counts.get_mut(&port) {
+            *count -= 1;
         }
     }
 
@@ -180,6 +193,8 @@
             self.held -= connection.bytes;
             connection.bytes = 0;
             connection.is_ending = true;
+            let port = connection.port;
+            self.uncount(port);
         }
     }
 }
--- a/crates/policy/tests/budget.rs
+++ b/crates/policy/tests/budget.rs
@@ -103,3 +103,16 @@
     assert_eq!(budget.make_place(at(1_000), is_call), None);
     assert_eq!(budget.make_place(at(1_000), |port| port != Port::Calls), Some(other));
 }
+
+/// A connection that was chosen and closed later must not be subtracted twice.
+#[test]
+fn ended_connections_leave_the_count_once() {
+    let mut budget = ByteBudget::new(100 * KB);
+    let first = budget.open(at(0), Port::Calls);
+    let second = budget.open(at(0), Port::Calls);
+    assert_eq!(budget.make_place(at(1_000), |_| true), Some(first));
+    budget.close(first);
+    assert_eq!(budget.count(|_| true), 1);
+    budget.close(second);
+    assert_eq!(budget.count(|_| true), 0);
+}
