gateway: buffers of answers have the announced length

Cause: the buffer of an answer below 128 kB grew by doubling and kept its capacity, by reading 131 kB for an answer of 90 kB. Change: the buffer of an answer is created with its announced length; bodies of callers, who may announce more than they send, grow as before. The capacity itself was not measured.

--- a/crates/gateway/src/calls/body.rs
+++ b/crates/gateway/src/calls/body.rs
@@ -179,7 +179,10 @@
     if is_large && limits.partial == 0 {
         return Ok(BufferedBody::Partial(Bytes::new(), body));
     }
-    let mut buffer: Vec<u8> = Vec::new();
+    // A buffer that grows by doubling takes up to twice the size of an answer. Callers may announce more
+    // than they send.
+    let announced = allowance.and(body.size_hint().exact()).unwrap_or_default();
+    let mut buffer = Vec::with_capacity(announced.min(limits.complete as u64) as usize);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BodyError::Truncated)?;
         if let Some(allowance) = allowance {
