Revert "policy, gateway: full targets that do not answer or reset connections"

By reading, a slow target whose queue is in use counts as full, so that neither silence nor a reset there starts a backoff any more, and its calls go on to it.

--- a/crates/gateway/src/calls/exchange.rs
+++ b/crates/gateway/src/calls/exchange.rs
@@ -166,10 +166,6 @@
     };
     let upstream = Upstream { gateway, pool, inbound, address, target: Some(&target) };
     let (response, connection) = upstream.send(request, sent).await?;
-    {
-        let RequestedTarget { service, name, .. } = &target;
-        gateway.balancer.borrow_mut().answer_began(service, name, inbound.id);
-    }
     *leaving = target.record_notice(gateway, &response);
     Ok(receive(adapter, pool, inbound, response, connection).await?)
 }
--- a/crates/gateway/src/calls/task.rs
+++ b/crates/gateway/src/calls/task.rs
@@ -364,12 +364,6 @@
                         self.gateway.forget_call(self.inbound.id);
                     }
                 }
-                () = self.gateway.attempt_unaccepted.notified(), if self.hedge_at.is_some() => {
-                    let now = self.gateway.clock.now();
-                    if self.gateway.balancer.borrow().is_hedge_due(now, self.inbound.id) {
-                        self.hedge_at = Some(now);
-                    }
-                }
                 () = async { match hedge_in { Some(d) => sleep(d).await, None => pending().await } } => {
                     self.hedge_at = None;
                     if self.inbound.route.idempotent && self.start_relay() {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,9 +15,9 @@
     Timestamp,
     balance::{
         Balancer, BalancerSettings, Build, CallNotice, Catalog, ColdBound, CrashCheck,
-        CrashEvidence, Decision, FullTargetEvent, GatewayLoad, Heartbeat, HeartbeatExtension,
-        KnownData, LimitNotice, MESSAGE_GENERATION, Membership, MembershipBuilder, Outgoing, Phase,
-        Probe, ProcessId, ReadState, Revision, RouteTable, Source, StreamEnd, TrafficSplit,
+        CrashEvidence, Decision, GatewayLoad, Heartbeat, HeartbeatExtension, KnownData,
+        LimitNotice, MESSAGE_GENERATION, Membership, MembershipBuilder, Outgoing, Phase, Probe,
+        ProcessId, ReadState, Revision, RouteTable, Source, StreamEnd, TrafficSplit,
     },
 };
 use indexmap::IndexMap;
@@ -118,8 +118,6 @@
     pub target_failed: Notify,
     /// Notified when an attempt broke off, which may call for a check of its target.
     pub attempt_broken: Notify,
-    /// Notified when a full target is known never to have accepted an attempt.
-    pub attempt_unaccepted: Notify,
     /// Latest version of the settings under which another gateway has answered a relayed call.
     relayed_version: Cell<RelayedVersion>,
     /// Whether this gateway is cut off from all targets and knows others to which it can relay calls.
@@ -181,7 +179,6 @@
             call_queued: Notify::new(),
             target_failed: Notify::new(),
             attempt_broken: Notify::new(),
-            attempt_unaccepted: Notify::new(),
             relayed_version: Cell::default(),
             may_relay: watch::Sender::default(),
             cold_due: Cell::default(),
@@ -539,22 +536,9 @@
             }
         }
         self.forward_probes();
-        self.report_full_targets();
         self.report_target_changes();
     }
 
-    /// Counts the attempts that full targets have not accepted, and wakes the calls that may be sent
-    /// elsewhere.
-    fn report_full_targets(&self) {
-        let notices = self.balancer.borrow_mut().take_full_notices();
-        for notice in &notices {
-            self.metrics.record_attempt(&notice.service, notice.event.as_str());
-        }
-        if notices.iter().any(|n| n.event == FullTargetEvent::Unaccepted) {
-            self.attempt_unaccepted.notify_waiters();
-        }
-    }
-
     /// Logs what the balancer has learned about targets, and wakes the task that announces it.
     pub fn report_target_changes(&self) {
         for line in self.balancer.borrow_mut().take_log_lines() {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -40,8 +40,7 @@
     /// Service of the target.
     pub service: String,
     /// Reason for the attempt, or kind or outcome of a probe: `first`, `again`, `hedge`, `probe`,
-    /// `probe-failed`, `reach-check` or `crash-check`. Attempts that full targets have not accepted are
-    /// counted once more as `unaccepted` or `rejected-full`.
+    /// `probe-failed`, `reach-check` or `crash-check`.
     pub kind: String,
 }
 
--- a/crates/policy/src/balance.rs
+++ b/crates/policy/src/balance.rs
@@ -17,7 +17,6 @@
 mod limits;
 mod load;
 mod membership;
-mod occupancy;
 mod probing;
 mod quarantine;
 mod queue;
@@ -51,7 +50,6 @@
 pub use limits::{LimitField, LimitNotice, LimitShare, RequestRate};
 pub use load::LoadReport;
 pub use membership::{ColdAssignment, KnownData, LimitAssignment, Membership, MembershipBuilder};
-pub use occupancy::{FullTargetEvent, FullTargetNotice};
 pub use quarantine::{CallDigest, CallDigests, CallNotice, DigestParts, ProcessId};
 pub use records::{CatalogUpdate, Change, Snapshot, TargetRecord};
 pub use rest::UNREAD_ANSWER_TIME;
--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -10,7 +10,6 @@
 mod crashes;
 mod departing;
 mod evacuating;
-mod filling;
 mod learning;
 mod limiting;
 mod reaching;
@@ -28,7 +27,6 @@
     catalog::Catalog,
     crashes::{AccusedProcess, BrokenTarget},
     limits::LimitNotice,
-    occupancy::{FullTargetNotice, Progress},
     probing::ProbeGate,
     quarantine::{CallDigest, ProcessId, Quarantine},
     queue::{QueueRank, WaitQueue},
@@ -159,8 +157,6 @@
     /// When calls that have not come again are forgotten.
     next_expiry: Timestamp,
     log_lines: Vec<String>,
-    /// Attempts that full targets have not accepted, and that the gateway has not been told of yet.
-    full_notices: Vec<FullTargetNotice>,
     /// When the gateway stops, [`Timestamp::MAX`] if it does not.
     drain_end: Timestamp,
     random: Pcg64Mcg,
@@ -196,7 +192,6 @@
             next_refresh: Timestamp::default(),
             next_expiry: Timestamp::default(),
             log_lines: Vec::new(),
-            full_notices: Vec::new(),
             drain_end: Timestamp::MAX,
             random: Pcg64Mcg::seed_from_u64(seed),
         }
@@ -404,9 +399,7 @@
         if !service.take_dispatch_due(now) {
             return;
         }
-        let overdue = queue.overdue(now, |route| service.call_seconds(route));
-        self.probe_silent(now, &name);
-        for id in overdue {
+        for id in queue.overdue(now, |route| service.call_seconds(route)) {
             self.give_up_waiting(now, &name, id, GiveUpReason::Deadline, decisions);
         }
         let mut pass = DispatchPass {
@@ -682,7 +675,6 @@
             limit_version: target.limit.version(),
             process: target.process,
             cold: target.cold.take(now),
-            progress: Progress::Decided,
         });
         target.record_usage(now);
         target.limit.take(now);
--- a/crates/policy/src/balance/balancer/learning.rs
+++ b/crates/policy/src/balance/balancer/learning.rs
@@ -3,7 +3,6 @@
 use super::{
     super::{
         call::{AttemptOutcome, AttemptResult, Failure, Probe, ProbeResult},
-        occupancy::AskedReport,
         target::{RunningAttempt, Target},
     },
     Balancer,
@@ -29,11 +28,10 @@
         target.alive |= result != ProbeResult::NoAnswer;
         match result {
             ProbeResult::Report(report) => {
-                // Without a pending probe it is not known when the report was asked for.
-                let asked = AskedReport { report, asked: sent.unwrap_or_default() };
+                let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
+                target.load.record_report(now, report, own);
+                target.record_usage(now);
                 target.unanswered_probes = 0;
-                let unaccepted = target.record_report(now, &asked);
-                self.record_unaccepted(now, &probe.service, &probe.target, &unaccepted);
             }
             ProbeResult::NoReport => target.unanswered_probes = 0,
             // The answer may have arrived.
@@ -58,7 +56,7 @@
             let age = |r: &RunningAttempt| now.since(r.since).as_secs_f64();
             let silent =
                 target.running.iter().any(|r| r.call == id && age(r) > r.expected * SILENT_AGE);
-            if silent && !target.may_be_silent(now, id) {
+            if silent {
                 target.record_failure(now, false);
             }
         }
@@ -90,39 +88,14 @@
             service.record_slowdown(None);
         }
         service.record_refusal(result.outcome == AttemptOutcome::Refused);
-        let base = service.base_seconds(&route);
-        let target = service.targets.get_mut(&result.attempt.target);
-        let is_rejected =
-            matches!(
-                result.outcome,
-                AttemptOutcome::Failed { failure: Failure::Broken, sent: true }
-            ) && target.as_ref().zip(running).is_some_and(|(t, r)| t.has_rejected(now, &r));
-        if matches!(result.outcome, AttemptOutcome::Failed { .. }) && !is_rejected {
+        if matches!(result.outcome, AttemptOutcome::Failed { .. }) {
             self.reach.record_failure(now, &result.attempt.target);
         }
-        let Some(target) = target else { return };
+        let base = service.base_seconds(&route);
+        let Some(target) = service.targets.get_mut(&result.attempt.target) else { return };
         target.alive |=
             result.outcome.is_answer() && running.is_some_and(|r| r.process == target.process);
-        if is_rejected {
-            target.load.record_full(now);
-            let name = Arc::clone(&target.name);
-            self.record_rejected(result.attempt.call, &name);
-            return;
-        }
-        let unaccepted = match (result.report, running) {
-            (Some(report), Some(running)) => {
-                target.record_report(now, &AskedReport { report, asked: running.sent })
-            }
-            (Some(report), None) => {
-                target.record_report(now, &AskedReport { report, asked: Timestamp::default() })
-            }
-            (None, _) => Vec::new(),
-        };
         record_target_result(now, target, result, running, base);
-        if let Some(state) = self.calls.get(&result.attempt.call) {
-            let service = Arc::clone(&state.call.service);
-            self.record_unaccepted(now, &service, &result.attempt.target, &unaccepted);
-        }
     }
 }
 
@@ -133,6 +106,11 @@
     running: Option<RunningAttempt>,
     base: f64,
 ) {
+    if let Some(report) = result.report {
+        let own = u32::try_from(target.running.len()).unwrap_or(u32::MAX);
+        target.load.record_report(now, report, own);
+        target.record_usage(now);
+    }
     match result.outcome {
         AttemptOutcome::Answered { ok: true, .. } | AttemptOutcome::Began { ok: true, .. } => {
             if let Some(running) = running {
--- a/crates/policy/src/balance/balancer/reaching.rs
+++ b/crates/policy/src/balance/balancer/reaching.rs
@@ -1,7 +1,7 @@
 //! Checks whether this gateway reaches any target.
 
 use super::{
-    super::{call::Probe, occupancy::Progress, reach::CHECKED_TARGETS, target::RunningAttempt},
+    super::{call::Probe, reach::CHECKED_TARGETS, target::RunningAttempt},
     Balancer,
 };
 use crate::Timestamp;
@@ -63,10 +63,7 @@
         let Some(state) = self.calls.get(&id) else { return };
         let Some(service) = self.services.get(&state.call.service) else { return };
         let is_overdue = |r: &RunningAttempt| {
-            let is_accepted = r.progress != Progress::Unaccepted;
-            r.call == id
-                && is_accepted
-                && now.since(r.since).as_secs_f64() > r.expected * UNANSWERED_AGE
+            r.call == id && now.since(r.since).as_secs_f64() > r.expected * UNANSWERED_AGE
         };
         for target in service.targets.values().filter(|t| t.running.iter().any(is_overdue)) {
             self.reach.record_failure(now, &target.name);
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -46,10 +46,6 @@
     /// [`NewAttempt::hedge_at`]: super::NewAttempt::hedge_at
     pub fn consider_hedge(&mut self, now: Timestamp, id: u64) -> HedgeDecision {
         self.suspect_silent(now, id);
-        if let Some(state) = self.calls.get(&id) {
-            let service = Arc::clone(&state.call.service);
-            self.probe_silent(now, &service);
-        }
         let Some(state) = self.calls.get(&id) else { return HedgeDecision::Never };
         let route = &state.call.route;
         if state.running != 1 || !route.idempotent || !state.call.replayable {
--- a/crates/policy/src/balance/load.rs
+++ b/crates/policy/src/balance/load.rs
@@ -46,9 +46,8 @@
 struct ReceivedReport {
     report: LoadReport,
     at: Timestamp,
-    /// Calls at the target that came from other gateways, and when they were counted.
+    /// Calls at the target that came from other gateways.
     others: f64,
-    counted: Timestamp,
 }
 
 /// Moving average that decays to zero as time passes.
@@ -89,7 +88,7 @@
     pub(super) fn record_report(&mut self, now: Timestamp, report: LoadReport, own: u32) {
         let all = f64::from(report.running + report.waiting);
         let others = (all - f64::from(own)).max(0.0);
-        self.latest = Some(ReceivedReport { report, at: now, others, counted: now });
+        self.latest = Some(ReceivedReport { report, at: now, others });
     }
 
     /// Records an answer that took `ratio` times as long as expected.
@@ -107,21 +106,6 @@
         self.failures.update(now, 1.0, SAMPLE_WEIGHT);
     }
 
-    /// Records that the target has rejected an attempt because it is full: calls of other gateways occupy
-    /// its slots and at least one waits.
-    pub(super) fn record_full(&mut self, now: Timestamp) {
-        let others = self.other_calls(now);
-        if let Some(latest) = &mut self.latest {
-            latest.others = others.max(f64::from(latest.report.slots) + 1.0);
-            latest.counted = now;
-        }
-    }
-
-    /// Returns the latest report and when it arrived.
-    pub(super) fn latest_report(&self) -> Option<(LoadReport, Timestamp)> {
-        self.latest.map(|r| (r.report, r.at))
-    }
-
     /// Forgets the failed attempts.
     pub(super) fn forget_failures(&mut self) {
         self.failures = DecayingMean::default();
@@ -140,7 +124,7 @@
 
     /// Returns the estimated number of calls from other gateways at the target.
     pub(super) fn other_calls(&self, now: Timestamp) -> f64 {
-        self.latest.map_or(0.0, |r| r.others * decay(now.since(r.counted), OTHER_CALLS_DECAY))
+        self.latest.map_or(0.0, |r| r.others * decay(now.since(r.at), OTHER_CALLS_DECAY))
     }
 
     /// Returns the reported slowdown if the report is recent enough.
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -383,7 +383,7 @@
     pub(super) fn local_usage(&self) -> f64 {
         let local = || self.targets.values().filter(|t| t.local && t.is_usable());
         let slots: f64 = local().map(|t| f64::from(t.slots)).sum();
-        let used: usize = local().map(|t| t.occupied()).sum();
+        let used: usize = local().map(|t| t.running.len()).sum();
         if slots == 0.0 { 1.0 } else { used as f64 / slots }
     }
 
@@ -508,7 +508,7 @@
         locals_held: bool,
     ) -> Option<Candidate> {
         let now = request.now;
-        let own = target.occupied() as f64;
+        let own = target.running.len() as f64;
         let slots = f64::from(target.slots);
         // A remote target keeps one slot free for the gateways in its own failure domain.
         let reserved = if target.local || locals_held || target.slots == 1 { 0.0 } else { 1.0 };
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -1,15 +1,8 @@
 //! State of one target at this gateway.
 
 use super::{
-    call::Probe,
-    catalog::ListedTarget,
-    cold::ColdTarget,
-    limits::TargetLimit,
-    load::TargetLoad,
-    occupancy::{Occupancy, Progress},
-    quarantine::ProcessId,
-    rest::TargetRest,
-    succession::AnswerTime,
+    call::Probe, catalog::ListedTarget, cold::ColdTarget, limits::TargetLimit, load::TargetLoad,
+    quarantine::ProcessId, rest::TargetRest, succession::AnswerTime,
 };
 use crate::Timestamp;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
@@ -63,8 +56,6 @@
     pub(super) process: ProcessId,
     /// Whether it counts for the rate of the target while that is cold.
     pub(super) cold: bool,
-    /// How far it has come.
-    pub(super) progress: Progress,
 }
 
 /// Record of a target, with whether its process is known to have lived since the latest list.
@@ -92,8 +83,6 @@
     pub(super) load: TargetLoad,
     /// When all slots were last known to be in use.
     pub(super) last_full: Option<Timestamp>,
-    /// What its reports say of the running attempts.
-    pub(super) occupancy: Occupancy,
     /// End of the backoff.
     pub(super) backoff_until: Timestamp,
     /// Another process uses the address; no calls are sent until the record changes.
@@ -137,7 +126,6 @@
             running: Vec::new(),
             load: TargetLoad::default(),
             last_full: None,
-            occupancy: Occupancy::default(),
             backoff_until: now,
             moved: false,
             probe_sent: None,
@@ -155,7 +143,7 @@
 
     /// Notes the time if all slots are in use.
     pub(super) fn record_usage(&mut self, now: Timestamp) {
-        let used = self.occupied() as f64 + self.load.other_calls(now);
+        let used = self.running.len() as f64 + self.load.other_calls(now);
         if used + OTHER_CALLS_TOLERANCE >= f64::from(self.slots) {
             self.last_full = Some(now);
         }
@@ -303,7 +291,6 @@
                 running.cold = self.cold.take(now);
             }
             running.sent = now;
-            running.progress = Progress::Sent;
         }
         true
     }
@@ -353,7 +340,6 @@
         let ratio = |r: &RunningAttempt| {
             now.since(r.since).as_secs_f64() / r.expected.max(MIN_EXPECTED_SECONDS)
         };
-        let accepted = self.running.iter().filter(|r| r.progress != Progress::Unaccepted);
-        accepted.map(ratio).fold(1.0, |a, b| a.max(b / OVERDUE_AGE))
+        self.running.iter().map(ratio).fold(1.0, |a, b| a.max(b / OVERDUE_AGE))
     }
 }
