policy: refuse late calls whose turn does not come, keep returns late

Late calls were held for 1.4 s on average and then refused at their deadline, because the expected wait was computed from the capacity of all targets and because calls in time always go first. A call that came back after its second refusal counted as new and went before first attempts.

The expected wait now uses the rate at which calls of this gateway start while others wait, learned over 1.5 s, with a rate of its own for late calls. Late calls that are not expected to start before their deadline are refused on arrival or at the next check. The retry delay is at most a quarter of the time left before it is randomized. Calls keep the objective of their first attempt after each refusal.

--- a/crates/policy/src/balance/balancer.rs
+++ b/crates/policy/src/balance/balancer.rs
@@ -13,6 +13,7 @@
 mod reaching;
 mod resting;
 mod retries;
+mod shedding;
 mod trying;
 
 use super::{
@@ -383,17 +384,16 @@
         decisions: &mut Vec<(u64, Decision)>,
     ) {
         let Some((name, queue)) = self.queues.get_index(index) else { return };
-        if queue.is_empty() {
-            return;
-        }
         let name = Arc::clone(name);
         let Some(service) = self.services.get_mut(&name) else { return };
-        if !service.take_dispatch_due(now) {
+        service.record_waiting(now, queue);
+        if queue.is_empty() || !service.take_dispatch_due(now) {
             return;
         }
         for id in queue.overdue(now, |route| service.call_seconds(route)) {
             self.give_up_waiting(now, &name, id, GiveUpReason::Deadline, decisions);
         }
+        self.give_up_passed_over(now, &name, decisions);
         let mut pass = DispatchPass {
             capacity: self.capacity(now, &name),
             checks_all: self.must_check_all(now, &name),
@@ -554,7 +554,7 @@
         if waiting >= QUEUE_LIMIT {
             return self.give_up(now, id, GiveUpReason::QueueFull);
         }
-        let wait = self.queue_seconds(now, id);
+        let wait = self.queue_seconds(now, id).max(self.late_seconds(now, id));
         let left = self.calls.get(&id).map_or(Duration::ZERO, |s| s.call.deadline.since(now));
         if wait + self.typical_seconds(id) > left.as_secs_f64() * MAX_WAIT_FRACTION {
             let service = self.services.get(&name);
@@ -566,8 +566,12 @@
             return self.give_up(now, id, GiveUpReason::Stopping);
         }
         if let Some(state) = self.calls.get_mut(&id) {
-            self.queues.entry(name).or_default().insert(&state.call);
+            let queue = self.queues.entry(Arc::clone(&name)).or_default();
+            queue.insert(&state.call);
             state.waiting = true;
+            if let Some(service) = self.services.get_mut(&name) {
+                service.record_waiting(now, queue);
+            }
         }
         Decision::Wait
     }
@@ -582,7 +586,8 @@
         }
         let counts = self.counts_before(now, id);
         let ahead: f64 = counts.map(|(seconds, count)| seconds * count as f64).sum();
-        ahead / self.capacity(now, &state.call.service)
+        let seconds = ahead / self.capacity(now, &state.call.service);
+        service.map_or(seconds, |s| s.admission.start_seconds(count, seconds, false))
     }
 
     /// Returns the number of waiting calls of each route that rank before the call, with the expected
@@ -641,6 +646,7 @@
         self.start_trial(now, id);
         let state = self.calls.get_mut(&id)?;
         let service = self.services.get_mut(&state.call.service)?;
+        service.record_start(now, &state.call);
         let base = service.base_seconds(&state.call.route);
         let (_, target) = service.targets.get_index_mut(candidate.index)?;
         target.running.push(RunningAttempt {
@@ -695,8 +701,11 @@
         let target = service.targets.get_mut(&attempt.target)?;
         let at = target.running.iter().position(|r| r.call == attempt.call)?;
         service.is_changed = true;
+        let running = target.running.swap_remove(at);
+        // The slot was in use until now.
+        target.free = (None, now);
         target.record_usage(now);
-        Some(target.running.swap_remove(at))
+        Some(running)
     }
 }
 
--- a/crates/policy/src/balance/balancer/retries.rs
+++ b/crates/policy/src/balance/balancer/retries.rs
@@ -148,15 +148,21 @@
                 self.jittered_delay(REFUSED_RETRY_AFTER)
             }
             _ => {
-                let seconds = self.drain_seconds(now, id);
+                let seconds = self.drain_seconds(now, id).min(self.usable_delay(now, id));
                 self.jittered_delay(seconds)
             }
         };
         let retry_after = self.rest_delay(now, id).map_or(retry_after, |d| d.max(retry_after));
         let may_return = !may_have_run && reason != GiveUpReason::Quarantined;
-        if may_return && let Some(state) = self.calls.get(&id).filter(|s| !s.came_back) {
+        if may_return && let Some(state) = self.calls.get(&id) {
             let refusals = self.refusals.entry(Arc::clone(&state.call.service)).or_default();
-            refusals.record(now, state.call.origin(), retry_after, state.call.objective);
+            refusals.record(
+                now,
+                state.call.origin(),
+                retry_after,
+                state.call.objective,
+                !state.came_back,
+            );
         }
         self.forget(id);
         Decision::GiveUp { reason, not_run: !may_have_run, retry_after }
--- a/crates/policy/src/balance/queue.rs
+++ b/crates/policy/src/balance/queue.rs
@@ -115,9 +115,45 @@
         })
     }
 
+    /// Returns whether a late call waits.
+    pub(super) fn has_late<Seconds>(&self, now: Timestamp, seconds: Seconds) -> bool
+    where
+        Seconds: Fn(&Route) -> CallSeconds,
+    {
+        self.routes.values().any(|queue| {
+            let first = queue.by_objective.first();
+            first.is_some_and(|(objective, _)| seconds(&queue.route).is_late(now, *objective))
+        })
+    }
+
+    /// Returns the number of waiting calls that are not late.
+    pub(super) fn in_time_count<Seconds>(&self, now: Timestamp, seconds: Seconds) -> usize
+    where
+        Seconds: Fn(&Route) -> CallSeconds,
+    {
+        let counts = self.routes.values().map(|queue| {
+            let limit = earliest_end(now, seconds(&queue.route).safe);
+            count_between(&queue.by_objective, limit, Timestamp::MAX)
+        });
+        counts.sum()
+    }
+
+    /// Returns the late waiting calls in the order in which they start.
+    pub(super) fn late_in_order<Seconds>(
+        &self,
+        now: Timestamp,
+        seconds: Seconds,
+    ) -> impl Iterator<Item = u64>
+    where
+        Seconds: Fn(&Route) -> CallSeconds,
+    {
+        let in_time = self.in_time_count(now, &seconds);
+        self.in_order(now, seconds).skip(in_time)
+    }
+
     /// Returns the rank of the call among the waiting ones.
     pub(super) fn rank(now: Timestamp, call: &Call, seconds: CallSeconds) -> QueueRank {
-        (call.objective < earliest_end(now, seconds.safe), call.route.priority, call.objective)
+        (seconds.is_late(now, call.objective), call.route.priority, call.objective)
     }
 
     /// Returns the routes of the waiting calls, each with its expected seconds and the number of its calls
--- a/crates/policy/src/balance/refusals.rs
+++ b/crates/policy/src/balance/refusals.rs
@@ -28,6 +28,8 @@
     until: Timestamp,
     /// Objective of the call that was refused.
     objective: Timestamp,
+    /// Whether the call was refused for the first time.
+    first: bool,
 }
 
 /// Refused calls of one service, with exponentially decaying counts.
@@ -47,22 +49,26 @@
 }
 
 impl RefusalTracker {
-    /// Records a call that was refused for the first time and may be retried after `retry_after`.
+    /// Records a call that was refused, for the first time or again, and may be retried after
+    /// `retry_after`.
     pub(super) fn record(
         &mut self,
         now: Timestamp,
         origin: Origin,
         retry_after: Duration,
         objective: Timestamp,
+        first: bool,
     ) {
-        self.refused = self.refused * COUNT_DECAY + 1.0;
-        self.returned *= COUNT_DECAY;
+        if first {
+            self.refused = self.refused * COUNT_DECAY + 1.0;
+            self.returned *= COUNT_DECAY;
+        }
         if self.pending.len() >= MAX_PENDING {
             self.pending.retain(|_, refusal| refusal.until >= now);
         }
         if self.pending.len() < MAX_PENDING {
             let until = now + retry_after + RETURN_GRACE;
-            self.pending.insert(origin, Refusal { until, objective });
+            self.pending.insert(origin, Refusal { until, objective, first });
         }
     }
 
@@ -73,7 +79,7 @@
         if refusal.until < now {
             return None;
         }
-        self.returned += 1.0;
+        self.returned += f64::from(u8::from(refusal.first));
         Some(refusal.objective)
     }
 
--- a/crates/policy/src/balance/service.rs
+++ b/crates/policy/src/balance/service.rs
@@ -2,6 +2,8 @@
 
 use super::{
     admission::{Admission, CallSeconds},
+    call::Call,
+    queue::WaitQueue,
     routes::Route,
     target::{OTHER_CALLS_TOLERANCE, PROBE_TIMEOUT, RunningAttempt, SeenTarget, Target},
 };
@@ -217,7 +219,7 @@
     pub(super) targets: IndexMap<Arc<str>, Target>,
     route_stats: IndexMap<Arc<str>, RouteStats>,
     slowdowns: SlowdownStats,
-    admission: Admission,
+    pub(super) admission: Admission,
     /// Mean ratio of observed to expected time at crowded targets and at the others.
     crowding: (f64, f64),
     /// Moving average of the fraction of attempts that targets refused.
@@ -318,6 +320,18 @@
         self.admission.call_seconds(route, self.base_seconds(route))
     }
 
+    /// Records which calls wait.
+    pub(super) fn record_waiting(&mut self, now: Timestamp, queue: &WaitQueue) {
+        let has_late = queue.has_late(now, |route| self.call_seconds(route));
+        self.admission.record_waiting(now, !queue.is_empty(), has_late);
+    }
+
+    /// Records that a call starts.
+    pub(super) fn record_start(&mut self, now: Timestamp, call: &Call) {
+        let is_late = self.call_seconds(&call.route).is_late(now, call.objective);
+        self.admission.record_start(now, is_late);
+    }
+
     /// Returns the seconds of work that the targets do per second, without those that have named a limit
     /// or asked for rest.
     pub(super) fn capacity(&self, now: Timestamp) -> f64 {
--- a/crates/policy/src/balance/target.rs
+++ b/crates/policy/src/balance/target.rs
@@ -30,6 +30,9 @@
 /// Estimated calls, the new one included, by which a target may exceed its slots and still count as
 /// having a free one. The calls of other gateways are not known exactly.
 pub(super) const OTHER_CALLS_TOLERANCE: f64 = 0.5;
+/// Time after an observation that a slot is free for which it is assumed to have stayed free until the next
+/// one.
+const FREE_MEMORY: Duration = Duration::from_millis(100);
 /// Time for which a pending probe prevents further ones.
 pub(super) const PROBE_TIMEOUT: Duration = Duration::from_millis(100);
 
@@ -79,8 +82,8 @@
     pub(super) warm_at: Timestamp,
     pub(super) running: Vec<RunningAttempt>,
     pub(super) load: TargetLoad,
-    /// When all slots were last known to be in use.
-    pub(super) last_full: Option<Timestamp>,
+    /// Since when a slot is known to be free, `None` if all were in use, and when that was observed.
+    pub(super) free: (Option<Timestamp>, Timestamp),
     /// End of the backoff.
     pub(super) backoff_until: Timestamp,
     /// Another process uses the address; no calls are sent until the record changes.
@@ -119,7 +122,7 @@
             warm_at: listed.read + record.warmup,
             running: Vec::new(),
             load: TargetLoad::default(),
-            last_full: None,
+            free: (Some(now), now),
             backoff_until: now,
             moved: false,
             probe_sent: None,
@@ -133,17 +136,21 @@
         }
     }
 
-    /// Notes the time if all slots are in use.
+    /// Notes whether a slot is free.
     pub(super) fn record_usage(&mut self, now: Timestamp) {
         let used = self.running.len() as f64 + self.load.other_calls(now);
-        if used + OTHER_CALLS_TOLERANCE >= f64::from(self.slots) {
-            self.last_full = Some(now);
-        }
+        let is_free = used + OTHER_CALLS_TOLERANCE < f64::from(self.slots);
+        let (since, seen) = self.free;
+        let since = since.filter(|_| now.since(seen) <= FREE_MEMORY);
+        self.free = (is_free.then(|| since.unwrap_or(now)), now);
     }
 
     /// Returns whether a slot has been free for `time`, as far as is known.
     pub(super) fn was_free_for(&self, now: Timestamp, time: Duration) -> bool {
-        self.last_full.is_none_or(|at| now.since(at) >= time)
+        let (since, seen) = self.free;
+        // Calls that are cancelled free slots too, which is not observed at targets that report no load.
+        let since = since.unwrap_or(seen + FREE_MEMORY);
+        time.is_zero() || now.since(since) >= time
     }
 
     /// Returns whether a probe may be sent now, at most `rate` per second.
