--- a/crates/gateway/tests/hostile_callers/deployment.rs
+++ b/crates/gateway/tests/hostile_callers/deployment.rs
@@ -143,7 +143,8 @@
 }
 
 fn published() -> PublishedSettings {
-    let service = ServiceSettings { connections: 1_000, probe_path: Arc::from(PROBE_PATH) };
+    let service =
+        ServiceSettings { connections: 1_000, cold_rate: None, probe_path: Arc::from(PROBE_PATH) };
     let route = Route {
         name: Arc::from(ROUTE),
         host: Arc::from("test"),
