balance: count peers as heard only since the own settling

Peers that have not been heard since a gateway settled now count as missing, and seeds count only from 1 s after the start.

--- a/crates/policy/src/balance/membership/cold.rs
+++ b/crates/policy/src/balance/membership/cold.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{cold::ColdShare, heartbeat::Phase},
-    Membership, Peer,
+    Membership, Peer, SETTLE_TIME,
     limits::rank_for,
 };
 use crate::Timestamp;
@@ -26,6 +26,9 @@
 /// One in this many seeds has to be heard before a gateway uses rates, so that of the gateways that are cut off
 /// from each other at their start, those of three parts at most do.
 const SEEDS_PER_HEARD: usize = 3;
+/// Time after its start from which on a seed that is heard counts. If all gateways start at once, the first answers
+/// of the seeds name no others yet, and one that is cut off after them knows too little of the fleet.
+const SEED_DELAY: Duration = Duration::from_secs(1);
 /// A gateway that does not hear one in this many gateways of its domain uses rates as a contested one: where
 /// hearing is not mutual, several may take themselves for the first.
 const MISSING_PART: usize = 4;
@@ -80,8 +83,9 @@
 impl Membership {
     /// Returns which rates of cold targets this gateway may use now.
     pub fn cold_assignment(&self) -> ColdAssignment {
+        let heard = self.live_peers(true);
         let missing = self.missing_count();
-        let total = 1 + self.heard_count() + missing;
+        let total = 1 + heard + missing;
         let knows_others = self.unheard.has_joined && missing * MAX_MISSING_PART <= total;
         if self.own.phase != Phase::Ready || !knows_others {
             return ColdAssignment::default();
@@ -123,7 +127,8 @@
         for (host, peer) in &self.peers {
             let address = peer.heartbeat.call_address.ip();
             self.unheard.named.swap_remove(&address);
-            if !self.unheard.has_joined && self.seeds.contains(&address) {
+            let is_informed = peer.heard >= self.started + SEED_DELAY;
+            if !self.unheard.has_joined && is_informed && self.seeds.contains(&address) {
                 self.unheard.heard_seeds.insert(address);
             }
             if peer.heartbeat.domain != self.own.domain {
@@ -153,20 +158,23 @@
         self.peers.is_empty() && self.seeds.iter().all(|seed| *seed == own)
     }
 
-    fn heard_count(&self) -> usize {
-        let counts = |p: &&Peer| p.alive && p.heartbeat.phase != Phase::Leaving;
-        self.local_peers().filter(counts).count()
+    /// Returns the live gateways of the domain that this one has heard since it settled, or that it has not. What
+    /// the latter have said of themselves is out of date: those that started with this one have settled, too.
+    fn live_peers(&self, is_heard: bool) -> usize {
+        let settled = self.started + SETTLE_TIME;
+        let is_live = |p: &&Peer| p.alive && p.heartbeat.phase != Phase::Leaving;
+        self.local_peers().filter(is_live).filter(|p| (p.heard >= settled) == is_heard).count()
     }
 
     /// Returns the number of gateways that may be alive and are not heard. Of other domains, only the primary hears
     /// any.
     fn missing_count(&self) -> usize {
+        let missing = self.unheard.silent.len() + self.live_peers(false);
         if self.unheard.named.is_empty() {
-            return self.unheard.silent.len();
+            return missing;
         }
         let remote = self.remote_primaries();
         let is_remote = |host: &IpAddr| remote.iter().any(|(_, address)| address.ip() == *host);
-        let named = self.unheard.named.keys().filter(|host| !is_remote(host)).count();
-        self.unheard.silent.len() + named
+        missing + self.unheard.named.keys().filter(|host| !is_remote(host)).count()
     }
 }
--- a/crates/policy/tests/balance/cold.rs
+++ b/crates/policy/tests/balance/cold.rs
@@ -602,6 +602,13 @@
     }
 }
 
+/// All gateways were cut off from each other shortly before they had settled, took the others for unsettled, and each
+/// itself for the only one that may use the rate.
+#[test]
+fn fleet_keeps_the_bound_if_it_is_cut_before_it_settles() {
+    arbtest(check_bound).seed(0x34c9_62a1_0000_0040);
+}
+
 /// Ends of the cold time that differed by less than half a second were taken for equal, and gateways took the target
 /// for warm too early.
 #[test]
@@ -718,3 +725,23 @@
     }
     assert!(has(&shares_without(3, 0, 700_000), ColdShare::Full), "it is the only one left");
 }
+
+/// Each of several gateways that took over within a second would have added a request of its own.
+#[test]
+fn gateway_that_takes_over_begins_without_tokens() {
+    let mut fixture = Fixture::new(1, 0);
+    fixture.apply_changes(ms(0), vec![Change::Published(published(1, Some(RATE)))]);
+    fixture.apply_changes(ms(10_000), vec![Change::Target(cold(record(0, LOCAL), COLD_MS))]);
+    let sent = fixture.burst(10_000..10_500, "target-0");
+    assert!(sent.is_empty(), "another one uses the rate: {sent:?}");
+    fixture.balancer.assign_cold_targets(ms(10_500), membership(0, &[0]).cold_assignment());
+    let sent = fixture.burst(10_500..11_500, "target-0");
+    assert!(sent.first() >= Some(&10_780) && sent.len() == 3, "{sent:?}");
+    // The same if the target becomes known only then.
+    let mut fixture = Fixture::new(0, 0);
+    fixture.apply_changes(ms(0), vec![Change::Published(published(1, Some(RATE)))]);
+    fixture.balancer.assign_cold_targets(ms(10_000), membership(0, &[0]).cold_assignment());
+    fixture.apply_changes(ms(10_100), vec![Change::Target(cold(record(0, LOCAL), COLD_MS))]);
+    let sent = fixture.burst(10_100..11_000, "target-0");
+    assert!(sent.first() >= Some(&10_280), "{sent:?}");
+}
