--- a/crates/policy/tests/balance/cold.rs
+++ b/crates/policy/tests/balance/cold.rs
@@ -598,7 +598,7 @@
 fn fleet_keeps_the_bound_of_a_cold_target() {
     // The lower half of a seed is the size of the input, the upper half its contents.
     for seed in 1..=24_u64 {
-        arbtest(check_bound).seed(seed * 0x9e37_79b9 << 32 | 64);
+        arbtest(check_bound).seed((seed * 0x9e37_79b9) << 32 | 64);
     }
 }
 
