--- a/crates/policy/src/balance/admission.rs
+++ b/crates/policy/src/balance/admission.rs
@@ -34,7 +34,7 @@
 /// they are looked at far more often.
 const MAX_GAP: Duration = Duration::from_millis(50);
 /// Time for which the rate that the capacity of all targets suggests is assumed to have been observed.
-const ASSUMED_TIME: f64 = 0.5;
+const ASSUMED_SECONDS: f64 = 0.5;
 
 /// What is learned of the calls of one service.
 #[derive(Clone, Debug, Default)]
@@ -87,8 +87,8 @@
         if count <= 0.0 || seconds <= 0.0 {
             return 0.0;
         }
-        let assumed = count / seconds * ASSUMED_TIME;
-        count * (self.seconds + ASSUMED_TIME) / (self.starts + assumed)
+        let assumed = count / seconds * ASSUMED_SECONDS;
+        count * (self.seconds + ASSUMED_SECONDS) / (self.starts + assumed)
     }
 }
 
